--- /dev/null
+++ b/crates/decisions/src/domain_name.rs
@@ -0,0 +1,6 @@
+//! Name of a failure domain.
+
+crate::define_name! {
+    /// Identifies a failure domain.
+    DomainName
+}
--- /dev/null
+++ b/crates/decisions/src/incarnation.rs
@@ -0,0 +1,16 @@
+//! Number of one run of an instance.
+
+use serde::{Deserialize, Serialize};
+
+/// Random number that an instance draws at process start.
+///
+/// It tells a restarted process from the one that had the same name before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl std::fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/instance_id.rs
@@ -0,0 +1,30 @@
+//! Identity of one process.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Incarnation, InstanceName};
+
+/// Name and incarnation, which together identify one process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct InstanceId {
+    /// Name from the settings.
+    pub name: InstanceName,
+    /// Number drawn at process start.
+    pub incarnation: Incarnation,
+}
+
+impl InstanceId {
+    /// Joins a name and an incarnation.
+    pub fn new(name: &str, incarnation: u64) -> Self {
+        Self {
+            name: name.into(),
+            incarnation: Incarnation(incarnation),
+        }
+    }
+}
+
+impl std::fmt::Display for InstanceId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}#{}", self.name, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/organisation_id.rs
@@ -0,0 +1,6 @@
+//! Name of an organisation.
+
+crate::define_name! {
+    /// Identifies an organisation.
+    OrganisationId
+}
--- /dev/null
+++ b/crates/decisions/src/region_name.rs
@@ -0,0 +1,6 @@
+//! Name of a region.
+
+crate::define_name! {
+    /// Identifies a region.
+    RegionName
+}
--- /dev/null
+++ b/crates/decisions/src/request_id.rs
@@ -0,0 +1,6 @@
+//! Identifier of a request.
+
+crate::define_name! {
+    /// Identifies one request across instances and backend servers.
+    RequestId
+}
--- /dev/null
+++ b/crates/decisions/src/service_route.rs
@@ -0,0 +1,20 @@
+//! Route to a plain service.
+
+use crate::{KeyRequirement, ServiceName};
+
+/// Path prefix that leads to a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRoute {
+    /// Path prefix, such as `/v1/services/bookings`.
+    pub path: String,
+    /// Service behind it.
+    pub service: ServiceName,
+    /// Whether a call may be sent again after it may have run.
+    pub repeatable: bool,
+    /// Whether a caller must send an idempotency key.
+    pub idempotency_key: KeyRequirement,
+    /// Whether it is open to callers without a key.
+    pub open: bool,
+    /// Charge for each request in tokens.
+    pub cost: u64,
+}
