--- a/crates/decisions/src/service_route.rs
+++ b/crates/decisions/src/service_route.rs
@@ -1,6 +1,6 @@
 //! Route to a plain service.
 
-use crate::{KeyRequirement, ServiceName};
+use crate::{KeyRequirement, OrganisationId, ServiceName};
 
 /// Path prefix that leads to a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,8 +13,8 @@
     pub repeatable: bool,
     /// Whether a caller must send an idempotency key.
     pub idempotency_key: KeyRequirement,
-    /// Whether it is open to callers without a key.
-    pub open: bool,
+    /// Organisation charged for calls without a key; none if callers need a key.
+    pub open_for: Option<OrganisationId>,
     /// Charge for each request in tokens.
     pub cost: u64,
 }
--- /dev/null
+++ b/crates/http/src/http_server.rs
@@ -0,0 +1,129 @@
+//! Accept loop that serves a gotham router.
+
+use std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+
+use gotham::{router::Router, service::call_handler, state::State};
+use hyper::{Request, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::ServerLimits;
+
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Serves a gotham router and drains it on shutdown.
+///
+/// `gotham::bind_server` offers no graceful shutdown, so the router runs under hyper-util here.
+pub struct HttpServer {
+    listener: TcpListener,
+    router: Router,
+    limits: ServerLimits,
+}
+
+impl HttpServer {
+    /// Binds `address`; port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        router: Router,
+        limits: ServerLimits,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            listener: TcpListener::bind(address).await?,
+            router,
+            limits,
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the socket has no address.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `shutdown` is cancelled, then waits for the requests in flight.
+    ///
+    /// Returns whether all of them ended within the drain timeout.
+    pub async fn serve(self, shutdown: CancellationToken) -> bool {
+        let graceful = GracefulShutdown::new();
+        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let accepted = tokio::select! {
+                () = shutdown.cancelled() => break,
+                accepted = accept(&self.listener, &permits) => accepted,
+            };
+            match accepted {
+                Ok((stream, address, permit)) => {
+                    let connection = self.connection(stream, address);
+                    let connection = graceful.watch(connection);
+                    tokio::spawn(async move {
+                        // A failed connection concerns only its caller, who sees it fail.
+                        let _ = connection.await;
+                        drop(permit);
+                    });
+                }
+                // Out of file descriptors, most often: waits for connections to close.
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+        drop(self.listener);
+        tokio::time::timeout(self.limits.drain_timeout, graceful.shutdown())
+            .await
+            .is_ok()
+    }
+
+    fn connection(
+        &self,
+        stream: TcpStream,
+        address: SocketAddr,
+    ) -> impl hyper_util::server::graceful::GracefulConnection<
+        Error = Box<dyn std::error::Error + Send + Sync>,
+    > + Send
+    + 'static {
+        let router = self.router.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let router = router.clone();
+            let state = State::from_request(req, address);
+            async move { call_handler(router, AssertUnwindSafe(state)).await }
+        });
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.header_timeout)
+            .max_buf_size(self.limits.buffer_bytes);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(u32::try_from(self.limits.buffer_bytes).unwrap_or(u32::MAX));
+        builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned()
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits)
+        .acquire_owned()
+        .await
+        .map_err(io::Error::other)?;
+    let (stream, address) = listener.accept().await?;
+    stream.set_nodelay(true)?;
+    Ok((stream, address, permit))
+}
