Add idempotency claims and the callers' interface

Cause: a resend with the same key at another instance, or a lost store answer, must not run a payment twice.

Ruled out: trusting a lost answer, and replacing another attempt's claim. With either put in place of the present rule, claim_process_racing_attempts_run_at_most_once fails.

--- /dev/null
+++ b/crates/callers/src/caller_key.rs
@@ -0,0 +1,23 @@
+//! Caller's key.
+
+/// Bearer token of a caller; never shown in logs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CallerKey(String);
+
+impl CallerKey {
+    /// Wraps a bearer token.
+    pub fn new(token: &str) -> Self {
+        Self(token.to_owned())
+    }
+
+    /// Returns the token.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for CallerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("CallerKey(..)")
+    }
+}
--- /dev/null
+++ b/crates/callers/src/caller_list_answer.rs
@@ -0,0 +1,28 @@
+//! Answer to `GET /v1/instances`.
+
+use std::net::SocketAddr;
+
+use hawthornquay_decisions::{DomainName, InstanceName, RegionName};
+use serde::{Deserialize, Serialize};
+
+/// Instances that a caller may use, best first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerListAnswer {
+    /// Time after which the caller should ask again, in milliseconds.
+    pub ttl_ms: u64,
+    /// Instances, best first.
+    pub instances: Vec<CallerListEntry>,
+}
+
+/// One instance that a caller may use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerListEntry {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Region of the instance.
+    pub region: RegionName,
+    /// Failure domain of the instance.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/crates/callers/src/router.rs
@@ -0,0 +1,116 @@
+//! Routes of the callers' interface.
+
+use std::{panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+
+use gotham::{
+    handler::HandlerFuture,
+    middleware::state::StateMiddleware,
+    pipeline::{single_middleware, single_pipeline},
+    prelude::{DefineSingleRoute, DrawRoutes},
+    router::{Router, build_router},
+    state::{FromState, State, StateData},
+};
+use hawthornquay_decisions::{Refusal, RefusalCode, RequestId};
+use hawthornquay_http::{Body, json_response};
+use http::{HeaderValue, Method, Response, StatusCode, Uri};
+use serde::Serialize;
+
+use crate::{CallerService, RequestHead, refusal_response};
+
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const REQUESTS_PREFIX: &str = "/v1/requests/";
+
+type Answer = Result<Response<Body>, Refusal>;
+
+struct Service(AssertUnwindSafe<Arc<dyn CallerService>>);
+
+impl Clone for Service {
+    fn clone(&self) -> Self {
+        Self(AssertUnwindSafe(Arc::clone(&self.0)))
+    }
+}
+
+impl StateData for Service {}
+
+/// Builds the router of the callers' interface over `service`.
+pub fn caller_router(service: Arc<dyn CallerService>) -> Router {
+    let middleware = StateMiddleware::new(Service(AssertUnwindSafe(service)));
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    let methods = [
+        Method::GET,
+        Method::POST,
+        Method::PUT,
+        Method::PATCH,
+        Method::DELETE,
+    ];
+    build_router(chain, pipelines, |route| {
+        route.request(methods.to_vec(), "/").to(handle);
+        route.request(methods.to_vec(), "/*").to(handle);
+    })
+}
+
+/// Endpoints are matched here and not in the gotham tree, because its answers to an unknown path
+/// or method carry no JSON and service routes come from the bundle.
+fn handle(mut state: State) -> Pin<Box<HandlerFuture>> {
+    Box::pin(async move {
+        let service = Arc::clone(&Service::borrow_from(&state).0);
+        let id = service.next_request_id();
+        let answer = match RequestHead::from_state(&state, id.clone()) {
+            Ok(head) => {
+                let body = Body::take_from(&mut state);
+                answer(service.as_ref(), head, body).await
+            }
+            Err(refusal) => Err(refusal),
+        };
+        let mut res = answer.unwrap_or_else(|refusal| refusal_response(&refusal, &id));
+        if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+            res.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        Ok((state, res))
+    })
+}
+
+async fn answer(service: &dyn CallerService, head: RequestHead, body: Body) -> Answer {
+    let path = head.path().to_owned();
+    match path.as_str() {
+        "/v1/chat/completions" => {
+            expect_method(&head, &Method::POST)?;
+            service.complete(head, body).await
+        }
+        "/v1/models" => {
+            expect_method(&head, &Method::GET)?;
+            service.models(&head).map(|models| ok(&models))
+        }
+        "/v1/instances" => {
+            expect_method(&head, &Method::GET)?;
+            service.instances(&head).map(|instances| ok(&instances))
+        }
+        "/v1/idempotency-keys" => {
+            expect_method(&head, &Method::POST)?;
+            service.issue_key(&head).map(|key| ok(&key))
+        }
+        _ => match path.strip_prefix(REQUESTS_PREFIX) {
+            Some(id) => {
+                expect_method(&head, &Method::GET)?;
+                service
+                    .outcome(&head, &RequestId::new(id))
+                    .map(|outcome| ok(&outcome))
+            }
+            None => service.call_service(head, body).await,
+        },
+    }
+}
+
+fn ok<T: Serialize>(value: &T) -> Response<Body> {
+    json_response(StatusCode::OK, value)
+}
+
+fn expect_method(head: &RequestHead, method: &Method) -> Result<(), Refusal> {
+    if head.method == *method {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        RefusalCode::BadRequest,
+        &format!("use {method} for {}", Uri::path(&head.uri)),
+    ))
+}
--- /dev/null
+++ b/crates/decisions/src/issued_key.rs
@@ -0,0 +1,37 @@
+//! Idempotency key issued by an instance.
+
+use crate::{Incarnation, InstanceId, InstanceName};
+
+const PREFIX: &str = "hq1.";
+
+/// Idempotency key that names the process which issued it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct IssuedKey {
+    /// Process that issued the key and alone may run its request.
+    pub issuer: InstanceId,
+    /// Random number that tells the issuer's keys apart.
+    pub number: u64,
+}
+
+impl IssuedKey {
+    /// Reads a key; returns `None` if the text is a caller's own key.
+    pub fn parse(text: &str) -> Option<Self> {
+        let rest = text.strip_prefix(PREFIX)?;
+        let (rest, number) = rest.rsplit_once('.')?;
+        let (name, incarnation) = rest.rsplit_once('.')?;
+        Some(Self {
+            issuer: InstanceId {
+                name: InstanceName::new(name),
+                incarnation: Incarnation(u64::from_str_radix(incarnation, 16).ok()?),
+            },
+            number: u64::from_str_radix(number, 16).ok()?,
+        })
+    }
+}
+
+impl std::fmt::Display for IssuedKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let InstanceId { name, incarnation } = &self.issuer;
+        write!(f, "{PREFIX}{name}.{incarnation}.{:016x}", self.number)
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,11 @@
 mod backend_name;
 mod backend_server;
 mod bundle;
+mod claim_action;
+mod claim_event;
+mod claim_process;
+mod claim_record;
+mod claim_state;
 mod collections;
 mod domain_name;
 mod execution;
@@ -18,6 +23,8 @@
 mod instance_name;
 mod instance_record;
 mod instance_state;
+mod issued_key;
+mod issued_key_table;
 mod key_digest;
 mod key_grant;
 mod key_requirement;
@@ -42,6 +49,11 @@
     backend_name::BackendName,
     backend_server::BackendServer,
     bundle::Bundle,
+    claim_action::ClaimAction,
+    claim_event::ClaimEvent,
+    claim_process::ClaimProcess,
+    claim_record::ClaimRecord,
+    claim_state::ClaimState,
     collections::{Map, Set},
     domain_name::DomainName,
     execution::Execution,
@@ -51,6 +63,8 @@
     instance_name::InstanceName,
     instance_record::InstanceRecord,
     instance_state::InstanceState,
+    issued_key::IssuedKey,
+    issued_key_table::{ISSUED_KEY_LIFETIME, IssuedKeyTable, MAX_KEYS, MAX_KEYS_PER_ORGANISATION},
     key_digest::KeyDigest,
     key_grant::KeyGrant,
     key_requirement::KeyRequirement,
--- a/crates/decisions/src/refusal_code.rs
+++ b/crates/decisions/src/refusal_code.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalCode {
+    /// The idempotency key belongs to an earlier request.
+    AlreadyClaimed,
     /// The backend server failed after it may have received the request.
     BackendFailed,
     /// The header, path or body is malformed.
@@ -50,6 +52,7 @@
     /// Returns the code used in answers and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::AlreadyClaimed => "already-claimed",
             Self::BackendFailed => "backend-failed",
             Self::BadRequest => "bad-request",
             Self::BodyTooLarge => "body-too-large",
@@ -79,7 +82,7 @@
             Self::KeyRejected => 401,
             Self::RouteUnknown => 404,
             Self::BodyTimeout => 408,
-            Self::ClaimConflict | Self::IssuerGone => 409,
+            Self::AlreadyClaimed | Self::ClaimConflict | Self::IssuerGone => 409,
             Self::BodyTooLarge => 413,
             Self::ResidencyRefused => 421,
             Self::LimitExceeded => 429,
--- /dev/null
+++ b/crates/decisions/tests/claims.rs
@@ -0,0 +1,227 @@
+//! Idempotency claims under lost answers, races and an unreachable store.
+
+use hawthornquay_decisions::{
+    ClaimAction, ClaimEvent, ClaimProcess, ClaimRecord, ClaimState, Execution, IssuedKey,
+    IssuedKeyTable, MonotonicTime, OrganisationId, RefusalCode, RequestId,
+};
+use proptest::prelude::*;
+
+/// Store with one entry, whose answers and writes can be lost.
+#[derive(Default)]
+struct FakeStore {
+    entry: Option<(ClaimRecord, u64)>,
+    revision: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    AnswerLost,
+    CallLost,
+    Unreachable,
+}
+
+impl FakeStore {
+    fn write(&mut self, record: ClaimRecord, expect: u64) -> ClaimEvent {
+        let current = self.entry.as_ref().map_or(0, |(_, revision)| *revision);
+        if current != expect {
+            return self.read();
+        }
+        self.revision += 1;
+        self.entry = Some((record, self.revision));
+        ClaimEvent::Written {
+            revision: self.revision,
+        }
+    }
+
+    fn read(&self) -> ClaimEvent {
+        match &self.entry {
+            Some((record, revision)) => ClaimEvent::Found {
+                record: record.clone(),
+                revision: *revision,
+            },
+            None => ClaimEvent::Absent,
+        }
+    }
+
+    fn call(&mut self, action: &ClaimAction, fault: Fault) -> ClaimEvent {
+        match fault {
+            Fault::Unreachable => return ClaimEvent::Unreachable,
+            Fault::CallLost => return ClaimEvent::AnswerLost,
+            Fault::None | Fault::AnswerLost => {}
+        }
+        let event = match action {
+            ClaimAction::Create(record) => self.write(record.clone(), 0),
+            ClaimAction::Replace { record, revision } => self.write(record.clone(), *revision),
+            ClaimAction::ReadBack => self.read(),
+            ClaimAction::Run { .. } | ClaimAction::Refuse(_) => unreachable!("not a store call"),
+        };
+        if matches!(fault, Fault::AnswerLost) {
+            ClaimEvent::AnswerLost
+        } else {
+            event
+        }
+    }
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        2 => Just(Fault::AnswerLost),
+        1 => Just(Fault::CallLost),
+        1 => Just(Fault::Unreachable),
+    ]
+}
+
+fn request(number: usize) -> RequestId {
+    RequestId::new(&format!("lagos-1-{number}"))
+}
+
+/// One attempt that advances a store call at a time.
+struct Attempt {
+    process: ClaimProcess,
+    action: ClaimAction,
+    released: bool,
+}
+
+impl Attempt {
+    fn new(number: usize) -> Self {
+        let mut process = ClaimProcess::new(request(number), 7, number as u64 + 1);
+        let action = process.start();
+        Self {
+            process,
+            action,
+            released: false,
+        }
+    }
+
+    fn step(&mut self, store: &mut FakeStore, fault: Fault, release: bool) {
+        match &self.action {
+            ClaimAction::Refuse(_) => {}
+            ClaimAction::Run { revision } if release && !self.released => {
+                let record = self.process.closing_record(ClaimState::Released);
+                let _ = store.write(record, *revision);
+                self.released = true;
+            }
+            ClaimAction::Run { .. } => {}
+            action => {
+                let event = store.call(action, fault);
+                self.action = self.process.handle(event);
+            }
+        }
+    }
+
+    fn runs(&self) -> bool {
+        matches!(self.action, ClaimAction::Run { .. }) && !self.released
+    }
+}
+
+proptest! {
+    /// Guards against a duplicate payment: racing resends must not both run, whatever is lost.
+    #[test]
+    fn claim_process_racing_attempts_run_at_most_once(
+        steps in prop::collection::vec((0_usize..4, fault(), any::<bool>()), 0..80),
+    ) {
+        let mut store = FakeStore::default();
+        let mut attempts: Vec<Attempt> = (0..4).map(Attempt::new).collect();
+        for (index, fault, release) in steps {
+            attempts[index].step(&mut store, fault, release && index % 2 == 0);
+            prop_assert!(attempts.iter().filter(|attempt| attempt.runs()).count() <= 1);
+        }
+    }
+
+    /// Guards against a claim that never ends while the store fails.
+    #[test]
+    fn claim_process_failing_store_ends(faults in prop::collection::vec(fault(), 32)) {
+        let mut store = FakeStore::default();
+        let mut attempt = Attempt::new(0);
+        for fault in faults {
+            attempt.step(&mut store, fault, false);
+        }
+        let ended = matches!(attempt.action, ClaimAction::Run { .. } | ClaimAction::Refuse(_));
+        prop_assert!(ended);
+    }
+}
+
+/// Guards against a resend with another body that is taken for the same payment.
+#[test]
+fn claim_process_other_body_conflicts() {
+    let mut store = FakeStore::default();
+    let mut first = Attempt::new(0);
+    first.step(&mut store, Fault::None, false);
+    let mut second = ClaimProcess::new(request(1), 8, 2);
+    let event = store.call(&second.start(), Fault::None);
+    let ClaimAction::Refuse(refusal) = second.handle(event) else {
+        panic!("refusal expected")
+    };
+    assert_eq!(refusal.code, RefusalCode::ClaimConflict);
+}
+
+/// Guards against an untrue `not-run` for a payment that an earlier attempt may have run.
+#[test]
+fn claim_process_resend_reports_recorded_state() {
+    for (state, execution) in [
+        (ClaimState::Claimed, Execution::Unknown),
+        (ClaimState::Ran, Execution::Ran),
+    ] {
+        let mut store = FakeStore::default();
+        let first = ClaimProcess::new(request(0), 7, 1);
+        store.write(first.closing_record(state), 0);
+        let mut resend = ClaimProcess::new(request(1), 7, 2);
+        let event = store.call(&resend.start(), Fault::None);
+        let ClaimAction::Refuse(refusal) = resend.handle(event) else {
+            panic!("{state:?}")
+        };
+        assert_eq!(
+            (refusal.code, refusal.execution),
+            (RefusalCode::AlreadyClaimed, execution)
+        );
+    }
+}
+
+fn issuer() -> IssuedKeyTable {
+    IssuedKeyTable::new(hawthornquay_decisions::InstanceId::new("lagos-1", 9))
+}
+
+/// Guards against a second run of a payment that was sent twice with an issued key.
+#[test]
+fn issued_key_second_use_is_refused() {
+    let (mut table, org) = (issuer(), OrganisationId::new("kolanut"));
+    let now = MonotonicTime::default();
+    let key = table.issue(&org, 5, now).unwrap();
+    table.take(&key, &org, &request(0), 1, now).unwrap();
+    let refusal = table.take(&key, &org, &request(1), 1, now).unwrap_err();
+    assert_eq!(refusal.execution, Execution::Unknown);
+    table.finish(&key, Execution::Ran);
+    let refusal = table.take(&key, &org, &request(1), 1, now).unwrap_err();
+    assert_eq!(refusal.execution, Execution::Ran);
+}
+
+/// Guards against a key that stays taken after its request was refused before it ran.
+#[test]
+fn issued_key_not_run_frees_the_key() {
+    let (mut table, org) = (issuer(), OrganisationId::new("kolanut"));
+    let now = MonotonicTime::default();
+    let key = table.issue(&org, 5, now).unwrap();
+    table.take(&key, &org, &request(0), 1, now).unwrap();
+    table.finish(&key, Execution::NotRun);
+    assert!(table.take(&key, &org, &request(1), 1, now).is_ok());
+}
+
+/// Guards against use of a key by another organisation or after a restart of its issuer.
+#[test]
+fn issued_key_foreign_use_is_unknown() {
+    let (mut table, org) = (issuer(), OrganisationId::new("kolanut"));
+    let now = MonotonicTime::default();
+    let key = table.issue(&org, 5, now).unwrap();
+    let other = OrganisationId::new("other");
+    assert!(table.take(&key, &other, &request(0), 1, now).is_err());
+    let mut restarted = IssuedKeyTable::new(hawthornquay_decisions::InstanceId::new("lagos-1", 10));
+    let refusal = restarted.take(&key, &org, &request(0), 1, now).unwrap_err();
+    assert_eq!(
+        (refusal.code, refusal.execution),
+        (RefusalCode::IssuerGone, Execution::Unknown)
+    );
+    let parsed = IssuedKey::parse(&key.to_string());
+    assert_eq!(parsed.as_ref(), Some(&key));
+}
