Add links between instances

- Envelopes are prost messages by derive in length-delimited frames of at most 4 MiB, over TLS 1.3 with certificates on both sides.
- LinkPool opens one link per peer on demand, closes it after 10 s without calls, sends a heartbeat each 500 ms and gives a link up after 1.5 s without a received byte.
- A call carries a ticket that either the writer or the failing caller takes, so NotRun is claimed only for a message that can no longer be written.
- Many forwarded answers share a link.
TCP alone cannot hold back one of them, so the receiver returns credit for consumed bytes (window 256 KiB).
One connection for each forward was ruled out: a TLS handshake would precede every request.

8 tests over loopback sockets pass.

--- /dev/null
+++ b/crates/instances/src/forward_stream.rs
@@ -0,0 +1,112 @@
+//! Answer to a forwarded request, on the side of the sender.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use hawthornquay_decisions::{Execution, InstanceId};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::{
+    Body, Envelope, ForwardCancel, ForwardCredit, ForwardEvent, LinkError, STREAM_WINDOW,
+    link::Link, write_ticket::WriteTicket,
+};
+
+/// Credit is returned in steps of this many bytes, to save messages.
+const CREDIT_STEP: usize = STREAM_WINDOW / 4;
+
+/// Answer to a forwarded request.
+///
+/// Dropping it before the last event cancels the request at the peer.
+pub struct ForwardStream {
+    pub(crate) link: Arc<Link>,
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u64,
+    pub(crate) ticket: WriteTicket,
+    pub(crate) events: UnboundedReceiver<ForwardEvent>,
+    pub(crate) buffered: Arc<AtomicUsize>,
+    pub(crate) consumed: usize,
+    pub(crate) finished: bool,
+}
+
+impl ForwardStream {
+    /// Returns the process that the request was sent to.
+    pub fn peer(&self) -> &InstanceId {
+        &self.link.peer
+    }
+
+    /// Returns the next part, or `None` after the last one or an error.
+    ///
+    /// It may be dropped while it waits without losing a part.
+    pub async fn next(&mut self) -> Option<Result<ForwardEvent, LinkError>> {
+        if self.finished {
+            return None;
+        }
+        if self.consumed >= CREDIT_STEP {
+            self.return_credit().await;
+        }
+        let Some(event) = self.events.recv().await else {
+            self.finished = true;
+            return Some(Err(self.end_error()));
+        };
+        self.consumed += event.buffered_len();
+        self.buffered
+            .fetch_sub(event.buffered_len(), Ordering::AcqRel);
+        self.finished = event.is_last();
+        Some(Ok(event))
+    }
+
+    /// Gives the request up and returns whether the peer may have run it.
+    pub fn abandon(self) -> Execution {
+        self.ticket.withdraw()
+    }
+
+    async fn return_credit(&mut self) {
+        let credit = ForwardCredit {
+            bytes: u32::try_from(self.consumed).unwrap_or(u32::MAX),
+        };
+        let envelope = self.envelope(Body::ForwardCredit(credit));
+        // A lost link shows itself at the next event.
+        if self.link.outbox.send(envelope, None).await {
+            self.consumed = 0;
+        }
+    }
+
+    fn end_error(&self) -> LinkError {
+        let name = self.link.peer.name.clone();
+        if self.link.closed.is_cancelled() {
+            return LinkError::Lost {
+                name,
+                execution: self.ticket.withdraw(),
+            };
+        }
+        self.cancel();
+        LinkError::Protocol {
+            name,
+            reason: "it sent more than the window or an unexpected message",
+        }
+    }
+
+    fn cancel(&self) {
+        self.link.forget(self.sequence);
+        if self.ticket.withdraw() == Execution::NotRun {
+            return;
+        }
+        self.link
+            .outbox
+            .send_detached(self.envelope(Body::ForwardCancel(ForwardCancel {})));
+    }
+
+    const fn envelope(&self, body: Body) -> Envelope {
+        Envelope::of_call(self.incarnation, self.sequence, body)
+    }
+}
+
+impl Drop for ForwardStream {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.cancel();
+        }
+    }
+}
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -1,1 +1,96 @@
-//! Placeholder.
+//! Links between instances: mutual TLS over TCP, length-delimited frames and prost messages.
+//!
+//! [`LinkPool`] calls other instances, and [`PeerServer`] answers them through a [`PeerService`].
+
+mod backend_load;
+mod body;
+mod bundle_content;
+mod bundle_delta;
+mod bundle_fetch;
+mod capacity_grant;
+mod capacity_request;
+mod digest;
+mod digest_entry;
+mod envelope;
+mod forward;
+mod forward_cancel;
+mod forward_credit;
+mod forward_data;
+mod forward_end;
+mod forward_event;
+mod forward_head;
+mod forward_refused;
+mod forward_sink;
+mod forward_stream;
+mod framed;
+mod header;
+mod hello;
+mod link;
+mod link_counters;
+mod link_error;
+mod link_pool;
+mod link_settings;
+mod loan_grant;
+mod loan_request;
+mod local_instance;
+mod metered_stream;
+mod notice;
+mod outbox;
+mod peer_address;
+mod peer_connection;
+mod peer_server;
+mod peer_service;
+mod pem_files;
+mod ping;
+mod pong;
+mod query;
+mod stream_inlet;
+mod test_authority;
+mod tls_identity;
+mod traffic_counter;
+mod wire_execution;
+mod write_ticket;
+
+pub use {
+    backend_load::BackendLoad,
+    body::Body,
+    bundle_content::BundleContent,
+    bundle_delta::BundleDelta,
+    bundle_fetch::BundleFetch,
+    capacity_grant::CapacityGrant,
+    capacity_request::CapacityRequest,
+    digest::Digest,
+    digest_entry::DigestEntry,
+    envelope::Envelope,
+    forward::Forward,
+    forward_cancel::ForwardCancel,
+    forward_credit::ForwardCredit,
+    forward_data::ForwardData,
+    forward_end::ForwardEnd,
+    forward_event::ForwardEvent,
+    forward_head::ForwardHead,
+    forward_refused::ForwardRefused,
+    forward_sink::ForwardSink,
+    forward_stream::ForwardStream,
+    header::Header,
+    hello::Hello,
+    link_counters::LinkCounters,
+    link_error::LinkError,
+    link_pool::LinkPool,
+    link_settings::{CALLS_PER_LINK, DATA_PIECE, FRAME_LIMIT, LinkSettings, STREAM_WINDOW},
+    loan_grant::LoanGrant,
+    loan_request::LoanRequest,
+    local_instance::LocalInstance,
+    notice::Notice,
+    peer_address::PeerAddress,
+    peer_server::PeerServer,
+    peer_service::PeerService,
+    pem_files::PemFiles,
+    ping::Ping,
+    pong::Pong,
+    query::Query,
+    test_authority::{TestAuthority, generate_test_authority},
+    tls_identity::TlsIdentity,
+    traffic_counter::TrafficCounter,
+    wire_execution::WireExecution,
+};
--- /dev/null
+++ b/crates/instances/src/link.rs
@@ -0,0 +1,257 @@
+//! Link that this process opened.
+
+use std::{
+    io,
+    sync::{Arc, atomic::AtomicUsize},
+};
+
+use hawthornquay_decisions::{InstanceId, Map};
+use parking_lot::Mutex;
+use rustls_pki_types::ServerName;
+use tokio::{
+    net::TcpStream,
+    sync::{mpsc, oneshot},
+    time::{Instant, interval, sleep_until, timeout_at},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Body, Envelope, ForwardStream, LinkCounters, LinkError, LocalInstance, PeerAddress, Ping,
+    framed::{EnvelopeReader, frame, receive_hello, send_hello},
+    metered_stream::{LastReceived, MeteredStream},
+    outbox::Outbox,
+    stream_inlet::StreamInlet,
+    write_ticket::WriteTicket,
+};
+
+type Tls = tokio_rustls::client::TlsStream<MeteredStream>;
+
+enum Pending {
+    Reply(oneshot::Sender<Body>),
+    Stream(StreamInlet),
+}
+
+pub(crate) struct Link {
+    pub(crate) peer: InstanceId,
+    pub(crate) outbox: Outbox,
+    pub(crate) closed: CancellationToken,
+    address: std::net::SocketAddr,
+    local: LocalInstance,
+    /// `None` once the link has ended, so that no call can be added after the others failed.
+    pending: Mutex<Option<Map<u64, Pending>>>,
+    last_used: Mutex<Instant>,
+}
+
+impl Link {
+    /// Connects, proves both identities and starts the tasks of the link.
+    pub(crate) async fn open(
+        local: &LocalInstance,
+        peer: &PeerAddress,
+        closed: CancellationToken,
+    ) -> io::Result<Arc<Self>> {
+        let socket = TcpStream::connect(peer.address).await?;
+        socket.set_nodelay(true)?;
+        let socket = MeteredStream::new(socket, local.counters.clone());
+        let last_received = socket.last_received();
+        let name = ServerName::from(peer.address.ip());
+        let tls = local.tls.connector.connect(name, socket).await?;
+        let (mut reader, mut writer) = frame(tls, &local.counters);
+        send_hello(&mut writer, local.hello()).await?;
+        let found = receive_hello(&mut reader).await?;
+        LinkCounters::increment(&local.counters.opened);
+        let (outbox, outgoing) = Outbox::new();
+        let link = Arc::new(Self {
+            peer: found,
+            outbox,
+            closed: closed.clone(),
+            address: peer.address,
+            local: local.clone(),
+            pending: Mutex::new(Some(Map::default())),
+            last_used: Mutex::new(Instant::now()),
+        });
+        tokio::spawn(outgoing.write_to(writer, closed));
+        tokio::spawn(link.clone().run(reader, last_received));
+        Ok(link)
+    }
+
+    /// Returns whether calls to `peer` can use this link.
+    pub(crate) fn serves(&self, peer: &PeerAddress) -> bool {
+        !self.closed.is_cancelled() && self.address == peer.address && self.is_peer(peer)
+    }
+
+    /// Returns whether the process at the other end is the expected one.
+    pub(crate) fn is_peer(&self, peer: &PeerAddress) -> bool {
+        self.peer.name == peer.name
+            && peer
+                .incarnation
+                .is_none_or(|incarnation| incarnation == self.peer.incarnation)
+    }
+
+    /// Sends a request and waits for its reply.
+    pub(crate) async fn call(
+        &self,
+        sequence: u64,
+        body: Body,
+        deadline: Instant,
+    ) -> Result<Body, LinkError> {
+        let ticket = WriteTicket::default();
+        let (tx, rx) = oneshot::channel();
+        if !self.expect(sequence, Pending::Reply(tx)) {
+            return Err(self.lost(&ticket));
+        }
+        let outcome = timeout_at(deadline, async {
+            let envelope = Envelope::of_call(self.incarnation(), sequence, body);
+            self.outbox.send(envelope, Some(ticket.clone())).await;
+            rx.await
+        })
+        .await;
+        self.forget(sequence);
+        match outcome {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => Err(self.lost(&ticket)),
+            Err(_) => Err(LinkError::DeadlinePassed {
+                name: self.peer.name.clone(),
+                execution: ticket.withdraw(),
+            }),
+        }
+    }
+
+    /// Sends a forwarded request and returns the stream of its answer.
+    pub(crate) async fn forward(
+        self: &Arc<Self>,
+        sequence: u64,
+        body: Body,
+        deadline: Instant,
+    ) -> Result<ForwardStream, LinkError> {
+        let (tx, events) = mpsc::unbounded_channel();
+        let buffered = Arc::<AtomicUsize>::default();
+        let inlet = StreamInlet {
+            events: tx,
+            buffered: buffered.clone(),
+        };
+        let stream = ForwardStream {
+            link: self.clone(),
+            incarnation: self.incarnation(),
+            sequence,
+            ticket: WriteTicket::default(),
+            events,
+            buffered,
+            consumed: 0,
+            finished: false,
+        };
+        if !self.expect(sequence, Pending::Stream(inlet)) {
+            return Err(self.lost(&stream.ticket));
+        }
+        let envelope = Envelope::of_call(self.incarnation(), sequence, body);
+        let queued = self.outbox.send(envelope, Some(stream.ticket.clone()));
+        match timeout_at(deadline, queued).await {
+            Ok(true) => Ok(stream),
+            Ok(false) => Err(self.lost(&stream.ticket)),
+            Err(_) => Err(LinkError::DeadlinePassed {
+                name: self.peer.name.clone(),
+                execution: stream.abandon(),
+            }),
+        }
+    }
+
+    /// Queues a message without a reply.
+    pub(crate) async fn send(&self, body: Body) -> Result<(), LinkError> {
+        *self.last_used.lock() = Instant::now();
+        if self.outbox.send(Envelope::one_way(body), None).await {
+            return Ok(());
+        }
+        Err(self.lost(&WriteTicket::default()))
+    }
+
+    /// Stops waiting for a reply; one that comes later is dropped.
+    pub(crate) fn forget(&self, sequence: u64) {
+        if let Some(pending) = self.pending.lock().as_mut() {
+            pending.remove(&sequence);
+        }
+    }
+
+    fn lost(&self, ticket: &WriteTicket) -> LinkError {
+        LinkError::Lost {
+            name: self.peer.name.clone(),
+            execution: ticket.withdraw(),
+        }
+    }
+
+    const fn incarnation(&self) -> u64 {
+        self.local.id.incarnation.0
+    }
+
+    fn expect(&self, sequence: u64, expected: Pending) -> bool {
+        *self.last_used.lock() = Instant::now();
+        let mut pending = self.pending.lock();
+        let Some(pending) = pending.as_mut() else {
+            return false;
+        };
+        pending.insert(sequence, expected);
+        true
+    }
+
+    async fn run(self: Arc<Self>, mut reader: EnvelopeReader<Tls>, last_received: LastReceived) {
+        let settings = self.local.settings;
+        let mut heartbeat = interval(settings.heartbeat);
+        loop {
+            let silent_at = last_received.at() + settings.silence;
+            tokio::select! {
+                // Heartbeats precede reading so that a busy link sends them, and reading precedes
+                // the silence check so that a paused process first reads what has arrived.
+                biased;
+                () = self.closed.cancelled() => break,
+                _ = heartbeat.tick() => {
+                    if self.is_idle() {
+                        break;
+                    }
+                    self.outbox.try_send(Envelope::one_way(Body::Ping(Ping {})));
+                }
+                received = reader.next() => match received {
+                    Ok(Some((envelope, body))) => self.receive(&envelope, body),
+                    Ok(None) | Err(_) => break,
+                },
+                () = sleep_until(silent_at) => {
+                    if last_received.at() + settings.silence <= Instant::now() {
+                        LinkCounters::increment(&self.local.counters.silent);
+                        break;
+                    }
+                }
+            }
+        }
+        self.closed.cancel();
+        // Dropping the senders ends the calls.
+        self.pending.lock().take();
+    }
+
+    fn is_idle(&self) -> bool {
+        self.pending.lock().as_ref().is_none_or(Map::is_empty)
+            && self.last_used.lock().elapsed() >= self.local.settings.idle
+    }
+
+    fn receive(&self, envelope: &Envelope, body: Body) {
+        if matches!(body, Body::Pong(_)) {
+            return;
+        }
+        if envelope.incarnation != self.incarnation() || !self.deliver(envelope.sequence, body) {
+            LinkCounters::increment(&self.local.counters.dropped);
+        }
+    }
+
+    fn deliver(&self, sequence: u64, body: Body) -> bool {
+        let mut pending = self.pending.lock();
+        let Some(pending) = pending.as_mut() else {
+            return false;
+        };
+        match pending.remove(&sequence) {
+            Some(Pending::Reply(tx)) => tx.send(body).is_ok(),
+            Some(Pending::Stream(inlet)) => {
+                if inlet.push(body) {
+                    pending.insert(sequence, Pending::Stream(inlet));
+                }
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/instances/src/link_pool.rs
@@ -0,0 +1,215 @@
+//! Links to other instances, opened on demand.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use hawthornquay_decisions::{InstanceName, Map};
+use parking_lot::Mutex;
+use prost::Message;
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Body, Envelope, FRAME_LIMIT, Forward, ForwardStream, LinkError, LocalInstance, Notice,
+    PeerAddress, Query, link::Link,
+};
+
+/// Links tried for one call; the second serves a call whose link ended before it was written.
+const ATTEMPTS: usize = 2;
+
+type Slot = Arc<tokio::sync::Mutex<Option<Arc<Link>>>>;
+
+/// Calls other instances over links that it opens on demand, replaces and closes.
+pub struct LinkPool {
+    local: LocalInstance,
+    sequence: AtomicU64,
+    slots: Mutex<Map<InstanceName, Slot>>,
+    closed: CancellationToken,
+}
+
+impl LinkPool {
+    /// Makes a pool without links.
+    pub fn new(local: LocalInstance) -> Self {
+        Self {
+            local,
+            sequence: AtomicU64::new(0),
+            slots: Mutex::default(),
+            closed: CancellationToken::new(),
+        }
+    }
+
+    /// Sends a request and returns its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] whose `execution` says whether the peer may have received it.
+    pub async fn call<Q: Query>(
+        &self,
+        peer: &PeerAddress,
+        request: Q,
+        within: Duration,
+    ) -> Result<Q::Reply, LinkError> {
+        let deadline = Instant::now() + within;
+        let body = checked(request.into())?;
+        for attempt in 1.. {
+            let link = self.link(peer, deadline).await?;
+            let outcome = link
+                .call(self.next_sequence(), body.clone(), deadline)
+                .await;
+            if attempt < ATTEMPTS && was_not_written(&outcome) {
+                continue;
+            }
+            return Q::Reply::try_from(outcome?).map_err(|_| LinkError::Protocol {
+                name: peer.name.clone(),
+                reason: "the reply has the wrong type",
+            });
+        }
+        unreachable!("the last attempt returns")
+    }
+
+    /// Queues a message without a reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] if no link can be opened or the link ended.
+    pub async fn send(&self, peer: &PeerAddress, notice: Notice) -> Result<(), LinkError> {
+        let deadline = Instant::now() + self.local.settings.connect;
+        let body = checked(notice.into())?;
+        let link = self.link(peer, deadline).await?;
+        match timeout_at(deadline, link.send(body)).await {
+            Ok(sent) => sent,
+            Err(_) => Err(deadline_passed(peer)),
+        }
+    }
+
+    /// Forwards a request; `within` bounds the time until it is queued on a link.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LinkError`] whose `execution` says whether the peer may have received it.
+    pub async fn forward(
+        &self,
+        peer: &PeerAddress,
+        request: Forward,
+        within: Duration,
+    ) -> Result<ForwardStream, LinkError> {
+        let deadline = Instant::now() + within;
+        let body = checked(Body::Forward(request))?;
+        for attempt in 1.. {
+            let link = self.link(peer, deadline).await?;
+            let outcome = link
+                .forward(self.next_sequence(), body.clone(), deadline)
+                .await;
+            if attempt == ATTEMPTS || !was_not_written(&outcome) {
+                return outcome;
+            }
+        }
+        unreachable!("the last attempt returns")
+    }
+
+    /// Ends all links and refuses new ones.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
+    fn next_sequence(&self) -> u64 {
+        // Zero marks messages outside calls.
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    async fn link(&self, peer: &PeerAddress, deadline: Instant) -> Result<Arc<Link>, LinkError> {
+        let slot = self
+            .slots
+            .lock()
+            .entry(peer.name.clone())
+            .or_default()
+            .clone();
+        let opened = timeout_at(deadline, async {
+            // One task opens; the others wait for its link.
+            let mut current = slot.lock().await;
+            if let Some(link) = current.as_ref().filter(|link| link.serves(peer)) {
+                return Ok(link.clone());
+            }
+            let link = self.open(peer).await?;
+            if link.peer.name == peer.name {
+                *current = Some(link.clone());
+            }
+            Ok(link)
+        });
+        let link = opened
+            .await
+            .unwrap_or_else(|_| Err(deadline_passed(peer)))?;
+        if link.is_peer(peer) {
+            return Ok(link);
+        }
+        if link.peer.name != peer.name {
+            link.closed.cancel();
+        }
+        Err(LinkError::WrongPeer {
+            expected: match peer.incarnation {
+                Some(incarnation) => format!("{}#{incarnation}", peer.name),
+                None => peer.name.to_string(),
+            },
+            address: peer.address,
+            found: link.peer.clone(),
+        })
+    }
+
+    async fn open(&self, peer: &PeerAddress) -> Result<Arc<Link>, LinkError> {
+        let closed = self.closed.child_token();
+        let opened = match closed.is_cancelled() {
+            true => Err(io::Error::other("the pool is closed")),
+            false => {
+                let opening = Link::open(&self.local, peer, closed);
+                timeout(self.local.settings.connect, opening)
+                    .await
+                    .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+            }
+        };
+        opened.map_err(|source| LinkError::Connect {
+            name: peer.name.clone(),
+            address: peer.address,
+            source,
+        })
+    }
+}
+
+impl Drop for LinkPool {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+fn checked(body: Body) -> Result<Body, LinkError> {
+    let len = Envelope::of_call(u64::MAX, u64::MAX, body.clone()).encoded_len();
+    if len > FRAME_LIMIT {
+        return Err(LinkError::TooLarge {
+            len,
+            limit: FRAME_LIMIT,
+        });
+    }
+    Ok(body)
+}
+
+fn was_not_written<T>(outcome: &Result<T, LinkError>) -> bool {
+    matches!(
+        outcome,
+        Err(LinkError::Lost {
+            execution: hawthornquay_decisions::Execution::NotRun,
+            ..
+        })
+    )
+}
+
+fn deadline_passed(peer: &PeerAddress) -> LinkError {
+    LinkError::DeadlinePassed {
+        name: peer.name.clone(),
+        execution: hawthornquay_decisions::Execution::NotRun,
+    }
+}
--- /dev/null
+++ b/crates/instances/src/link_settings.rs
@@ -0,0 +1,44 @@
+//! Limits and times of links.
+
+use std::time::Duration;
+
+/// Largest encoded envelope, in bytes.
+///
+/// Bundle parts are at most 1 MiB, and request bodies are bounded below this by the HTTP server.
+pub const FRAME_LIMIT: usize = 4 << 20;
+
+/// Unconsumed bytes of one forwarded answer that its receiver buffers.
+pub const STREAM_WINDOW: usize = 256 << 10;
+
+/// Largest piece of a forwarded answer in one frame, so that streams of one link alternate.
+pub const DATA_PIECE: usize = 16 << 10;
+
+/// Calls of one link that the serving side runs at once.
+pub const CALLS_PER_LINK: usize = 1_024;
+
+/// Messages that wait for the socket, for control and forwarded traffic each.
+pub(crate) const QUEUE_LEN: usize = 64;
+
+/// Times that govern a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkSettings {
+    /// Interval between heartbeats.
+    pub heartbeat: Duration,
+    /// Silence after which a link is given up.
+    pub silence: Duration,
+    /// Time without calls after which the opening side closes a link.
+    pub idle: Duration,
+    /// Longest time for connection, TLS and `Hello` together.
+    pub connect: Duration,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(500),
+            silence: Duration::from_millis(1_500),
+            idle: Duration::from_secs(10),
+            connect: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/instances/src/local_instance.rs
@@ -0,0 +1,47 @@
+//! This process as an end of links.
+
+use std::sync::Arc;
+
+use hawthornquay_decisions::InstanceId;
+
+use crate::{Hello, LinkCounters, LinkSettings, TlsIdentity};
+
+/// Identity, TLS configuration, times and counters that all links of a process share.
+#[derive(Clone)]
+pub struct LocalInstance {
+    pub(crate) id: InstanceId,
+    pub(crate) tls: TlsIdentity,
+    pub(crate) settings: LinkSettings,
+    pub(crate) counters: Arc<LinkCounters>,
+}
+
+impl LocalInstance {
+    /// Joins an identity and its TLS configuration, with default times and new counters.
+    pub fn new(id: InstanceId, tls: TlsIdentity) -> Self {
+        Self {
+            id,
+            tls,
+            settings: LinkSettings::default(),
+            counters: Arc::default(),
+        }
+    }
+
+    /// Replaces the times.
+    #[must_use]
+    pub const fn with_settings(mut self, settings: LinkSettings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> Arc<LinkCounters> {
+        self.counters.clone()
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            name: self.id.name.to_string(),
+            incarnation: self.id.incarnation.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/instances/src/peer_connection.rs
@@ -0,0 +1,237 @@
+//! Link that another instance opened.
+
+use std::{io, sync::Arc};
+
+use hawthornquay_decisions::{Execution, InstanceId};
+use tokio::{
+    net::TcpStream,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, sleep_until, timeout},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    Body, CALLS_PER_LINK, Envelope, Forward, ForwardRefused, ForwardSink, LinkCounters,
+    LocalInstance, Notice, PeerService, Pong, STREAM_WINDOW,
+    forward_sink::{StreamControl, Streams},
+    framed::{EnvelopeReader, EnvelopeWriter, frame, receive_hello, send_hello},
+    metered_stream::{LastReceived, MeteredStream},
+    outbox::Outbox,
+};
+
+type Tls = tokio_rustls::server::TlsStream<MeteredStream>;
+
+/// State of one accepted link.
+pub(crate) struct PeerConnection<S> {
+    local: LocalInstance,
+    service: Arc<S>,
+    peer: InstanceId,
+    outbox: Outbox,
+    streams: Streams,
+    calls: TaskTracker,
+    permits: Arc<Semaphore>,
+    closed: CancellationToken,
+    draining: bool,
+}
+
+impl<S: PeerService> PeerConnection<S> {
+    /// Serves a socket until it ends, or until `shutdown` and the end of its calls.
+    pub(crate) async fn serve(
+        socket: TcpStream,
+        local: LocalInstance,
+        service: Arc<S>,
+        shutdown: CancellationToken,
+    ) {
+        let handshake = timeout(local.settings.connect, accept(socket, &local));
+        let Ok(Ok((peer, reader, writer, last_received))) = handshake.await else {
+            return;
+        };
+        LinkCounters::increment(&local.counters.opened);
+        let (outbox, outgoing) = Outbox::new();
+        let closed = CancellationToken::new();
+        let mut writing = tokio::spawn(outgoing.write_to(writer, closed.clone()));
+        let silence = local.settings.silence;
+        let connection = Self {
+            local,
+            service,
+            peer,
+            outbox,
+            streams: Streams::default(),
+            calls: TaskTracker::new(),
+            permits: Arc::new(Semaphore::new(CALLS_PER_LINK)),
+            closed: closed.clone(),
+            draining: false,
+        };
+        if connection.read(reader, last_received, shutdown).await {
+            // All senders are dropped, so the writer ends after the last reply.
+            let _ = timeout(silence, &mut writing).await;
+        }
+        closed.cancel();
+    }
+
+    /// Returns whether the link ended by draining.
+    async fn read(
+        mut self,
+        mut reader: EnvelopeReader<Tls>,
+        last_received: LastReceived,
+        shutdown: CancellationToken,
+    ) -> bool {
+        let silence = self.local.settings.silence;
+        let calls = self.calls.clone();
+        let closed = self.closed.clone();
+        loop {
+            let silent_at = last_received.at() + silence;
+            tokio::select! {
+                // No forward is accepted after the shutdown, and silence is checked last, so that
+                // a paused process first reads what has arrived.
+                biased;
+                () = closed.cancelled() => return false,
+                () = shutdown.cancelled(), if !self.draining => {
+                    self.draining = true;
+                    calls.close();
+                }
+                () = calls.wait(), if self.draining => return true,
+                received = reader.next() => match received {
+                    Ok(Some((envelope, body))) => self.receive(&envelope, body),
+                    Ok(None) | Err(_) => closed.cancel(),
+                },
+                () = sleep_until(silent_at) => {
+                    if last_received.at() + silence <= Instant::now() {
+                        LinkCounters::increment(&self.local.counters.silent);
+                        closed.cancel();
+                    }
+                }
+            }
+        }
+    }
+
+    fn receive(&self, envelope: &Envelope, body: Body) {
+        match body {
+            Body::Ping(_) => self.outbox.try_send(Envelope::one_way(Body::Pong(Pong {}))),
+            Body::Digest(digest) => self.notice(Notice::Digest(digest)),
+            Body::BundleDelta(delta) => self.notice(Notice::BundleDelta(delta)),
+            // A call of a former incarnation of the peer has no one left to answer.
+            _ if envelope.incarnation != self.peer.incarnation.0 => self.drop_message(),
+            Body::ForwardCancel(_) => self.cancel(envelope.sequence),
+            Body::ForwardCredit(credit) => self.add_credit(envelope.sequence, credit.bytes),
+            Body::Forward(request) => self.forward(envelope.sequence, request),
+            Body::BundleFetch(_) | Body::LoanRequest(_) | Body::CapacityRequest(_) => {
+                self.answer(envelope.sequence, body);
+            }
+            _ => self.drop_message(),
+        }
+    }
+
+    fn drop_message(&self) {
+        LinkCounters::increment(&self.local.counters.dropped);
+    }
+
+    fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        self.permits.clone().try_acquire_owned().ok()
+    }
+
+    fn notice(&self, notice: Notice) {
+        let Some(permit) = self.permit() else {
+            return self.drop_message();
+        };
+        let (service, peer) = (self.service.clone(), self.peer.clone());
+        self.calls.spawn(async move {
+            service.notice(&peer, notice).await;
+            drop(permit);
+        });
+    }
+
+    fn answer(&self, sequence: u64, body: Body) {
+        let Some(permit) = self.permit() else {
+            return self.drop_message();
+        };
+        let (service, peer) = (self.service.clone(), self.peer.clone());
+        let outbox = self.outbox.clone();
+        self.calls.spawn(async move {
+            let reply = match body {
+                Body::BundleFetch(request) => {
+                    Body::BundleContent(service.fetch_bundle(&peer, request).await)
+                }
+                Body::LoanRequest(request) => Body::LoanGrant(service.lend(&peer, request).await),
+                Body::CapacityRequest(request) => {
+                    Body::CapacityGrant(service.grant_capacity(&peer, request).await)
+                }
+                _ => return,
+            };
+            let envelope = Envelope::of_call(peer.incarnation.0, sequence, reply);
+            outbox.send(envelope, None).await;
+            drop(permit);
+        });
+    }
+
+    fn forward(&self, sequence: u64, request: Forward) {
+        if self.draining {
+            return self.refuse(sequence, "instance-leaving", "the instance is leaving");
+        }
+        let Some(permit) = self.permit() else {
+            return self.refuse(sequence, "link-busy", "too many calls on one link");
+        };
+        let control = StreamControl {
+            credit: Arc::new(Semaphore::new(STREAM_WINDOW)),
+            cancelled: self.closed.child_token(),
+        };
+        let sink = ForwardSink {
+            outbox: self.outbox.clone(),
+            incarnation: self.peer.incarnation.0,
+            sequence,
+            credit: control.credit.clone(),
+            cancelled: control.cancelled.clone(),
+            streams: self.streams.clone(),
+            finished: false,
+        };
+        self.streams.lock().insert(sequence, control);
+        let (service, peer) = (self.service.clone(), self.peer.clone());
+        self.calls.spawn(async move {
+            service.forward(&peer, request, sink).await;
+            drop(permit);
+        });
+    }
+
+    fn refuse(&self, sequence: u64, code: &str, message: &str) {
+        let refused = ForwardRefused::new(code, message, Execution::NotRun);
+        let body = Body::ForwardRefused(refused);
+        let envelope = Envelope::of_call(self.peer.incarnation.0, sequence, body);
+        let outbox = self.outbox.clone();
+        self.calls
+            .spawn(async move { outbox.send(envelope, None).await });
+    }
+
+    fn cancel(&self, sequence: u64) {
+        if let Some(stream) = self.streams.lock().get(&sequence) {
+            stream.cancelled.cancel();
+        }
+    }
+
+    fn add_credit(&self, sequence: u64, bytes: u32) {
+        let streams = self.streams.lock();
+        let Some(stream) = streams.get(&sequence) else {
+            return;
+        };
+        let room = STREAM_WINDOW.saturating_sub(stream.credit.available_permits());
+        stream.credit.add_permits(room.min(bytes as usize));
+    }
+}
+
+async fn accept(
+    socket: TcpStream,
+    local: &LocalInstance,
+) -> io::Result<(
+    InstanceId,
+    EnvelopeReader<Tls>,
+    EnvelopeWriter<Tls>,
+    LastReceived,
+)> {
+    socket.set_nodelay(true)?;
+    let socket = MeteredStream::new(socket, local.counters.clone());
+    let last_received = socket.last_received();
+    let tls = local.tls.acceptor.accept(socket).await?;
+    let (mut reader, mut writer) = frame(tls, &local.counters);
+    let peer = receive_hello(&mut reader).await?;
+    send_hello(&mut writer, local.hello()).await?;
+    Ok((peer, reader, writer, last_received))
+}
--- /dev/null
+++ b/crates/instances/src/pong.rs
@@ -0,0 +1,5 @@
+//! Answer to a heartbeat.
+
+/// Answer to a heartbeat.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pong {}
--- /dev/null
+++ b/crates/instances/src/query.rs
@@ -0,0 +1,40 @@
+//! One-shot calls.
+
+use crate::{
+    Body, BundleContent, BundleFetch, CapacityGrant, CapacityRequest, LoanGrant, LoanRequest,
+};
+
+/// Request that has exactly one reply.
+pub trait Query: Into<Body> {
+    /// Type of the reply.
+    type Reply: TryFrom<Body>;
+}
+
+macro_rules! define_query {
+    ($request:ident, $reply:ident) => {
+        impl From<$request> for Body {
+            fn from(request: $request) -> Self {
+                Self::$request(request)
+            }
+        }
+
+        impl TryFrom<Body> for $reply {
+            type Error = Body;
+
+            fn try_from(body: Body) -> Result<Self, Body> {
+                match body {
+                    Body::$reply(reply) => Ok(reply),
+                    other => Err(other),
+                }
+            }
+        }
+
+        impl Query for $request {
+            type Reply = $reply;
+        }
+    };
+}
+
+define_query!(BundleFetch, BundleContent);
+define_query!(CapacityRequest, CapacityGrant);
+define_query!(LoanRequest, LoanGrant);
--- /dev/null
+++ b/crates/instances/tests/calls.rs
@@ -0,0 +1,169 @@
+//! Calls and forwards between two instances over real sockets.
+
+mod support;
+
+use hawthornquay_decisions::Execution;
+use hawthornquay_instances::{
+    BundleFetch, CapacityRequest, Digest, FRAME_LIMIT, ForwardEvent, LinkError, Notice,
+};
+use support::{AMPLE, Pair, loan, service::forward};
+
+/// Guards against a request type that reaches the wrong method or gets the wrong reply.
+#[tokio::test]
+async fn call_each_type_is_answered() {
+    let pair = Pair::start().await;
+    let grant = pair.pool.call(&pair.peer(), loan("o", 5), AMPLE).await;
+    assert_eq!(grant.unwrap().rate, 5);
+    let fetch = BundleFetch {
+        version: 9,
+        part: 0,
+    };
+    let content = pair.pool.call(&pair.peer(), fetch, AMPLE).await;
+    assert_eq!(content.unwrap().version, 9);
+    let request = CapacityRequest {
+        requests: 3,
+        ..CapacityRequest::default()
+    };
+    let grant = pair.pool.call(&pair.peer(), request, AMPLE).await;
+    assert_eq!(grant.unwrap().requests, 3);
+    assert_eq!(pair.client.counters().links_opened(), 1);
+}
+
+/// Guards against a one-way message that is lost or attributed to another sender.
+#[tokio::test]
+async fn send_digest_arrives_with_its_sender() {
+    let pair = Pair::start().await;
+    let digest = Notice::Digest(Digest::default());
+    pair.pool.send(&pair.peer(), digest.clone()).await.unwrap();
+    pair.server.service.noticed.notified().await;
+    let notices = pair.server.service.notices.lock().await;
+    assert_eq!(notices.len(), 1);
+    assert_eq!(notices[0].0.to_string(), "a#0000000000000001");
+    assert_eq!(notices[0].1, digest);
+}
+
+/// Guards against parts of an answer that are lost or reordered.
+#[tokio::test]
+async fn forward_whole_answer_arrives_in_order() {
+    let pair = Pair::start().await;
+    let request = forward("/echo", b"hello");
+    let mut stream = pair
+        .pool
+        .forward(&pair.peer(), request, AMPLE)
+        .await
+        .unwrap();
+    let head = stream.next().await.unwrap().unwrap();
+    assert!(matches!(head, ForwardEvent::Head(head) if head.status == 200));
+    let data = stream.next().await.unwrap().unwrap();
+    assert_eq!(data, ForwardEvent::Data("hello".into()));
+    let end = stream.next().await.unwrap().unwrap();
+    assert!(matches!(end, ForwardEvent::End(_)));
+    assert!(stream.next().await.is_none());
+}
+
+/// Guards against a refusal that loses the receiver's word on the execution, and against a
+/// receiver that stops without an answer being reported as not run.
+#[tokio::test]
+async fn forward_refusal_keeps_the_execution() {
+    let pair = Pair::start().await;
+    for (route, expected) in [
+        ("/refuse", Execution::NotRun),
+        ("/abandon", Execution::Unknown),
+    ] {
+        let request = forward(route, b"");
+        let mut stream = pair
+            .pool
+            .forward(&pair.peer(), request, AMPLE)
+            .await
+            .unwrap();
+        let event = stream.next().await.unwrap().unwrap();
+        let ForwardEvent::Refused(refused) = event else {
+            panic!("{route}: {event:?}");
+        };
+        assert_eq!(refused.confirmed_execution(), expected, "{route}");
+    }
+}
+
+/// Guards against work that goes on for a caller who has left.
+#[tokio::test]
+async fn forward_dropped_receiver_cancels() {
+    let pair = Pair::start().await;
+    let request = forward("/until-cancelled", b"");
+    let stream = pair
+        .pool
+        .forward(&pair.peer(), request, AMPLE)
+        .await
+        .unwrap();
+    pair.server.service.wait_for_arrival().await;
+    drop(stream);
+    let cancelled = pair.server.service.cancelled.acquire();
+    let seen = tokio::time::timeout(AMPLE, cancelled).await;
+    assert!(seen.is_ok(), "the receiver was not cancelled");
+}
+
+/// Guards against a message above the frame limit that ends the link for all other calls.
+#[tokio::test]
+async fn forward_above_frame_limit_is_not_run() {
+    let pair = Pair::start().await;
+    let mut request = forward("/echo", b"");
+    request.body = vec![0; FRAME_LIMIT].into();
+    let outcome = pair.pool.forward(&pair.peer(), request, AMPLE).await;
+    let error = outcome.err().unwrap();
+    assert!(matches!(error, LinkError::TooLarge { .. }), "{error}");
+    assert_eq!(error.execution(), Execution::NotRun);
+}
+
+/// Guards against a shutdown that interrupts calls in flight or accepts new work.
+#[tokio::test]
+async fn shutdown_finishes_calls_and_refuses_new_forwards() {
+    let pair = Pair::start().await;
+    let peer = pair.peer();
+    let request = forward("/held", b"x");
+    let mut held = pair.pool.forward(&peer, request, AMPLE).await.unwrap();
+    pair.server.service.wait_for_arrival().await;
+    pair.server.shutdown.cancel();
+    let late = forward("/echo", b"");
+    let mut late = pair.pool.forward(&peer, late, AMPLE).await.unwrap();
+    let event = late.next().await.unwrap().unwrap();
+    let ForwardEvent::Refused(refused) = event else {
+        panic!("{event:?}");
+    };
+    assert_eq!(refused.confirmed_execution(), Execution::NotRun);
+    pair.server.service.release.add_permits(1);
+    let mut last = None;
+    while let Some(event) = held.next().await {
+        last = Some(event.unwrap());
+    }
+    assert!(matches!(last, Some(ForwardEvent::End(_))), "{last:?}");
+    tokio::time::timeout(AMPLE, pair.server.task)
+        .await
+        .expect("the server ends")
+        .unwrap();
+}
+
+/// Guards against forwarded bytes counted as control traffic.
+#[tokio::test]
+async fn counters_keep_control_and_forwarded_apart() {
+    let pair = Pair::start().await;
+    let counters = pair.client.counters();
+    let request = forward("/echo", b"0123456789");
+    let mut stream = pair
+        .pool
+        .forward(&pair.peer(), request, AMPLE)
+        .await
+        .unwrap();
+    while let Some(event) = stream.next().await {
+        event.unwrap();
+    }
+    assert_eq!(counters.forwarded.messages_out(), 1);
+    assert_eq!(counters.forwarded.messages_in(), 3);
+    assert!(counters.forwarded.bytes_out() > 10);
+    let forwarded = counters.forwarded.bytes_out();
+    pair.pool
+        .call(&pair.peer(), loan("o", 1), AMPLE)
+        .await
+        .unwrap();
+    assert_eq!(counters.forwarded.bytes_out(), forwarded);
+    assert!(counters.control.messages_out() >= 2);
+    assert!(counters.socket_bytes_out() > counters.control.bytes_out() + forwarded);
+}
--- /dev/null
+++ b/crates/instances/tests/support/relay.rs
@@ -0,0 +1,126 @@
+//! TCP relay that can drop one direction, hold or cut its open connections.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+
+use super::ANY_PORT;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    DropToServer,
+    DropToClient,
+    /// Discards both directions but keeps the sockets open.
+    HalfOpen,
+    /// Reads nothing.
+    Hold,
+    Cut,
+}
+
+struct Shared {
+    target: SocketAddr,
+    connections: Vec<watch::Sender<Fault>>,
+}
+
+pub struct Relay {
+    pub address: SocketAddr,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl Relay {
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = Arc::new(Mutex::new(Shared {
+            target,
+            connections: Vec::new(),
+        }));
+        tokio::spawn(accept(listener, shared.clone()));
+        Self { address, shared }
+    }
+
+    /// Applies a fault to the open connections; new ones work.
+    pub fn fault_open(&self, fault: Fault) {
+        for connection in &self.shared.lock().unwrap().connections {
+            connection.send_replace(fault);
+        }
+    }
+
+    /// Sends new connections to another server.
+    pub fn retarget(&self, target: SocketAddr) {
+        self.shared.lock().unwrap().target = target;
+    }
+
+    pub fn accepted(&self) -> usize {
+        self.shared.lock().unwrap().connections.len()
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Mutex<Shared>>) {
+    while let Ok((client, _)) = listener.accept().await {
+        let (faults, fault) = watch::channel(Fault::None);
+        let target = {
+            let mut shared = shared.lock().unwrap();
+            shared.connections.push(faults);
+            shared.target
+        };
+        tokio::spawn(async move {
+            let Ok(server) = TcpStream::connect(target).await else {
+                return;
+            };
+            let (client_read, client_write) = client.into_split();
+            let (server_read, server_write) = server.into_split();
+            tokio::join!(
+                copy(
+                    client_read,
+                    server_write,
+                    fault.clone(),
+                    Fault::DropToServer
+                ),
+                copy(server_read, client_write, fault, Fault::DropToClient),
+            );
+        });
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut fault: watch::Receiver<Fault>,
+    dropping: Fault,
+) {
+    let mut buf = vec![0; 64 << 10];
+    loop {
+        let current = *fault.borrow_and_update();
+        if current == Fault::Cut {
+            return;
+        }
+        let read = tokio::select! {
+            changed = fault.changed() => match changed {
+                Ok(()) => continue,
+                Err(_) => return,
+            },
+            read = from.read(&mut buf), if current != Fault::Hold => read,
+        };
+        let Ok(len @ 1..) = read else {
+            return;
+        };
+        if current == dropping || current == Fault::HalfOpen {
+            continue;
+        }
+        if to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
+}
