Add the client of backend servers

Cause: the daemon needs to know whether a failed call may have run, and must never read an answer that belongs to another request.

Connecting and sending are separate steps. hyper hands a request back only if it never began to write it; only then is a failed send `not-run`. The pool of hyper-util's legacy client was ruled out: it retries by itself and hides which step failed. A connection returns to the pool only at the end of a body.

The abort stays as a second guard.

--- /dev/null
+++ b/crates/backends/src/answer_body.rs
@@ -0,0 +1,115 @@
+//! Body of an answer.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use hyper::body::{Body, Incoming};
+use tokio::time::{Instant, Sleep, sleep};
+
+use crate::{BackendError, Connection};
+
+/// Stream of an answer's body.
+///
+/// The connection returns to the pool only after the whole body was read. Dropping the body
+/// earlier closes the connection, which cancels the request at the backend server.
+#[derive(Debug)]
+pub struct AnswerBody {
+    connection: Option<Connection>,
+    body: Incoming,
+    silence: Pin<Box<Sleep>>,
+}
+
+impl AnswerBody {
+    pub(crate) fn new(connection: Connection, body: Incoming) -> Self {
+        let silence = Box::pin(sleep(connection.pool.limits.chunk_timeout));
+        let mut this = Self {
+            connection: Some(connection),
+            body,
+            silence,
+        };
+        this.release_at_end();
+        this
+    }
+
+    /// Reads the whole body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body breaks off, falls silent or is too large.
+    pub async fn read(mut self, limit: usize) -> Result<Bytes, BackendError> {
+        let address = self.connection.as_ref().map(Connection::address);
+        let mut buf = BytesMut::new();
+        while let Some(data) = self.next().await {
+            let data = data?;
+            if let Some(address) = address
+                && buf.len() + data.len() > limit
+            {
+                return Err(BackendError::TooLarge { address, limit });
+            }
+            buf.extend_from_slice(&data);
+        }
+        Ok(buf.freeze())
+    }
+
+    fn release_at_end(&mut self) {
+        if self.body.is_end_stream() {
+            self.release();
+        }
+    }
+
+    fn release(&mut self) {
+        if let Some(Connection {
+            address,
+            open,
+            pool,
+        }) = self.connection.take()
+        {
+            pool.put(address, open);
+        }
+    }
+
+    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BackendError>>> {
+        let Some(connection) = &self.connection else {
+            return Poll::Ready(None);
+        };
+        let address = connection.address;
+        let after = connection.pool.limits.chunk_timeout;
+        loop {
+            match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Pending => {
+                    ready!(self.silence.as_mut().poll(cx));
+                    self.connection = None;
+                    return Poll::Ready(Some(Err(BackendError::BodySilent { address, after })));
+                }
+                Poll::Ready(None) => {
+                    self.release();
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Err(source))) => {
+                    self.connection = None;
+                    return Poll::Ready(Some(Err(BackendError::BodyBroken { address, source })));
+                }
+                Poll::Ready(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    self.silence.as_mut().reset(Instant::now() + after);
+                    self.release_at_end();
+                    return Poll::Ready(Some(Ok(data)));
+                }
+            }
+        }
+    }
+}
+
+impl Stream for AnswerBody {
+    type Item = Result<Bytes, BackendError>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.get_mut().poll_data(cx)
+    }
+}
--- /dev/null
+++ b/crates/backends/src/connection.rs
@@ -0,0 +1,106 @@
+//! Connection on which no request is outstanding.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+
+use crate::{Answer, AnswerBody, BackendError, BackendRequest, connection_pool::ConnectionPool};
+
+/// Open connection, ready to send one request.
+///
+/// Dropping it, or the future of [`Connection::send`], closes it.
+#[derive(Debug)]
+pub struct Connection {
+    pub(crate) address: SocketAddr,
+    pub(crate) open: OpenConnection,
+    pub(crate) pool: Arc<ConnectionPool>,
+}
+
+impl Connection {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        pool: Arc<ConnectionPool>,
+    ) -> Result<Self, BackendError> {
+        let after = pool.limits.connect_timeout;
+        let open = timeout(after, OpenConnection::open(address))
+            .await
+            .map_err(|_| BackendError::ConnectTimeout { address, after })??;
+        Ok(Self {
+            address,
+            open,
+            pool,
+        })
+    }
+
+    /// Returns the address of the backend server.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with [`BackendError::execution`] `NotRun` if no byte was written, and
+    /// `Unknown` if one may have been.
+    pub async fn send(mut self, req: BackendRequest) -> Result<Answer, BackendError> {
+        let address = self.address;
+        let after = req.head_timeout.unwrap_or(self.pool.limits.head_timeout);
+        let req = req.into_http(address)?;
+        let res = timeout(after, self.open.sender.try_send_request(req))
+            .await
+            .map_err(|_| BackendError::HeadTimeout { address, after })?
+            .map_err(|mut error| match error.take_message() {
+                // hyper hands the request back only if it never began to write it.
+                Some(_) => BackendError::ClosedUnsent { address },
+                None => BackendError::Send {
+                    address,
+                    source: error.into_error(),
+                },
+            })?;
+        let (head, body) = res.into_parts();
+        Ok(Answer {
+            head,
+            body: AnswerBody::new(self, body),
+        })
+    }
+}
+
+/// Sending half of a connection with the task that drives it.
+#[derive(Debug)]
+pub(crate) struct OpenConnection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl OpenConnection {
+    async fn open(address: SocketAddr) -> Result<Self, BackendError> {
+        let connect_error = |source| BackendError::Connect { address, source };
+        let stream = TcpStream::connect(address).await.map_err(connect_error)?;
+        stream.set_nodelay(true).map_err(connect_error)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|source| BackendError::Http { address, source })?;
+        // The sender learns of a failed connection through its own request.
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        })
+        .abort_handle();
+        Ok(Self { sender, driver })
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        // Closes the socket at once, without relying on hyper to notice that both halves are gone.
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/backends/src/order_answer.rs
@@ -0,0 +1,10 @@
+//! Answer of an engine to an order.
+
+/// What an engine made of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It accepted the order.
+    Accepted,
+    /// It has seen a newer fencing number and ignored the order.
+    Fenced,
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,10 +21,20 @@
 mod key_digest;
 mod key_grant;
 mod key_requirement;
+mod load_report;
 mod model_name;
 mod monotonic_time;
+mod order_kind;
+mod order_list;
+mod order_record;
+mod order_request;
+mod order_state;
 mod organisation;
 mod organisation_id;
+mod prefix_event;
+mod prefix_event_kind;
+mod prefix_events;
+mod prefix_hash;
 mod priority;
 mod refusal;
 mod refusal_code;
@@ -54,10 +64,20 @@
     key_digest::KeyDigest,
     key_grant::KeyGrant,
     key_requirement::KeyRequirement,
+    load_report::LoadReport,
     model_name::ModelName,
     monotonic_time::MonotonicTime,
+    order_kind::OrderKind,
+    order_list::OrderList,
+    order_record::OrderRecord,
+    order_request::OrderRequest,
+    order_state::OrderState,
     organisation::Organisation,
     organisation_id::OrganisationId,
+    prefix_event::PrefixEvent,
+    prefix_event_kind::PrefixEventKind,
+    prefix_events::PrefixEvents,
+    prefix_hash::PrefixHash,
     priority::Priority,
     refusal::Refusal,
     refusal_code::RefusalCode,
--- /dev/null
+++ b/crates/decisions/src/order_state.rs
@@ -0,0 +1,16 @@
+//! Progress of an order.
+
+use serde::{Deserialize, Serialize};
+
+/// Progress that an engine reports for an order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OrderState {
+    /// The engine is carrying it out.
+    Pending,
+    /// The engine has carried it out.
+    #[default]
+    Done,
+    /// The engine could not carry it out.
+    Failed,
+}
