Read bundles and settings, sign and compare bundles, log by part

Cause: every lane needs the typed bundle, the settings and the logger, and no package reads them yet.

Ruled out: taking lines from rust-ini, which reports none and joins a line without `=` with the next one. Each line's shape is checked first, and rust-ini then reads one well-formed line for each remembered line number. A slog filter by key-value was ruled out for the parts: the part is known when its logger is made, so each logger has its own filter before the shared asynchronous writer.

--- /dev/null
+++ b/crates/operators/src/ini_field.rs
@@ -0,0 +1,9 @@
+//! Field of an INI section.
+
+/// Field with the line it stands on.
+#[derive(Clone, Debug)]
+pub(crate) struct IniField {
+    pub(crate) name: String,
+    pub(crate) value: String,
+    pub(crate) line: usize,
+}
--- /dev/null
+++ b/crates/operators/src/logs.rs
@@ -0,0 +1,94 @@
+//! Loggers of the daemon's parts.
+
+use std::{
+    io::Write,
+    sync::{Arc, Mutex},
+};
+
+use slog::{Drain, Level, Logger, OwnedKVList, Record, RecordStatic};
+use slog_async::{Async, AsyncError, AsyncGuard, OverflowStrategy};
+
+use crate::{LogFormat, LogSettings, Part};
+
+/// Lines that wait for the writer before further ones are dropped and counted.
+const QUEUE_LINES: usize = 4_096;
+
+/// Writes log lines on a thread of its own and hands out a logger for each part.
+///
+/// Dropping it writes the lines that still wait.
+pub struct Logs {
+    drain: Arc<Async>,
+    settings: LogSettings,
+    _guard: AsyncGuard,
+}
+
+impl Logs {
+    /// Starts the writer.
+    pub fn new(settings: &LogSettings, output: Box<dyn Write + Send>) -> Self {
+        let (drain, guard) = match settings.format {
+            LogFormat::Human => {
+                let decorator = slog_term::PlainDecorator::new(output);
+                let format = slog_term::FullFormat::new(decorator);
+                start_writer(format.use_utc_timestamp().build())
+            }
+            LogFormat::Json => start_writer(slog_json::Json::default(output)),
+        };
+        Self {
+            drain: Arc::new(drain),
+            settings: settings.clone(),
+            _guard: guard,
+        }
+    }
+
+    /// Returns the logger of `part`.
+    pub fn part(&self, part: Part) -> Logger {
+        let drain = PartDrain {
+            part,
+            level: self.settings.level_of(part),
+            next: Arc::clone(&self.drain),
+        };
+        Logger::root(drain.ignore_res(), slog::o!())
+    }
+}
+
+fn start_writer<D>(format: D) -> (Async, AsyncGuard)
+where
+    D: Drain + Send + 'static,
+    D::Err: std::fmt::Debug,
+{
+    // A slow output must not delay requests, so lines over the queue are dropped.
+    Async::new(Mutex::new(format).fuse())
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
+
+/// Filters by level and puts the part's prefix before each message.
+struct PartDrain {
+    part: Part,
+    level: Level,
+    next: Arc<Async>,
+}
+
+impl Drain for PartDrain {
+    type Ok = ();
+    type Err = AsyncError;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), AsyncError> {
+        if !record.level().is_at_least(self.level) {
+            return Ok(());
+        }
+        let fixed = RecordStatic {
+            location: record.location(),
+            tag: record.tag(),
+            level: record.level(),
+        };
+        let message = format_args!("{}: {}", self.part.prefix(), record.msg());
+        self.next
+            .log(&Record::new(&fixed, &message, record.kv()), values)
+    }
+
+    fn is_enabled(&self, level: Level) -> bool {
+        level.is_at_least(self.level)
+    }
+}
--- /dev/null
+++ b/crates/operators/src/operator_key.rs
@@ -0,0 +1,56 @@
+//! Operator's signing key.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use ed25519_dalek::{Signer as _, SigningKey};
+
+use crate::{
+    BundleDigest, BundleSignature, SignatureError, random_bytes::random_bytes,
+    trust::signed_message,
+};
+
+/// ed25519 key with which an operator signs bundles.
+pub struct OperatorKey(SigningKey);
+
+impl OperatorKey {
+    /// Draws a new key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system gives no random bytes.
+    pub fn generate() -> std::io::Result<Self> {
+        Ok(Self(SigningKey::from_bytes(&random_bytes()?)))
+    }
+
+    /// Reads a key from base64.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `text` is not 32 bytes in base64.
+    pub fn from_base64(text: &str) -> Result<Self, SignatureError> {
+        let bytes = BASE64_STANDARD
+            .decode(text.trim())
+            .ok()
+            .and_then(|bytes| <[u8; 32]>::try_from(bytes).ok())
+            .ok_or(SignatureError::InvalidKey)?;
+        Ok(Self(SigningKey::from_bytes(&bytes)))
+    }
+
+    /// Returns the secret key in base64.
+    pub fn to_base64(&self) -> String {
+        BASE64_STANDARD.encode(self.0.as_bytes())
+    }
+
+    /// Returns the public key in base64, as a bundle names it.
+    pub fn public_base64(&self) -> String {
+        BASE64_STANDARD.encode(self.0.verifying_key().as_bytes())
+    }
+
+    /// Signs a version and digest under the name that the predecessor gives the signer.
+    pub fn sign(&self, signer: &str, version: u64, digest: &BundleDigest) -> BundleSignature {
+        let signature = self.0.sign(&signed_message(version, digest));
+        BundleSignature {
+            signer: signer.to_owned(),
+            signature: BASE64_STANDARD.encode(signature.to_bytes()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/operators/src/random_bytes.rs
@@ -0,0 +1,12 @@
+//! Random bytes of the system.
+
+use rand::{TryRngCore, rngs::OsRng};
+
+/// Draws 32 bytes.
+pub(crate) fn random_bytes() -> std::io::Result<[u8; 32]> {
+    let mut bytes = [0; 32];
+    OsRng
+        .try_fill_bytes(&mut bytes)
+        .map_err(std::io::Error::other)?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/operators/src/settings_reader.rs
@@ -0,0 +1,248 @@
+//! Reading of a daemon's settings into their typed form.
+
+use std::net::SocketAddr;
+
+use hawthornquay_decisions::{Map, Set};
+use slog::Level;
+
+use crate::{
+    DaemonSettings, InstanceSettings, LogFormat, LogSettings, Part, TlsSettings, Trust,
+    fault_collector::FaultCollector, ini_field::IniField, ini_section::IniSection,
+    ini_text::IniText, section_reader::SectionReader, trust_reader::read_trust,
+};
+
+const SECTIONS: [&str; 5] = ["instance", "platform", "tls", "trust", "log"];
+const LEVELS: &str = "critical, error, warning, info, debug, trace";
+
+/// Reads the sections and records every fault.
+pub(crate) fn read_settings(text: &IniText, faults: &mut FaultCollector) -> Option<DaemonSettings> {
+    let mut first: Map<&str, &IniSection> = Map::default();
+    for section in &text.sections {
+        let header = section.header.as_str();
+        if !SECTIONS.contains(&header) {
+            faults.add(
+                section.line,
+                format!("there is no section [{header}]"),
+                format!("remove it or use one of: {}", SECTIONS.join(", ")),
+            );
+        } else if let Some(other) = first.get(header) {
+            faults.add(
+                section.line,
+                format!("[{header}] was already given on line {}", other.line),
+                "join the two sections",
+            );
+        } else {
+            first.insert(header, section);
+        }
+    }
+    let mut required = |name: &'static str| {
+        let section = first.get(name).copied();
+        if section.is_none() {
+            faults.add(
+                1,
+                format!("the section [{name}] is missing"),
+                format!("add [{name}] with its fields"),
+            );
+        }
+        section
+    };
+    let (instance, platform) = (required("instance"), required("platform"));
+    let (tls, trust) = (required("tls"), required("trust"));
+    let instance = instance.and_then(|section| read_instance(section, faults));
+    let platform = platform.and_then(|section| {
+        read_section(section, faults, |reader, faults| {
+            server_address(reader, "address", faults)
+        })
+    });
+    let tls = tls.and_then(|section| read_section(section, faults, read_tls));
+    let trust = trust.and_then(|section| read_section(section, faults, read_trust));
+    let log = match first.get("log") {
+        Some(section) => read_section(section, faults, read_log),
+        None => Some(LogSettings::default()),
+    };
+    let (signers, signatures_needed) = trust?;
+    Some(DaemonSettings {
+        instance: instance?,
+        platform: platform?,
+        tls: tls?,
+        trust: Trust {
+            signers,
+            signatures_needed,
+        },
+        log: log?,
+    })
+}
+
+fn read_section<'a, T>(
+    section: &'a IniSection,
+    faults: &mut FaultCollector,
+    read: impl FnOnce(&mut SectionReader<'a>, &mut FaultCollector) -> Option<T>,
+) -> Option<T> {
+    let mut reader = SectionReader::new(section);
+    let value = read(&mut reader, faults);
+    reader.finish(faults);
+    value
+}
+
+fn read_instance(section: &IniSection, faults: &mut FaultCollector) -> Option<InstanceSettings> {
+    read_section(section, faults, |reader, faults| {
+        let name = name(reader, "name", faults);
+        let region = self::name(reader, "region", faults);
+        let domain = self::name(reader, "domain", faults);
+        let mut seen = Set::default();
+        let mut listen = |field: &'static str| {
+            let address = listen_address(reader, field, faults)?;
+            if !seen.insert(address) {
+                faults.add(
+                    section.line,
+                    format!("`{field}` is `{address}`, which another field already has"),
+                    "give `callers`, `peers` and `operators` different ports",
+                );
+            }
+            Some(address)
+        };
+        let (callers, peers, operators) = (listen("callers"), listen("peers"), listen("operators"));
+        Some(InstanceSettings {
+            name: name?.into(),
+            region: region?.into(),
+            domain: domain?.into(),
+            callers: callers?,
+            peers: peers?,
+            operators: operators?,
+        })
+    })
+}
+
+fn name<'a>(
+    reader: &mut SectionReader<'a>,
+    field: &'static str,
+    faults: &mut FaultCollector,
+) -> Option<&'a str> {
+    let field = reader.required(field, faults)?;
+    let allowed = |char: char| char.is_ascii_alphanumeric() || matches!(char, '_' | '-' | '.');
+    if !field.value.chars().all(allowed) {
+        faults.add(
+            field.line,
+            format!("`{}` is `{}`, which is no name", field.name, field.value),
+            "write letters, digits and `-_.`",
+        );
+        return None;
+    }
+    Some(&field.value)
+}
+
+fn listen_address(
+    reader: &mut SectionReader<'_>,
+    name: &'static str,
+    faults: &mut FaultCollector,
+) -> Option<SocketAddr> {
+    let address = reader.address(name, faults)?;
+    // The platform lists the addresses beforehand, so the system cannot choose the port.
+    if address.port() == 0 {
+        let line = reader.line_of(name);
+        faults.add(
+            line,
+            format!("`{name}` has port 0"),
+            "write the port to listen on",
+        );
+        return None;
+    }
+    Some(address)
+}
+
+fn server_address(
+    reader: &mut SectionReader<'_>,
+    name: &'static str,
+    faults: &mut FaultCollector,
+) -> Option<SocketAddr> {
+    let address = listen_address(reader, name, faults)?;
+    if address.ip().is_unspecified() {
+        faults.add(
+            reader.line_of(name),
+            format!("`{address}` is no address that a server can have"),
+            "write the server's own IP number",
+        );
+        return None;
+    }
+    Some(address)
+}
+
+fn read_tls(reader: &mut SectionReader<'_>, faults: &mut FaultCollector) -> Option<TlsSettings> {
+    let mut path = |name| {
+        reader
+            .required(name, faults)
+            .map(|field| field.value.as_str())
+    };
+    let (certificate, key, authority) = (path("certificate"), path("key"), path("authority"));
+    Some(TlsSettings {
+        certificate: certificate?.into(),
+        key: key?.into(),
+        authority: authority?.into(),
+    })
+}
+
+fn read_log(reader: &mut SectionReader<'_>, faults: &mut FaultCollector) -> Option<LogSettings> {
+    let format = match reader.optional("format", faults) {
+        None => Some(LogFormat::default()),
+        Some(field) => read_format(field, faults),
+    };
+    let level = match reader.optional("level", faults) {
+        None => Some(LogSettings::default().level),
+        Some(field) => read_level(field, faults),
+    };
+    let mut part_levels = Map::default();
+    for (prefix, field) in reader.prefixed("level.", faults) {
+        let level = read_level(field, faults);
+        match (Part::from_prefix(prefix), level) {
+            (Some(part), Some(level)) => {
+                part_levels.insert(part, level);
+            }
+            (None, _) => faults.add(
+                field.line,
+                format!("there is no part `{prefix}`"),
+                format!("use one of: {}", Part::ALL.map(Part::prefix).join(", ")),
+            ),
+            (Some(_), None) => {}
+        }
+    }
+    Some(LogSettings {
+        format: format?,
+        level: level?,
+        part_levels,
+    })
+}
+
+fn read_format(field: &IniField, faults: &mut FaultCollector) -> Option<LogFormat> {
+    match field.value.as_str() {
+        "human" => Some(LogFormat::Human),
+        "json" => Some(LogFormat::Json),
+        other => {
+            faults.add(
+                field.line,
+                format!("there is no log format `{other}`"),
+                "write `human` or `json`",
+            );
+            None
+        }
+    }
+}
+
+fn read_level(field: &IniField, faults: &mut FaultCollector) -> Option<Level> {
+    let level = match field.value.as_str() {
+        "critical" => Some(Level::Critical),
+        "error" => Some(Level::Error),
+        "warning" => Some(Level::Warning),
+        "info" => Some(Level::Info),
+        "debug" => Some(Level::Debug),
+        "trace" => Some(Level::Trace),
+        _ => None,
+    };
+    if level.is_none() {
+        faults.add(
+            field.line,
+            format!("there is no log level `{}`", field.value),
+            format!("use one of: {LEVELS}"),
+        );
+    }
+    level
+}
--- /dev/null
+++ b/crates/operators/src/trust.rs
@@ -0,0 +1,91 @@
+//! Signers whose signatures count.
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use ed25519_dalek::{Signature, VerifyingKey};
+use hawthornquay_decisions::{Bundle, Set, Signer};
+
+use crate::{BundleDigest, BundleHead, BundleSignature, SignatureError};
+
+/// Separates these signatures from any other use of the same key.
+const SIGNATURE_CONTEXT: &[u8] = b"hawthornquay bundle v1\0";
+
+/// Signers and the number of their signatures that a bundle needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trust {
+    /// Operators whose signatures count.
+    pub signers: Vec<Signer>,
+    /// Signatures by different signers that are needed; zero counts as one.
+    pub signatures_needed: u32,
+}
+
+impl Trust {
+    /// Returns the trust that the successor of `bundle` is checked against.
+    pub fn of_predecessor(bundle: &Bundle) -> Self {
+        Self {
+            signers: bundle.signers.clone(),
+            signatures_needed: bundle.signatures_needed,
+        }
+    }
+
+    /// Checks the signatures of a head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if too few signatures by different signers are valid.
+    pub fn verify_head(&self, head: &BundleHead) -> Result<(), SignatureError> {
+        self.verify(head.version, &head.digest, &head.signatures)
+    }
+
+    /// Checks the signatures of a version and digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if too few signatures by different signers are valid.
+    pub fn verify(
+        &self,
+        version: u64,
+        digest: &BundleDigest,
+        signatures: &[BundleSignature],
+    ) -> Result<(), SignatureError> {
+        let message = signed_message(version, digest);
+        let mut keys = Set::default();
+        let mut rejected = Vec::new();
+        for signature in signatures {
+            match self.valid_key(&message, signature) {
+                // A second signature with the same key does not count again.
+                Some(key) => {
+                    keys.insert(key);
+                }
+                None => rejected.push(signature.signer.clone()),
+            }
+        }
+        let valid = u32::try_from(keys.len()).unwrap_or(u32::MAX);
+        let needed = self.signatures_needed.max(1);
+        if valid >= needed {
+            return Ok(());
+        }
+        Err(SignatureError::TooFew {
+            version,
+            valid,
+            needed,
+            rejected,
+        })
+    }
+
+    fn valid_key(&self, message: &[u8], signature: &BundleSignature) -> Option<[u8; 32]> {
+        let signer = self
+            .signers
+            .iter()
+            .find(|signer| signer.name == signature.signer)?;
+        let key = VerifyingKey::from_bytes(&signer.public_key).ok()?;
+        let bytes = BASE64_STANDARD.decode(&signature.signature).ok()?;
+        let signature = Signature::from_slice(&bytes).ok()?;
+        key.verify_strict(message, &signature).ok()?;
+        Some(signer.public_key)
+    }
+}
+
+/// Returns the bytes that a signature covers.
+pub(crate) fn signed_message(version: u64, digest: &BundleDigest) -> Vec<u8> {
+    [SIGNATURE_CONTEXT, &version.to_be_bytes(), &digest.0].concat()
+}
--- /dev/null
+++ b/crates/operators/tests/settings_faults.rs
@@ -0,0 +1,139 @@
+//! Guards against a daemon that starts with faulty settings.
+
+mod common;
+
+use common::{replaced, settings_text};
+use hawthornquay_operators::{DaemonSettings, LogFormat, Part};
+
+/// Guards against each kind of fault being accepted, or reported at another line.
+#[test]
+fn settings_fault_is_reported_with_its_line() {
+    let cases = [
+        ("[tls]", "[ssl]", 10, "there is no section [ssl]"),
+        ("[tls]", "[ssl]", 1, "the section [tls] is missing"),
+        (
+            "[log]",
+            "[instance]",
+            17,
+            "[instance] was already given on line 1",
+        ),
+        (
+            "region = lagos\n",
+            "",
+            1,
+            "[instance] lacks the field `region`",
+        ),
+        (
+            "name = lagos-a-1",
+            "name = lagos a",
+            2,
+            "`name` is `lagos a`, which is no name",
+        ),
+        (
+            "127.0.0.1:7001",
+            "somewhere:1",
+            5,
+            "`somewhere:1` is no address",
+        ),
+        ("127.0.0.1:7001", "127.0.0.1:0", 5, "`callers` has port 0"),
+        ("peers =", "pears =", 6, "[instance] has no field `pears`"),
+        (
+            "127.0.0.1:7000",
+            "0.0.0.0:7000",
+            9,
+            "`0.0.0.0:7000` is no address that a server can have",
+        ),
+        (
+            "key = tls/lagos-a-1.key",
+            "key =",
+            12,
+            "the field `key` is empty",
+        ),
+        (
+            "signatures_needed = 1",
+            "signatures_needed = 2",
+            15,
+            "2 signatures are needed, but there are 1 signers",
+        ),
+        (
+            "format = json",
+            "format = xml",
+            18,
+            "there is no log format `xml`",
+        ),
+        (
+            "level = info",
+            "level = loud",
+            19,
+            "there is no log level `loud`",
+        ),
+        (
+            "level.limits",
+            "level.limit",
+            20,
+            "there is no part `limit`",
+        ),
+    ];
+    for (from, to, line, message) in cases {
+        let text = replaced(&settings_text(), from, to);
+        let found = DaemonSettings::read("d.ini", &text).expect_err(to);
+        assert!(
+            found
+                .faults
+                .iter()
+                .any(|fault| fault.line == line && fault.message == message),
+            "{to}: expected {line}: {message}, found {:?}",
+            found
+                .faults
+                .iter()
+                .map(ToString::to_string)
+                .collect::<Vec<_>>()
+        );
+        assert!(
+            found.faults.iter().all(|fault| !fault.remedy.is_empty()),
+            "{to}"
+        );
+    }
+}
+
+/// Guards against a check that stops at the first fault or the first section.
+#[test]
+fn settings_faults_are_all_reported() {
+    let text = replaced(&settings_text(), "127.0.0.1:7001", "x");
+    let text = replaced(&text, "key = tls/lagos-a-1.key\n", "");
+    let text = replaced(&text, "level = info", "level = loud");
+    let found = DaemonSettings::read("d.ini", &text).unwrap_err();
+    assert_eq!(
+        found
+            .faults
+            .iter()
+            .map(|fault| fault.line)
+            .collect::<Vec<_>>(),
+        [5, 10, 18]
+    );
+}
+
+/// Guards against two listeners on one address.
+#[test]
+fn settings_repeated_address_is_refused() {
+    let text = replaced(&settings_text(), "127.0.0.1:7002", "127.0.0.1:7001");
+    let found = DaemonSettings::read("d.ini", &text).unwrap_err();
+    assert!(
+        found.faults[0]
+            .message
+            .contains("which another field already has")
+    );
+}
+
+/// Guards against fields that are read into the wrong place.
+#[test]
+fn settings_fields_are_typed() {
+    let settings = DaemonSettings::read("d.ini", &settings_text()).unwrap();
+    assert_eq!(settings.instance.name.as_str(), "lagos-a-1");
+    assert_eq!(settings.instance.operators.port(), 7003);
+    assert_eq!(settings.platform.port(), 7000);
+    assert_eq!(settings.trust.signers[0].name, "ada");
+    assert_eq!(settings.log.format, LogFormat::Json);
+    assert_eq!(settings.log.level_of(Part::Limits), slog::Level::Debug);
+    assert_eq!(settings.log.level_of(Part::Rollout), slog::Level::Info);
+}
--- /dev/null
+++ b/crates/operators/tests/signatures.rs
@@ -0,0 +1,102 @@
+//! Guards against bundles in force without the signatures that their predecessor asks for.
+
+mod common;
+
+use common::{bundle_text, document, key};
+use hawthornquay_operators::{
+    BundleDigest, BundleDocument, BundleHead, OperatorKey, SignatureError, Trust,
+    caller_key_digest, generate_caller_key,
+};
+
+fn trust(needed: u32) -> Trust {
+    let predecessor = BundleDocument::read("bundle.ini", &bundle_text(7, needed)).unwrap();
+    Trust::of_predecessor(predecessor.bundle())
+}
+
+/// Guards against signatures that are refused although they are valid.
+#[test]
+fn signature_of_a_trusted_signer_counts() {
+    let new = document(8);
+    let signature = key(0).sign("ada", 8, &new.digest());
+    assert_eq!(trust(1).verify(8, &new.digest(), &[signature]), Ok(()));
+}
+
+/// Guards against one operator who counts as two.
+#[test]
+fn signature_given_twice_counts_once() {
+    let digest = document(8).digest();
+    let one = key(0).sign("ada", 8, &digest);
+    let other = key(1).sign("bola", 8, &digest);
+    let error = trust(2)
+        .verify(8, &digest, &[one.clone(), one.clone()])
+        .unwrap_err();
+    assert!(matches!(
+        error,
+        SignatureError::TooFew {
+            valid: 1,
+            needed: 2,
+            ..
+        }
+    ));
+    assert_eq!(trust(2).verify(8, &digest, &[one, other]), Ok(()));
+}
+
+/// Guards against signatures moved to another version, digest, name or key.
+#[test]
+fn signature_of_something_else_does_not_count() {
+    let digest = document(8).digest();
+    let unknown = OperatorKey::generate().unwrap();
+    let cases = [
+        key(0).sign("ada", 9, &digest),
+        key(0).sign("ada", 8, &BundleDigest([0; 32])),
+        key(0).sign("bola", 8, &digest),
+        key(0).sign("eve", 8, &digest),
+        unknown.sign("ada", 8, &digest),
+    ];
+    for signature in cases {
+        let error = trust(1)
+            .verify(8, &digest, std::slice::from_ref(&signature))
+            .unwrap_err();
+        let SignatureError::TooFew { rejected, .. } = error else {
+            panic!("{error}")
+        };
+        assert_eq!(rejected, [signature.signer]);
+    }
+}
+
+/// Guards against an empty trust that accepts everything.
+#[test]
+fn signature_is_needed_even_by_an_empty_trust() {
+    let trust = Trust::of_predecessor(&hawthornquay_decisions::Bundle::default());
+    assert!(trust.verify(8, &document(8).digest(), &[]).is_err());
+}
+
+/// Guards against a head that changes in the store's JSON.
+#[test]
+fn signature_head_survives_json() {
+    let new = document(8);
+    let head = BundleHead {
+        version: 8,
+        digest: new.digest(),
+        previous: Some(document(7).digest()),
+        parts: 1,
+        signatures: vec![key(0).sign("ada", 8, &new.digest())],
+    };
+    let json = serde_json::to_string(&head).unwrap();
+    assert!(json.contains(&new.digest().to_string()));
+    assert_eq!(serde_json::from_str::<BundleHead>(&json).unwrap(), head);
+}
+
+/// Guards against a digest other than HMAC-SHA256; vector of RFC 4231, test case 2.
+#[test]
+fn signature_caller_key_digest_is_hmac() {
+    let digest = caller_key_digest(b"Jefe", "what do ya want for nothing?");
+    assert_eq!(
+        hawthornquay_operators::key_digest_text(&digest),
+        "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843"
+    );
+    assert_ne!(
+        generate_caller_key().unwrap(),
+        generate_caller_key().unwrap()
+    );
+}
