Add the stand-ins for model engines and plain services

Cause: the backend client, routing and the daemon need backend servers to test against.

Prefill is one resource that the running requests share; the time between tokens does not depend on the batch. `next` of the cache events passes over lost events, so a gap at the end shows. `POST /admin/faults` replaces all faults of an engine or service.

Ruled out: generating each answer in a task of its own. The answer body drives the generation, so a disconnect ends it without further bookkeeping.

With the protection taken out, these failed: - slots not given back on drop: cancel_on_disconnect and 5 others - no fencing check: orders_fenced - no eviction: cache_evicts_least_recently_used - priority ignored: queue_orders_by_priority_then_arrival - no slot limit: batching_limited_by_slots and 3 others - lost events not passed over: events_have_visible_gaps - second run not counted: runs_counted_by_id

--- /dev/null
+++ b/crates/standins/src/chat_answer.rs
@@ -0,0 +1,116 @@
+//! Answers in the form of the OpenAI interface.
+
+use std::{collections::VecDeque, io};
+
+use bytes::Bytes;
+use futures_util::stream;
+use hawthornquay_http::{Body, json_response};
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use serde_json::{Value, json};
+
+use crate::{generation::Generation, generation_step::GenerationStep, refusal::refuse};
+
+/// Generates a whole answer.
+pub(crate) async fn answer_whole(
+    id: &str,
+    model: &str,
+    mut generation: Generation,
+) -> Response<Body> {
+    let mut text = String::new();
+    loop {
+        match generation.next().await {
+            GenerationStep::Token(token) => text.push_str(&token),
+            GenerationStep::Finished => break,
+            GenerationStep::Cancelled => {
+                return refuse(
+                    StatusCode::CONFLICT,
+                    "cancelled",
+                    "the request was cancelled",
+                );
+            }
+            GenerationStep::Broken => return broken_response(),
+        }
+    }
+    let value = json!({
+        "id": id,
+        "object": "chat.completion",
+        "created": 0,
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": "length",
+        }],
+        "usage": generation.usage(),
+    });
+    json_response(StatusCode::OK, &value)
+}
+
+/// Streams an answer by SSE while it is generated.
+pub(crate) fn answer_streamed(id: &str, model: &str, generation: Generation) -> Response<Body> {
+    let chunk = json!({
+        "id": id,
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": model,
+        "choices": [],
+    });
+    let start = (Some(generation), chunk, VecDeque::new());
+    let frames = stream::unfold(start, |(mut generation, chunk, mut rest)| async move {
+        if let Some(data) = rest.pop_front() {
+            return Some((Ok(data), (generation, chunk, rest)));
+        }
+        let step = generation.as_mut()?.next().await;
+        let reason = match step {
+            GenerationStep::Token(token) => {
+                let delta = json!({"content": token});
+                let data = event(
+                    &chunk,
+                    json!({"index": 0, "delta": delta, "finish_reason": null}),
+                );
+                return Some((Ok(data), (generation, chunk, rest)));
+            }
+            GenerationStep::Broken => return Some((Err(broken()), (None, chunk, rest))),
+            GenerationStep::Cancelled => "cancelled",
+            GenerationStep::Finished => "length",
+        };
+        let data = event(
+            &chunk,
+            json!({"index": 0, "delta": {}, "finish_reason": reason}),
+        );
+        let mut last = chunk.clone();
+        last["usage"] = json!(generation.take()?.usage());
+        rest.push_back(frame(&last.to_string()));
+        rest.push_back(frame("[DONE]"));
+        Some((Ok(data), (generation, chunk, rest)))
+    });
+    let mut res = Response::new(Body::new(StreamBody::new(frames)));
+    let event_stream = HeaderValue::from_static("text/event-stream");
+    res.headers_mut().insert(header::CONTENT_TYPE, event_stream);
+    res
+}
+
+/// Builds an answer that breaks off after its head.
+pub(crate) fn broken_response() -> Response<Body> {
+    let frames = stream::iter([Err::<Frame<Bytes>, _>(broken())]);
+    Response::new(Body::new(StreamBody::new(frames)))
+}
+
+fn event(chunk: &Value, choice: Value) -> Frame<Bytes> {
+    let mut value = chunk.clone();
+    value["choices"] = json!([choice]);
+    frame(&value.to_string())
+}
+
+fn frame(data: &str) -> Frame<Bytes> {
+    Frame::data(Bytes::from(format!("data: {data}\n\n")))
+}
+
+fn broken() -> io::Error {
+    io::Error::new(
+        io::ErrorKind::ConnectionReset,
+        "answer broken off by a set fault",
+    )
+}
--- /dev/null
+++ b/crates/standins/src/chat_request.rs
@@ -0,0 +1,47 @@
+//! Chat request in the form of the OpenAI interface.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ChatMessage;
+
+const DEFAULT_MAX_TOKENS: u64 = 16;
+const NONCE_MARK: &str = "nonce=";
+
+/// Body of `POST /v1/chat/completions`; other fields are ignored.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ChatRequest {
+    /// Model to use.
+    pub model: String,
+    /// Messages, oldest first.
+    pub messages: Vec<ChatMessage>,
+    /// Tokens to generate.
+    #[serde(default = "default_max_tokens", alias = "max_completion_tokens")]
+    pub max_tokens: u64,
+    /// Whether the answer is streamed by SSE.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+impl ChatRequest {
+    /// Joins the texts of all messages; tokens and prefixes are counted over the result.
+    pub fn prompt(&self) -> String {
+        self.messages
+            .iter()
+            .map(|message| message.content.as_str())
+            .collect()
+    }
+
+    /// Returns the nonce of the last user message.
+    pub fn nonce(&self) -> Option<&str> {
+        let last = self
+            .messages
+            .iter()
+            .rfind(|message| message.role == "user")?;
+        let (_, rest) = last.content.split_once(NONCE_MARK)?;
+        rest.split_whitespace().next()
+    }
+}
+
+fn default_max_tokens() -> u64 {
+    DEFAULT_MAX_TOKENS
+}
--- /dev/null
+++ b/crates/standins/src/engine_endpoint.rs
@@ -0,0 +1,218 @@
+//! HTTP interface of a model engine.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hawthornquay_http::{Body, empty_response, json_response};
+use http::{HeaderName, HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::{
+    ChatRequest, EngineSettings, StandinRequest,
+    active_request::ActiveRequest,
+    chat_answer::{answer_streamed, answer_whole},
+    count_prompt_tokens,
+    endpoint::Endpoint,
+    engine_state::EngineState,
+    generation::Generation,
+    kv_block, prompt_prefixes,
+    refusal::{refuse, refuse_json, refuse_unknown},
+    request_ids::RequestIds,
+};
+
+pub(crate) const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const X_PRIORITY: &str = "x-priority";
+
+/// Serves the requests of one model engine.
+#[derive(Debug)]
+pub(crate) struct EngineEndpoint {
+    settings: EngineSettings,
+    state: Arc<Mutex<EngineState>>,
+    ids: RequestIds,
+}
+
+impl EngineEndpoint {
+    pub(crate) fn new(settings: EngineSettings, state: &Arc<Mutex<EngineState>>) -> Self {
+        Self {
+            settings,
+            state: Arc::clone(state),
+            ids: RequestIds::default(),
+        }
+    }
+
+    async fn chat(&self, req: &StandinRequest) -> Response<Body> {
+        let id = req
+            .header(X_REQUEST_ID.as_str())
+            .map_or_else(|| self.ids.draw(), str::to_owned);
+        let mut res = match self.start_chat(&id, req) {
+            Ok((chat, generation)) if chat.stream => answer_streamed(&id, &chat.model, generation),
+            Ok((chat, generation)) => answer_whole(&id, &chat.model, generation).await,
+            Err(refusal) => {
+                self.state.lock().counters.refused += 1;
+                *refusal
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id) {
+            res.headers_mut().insert(X_REQUEST_ID, value);
+        }
+        res
+    }
+
+    fn start_chat(
+        &self,
+        id: &str,
+        req: &StandinRequest,
+    ) -> Result<(ChatRequest, Generation), Box<Response<Body>>> {
+        let refusal = |status, code, message: &str| Err(Box::new(refuse(status, code, message)));
+        let bad = |message| refusal(StatusCode::BAD_REQUEST, "bad-request", message);
+        let chat: ChatRequest = req.json().map_err(|err| Box::new(refuse_json(&err)))?;
+        let rank = match req.header(X_PRIORITY) {
+            None | Some("interactive") => 0,
+            Some("batch") => 1,
+            Some(_) => return bad("X-Priority is neither interactive nor batch"),
+        };
+        if chat.max_tokens == 0 {
+            return bad("max_tokens is 0");
+        }
+        let busy = |code, message| refusal(StatusCode::SERVICE_UNAVAILABLE, code, message);
+        let state = self.state.lock();
+        if state.faults.leaving {
+            return busy("leaving", "the engine takes no new requests");
+        }
+        if state.queue_is_full() {
+            return busy("queue-full", "too many requests wait for a slot");
+        }
+        if !state.orders.models(Instant::now()).contains(&chat.model) {
+            let message = format!("the model {} is not loaded", chat.model);
+            return refusal(StatusCode::NOT_FOUND, "model-not-found", &message);
+        }
+        drop(state);
+        let prompt = chat.prompt();
+        let generation = Generation::start(
+            &self.state,
+            ActiveRequest::new(id, count_prompt_tokens(&prompt)),
+            rank,
+            prompt_prefixes(&chat.model, &prompt),
+            chat.nonce().unwrap_or_default(),
+            chat.max_tokens,
+            Duration::from_millis(self.settings.decode_ms),
+        );
+        Ok((chat, generation))
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        let Some(request) = self.state.lock().active(id) else {
+            return refuse(
+                StatusCode::NOT_FOUND,
+                "not-found",
+                "no such request is active",
+            );
+        };
+        request.cancel.cancel();
+        ok(&json!({"request_id": id, "usage": request.usage()}))
+    }
+
+    fn models(&self) -> Response<Body> {
+        let models = self.state.lock().orders.models(Instant::now());
+        let data: Vec<Value> = models
+            .iter()
+            .map(|model| json!({"id": model, "object": "model", "owned_by": "stand-in"}))
+            .collect();
+        ok(&json!({"object": "list", "data": data}))
+    }
+
+    fn load(&self) -> Response<Body> {
+        ok(&json!(self.state.lock().history.lagged(Instant::now())))
+    }
+
+    fn cache_events(&self, after: u64) -> Response<Body> {
+        let (events, next) = self.state.lock().events.after(Instant::now(), after);
+        ok(&json!({"events": events, "next": next}))
+    }
+
+    fn order(&self, req: &StandinRequest) -> Response<Body> {
+        let order = match req.json() {
+            Ok(order) => order,
+            Err(err) => return refuse_json(&err),
+        };
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        match state.orders.take(now, order) {
+            Ok(()) => ok(&state.orders.describe(now)),
+            Err(fence) => {
+                let error = json!({"code": "old-fence", "message": "a newer order was taken"});
+                let value = json!({"error": error, "fence": fence});
+                json_response(StatusCode::CONFLICT, &value)
+            }
+        }
+    }
+
+    fn export_block(&self, prefix: &str) -> Response<Body> {
+        if !self.state.lock().cache.contains(prefix) {
+            return refuse(
+                StatusCode::NOT_FOUND,
+                "not-found",
+                "the cache lacks the prefix",
+            );
+        }
+        let data = Bytes::from(kv_block(prefix));
+        let mut res = Response::new(Body::new(Full::new(data).map_err(|never| match never {})));
+        let octets = HeaderValue::from_static("application/octet-stream");
+        res.headers_mut().insert(header::CONTENT_TYPE, octets);
+        res
+    }
+
+    fn import_block(&self, prefix: &str, block: &[u8]) -> Response<Body> {
+        if block != kv_block(prefix) {
+            let message = "the block does not belong to the prefix";
+            return refuse(StatusCode::BAD_REQUEST, "wrong-block", message);
+        }
+        let mut state = self.state.lock();
+        state.store_prefixes(Instant::now(), &[prefix.to_owned()]);
+        empty_response(StatusCode::NO_CONTENT)
+    }
+
+    fn set_faults(&self, req: &StandinRequest) -> Response<Body> {
+        match req.json() {
+            Ok(faults) => {
+                self.state.lock().set_faults(Instant::now(), faults);
+                ok(&json!(faults))
+            }
+            Err(err) => refuse_json(&err),
+        }
+    }
+}
+
+impl Endpoint for EngineEndpoint {
+    const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+    async fn answer(self: Arc<Self>, req: StandinRequest) -> Response<Body> {
+        if req.headers.contains_key(header::AUTHORIZATION) {
+            self.state.lock().counters.keys_seen += 1;
+        }
+        let segments: Vec<&str> = req.path.trim_matches('/').split('/').collect();
+        match (&req.method, segments.as_slice()) {
+            (&Method::POST, ["v1", "chat", "completions"]) => self.chat(&req).await,
+            (&Method::GET, ["v1", "models"]) => self.models(),
+            (&Method::DELETE, ["v1", "requests", id]) => self.cancel(id),
+            (&Method::GET, ["load"]) => self.load(),
+            (&Method::GET, ["cache-events"]) => {
+                self.cache_events(req.number("after").unwrap_or_default())
+            }
+            (&Method::GET, ["orders"]) => ok(&self.state.lock().orders.describe(Instant::now())),
+            (&Method::POST, ["orders"]) => self.order(&req),
+            (&Method::GET, ["kv-cache", prefix]) => self.export_block(prefix),
+            (&Method::PUT, ["kv-cache", prefix]) => self.import_block(prefix, &req.body),
+            (&Method::POST, ["admin", "faults"]) => self.set_faults(&req),
+            (&Method::GET, ["admin", "counters"]) => ok(&json!(self.state.lock().counters)),
+            _ => refuse_unknown(),
+        }
+    }
+}
+
+fn ok(value: &Value) -> Response<Body> {
+    json_response(StatusCode::OK, value)
+}
--- /dev/null
+++ b/crates/standins/src/engine_orders.rs
@@ -0,0 +1,98 @@
+//! Orders that a model engine has taken.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::{EngineOrder, OrderKind};
+
+/// Takes orders, with or without a fencing check, and applies them after a delay.
+#[derive(Debug)]
+pub(crate) struct EngineOrders {
+    fencing: bool,
+    delay: Duration,
+    highest_fence: u64,
+    initial_models: Vec<String>,
+    orders: Vec<(Instant, EngineOrder)>,
+}
+
+impl EngineOrders {
+    pub(crate) fn new(fencing: bool, delay: Duration, initial_models: Vec<String>) -> Self {
+        Self {
+            fencing,
+            delay,
+            highest_fence: 0,
+            initial_models,
+            orders: Vec::new(),
+        }
+    }
+
+    /// Takes `order`; returns the highest fencing number seen if the order's is older.
+    pub(crate) fn take(&mut self, now: Instant, order: EngineOrder) -> Result<(), u64> {
+        if self.fencing && order.fence < self.highest_fence {
+            return Err(self.highest_fence);
+        }
+        self.highest_fence = self.highest_fence.max(order.fence);
+        let repeated = |held: &EngineOrder| held.kind == order.kind && held.model == order.model;
+        if self.orders.iter().any(|(_, held)| repeated(held)) {
+            return Ok(());
+        }
+        self.orders.retain(|(_, held)| !replaces(&order, held));
+        self.orders.push((now, order));
+        Ok(())
+    }
+
+    /// Returns the models, adapters and versions that the engine serves.
+    pub(crate) fn models(&self, now: Instant) -> Vec<String> {
+        let mut models = self.initial_models.clone();
+        for (_, order) in self.orders.iter().filter(|(at, _)| *at + self.delay <= now) {
+            match order.kind {
+                OrderKind::ChangeRole => {}
+                OrderKind::LoadAdapter | OrderKind::LoadModel | OrderKind::LoadVersion => {
+                    if !models.contains(&order.model) {
+                        models.push(order.model.clone());
+                    }
+                }
+                OrderKind::UnloadModel => models.retain(|model| *model != order.model),
+            }
+        }
+        models
+    }
+
+    /// Describes the state for `GET /orders`.
+    pub(crate) fn describe(&self, now: Instant) -> Value {
+        let settled = |at: Instant| at + self.delay <= now;
+        let role = self
+            .orders
+            .iter()
+            .rfind(|(at, order)| order.kind == OrderKind::ChangeRole && settled(*at))
+            .map(|(_, order)| order.model.as_str());
+        let orders: Vec<Value> = self
+            .orders
+            .iter()
+            .map(|(at, order)| {
+                let state = if settled(*at) { "settled" } else { "pending" };
+                json!({
+                    "kind": order.kind,
+                    "model": order.model,
+                    "fence": order.fence,
+                    "state": state,
+                })
+            })
+            .collect();
+        json!({
+            "fence": self.highest_fence,
+            "role": role,
+            "models": self.models(now),
+            "orders": orders,
+        })
+    }
+}
+
+/// Returns whether `new` takes the place of `held`.
+fn replaces(new: &EngineOrder, held: &EngineOrder) -> bool {
+    let both_roles = new.kind == OrderKind::ChangeRole && held.kind == OrderKind::ChangeRole;
+    let neither_role = new.kind != OrderKind::ChangeRole && held.kind != OrderKind::ChangeRole;
+    both_roles || (neither_role && new.model == held.model)
+}
--- /dev/null
+++ b/crates/standins/src/engine_state.rs
@@ -0,0 +1,148 @@
+//! State of a model engine under its lock.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rustc_hash::FxHashMap;
+use tokio::{sync::oneshot, time::Instant};
+
+use crate::{
+    CacheEventKind, EngineCounters, EngineFaults, EngineSettings, LoadReport,
+    active_request::ActiveRequest, cache_event_log::CacheEventLog, engine_orders::EngineOrders,
+    load_history::LoadHistory, prefix_cache::PrefixCache,
+};
+
+/// Place in the waiting queue: rank of the priority, then order of arrival.
+pub(crate) type QueueKey = (u8, u64);
+
+/// Slots, waiting queue, prefix cache and reports of a model engine.
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    pub(crate) cache: PrefixCache,
+    pub(crate) counters: EngineCounters,
+    pub(crate) events: CacheEventLog,
+    pub(crate) faults: EngineFaults,
+    pub(crate) history: LoadHistory<LoadReport>,
+    pub(crate) orders: EngineOrders,
+    active: FxHashMap<String, Arc<ActiveRequest>>,
+    arrivals: u64,
+    load: LoadReport,
+    prefill_free_at: Instant,
+    queue_limit: usize,
+    waiting: BTreeMap<QueueKey, oneshot::Sender<()>>,
+}
+
+impl EngineState {
+    pub(crate) fn new(settings: &EngineSettings, now: Instant) -> Self {
+        let load = LoadReport {
+            name: settings.name.clone(),
+            slots: settings.slots,
+            kv_capacity: settings.kv_capacity,
+            prefill_tokens_per_s: settings.prefill_tokens_per_s,
+            decode_ms: settings.decode_ms,
+            ..LoadReport::default()
+        };
+        let models = settings.models.clone();
+        Self {
+            cache: PrefixCache::new(settings.kv_capacity),
+            counters: EngineCounters::default(),
+            events: CacheEventLog::new(settings.event_delay, settings.event_gap_every),
+            faults: EngineFaults::default(),
+            history: LoadHistory::new(settings.load_lag, now, load.clone()),
+            orders: EngineOrders::new(settings.fencing, settings.order_delay, models),
+            active: FxHashMap::default(),
+            arrivals: 0,
+            load,
+            prefill_free_at: now,
+            queue_limit: settings.queue_limit,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn load(&self) -> &LoadReport {
+        &self.load
+    }
+
+    pub(crate) fn queue_is_full(&self) -> bool {
+        self.waiting.len() >= self.queue_limit
+    }
+
+    /// Adds a request to the queue; the receiver is told when it has a slot.
+    pub(crate) fn enqueue(
+        &mut self,
+        now: Instant,
+        rank: u8,
+        request: &Arc<ActiveRequest>,
+    ) -> (QueueKey, oneshot::Receiver<()>) {
+        let (tx, rx) = oneshot::channel();
+        self.arrivals += 1;
+        let key = (rank, self.arrivals);
+        self.waiting.insert(key, tx);
+        self.active.insert(request.id.clone(), Arc::clone(request));
+        self.admit();
+        self.record_load(now);
+        (key, rx)
+    }
+
+    /// Takes a request out, whether it waits or holds a slot.
+    pub(crate) fn leave(&mut self, now: Instant, key: QueueKey, request: &Arc<ActiveRequest>) {
+        if self.waiting.remove(&key).is_none() {
+            self.load.running -= 1;
+        }
+        let held = self.active.get(&request.id);
+        if held.is_some_and(|held| Arc::ptr_eq(held, request)) {
+            self.active.remove(&request.id);
+        }
+        self.admit();
+        self.record_load(now);
+    }
+
+    pub(crate) fn active(&self, id: &str) -> Option<Arc<ActiveRequest>> {
+        self.active.get(id).map(Arc::clone)
+    }
+
+    /// Books the prefill of `tokens` behind those already booked; returns when it is done.
+    pub(crate) fn book_prefill(&mut self, now: Instant, tokens: u64) -> Instant {
+        let seconds = tokens as f64 / self.load.prefill_tokens_per_s.max(1) as f64;
+        let start = self.prefill_free_at.max(now);
+        self.prefill_free_at = start + Duration::from_secs_f64(seconds);
+        self.prefill_free_at
+    }
+
+    pub(crate) fn store_prefixes(&mut self, now: Instant, prefixes: &[String]) {
+        let (stored, evicted) = self.cache.store(prefixes);
+        for prefix in &evicted {
+            self.events.push(now, CacheEventKind::Evicted, prefix);
+        }
+        for prefix in &stored {
+            self.events.push(now, CacheEventKind::Stored, prefix);
+        }
+        self.record_load(now);
+    }
+
+    pub(crate) fn set_faults(&mut self, now: Instant, faults: EngineFaults) {
+        self.faults = faults;
+        self.record_load(now);
+    }
+
+    /// Gives free slots to waiting requests, in order of the queue.
+    fn admit(&mut self) {
+        while self.load.running < self.load.slots {
+            let Some((_, tx)) = self.waiting.pop_first() else {
+                return;
+            };
+            // The slot counts even if the receiver is gone: its ticket gives the slot back when
+            // it finds itself no longer in the queue.
+            self.load.running += 1;
+            self.counters.started += 1;
+            let _ = tx.send(());
+        }
+    }
+
+    fn record_load(&mut self, now: Instant) {
+        self.load.waiting = self.waiting.len();
+        self.load.kv_used = self.cache.used_tokens();
+        self.load.leaving = self.faults.leaving;
+        self.load.sequence += 1;
+        self.history.record(now, self.load.clone());
+    }
+}
--- /dev/null
+++ b/crates/standins/src/generation.rs
@@ -0,0 +1,132 @@
+//! Generation of one answer.
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    EngineFaults, Usage,
+    active_request::ActiveRequest,
+    answer_text::answer_token,
+    engine_state::{EngineState, QueueKey},
+    generation_step::GenerationStep,
+};
+
+/// Holds the place of a request in the engine until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Generation {
+    state: Arc<Mutex<EngineState>>,
+    request: Arc<ActiveRequest>,
+    key: QueueKey,
+    grant: Option<oneshot::Receiver<()>>,
+    prefixes: Vec<String>,
+    nonce: String,
+    max_tokens: u64,
+    decode: Duration,
+    next_at: Instant,
+    faults: EngineFaults,
+    completed: bool,
+}
+
+impl Generation {
+    /// Queues a request; `rank` 0 goes before `rank` 1.
+    pub(crate) fn start(
+        state: &Arc<Mutex<EngineState>>,
+        request: ActiveRequest,
+        rank: u8,
+        prefixes: Vec<String>,
+        nonce: &str,
+        max_tokens: u64,
+        decode: Duration,
+    ) -> Self {
+        let now = Instant::now();
+        let request = Arc::new(request);
+        let mut locked = state.lock();
+        let (key, grant) = locked.enqueue(now, rank, &request);
+        let faults = locked.faults;
+        drop(locked);
+        let nonce = if faults.wrong_nonce { "crossed" } else { nonce };
+        Self {
+            state: Arc::clone(state),
+            request,
+            key,
+            grant: Some(grant),
+            prefixes,
+            nonce: nonce.to_owned(),
+            max_tokens,
+            decode,
+            next_at: now,
+            faults,
+            completed: false,
+        }
+    }
+
+    pub(crate) fn usage(&self) -> Usage {
+        self.request.usage()
+    }
+
+    /// Waits for the next token or the end.
+    pub(crate) async fn next(&mut self) -> GenerationStep {
+        let request = Arc::clone(&self.request);
+        tokio::select! {
+            biased;
+            () = request.cancel.cancelled() => GenerationStep::Cancelled,
+            step = self.advance() => step,
+        }
+    }
+
+    async fn advance(&mut self) -> GenerationStep {
+        if let Some(grant) = &mut self.grant {
+            // The sender is dropped only together with the engine.
+            let _ = grant.await;
+            self.grant = None;
+            self.book_prefill();
+        }
+        let generated = self.usage().completion_tokens;
+        if generated == self.max_tokens {
+            self.completed = true;
+            return GenerationStep::Finished;
+        }
+        if self.faults.break_after_tokens == Some(generated) {
+            return GenerationStep::Broken;
+        }
+        if self.faults.silent_after_tokens == Some(generated) {
+            std::future::pending::<()>().await;
+        }
+        sleep_until(self.next_at).await;
+        if generated == 0 {
+            let prefixes = std::mem::take(&mut self.prefixes);
+            self.state.lock().store_prefixes(Instant::now(), &prefixes);
+        }
+        self.next_at += self.decode;
+        let index = self.request.count_token();
+        GenerationStep::Token(answer_token(&self.nonce, index))
+    }
+
+    fn book_prefill(&mut self) {
+        let mut state = self.state.lock();
+        let cached = state.cache.cached_tokens(&self.prefixes);
+        state.counters.cached_tokens += cached;
+        self.request.set_cached_tokens(cached);
+        let uncached = self.usage().prompt_tokens - cached;
+        self.next_at = state.book_prefill(Instant::now(), uncached);
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let generated = self.usage().completion_tokens;
+        let mut state = self.state.lock();
+        state.counters.generated_tokens += generated;
+        if self.completed {
+            state.counters.completed += 1;
+        } else {
+            state.counters.cancelled += 1;
+        }
+        state.leave(Instant::now(), self.key, &self.request);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/prefix_cache.rs
@@ -0,0 +1,71 @@
+//! Prefix cache in limited memory.
+
+use std::collections::BTreeMap;
+
+use rustc_hash::FxHashMap;
+
+use crate::BLOCK_TOKENS;
+
+/// Least-recently-used cache of prompt blocks.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    capacity_blocks: usize,
+    clock: u64,
+    used_at: FxHashMap<String, u64>,
+    by_use: BTreeMap<u64, String>,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity_tokens: u64) -> Self {
+        Self {
+            capacity_blocks: usize::try_from(capacity_tokens / BLOCK_TOKENS).unwrap_or(usize::MAX),
+            clock: 0,
+            used_at: FxHashMap::default(),
+            by_use: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn used_tokens(&self) -> u64 {
+        self.used_at.len() as u64 * BLOCK_TOKENS
+    }
+
+    pub(crate) fn contains(&self, prefix: &str) -> bool {
+        self.used_at.contains_key(prefix)
+    }
+
+    /// Counts the leading tokens of a prompt that the cache holds.
+    pub(crate) fn cached_tokens(&self, prefixes: &[String]) -> u64 {
+        let blocks = prefixes.iter().take_while(|prefix| self.contains(prefix));
+        blocks.count() as u64 * BLOCK_TOKENS
+    }
+
+    /// Stores the blocks of a prompt; returns those that are new and those evicted for them.
+    pub(crate) fn store(&mut self, prefixes: &[String]) -> (Vec<String>, Vec<String>) {
+        let kept = &prefixes[..prefixes.len().min(self.capacity_blocks)];
+        let mut stored = Vec::new();
+        // The longest prefix is marked first, and so evicted first: shorter ones are of no use
+        // without their own beginning.
+        for prefix in kept.iter().rev() {
+            self.clock += 1;
+            match self.used_at.insert(prefix.clone(), self.clock) {
+                Some(before) => drop(self.by_use.remove(&before)),
+                None => stored.push(prefix.clone()),
+            }
+            self.by_use.insert(self.clock, prefix.clone());
+        }
+        stored.reverse();
+        (stored, self.evict())
+    }
+
+    fn evict(&mut self) -> Vec<String> {
+        let mut evicted = Vec::new();
+        while self.used_at.len() > self.capacity_blocks {
+            let Some((_, prefix)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.used_at.remove(&prefix);
+            evicted.push(prefix);
+        }
+        evicted
+    }
+}
--- /dev/null
+++ b/crates/standins/src/refusal.rs
@@ -0,0 +1,26 @@
+//! Error answers of the stand-ins.
+
+use hawthornquay_http::{Body, json_response};
+use http::{Response, StatusCode};
+use serde_json::json;
+
+/// Builds an error answer in the form of the OpenAI interface.
+pub(crate) fn refuse(status: StatusCode, code: &str, message: &str) -> Response<Body> {
+    let kind = if status.is_server_error() {
+        "server_error"
+    } else {
+        "invalid_request_error"
+    };
+    let value = json!({"error": {"code": code, "message": message, "type": kind}});
+    json_response(status, &value)
+}
+
+/// Builds the answer to a path or method that the stand-in does not serve.
+pub(crate) fn refuse_unknown() -> Response<Body> {
+    refuse(StatusCode::NOT_FOUND, "not-found", "no such resource")
+}
+
+/// Builds the answer to a body that is not the expected JSON.
+pub(crate) fn refuse_json(err: &serde_json::Error) -> Response<Body> {
+    refuse(StatusCode::BAD_REQUEST, "bad-json", &err.to_string())
+}
--- /dev/null
+++ b/crates/standins/src/standin_request.rs
@@ -0,0 +1,70 @@
+//! Request as a stand-in's handler sees it.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use serde::de::DeserializeOwned;
+
+/// Method, decoded path, query, headers and whole body of a request.
+pub(crate) struct StandinRequest {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    query: String,
+}
+
+impl StandinRequest {
+    pub(crate) fn new(method: Method, uri: &Uri, headers: HeaderMap, body: Bytes) -> Self {
+        Self {
+            method,
+            path: percent_decode(uri.path()),
+            headers,
+            body,
+            query: uri.query().unwrap_or_default().to_owned(),
+        }
+    }
+
+    /// Returns the decoded query parameter `name`.
+    pub(crate) fn parameter(&self, name: &str) -> Option<String> {
+        self.query.split('&').find_map(|pair| {
+            let (key, value) = pair.split_once('=')?;
+            (key == name).then(|| percent_decode(value))
+        })
+    }
+
+    /// Returns the query parameter `name` as a number, if it is one.
+    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+        self.parameter(name)?.parse().ok()
+    }
+
+    /// Returns the header `name`, if it is text.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Reads the body as JSON.
+    pub(crate) fn json<T: DeserializeOwned>(&self) -> serde_json::Result<T> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// Decodes `%xx`; other characters, and malformed escapes, stay as they are.
+fn percent_decode(text: &str) -> String {
+    let mut buf = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        let escaped = (first == b'%')
+            .then(|| tail.get(..2))
+            .flatten()
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        if let Some(byte) = escaped {
+            buf.push(byte);
+            rest = &tail[2..];
+        } else {
+            buf.push(first);
+            rest = tail;
+        }
+    }
+    String::from_utf8_lossy(&buf).into_owned()
+}
