Add the limit decisions: buckets, shares, slots and loans

Ruled out: one number for the adopted split without a history of shares. A holder that skipped a version can't know the lower share between, so its slices stay empty until every holder confirmed a later version.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,6 +21,21 @@
 mod key_digest;
 mod key_grant;
 mod key_requirement;
+mod limit_bucket;
+mod limit_demand;
+mod limit_organisation;
+mod limit_refunds;
+mod limit_reservation;
+mod limit_share;
+mod limit_slice;
+mod limit_table;
+mod limit_table_loans;
+mod limit_table_slots;
+mod loan_call;
+mod loan_grant;
+mod loan_request;
+mod loan_step;
+mod loan_terms;
 mod model_name;
 mod monotonic_time;
 mod organisation;
@@ -36,6 +51,12 @@
 mod service_name;
 mod service_route;
 mod signer;
+mod slot_domain;
+mod slot_index;
+mod slot_record;
+mod slot_release;
+mod slot_rules;
+mod slot_snapshot;
 
 pub use {
     backend_kind::BackendKind,
@@ -54,6 +75,15 @@
     key_digest::KeyDigest,
     key_grant::KeyGrant,
     key_requirement::KeyRequirement,
+    limit_bucket::LimitBucket,
+    limit_reservation::LimitReservation,
+    limit_share::LimitShare,
+    limit_table::LimitTable,
+    loan_call::LoanCall,
+    loan_grant::LoanGrant,
+    loan_request::LoanRequest,
+    loan_step::LoanStep,
+    loan_terms::LoanTerms,
     model_name::ModelName,
     monotonic_time::MonotonicTime,
     organisation::Organisation,
@@ -69,4 +99,10 @@
     service_name::ServiceName,
     service_route::ServiceRoute,
     signer::Signer,
+    slot_domain::SlotDomain,
+    slot_index::SlotIndex,
+    slot_record::SlotRecord,
+    slot_release::SlotRelease,
+    slot_rules::SlotRules,
+    slot_snapshot::SlotSnapshot,
 };
--- /dev/null
+++ b/crates/decisions/src/limit_share.rs
@@ -0,0 +1,96 @@
+//! Part of an organisation's rate and burst.
+
+use crate::{DomainName, FailureDomain, Map, Organisation};
+
+/// Rate and capacity of one bucket.
+///
+/// A rate of one millitoken per second fills one nanotoken in each microsecond, so accrual is exact
+/// in integers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitShare {
+    /// Rate in millitokens per second.
+    pub rate: u64,
+    /// Capacity in nanotokens.
+    pub capacity: u64,
+}
+
+impl LimitShare {
+    /// Nanotokens in one token.
+    pub const NANOTOKENS: u64 = 1_000_000_000;
+
+    /// Millitokens in one token.
+    pub const MILLITOKENS: u64 = 1_000;
+
+    /// Returns an organisation's whole rate and burst.
+    pub fn whole(organisation: &Organisation) -> Self {
+        Self {
+            rate: organisation.rate.saturating_mul(Self::MILLITOKENS),
+            capacity: organisation.burst.saturating_mul(Self::NANOTOKENS),
+        }
+    }
+
+    /// Returns the share of `domain`; the shares of all domains add up to the whole exactly.
+    pub fn of_domain(
+        organisation: &Organisation,
+        domain: &DomainName,
+        domains: &Map<DomainName, FailureDomain>,
+    ) -> Self {
+        let mut allowed: Vec<&FailureDomain> = domains
+            .values()
+            .filter(|entry| organisation.residency.allows(&entry.region))
+            .collect();
+        allowed.sort_by(|a, b| a.name.cmp(&b.name));
+        let sum: u128 = allowed
+            .iter()
+            .map(|entry| u128::from(entry.limit_weight))
+            .sum();
+        let mut below = 0_u128;
+        for entry in allowed {
+            let above = below + u128::from(entry.limit_weight);
+            if entry.name == *domain && sum > 0 {
+                let whole = Self::whole(organisation);
+                return Self {
+                    rate: portion(whole.rate, below, above, sum),
+                    capacity: portion(whole.capacity, below, above, sum),
+                };
+            }
+            below = above;
+        }
+        Self::default()
+    }
+
+    /// Returns the lower rate and the lower capacity of both.
+    pub fn lower(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.min(other.rate),
+            capacity: self.capacity.min(other.capacity),
+        }
+    }
+
+    /// Returns the sum.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.saturating_add(other.rate),
+            capacity: self.capacity.saturating_add(other.capacity),
+        }
+    }
+
+    /// Returns the difference, or zero where `other` is larger.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            rate: self.rate.saturating_sub(other.rate),
+            capacity: self.capacity.saturating_sub(other.capacity),
+        }
+    }
+
+    /// Returns whether neither part exceeds that of `other`.
+    pub fn fits_in(self, other: Self) -> bool {
+        self.rate <= other.rate && self.capacity <= other.capacity
+    }
+}
+
+/// Returns the part of `whole` between two cumulated weights.
+fn portion(whole: u64, below: u128, above: u128, sum: u128) -> u64 {
+    let cut = |weight: u128| u128::from(whole).saturating_mul(weight) / sum;
+    u64::try_from(cut(above) - cut(below)).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/decisions/src/limit_table_slots.rs
@@ -0,0 +1,97 @@
+//! Slots of the limit table.
+
+use crate::{
+    LimitShare, LimitTable, MonotonicTime, SlotDomain, SlotIndex, SlotRecord, SlotRelease,
+    SlotRules,
+};
+
+impl LimitTable {
+    /// Returns the value that this instance should write to its domain's entry, if any.
+    ///
+    /// The write must be a compare-and-swap against the entry in the last adopted snapshot. It
+    /// claims free slots, takes over those of ended holders and confirms the split in use.
+    pub fn plan_slots(&mut self, rules: &SlotRules<'_>, now: MonotonicTime) -> Option<SlotDomain> {
+        if self.releasing || self.version == 0 {
+            return None;
+        }
+        let current = self
+            .snapshot
+            .domains
+            .get(&self.domain)
+            .cloned()
+            .unwrap_or_default();
+        let mut next = current.clone();
+        for slot in rules.claims(&current, &self.instance) {
+            if self.highest_split(slot) <= self.version {
+                next.slots.insert(slot, self.record());
+            }
+        }
+        let held: Vec<SlotIndex> = self.held.keys().copied().collect();
+        for slot in held {
+            if self.should_confirm(slot, now) {
+                next.slots.insert(slot, self.record());
+            }
+        }
+        (next != current).then_some(next)
+    }
+
+    /// Decides the next step of handing back all slots at shutdown.
+    ///
+    /// From the first call on, nothing is spent from the slices and no loan is granted.
+    pub fn release_slots(&mut self, now: MonotonicTime) -> SlotRelease {
+        self.releasing = true;
+        for state in self.organisations.values_mut() {
+            if let Some(slice) = &mut state.slice {
+                slice.set_total(LimitShare::default(), now);
+            }
+        }
+        if self.held.is_empty() {
+            return SlotRelease::Done;
+        }
+        let wait = self.until_loans_end(now);
+        if !wait.is_zero() {
+            return SlotRelease::Wait(wait);
+        }
+        let mut next = self
+            .snapshot
+            .domains
+            .get(&self.domain)
+            .cloned()
+            .unwrap_or_default();
+        next.slots
+            .retain(|_, record| record.holder != self.instance);
+        SlotRelease::Write(next)
+    }
+
+    /// Returns whether a holder waits for this confirmation, and no loan exceeds the new split.
+    fn should_confirm(&mut self, slot: SlotIndex, now: MonotonicTime) -> bool {
+        let Some(confirmed) = self.own_record(slot).map(|record| record.split) else {
+            return false;
+        };
+        let behind = self.highest_split(slot) > confirmed;
+        let mut changed = false;
+        for state in self.organisations.values_mut() {
+            if state.slot != slot {
+                continue;
+            }
+            changed |= state.changed_since(confirmed);
+            let share = state.history.last().map(|(_, share)| *share);
+            let Some(slice) = &mut state.slice else {
+                continue;
+            };
+            slice.advance(now);
+            if !slice.lent().fits_in(share.unwrap_or_default()) {
+                return false;
+            }
+        }
+        let unknown = confirmed < self.known_from;
+        confirmed < self.version && (behind || changed || unknown)
+    }
+
+    fn record(&self) -> SlotRecord {
+        SlotRecord {
+            holder: self.instance.clone(),
+            split: self.version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/loan_request.rs
@@ -0,0 +1,16 @@
+//! Request for a loan.
+
+use crate::{LimitShare, OrganisationId};
+
+/// Asks a slot holder for a part of its slice, or to renew and enlarge an earlier loan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoanRequest {
+    /// Organisation whose limit is needed.
+    pub organisation: OrganisationId,
+    /// Number that rises with each request of the borrower's incarnation.
+    pub sequence: u64,
+    /// Rate and capacity that the borrower wants in total from this lender.
+    pub share: LimitShare,
+    /// Level in nanotokens that the borrower wants in addition to what it has.
+    pub level: u64,
+}
--- /dev/null
+++ b/crates/decisions/src/slot_record.rs
@@ -0,0 +1,14 @@
+//! Holder of one slot.
+
+use serde::{Deserialize, Serialize};
+
+use crate::InstanceId;
+
+/// Holder of a slot, and the split that it has confirmed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotRecord {
+    /// Process that holds the slot.
+    pub holder: InstanceId,
+    /// Bundle version whose split the holder has adopted.
+    pub split: u64,
+}
--- /dev/null
+++ b/crates/decisions/src/slot_release.rs
@@ -0,0 +1,16 @@
+//! Next step of handing back slots.
+
+use std::time::Duration;
+
+use crate::SlotDomain;
+
+/// What a leaving slot holder does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SlotRelease {
+    /// Loans to others still run for this time.
+    Wait(Duration),
+    /// Write this entry by compare-and-swap, then adopt the slots again.
+    Write(SlotDomain),
+    /// No slot is held.
+    Done,
+}
