Add the request path of the daemon, not yet wired

Cause: the pieces of the request path can be written against the decisions while the clients of the platform and the messages of links are finished.

Result: not part of the library yet (lib.rs does not name these files).

--- /dev/null
+++ b/crates/hawthornquay/src/backend_attempt.rs
@@ -0,0 +1,101 @@
+//! One attempt at a backend server of the own domain.
+
+use std::sync::Arc;
+
+use futures_util::{StreamExt, TryStreamExt, stream};
+use hawthornquay_backends::{AnswerBody, BackendError, BackendRequest};
+use hawthornquay_decisions::{BackendServer, Execution, LoadKey, LoadOutcome, RouteTarget};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use slog::info;
+
+use crate::{
+    AnswerFailure, AnswerStream, AttemptFailure, Decision, LoadGuard, Node, OutboundRequest,
+    RoutedAnswer,
+};
+
+/// Calls a backend server and waits for the first part of its answer.
+///
+/// # Errors
+///
+/// Returns a failure that says whether the server may have run the request.
+pub async fn call_backend(
+    node: &Arc<Node>,
+    req: &OutboundRequest,
+    server: &BackendServer,
+) -> Result<RoutedAnswer, AttemptFailure> {
+    let key = LoadKey::Backend(server.name.clone());
+    let load = LoadGuard::new(node, key.clone(), req.prompt_tokens);
+    match exchange(node, req, server).await {
+        Ok((status, _, _)) if is_engine_refusal(req, status) => {
+            load.finish(LoadOutcome::RefusedLeaving);
+            Err(AttemptFailure::not_run(key))
+        }
+        Ok((status, headers, body)) => {
+            node.requests.set_execution(&req.id, Execution::Ran);
+            node.requests.record(&req.id, Decision::Answered { status: status.as_u16() });
+            Ok(RoutedAnswer { status, headers, body, load, crosses_regions: false })
+        }
+        Err(error) => {
+            info!(node.log.backends, "call failed"; "server" => %server.name, "error" => %error);
+            load.finish(LoadOutcome::Failed);
+            Err(AttemptFailure::new(key, error.execution()))
+        }
+    }
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    req: &OutboundRequest,
+    server: &BackendServer,
+) -> Result<(StatusCode, HeaderMap, AnswerStream), BackendError> {
+    // The server may close an idle connection while the request is written, which would leave the
+    // outcome of a request that must not be repeated unknown.
+    let connection = match req.repeatable {
+        true => node.backends.connect(server.address).await?,
+        false => node.backends.connect_fresh(server.address).await?,
+    };
+    // From here on the request may run, so an entry that is read meanwhile must not say otherwise.
+    node.requests.set_execution(&req.id, Execution::Unknown);
+    let answer = connection.send(backend_request(req)).await?;
+    let (status, headers) = (answer.head.status, answer_headers(&answer.head.headers));
+    let body = with_first_part(answer.body).await?;
+    Ok((status, headers, body))
+}
+
+async fn with_first_part(mut body: AnswerBody) -> Result<AnswerStream, BackendError> {
+    let first = body.next().await.transpose()?;
+    let first = stream::iter(first.map(Ok));
+    Ok(first.chain(body.map_err(AnswerFailure::from)).boxed())
+}
+
+fn backend_request(req: &OutboundRequest) -> BackendRequest {
+    let mut headers = HeaderMap::new();
+    let content_type = req.content_type.as_deref().map(HeaderValue::from_str);
+    if let Some(Ok(value)) = content_type {
+        headers.insert(header::CONTENT_TYPE, value);
+    }
+    let mut outbound = BackendRequest::new(req.method.clone(), &req.path)
+        .caller_headers(&headers)
+        .request_id(&req.id)
+        .priority(req.priority)
+        .body(req.body.clone());
+    if let Some(left) = req.time_left() {
+        outbound = outbound.head_timeout(left);
+    }
+    outbound
+}
+
+/// Returns whether an engine refused because it is leaving or overloaded.
+///
+/// Plain services answer for themselves, because their 503 does not say that nothing ran.
+fn is_engine_refusal(req: &OutboundRequest, status: StatusCode) -> bool {
+    matches!(req.target, RouteTarget::Model(_)) && status == StatusCode::SERVICE_UNAVAILABLE
+}
+
+/// Returns the headers of an answer that a caller gets.
+pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
+    [header::CONTENT_TYPE, header::CONTENT_ENCODING, header::LOCATION, header::RETRY_AFTER]
+        .into_iter()
+        .filter_map(|name| headers.get(&name).cloned().map(|value| (name, value)))
+        .collect()
+}
--- /dev/null
+++ b/crates/hawthornquay/src/caller_gateway.rs
@@ -0,0 +1,139 @@
+//! Gateway behind the callers' router.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use futures_util::future::{BoxFuture, FutureExt};
+use hawthornquay_callers::{
+    CallerListAnswer, CallerListEntry, CallerService, IssuedKeyAnswer, ModelListAnswer, RequestHead,
+    RequestOutcome,
+};
+use hawthornquay_decisions::{
+    BackendKind, CALLER_LIST_TTL, Execution, ISSUED_KEY_LIFETIME, Refusal, RefusalCode, RequestId,
+};
+use hawthornquay_http::Body;
+use http::Response;
+
+use crate::{
+    Admission, Decision, Node, clock, model_request::complete, service_request::call_service,
+};
+
+/// Serves callers out of the shared tables.
+pub struct CallerGateway(pub Arc<Node>);
+
+type Answer = Result<Response<Body>, Refusal>;
+
+impl CallerGateway {
+    fn refused(&self, id: &RequestId, answer: Answer) -> Answer {
+        let Err(refusal) = &answer else { return answer };
+        let node = &self.0;
+        node.requests.record(id, Decision::Refused { code: refusal.code });
+        node.requests.set_execution(id, refusal.execution);
+        node.requests.close(id, refusal.code.http_status());
+        let inside_rate = matches!(
+            refusal.code,
+            RefusalCode::NoCapacity
+                | RefusalCode::ClaimStoreUnreachable
+                | RefusalCode::NotReady
+                | RefusalCode::PeerUnreachable
+        );
+        node.metrics.count_refusal(refusal.code, inside_rate);
+        answer
+    }
+}
+
+impl CallerService for CallerGateway {
+    fn next_request_id(&self) -> RequestId {
+        self.0.next_request_id()
+    }
+
+    fn complete(&self, head: RequestHead, body: Body) -> BoxFuture<'_, Answer> {
+        async move {
+            let id = head.id.clone();
+            let answer = complete(&self.0, head, body).await;
+            self.refused(&id, answer)
+        }
+        .boxed()
+    }
+
+    fn call_service(&self, head: RequestHead, body: Body) -> BoxFuture<'_, Answer> {
+        async move {
+            let id = head.id.clone();
+            let answer = call_service(&self.0, head, body).await;
+            self.refused(&id, answer)
+        }
+        .boxed()
+    }
+
+    fn models(&self, head: &RequestHead) -> Result<ModelListAnswer, Refusal> {
+        let admission = Admission::by_key(&self.0, &head.id, head.key.as_ref())?;
+        let mut models = BTreeSet::new();
+        for server in admission.bundle.bundle().backends.values() {
+            if let BackendKind::ModelEngine { models: served } = &server.kind {
+                models.extend(served.iter().map(ToString::to_string));
+            }
+        }
+        Ok(ModelListAnswer::new(models))
+    }
+
+    fn instances(&self, head: &RequestHead) -> Result<CallerListAnswer, Refusal> {
+        let bundle = self.0.bundle.required()?;
+        let admission = match &head.key {
+            Some(_) => Admission::by_key(&self.0, &head.id, head.key.as_ref()),
+            None => return Ok(list_answer(&self.0, None)),
+        };
+        drop(bundle);
+        match admission {
+            // A caller at the wrong place is told the right ones.
+            Err(refusal) if refusal.code != RefusalCode::ResidencyRefused => Err(refusal),
+            _ => Ok(list_answer(&self.0, head.key.as_ref())),
+        }
+    }
+
+    fn outcome(&self, head: &RequestHead, id: &RequestId) -> Result<RequestOutcome, Refusal> {
+        let admission = Admission::by_key(&self.0, &head.id, head.key.as_ref())?;
+        self.0
+            .requests
+            .outcome(id, Some(&admission.organisation.id))
+            .ok_or_else(|| unknown_request(&self.0, id))
+    }
+
+    fn issue_key(&self, head: &RequestHead) -> Result<IssuedKeyAnswer, Refusal> {
+        let _drain = self.0.drain.enter()?;
+        let admission = Admission::by_key(&self.0, &head.id, head.key.as_ref())?;
+        let mut keys = self.0.issued_keys.lock();
+        let key = keys.issue(&admission.organisation.id, rand::random(), clock::now())?;
+        Ok(IssuedKeyAnswer {
+            idempotency_key: key.to_string(),
+            instance: self.0.id.name.to_string(),
+            lifetime_s: ISSUED_KEY_LIFETIME.as_secs(),
+        })
+    }
+}
+
+fn list_answer(node: &Node, key: Option<&hawthornquay_callers::CallerKey>) -> CallerListAnswer {
+    let instances = node
+        .caller_list_for(key)
+        .into_iter()
+        .map(|entry| CallerListEntry {
+            name: entry.name,
+            region: entry.region,
+            domain: entry.domain,
+            address: entry.address,
+        })
+        .collect();
+    let ttl_ms = u64::try_from(CALLER_LIST_TTL.as_millis()).unwrap_or(u64::MAX);
+    CallerListAnswer { ttl_ms, instances }
+}
+
+fn unknown_request(node: &Node, id: &RequestId) -> Refusal {
+    let (execution, place) = match node.address_of_request(id) {
+        Some(address) => (Execution::Unknown, format!("ask {address}, which served it")),
+        None => (Execution::Unknown, "the instance that served it has ended".to_owned()),
+    };
+    Refusal {
+        code: RefusalCode::RequestUnknown,
+        execution,
+        message: format!("request {id} is not remembered here: {place}"),
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/load_guard.rs
@@ -0,0 +1,39 @@
+//! Load that one attempt puts on a backend server or domain.
+
+use std::sync::Arc;
+
+use hawthornquay_decisions::{LoadKey, LoadOutcome, LoadTicket};
+
+use crate::{Node, clock};
+
+/// Counts an attempt in the load view until it is finished or dropped.
+pub struct LoadGuard {
+    node: Arc<Node>,
+    ticket: Option<LoadTicket>,
+}
+
+impl LoadGuard {
+    /// Counts an attempt at `key`.
+    pub fn new(node: &Arc<Node>, key: LoadKey, prefill_tokens: u64) -> Self {
+        let ticket = node.routing.lock().view.sent(key, prefill_tokens, clock::now());
+        Self { node: Arc::clone(node), ticket: Some(ticket) }
+    }
+
+    /// Ends the attempt.
+    pub fn finish(mut self, outcome: LoadOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: LoadOutcome) {
+        if let Some(ticket) = self.ticket.take() {
+            self.node.routing.lock().view.ended(ticket, outcome, clock::now());
+            self.node.queue.signal_free();
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.end(LoadOutcome::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/model_request.rs
@@ -0,0 +1,87 @@
+//! Requests to models.
+
+use std::sync::Arc;
+
+use hawthornquay_callers::RequestHead;
+use hawthornquay_decisions::{
+    Execution, PrefixHash, Refusal, RouteTarget, RoutingHop,
+};
+use hawthornquay_http::Body;
+use http::{Method, Response};
+
+use crate::{
+    Admission, AnswerEnd, ChatBody, LimitGuard, Node, OutboundRequest, Settlement, clock,
+    dispatch::dispatch, metered_response, request_body::read_request_body,
+};
+
+/// Path of model requests at engines.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Runs a model request of a caller.
+///
+/// # Errors
+///
+/// Returns a refusal that says whether the request may have run.
+pub async fn complete(
+    node: &Arc<Node>,
+    head: RequestHead,
+    body: Body,
+) -> Result<Response<Body>, Refusal> {
+    let drain = node.drain.enter()?;
+    let arrived = clock::now();
+    let admission = Admission::by_key(node, &head.id, head.key.as_ref())?;
+    let chat = ChatBody::parse(read_request_body(body).await?)?;
+    let tokens = chat.prompt_tokens + chat.output_tokens;
+    let organisation = admission.organisation.id.clone();
+    let mut limit = LimitGuard::reserve(node, &head.id, &organisation, tokens).await?;
+    let prompt_tokens = chat.prompt_tokens;
+    // A caller that leaves before the answer has used the prefill.
+    limit.note_use(prompt_tokens);
+    let req = outbound(&head, &admission, chat, arrived);
+    match dispatch(node, &admission.bundle, &req).await {
+        Ok(answer) => {
+            let end = AnswerEnd {
+                node: Arc::clone(node),
+                id: head.id,
+                organisation,
+                arrived,
+                limit,
+                settlement: Settlement::ByUse { prompt_tokens },
+                drain,
+            };
+            Ok(metered_response(answer, end))
+        }
+        Err(refusal) => {
+            match refusal.execution {
+                Execution::NotRun => limit.settle(0),
+                Execution::Unknown | Execution::Ran => limit.charge(),
+            }
+            Err(refusal)
+        }
+    }
+}
+
+fn outbound(
+    head: &RequestHead,
+    admission: &Admission,
+    chat: ChatBody,
+    arrived: hawthornquay_decisions::MonotonicTime,
+) -> OutboundRequest {
+    OutboundRequest {
+        id: head.id.clone(),
+        organisation: admission.organisation.clone(),
+        prefixes: PrefixHash::of_prompt(chat.model.as_str(), chat.prompt.as_bytes()),
+        target: RouteTarget::Model(chat.model),
+        repeatable: true,
+        method: Method::POST,
+        path: CHAT_PATH.to_owned(),
+        content_type: Some("application/json".to_owned()),
+        priority: head.priority,
+        prompt_tokens: chat.prompt_tokens,
+        cost: chat.prompt_tokens + chat.output_tokens,
+        hop: RoutingHop::Caller,
+        arrived,
+        deadline: head.deadline.map(|left| arrived + left),
+        body: chat.body,
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/node_peers.rs
@@ -0,0 +1,89 @@
+//! Addresses of other instances.
+
+use std::net::SocketAddr;
+
+use hawthornquay_callers::CallerKey;
+use hawthornquay_decisions::{
+    CallerListEntry, DomainName, InstanceId, InstanceName, MemberState, Organisation, RequestId,
+    Residency, Set, caller_list,
+};
+use hawthornquay_instances::PeerAddress;
+use hawthornquay_operators::caller_key_digest;
+
+use crate::{Node, clock};
+
+impl Node {
+    /// Returns the instances that a caller may use, best first.
+    pub fn caller_list(
+        &self,
+        residency: &Residency,
+        organisation: Option<&Organisation>,
+    ) -> Vec<CallerListEntry> {
+        let members = self.members.lock();
+        let holders = organisation.map_or_else(Set::default, |organisation| {
+            let limits = self.limits.lock();
+            let own = limits.holder(&organisation.id).cloned();
+            let lenders = limits.lenders(&organisation.id).into_iter().flatten();
+            own.into_iter().chain(lenders.map(|(_, id)| id)).map(|id| id.name).collect()
+        });
+        caller_list(&members, clock::now(), residency, &holders, rand::random())
+    }
+
+    /// Returns the instances for the organisation of `key`, or for any caller.
+    pub fn caller_list_for(&self, key: Option<&CallerKey>) -> Vec<CallerListEntry> {
+        let bundle = self.bundle.active();
+        let organisation = bundle.as_ref().zip(key).and_then(|(bundle, key)| {
+            let digest = caller_key_digest(&bundle.bundle().key_salt, key.reveal());
+            bundle.bundle().organisation_of(&digest)
+        });
+        let residency = organisation.map_or(&Residency::Any, |found| &found.residency);
+        self.caller_list(residency, organisation)
+    }
+
+    /// Returns the address of one process, if its instance is known.
+    pub fn peer_address(&self, id: &InstanceId) -> Option<PeerAddress> {
+        let members = self.members.lock();
+        let member = members.get(&id.name)?;
+        Some(PeerAddress {
+            name: id.name.clone(),
+            address: member.record.peers,
+            incarnation: Some(id.incarnation),
+        })
+    }
+
+    /// Returns the address of an instance, whichever process runs it.
+    pub fn peer_named(&self, name: &InstanceName) -> Option<PeerAddress> {
+        let members = self.members.lock();
+        let member = members.get(name)?;
+        Some(PeerAddress::new(name.as_str(), member.record.peers))
+    }
+
+    /// Returns a random live instance of a failure domain.
+    pub fn peer_in_domain(&self, domain: &DomainName) -> Option<PeerAddress> {
+        let members = self.members.lock();
+        let now = clock::now();
+        let mut peers: Vec<PeerAddress> = members
+            .others()
+            .filter(|member| member.record.domain == *domain)
+            .filter(|member| members.state_of(member, now) == MemberState::Live)
+            .map(|member| PeerAddress::new(member.record.name.as_str(), member.record.peers))
+            .collect();
+        if peers.is_empty() {
+            return None;
+        }
+        Some(peers.swap_remove(rand::random_range(0..peers.len())))
+    }
+
+    /// Returns the callers' address of the instance that gave a request its identifier.
+    pub fn address_of_request(&self, id: &RequestId) -> Option<SocketAddr> {
+        let (process, _sequence) = id.as_str().rsplit_once('-')?;
+        let (name, incarnation) = process.rsplit_once('-')?;
+        if name == self.id.name.as_str() {
+            return None;
+        }
+        let members = self.members.lock();
+        let member = members.get(&InstanceName::new(name))?;
+        let current = member.incarnation?.to_string() == incarnation;
+        current.then_some(member.record.callers)
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -0,0 +1,197 @@
+//! One attempt at an instance of another failure domain.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use hawthornquay_decisions::{
+    DomainName, Execution, InstanceName, LoadKey, LoadOutcome, Priority, Refusal, RefusalCode,
+    RouteTarget,
+};
+use hawthornquay_instances::{
+    Forward, ForwardEvent, ForwardHead, ForwardRefused, ForwardStream, LinkError, PeerAddress,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use slog::info;
+
+use crate::{
+    AnswerFailure, AnswerStream, AttemptFailure, Decision, LoadGuard, Node, OutboundRequest,
+    RoutedAnswer,
+};
+
+/// Longest time until a forwarded request is queued on a link.
+const QUEUE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest time for the start of a forwarded answer, when the caller gave no deadline.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(120);
+
+enum Failure {
+    Link(LinkError),
+    Refused(Refusal),
+    Silent(Execution),
+}
+
+/// Forwards a request to an instance of `domain` and waits for the start of the answer.
+///
+/// # Errors
+///
+/// Returns a failure that says whether the request may have run.
+pub async fn forward_to_domain(
+    node: &Arc<Node>,
+    bundle_version: u64,
+    req: &OutboundRequest,
+    domain: &DomainName,
+    crosses_regions: bool,
+) -> Result<RoutedAnswer, AttemptFailure> {
+    let key = LoadKey::Domain(domain.clone(), req.target.clone());
+    let Some(peer) = node.peer_in_domain(domain) else {
+        return Err(AttemptFailure::not_run(key));
+    };
+    record_forward(node, req, domain, &peer.name, crosses_regions);
+    let load = LoadGuard::new(node, key.clone(), req.prompt_tokens);
+    match exchange(node, bundle_version, req, &peer).await {
+        Ok((status, headers, body)) => {
+            node.requests.set_execution(&req.id, Execution::Ran);
+            node.requests.record(&req.id, Decision::Answered { status: status.as_u16() });
+            Ok(RoutedAnswer { status, headers, body, load, crosses_regions })
+        }
+        Err(failure) => {
+            load.finish(LoadOutcome::Failed);
+            Err(attempt_failure(node, key, &peer, failure))
+        }
+    }
+}
+
+fn record_forward(
+    node: &Node,
+    req: &OutboundRequest,
+    domain: &DomainName,
+    instance: &InstanceName,
+    crosses_regions: bool,
+) {
+    let decision = Decision::Forwarded { instance: instance.clone(), domain: domain.clone() };
+    node.requests.record(&req.id, decision);
+    node.requests.set_execution(&req.id, Execution::Unknown);
+    if crosses_regions {
+        node.metrics.count_sent_away();
+        node.metrics.count_sent_away_bytes(req.body.len() as u64);
+    }
+}
+
+async fn exchange(
+    node: &Arc<Node>,
+    bundle_version: u64,
+    req: &OutboundRequest,
+    peer: &PeerAddress,
+) -> Result<(StatusCode, HeaderMap, AnswerStream), Failure> {
+    let within = req.time_left().unwrap_or(QUEUE_TIMEOUT).min(QUEUE_TIMEOUT);
+    let mut stream = node
+        .links
+        .forward(peer, wire_request(bundle_version, req), within)
+        .await
+        .map_err(Failure::Link)?;
+    let limit = req.time_left().unwrap_or(HEAD_TIMEOUT);
+    let Ok(start) = tokio::time::timeout(limit, answer_start(&mut stream)).await else {
+        return Err(Failure::Silent(stream.abandon()));
+    };
+    let (head, first) = start?;
+    let status = u16::try_from(head.status)
+        .ok()
+        .and_then(|status| StatusCode::from_u16(status).ok())
+        .unwrap_or(StatusCode::BAD_GATEWAY);
+    Ok((status, wire_headers(&head), answer_stream(first, stream)))
+}
+
+async fn answer_start(
+    stream: &mut ForwardStream,
+) -> Result<(ForwardHead, Option<Bytes>), Failure> {
+    let head = match stream.next().await {
+        Some(Ok(ForwardEvent::Head(head))) => head,
+        Some(Ok(ForwardEvent::Refused(refused))) => return Err(Failure::Refused(refusal(&refused))),
+        Some(Err(error)) => return Err(Failure::Link(error)),
+        _ => return Err(Failure::Silent(Execution::Unknown)),
+    };
+    match stream.next().await {
+        Some(Ok(ForwardEvent::Data(data))) => Ok((head, Some(data))),
+        Some(Ok(ForwardEvent::End(_))) => Ok((head, None)),
+        Some(Ok(ForwardEvent::Refused(refused))) => Err(Failure::Refused(refusal(&refused))),
+        Some(Err(error)) => Err(Failure::Link(error)),
+        _ => Err(Failure::Silent(Execution::Unknown)),
+    }
+}
+
+fn answer_stream(first: Option<Bytes>, rest: ForwardStream) -> AnswerStream {
+    let rest = stream::unfold(Some(rest), |state| async {
+        let mut stream = state?;
+        let item = match stream.next().await? {
+            Ok(ForwardEvent::Data(data)) => Ok(data),
+            Ok(ForwardEvent::Refused(refused)) => Err(AnswerFailure::Remote(refused.message)),
+            Ok(ForwardEvent::Head(_) | ForwardEvent::End(_)) => return None,
+            Err(error) => Err(AnswerFailure::Link(error)),
+        };
+        let next = item.is_ok().then_some(stream);
+        Some((item, next))
+    });
+    stream::iter(first.map(Ok)).chain(rest).boxed()
+}
+
+fn attempt_failure(
+    node: &Node,
+    key: LoadKey,
+    peer: &PeerAddress,
+    failure: Failure,
+) -> AttemptFailure {
+    match failure {
+        Failure::Refused(refusal) => {
+            let execution = refusal.execution;
+            AttemptFailure { key, execution, refusal: Some(refusal) }
+        }
+        Failure::Link(error) => {
+            info!(node.log.links, "forward failed"; "instance" => %peer.name, "error" => %error);
+            node.members.lock().mark_unreachable(&peer.name);
+            AttemptFailure::new(key, error.execution())
+        }
+        Failure::Silent(execution) => AttemptFailure::new(key, execution),
+    }
+}
+
+fn wire_request(bundle_version: u64, req: &OutboundRequest) -> Forward {
+    let (model, service) = match &req.target {
+        RouteTarget::Model(model) => (model.to_string(), String::new()),
+        RouteTarget::Service(service) => (String::new(), service.to_string()),
+    };
+    let left = req.time_left().map_or(0, |left| u64::try_from(left.as_millis()).unwrap_or(0).max(1));
+    Forward {
+        request_id: req.id.to_string(),
+        organisation: req.organisation.id.to_string(),
+        method: req.method.to_string(),
+        path: req.path.clone(),
+        hop_count: 1,
+        bundle_version,
+        deadline_ms: left,
+        batch: req.priority == Priority::Batch,
+        repeatable: req.repeatable,
+        model,
+        service,
+        prompt_tokens: req.prompt_tokens,
+        cost: req.cost,
+        content_type: req.content_type.clone().unwrap_or_default(),
+        body: req.body.clone(),
+    }
+}
+
+fn wire_headers(head: &ForwardHead) -> HeaderMap {
+    head.headers
+        .iter()
+        .filter_map(|header| {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            Some((name, HeaderValue::from_bytes(&header.value).ok()?))
+        })
+        .collect()
+}
+
+fn refusal(refused: &ForwardRefused) -> Refusal {
+    let code = RefusalCode::parse(&refused.code).unwrap_or(RefusalCode::BackendFailed);
+    let retry_after = (refused.retry_after_ms > 0).then(|| Duration::from_millis(refused.retry_after_ms));
+    Refusal { code, execution: refused.confirmed_execution(), message: refused.message.clone(), retry_after }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/peer_gateway.rs
@@ -0,0 +1,200 @@
+//! Answers to other instances.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use hawthornquay_decisions::{
+    InstanceId, LoadOutcome, Organisation, Priority, Refusal, RefusalCode, RequestId,
+    RouteTarget, RoutingHop,
+};
+use hawthornquay_instances::{
+    BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardEnd, ForwardHead,
+    ForwardRefused, ForwardSink, Header, LoanGrant, LoanRequest, Notice, PeerService,
+};
+use http::{HeaderMap, Method};
+
+use crate::{
+    ActiveBundle, Decision, Node, OutboundRequest, RoutedAnswer, clock, dispatch::dispatch,
+    peer_capacity::grant_capacity, peer_loans::lend, rollout_peers::{bundle_content, take_notice},
+};
+
+/// Serves other instances out of the shared tables.
+pub struct PeerGateway(pub Arc<Node>);
+
+impl PeerService for PeerGateway {
+    async fn notice(&self, from: &InstanceId, notice: Notice) {
+        take_notice(&self.0, from, notice).await;
+    }
+
+    async fn fetch_bundle(&self, _from: &InstanceId, request: BundleFetch) -> BundleContent {
+        bundle_content(&self.0, &request)
+    }
+
+    async fn lend(&self, from: &InstanceId, request: LoanRequest) -> LoanGrant {
+        lend(&self.0, from, &request)
+    }
+
+    async fn grant_capacity(&self, from: &InstanceId, request: CapacityRequest) -> CapacityGrant {
+        grant_capacity(&self.0, from, &request)
+    }
+
+    async fn forward(&self, from: &InstanceId, request: Forward, sink: ForwardSink) {
+        let id = RequestId::new(&request.request_id);
+        // Held until the answer has been sent, so that a shutdown waits for it.
+        let _drain = match self.0.drain.enter() {
+            Ok(drain) => drain,
+            Err(refusal) => {
+                let _ = sink.refuse(wire_refusal(&refusal)).await;
+                return;
+            }
+        };
+        let cancelled = sink.cancelled();
+        let result = cancelled.run_until_cancelled(run_forwarded(&self.0, from, request)).await;
+        match result {
+            // The sender gave up; it knows that the outcome is unknown.
+            None => {}
+            Some(Ok(answer)) => send_answer(&self.0, &id, answer, sink).await,
+            Some(Err(refusal)) => {
+                record_refusal(&self.0, &id, &refusal);
+                let _ = sink.refuse(wire_refusal(&refusal)).await;
+            }
+        }
+    }
+}
+
+async fn run_forwarded(
+    node: &Arc<Node>,
+    from: &InstanceId,
+    request: Forward,
+) -> Result<RoutedAnswer, Refusal> {
+    let bundle = node.bundle.required()?;
+    let req = check_forward(node, &bundle, request)?;
+    node.requests.open(&req.id, Some(&req.organisation.id));
+    node.requests.record(&req.id, Decision::Received { instance: from.name.clone() });
+    dispatch(node, &bundle, &req).await
+}
+
+/// Checks a forwarded request against this instance's own bundle, whatever the sender believes.
+fn check_forward(
+    node: &Node,
+    bundle: &ActiveBundle,
+    request: Forward,
+) -> Result<OutboundRequest, Refusal> {
+    if request.hop_count != 1 {
+        return Err(refuse(RefusalCode::HopRefused, "a request is forwarded at most once"));
+    }
+    let organisation = organisation(bundle, &request)?;
+    if !organisation.residency.allows(&node.place.region) {
+        return Err(refuse(
+            RefusalCode::ResidencyRefused,
+            "the organisation's data may not enter this region",
+        ));
+    }
+    let target = target(&request)?;
+    let method = Method::from_bytes(request.method.as_bytes())
+        .map_err(|_| refuse(RefusalCode::BadRequest, "the forwarded method is not valid"))?;
+    let repeatable = request.repeatable && is_repeatable(bundle, &request);
+    let arrived = clock::now();
+    let deadline = (request.deadline_ms > 0)
+        .then(|| arrived + Duration::from_millis(request.deadline_ms));
+    Ok(OutboundRequest {
+        id: RequestId::new(&request.request_id),
+        organisation,
+        target,
+        repeatable,
+        method,
+        path: request.path,
+        content_type: (!request.content_type.is_empty()).then_some(request.content_type),
+        priority: if request.batch { Priority::Batch } else { Priority::Interactive },
+        prompt_tokens: request.prompt_tokens,
+        prefixes: Vec::new(),
+        cost: request.cost,
+        hop: RoutingHop::Forwarded(request.hop_count),
+        arrived,
+        deadline,
+        body: request.body,
+    })
+}
+
+fn organisation(bundle: &ActiveBundle, request: &Forward) -> Result<Organisation, Refusal> {
+    let known = bundle.bundle().organisations.get(request.organisation.as_str()).cloned();
+    known.ok_or_else(|| {
+        refuse(RefusalCode::StaleBundle, "the organisation is not in this instance's bundle")
+    })
+}
+
+fn target(request: &Forward) -> Result<RouteTarget, Refusal> {
+    match (request.model.as_str(), request.service.as_str()) {
+        ("", "") => Err(refuse(RefusalCode::BadRequest, "the forwarded request has no target")),
+        ("", service) => Ok(RouteTarget::Service(service.into())),
+        (model, _) => Ok(RouteTarget::Model(model.into())),
+    }
+}
+
+/// Model requests are repeatable; a service call only if this instance's bundle agrees.
+fn is_repeatable(bundle: &ActiveBundle, request: &Forward) -> bool {
+    if !request.model.is_empty() {
+        return true;
+    }
+    let path = request.path.split('?').next().unwrap_or_default();
+    bundle.bundle().route_for(path).is_some_and(|route| route.repeatable)
+}
+
+async fn send_answer(node: &Node, id: &RequestId, answer: RoutedAnswer, mut sink: ForwardSink) {
+    let RoutedAnswer { status, headers, mut body, load, .. } = answer;
+    let head = ForwardHead {
+        status: u32::from(status.as_u16()),
+        headers: wire_headers(&headers),
+        backend: String::new(),
+    };
+    if sink.head(head).await.is_err() {
+        return;
+    }
+    while let Some(part) = body.next().await {
+        let part: Bytes = match part {
+            Ok(part) => part,
+            Err(error) => {
+                load.finish(LoadOutcome::Failed);
+                let message = error.to_string();
+                let refusal = Refusal::unknown(RefusalCode::BackendFailed, &message);
+                let _ = sink.refuse(wire_refusal(&refusal)).await;
+                return;
+            }
+        };
+        if sink.data(part).await.is_err() {
+            return;
+        }
+    }
+    load.finish(LoadOutcome::Answered);
+    node.requests.close(id, status.as_u16());
+    let _ = sink.end(ForwardEnd::default()).await;
+}
+
+fn record_refusal(node: &Node, id: &RequestId, refusal: &Refusal) {
+    node.requests.record(id, Decision::Refused { code: refusal.code });
+    node.requests.set_execution(id, refusal.execution);
+    node.requests.close(id, refusal.code.http_status());
+}
+
+fn wire_refusal(refusal: &Refusal) -> ForwardRefused {
+    let mut wire = ForwardRefused::new(refusal.code.as_str(), &refusal.message, refusal.execution);
+    wire.retry_after_ms = refusal
+        .retry_after
+        .map_or(0, |after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+    wire
+}
+
+fn wire_headers(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .map(|(name, value)| Header {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+fn refuse(code: RefusalCode, message: &str) -> Refusal {
+    Refusal::not_run(code, message)
+}
