Add the stand-in for the platform

Cause: the platform client, limits, rollout and the daemon need a store, an instance list and a client directory to test against.

`state_age_ms` is the age of the state at the time that the lagged list shows. Deleted keys stay as marks, so a late watch still reports the deletion; the store is never compacted.

--- /dev/null
+++ b/crates/standins/src/kv_store.rs
@@ -0,0 +1,162 @@
+//! Key-value store with revisions and leases.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bytes::Bytes;
+use serde_json::Value;
+use tokio::time::Instant;
+
+use crate::{kv_entry::KvEntry, kv_lease::KvLease, kv_refusal::KvRefusal};
+
+/// Keys in order, the log of their last changes, and leases.
+///
+/// Deleted keys stay as marks, so that a watch learns of the deletion however late it asks.
+#[derive(Debug, Default)]
+pub(crate) struct KvStore {
+    entries: BTreeMap<String, KvEntry>,
+    last_changes: BTreeMap<u64, String>,
+    leases: BTreeMap<u64, KvLease>,
+    last_lease: u64,
+    revision: u64,
+}
+
+impl KvStore {
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(crate) fn key_count(&self) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| entry.value.is_some())
+            .count()
+    }
+
+    pub(crate) fn lease_count(&self) -> usize {
+        self.leases.len()
+    }
+
+    pub(crate) fn get(&self, key: &str) -> Option<&KvEntry> {
+        self.entries.get(key).filter(|entry| entry.value.is_some())
+    }
+
+    /// Writes `value` if the key is at the revision `expect`; 0 stands for an absent key.
+    pub(crate) fn put(
+        &mut self,
+        key: &str,
+        value: Bytes,
+        expect: Option<u64>,
+        lease: Option<u64>,
+    ) -> Result<u64, KvRefusal> {
+        self.check(key, expect)?;
+        if lease.is_some_and(|id| !self.leases.contains_key(&id)) {
+            return Err(KvRefusal::NoLease);
+        }
+        Ok(self.change(key, Some(value), lease))
+    }
+
+    /// Deletes the key if it is at the revision `expect`; nothing if it is absent.
+    pub(crate) fn delete(
+        &mut self,
+        key: &str,
+        expect: Option<u64>,
+    ) -> Result<Option<u64>, KvRefusal> {
+        self.check(key, expect)?;
+        let present = self.get(key).is_some();
+        Ok(present.then(|| self.change(key, None, None)))
+    }
+
+    pub(crate) fn list(&self, prefix: &str) -> Vec<Value> {
+        self.entries
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(_, entry)| entry.value.is_some())
+            .map(|(key, entry)| entry.describe(key))
+            .collect()
+    }
+
+    /// Returns the keys under `prefix` that changed after the revision `after`, oldest first.
+    pub(crate) fn changes(&self, prefix: &str, after: u64) -> Vec<Value> {
+        self.last_changes
+            .range(after.saturating_add(1)..)
+            .filter(|(_, key)| key.starts_with(prefix))
+            .map(|(_, key)| self.entries[key].describe(key))
+            .collect()
+    }
+
+    pub(crate) fn grant_lease(&mut self, now: Instant, ttl: Duration) -> u64 {
+        self.last_lease += 1;
+        let lease = KvLease {
+            ttl,
+            expires_at: now + ttl,
+            keys: Default::default(),
+        };
+        self.leases.insert(self.last_lease, lease);
+        self.last_lease
+    }
+
+    /// Renews a lease; returns its time to live, or nothing if it has ended.
+    pub(crate) fn renew_lease(&mut self, now: Instant, id: u64) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.expires_at = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease and deletes its keys; returns whether it had not ended before.
+    pub(crate) fn end_lease(&mut self, id: u64) -> bool {
+        let Some(lease) = self.leases.remove(&id) else {
+            return false;
+        };
+        for key in lease.keys {
+            self.change(&key, None, None);
+        }
+        true
+    }
+
+    /// Ends the leases whose time is over.
+    pub(crate) fn expire_leases(&mut self, now: Instant) {
+        let over = |lease: &KvLease| lease.expires_at <= now;
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| over(lease))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    pub(crate) fn next_expiry(&self) -> Option<Instant> {
+        self.leases.values().map(|lease| lease.expires_at).min()
+    }
+
+    fn check(&self, key: &str, expect: Option<u64>) -> Result<(), KvRefusal> {
+        let current = self.get(key);
+        let revision = current.map_or(0, |entry| entry.revision);
+        if expect.is_none_or(|expect| expect == revision) {
+            return Ok(());
+        }
+        let current = current.map_or(Value::Null, |entry| entry.describe(key));
+        Err(KvRefusal::Conflict(current))
+    }
+
+    fn change(&mut self, key: &str, value: Option<Bytes>, lease: Option<u64>) -> u64 {
+        self.revision += 1;
+        let entry = KvEntry {
+            value,
+            revision: self.revision,
+            lease,
+        };
+        if let Some(before) = self.entries.insert(key.to_owned(), entry) {
+            self.last_changes.remove(&before.revision);
+            let before = before.lease.and_then(|id| self.leases.get_mut(&id));
+            before.map(|held| held.keys.remove(key));
+        }
+        self.last_changes.insert(self.revision, key.to_owned());
+        if let Some(held) = lease.and_then(|id| self.leases.get_mut(&id)) {
+            held.keys.insert(key.to_owned());
+        }
+        self.revision
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 mod cache_event;
 mod cache_event_kind;
 mod cache_event_log;
+mod call_rate;
 mod chat_answer;
 mod chat_message;
 mod chat_request;
@@ -19,14 +20,27 @@
 mod engine_state;
 mod generation;
 mod generation_step;
+mod instance_list;
+mod kv_entry;
+mod kv_lease;
+mod kv_refusal;
+mod kv_store;
 mod load_history;
 mod load_report;
 mod model_engine;
 mod order_kind;
 mod plain_service;
+mod platform;
+mod platform_core;
+mod platform_counters;
+mod platform_endpoint;
+mod platform_faults;
+mod platform_settings;
+mod platform_state;
 mod prefix_cache;
 mod program;
 mod prompt;
+mod put_request;
 mod refusal;
 mod request_ids;
 mod running_server;
@@ -35,8 +49,11 @@
 mod service_run;
 mod service_state;
 mod standin_request;
+mod store_calls;
 mod usage;
 mod usage_details;
+mod waiting_watch;
+mod weight_stream;
 
 pub use {
     after_run::AfterRun,
@@ -53,6 +70,10 @@
     model_engine::ModelEngine,
     order_kind::OrderKind,
     plain_service::PlainService,
+    platform::Platform,
+    platform_counters::PlatformCounters,
+    platform_faults::PlatformFaults,
+    platform_settings::PlatformSettings,
     program::announce_and_wait,
     prompt::{BLOCK_TOKENS, count_prompt_tokens, kv_block, prompt_prefixes},
     service_faults::ServiceFaults,
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,65 @@
+//! Platform.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use hawthornquay_decisions::InstanceRecord;
+
+use crate::{
+    PlatformCounters, PlatformFaults, PlatformSettings, platform_core::PlatformCore,
+    platform_endpoint::PlatformEndpoint, running_server::RunningServer,
+};
+
+/// Platform that runs in this process until it is stopped or dropped.
+#[derive(Debug)]
+pub struct Platform {
+    server: RunningServer,
+    core: Arc<PlatformCore>,
+}
+
+impl Platform {
+    /// Starts a platform on `address`; port 0 takes a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the address cannot be bound.
+    pub async fn start(address: SocketAddr, settings: PlatformSettings) -> io::Result<Self> {
+        let core = Arc::new(PlatformCore::new(settings));
+        let endpoint = Arc::new(PlatformEndpoint::new(&core));
+        let background = Arc::clone(&core).expire_leases();
+        let server = RunningServer::start(address, &endpoint, background).await?;
+        Ok(Self { server, core })
+    }
+
+    /// Returns the address that the platform listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> PlatformCounters {
+        self.core.with(|state, _| state.counters())
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.core.set_faults(faults);
+    }
+
+    /// Sets the record of an instance; its `state_age_ms` is ignored.
+    pub fn set_instance(&self, record: InstanceRecord) {
+        let name = record.name.to_string();
+        self.core
+            .with(|state, now| state.instances.set(now, &name, Some(record)));
+    }
+
+    /// Takes an instance off the list.
+    pub fn remove_instance(&self, name: &str) {
+        self.core
+            .with(|state, now| state.instances.set(now, name, None));
+    }
+
+    /// Finishes the calls in flight for up to 2 s; returns whether all ended.
+    pub async fn stop(self) -> bool {
+        self.server.stop().await
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform_core.rs
@@ -0,0 +1,77 @@
+//! Platform without its HTTP interface.
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tokio::{
+    sync::{Notify, watch},
+    time::{Instant, sleep_until},
+};
+
+use crate::{PlatformFaults, PlatformSettings, platform_state::PlatformState};
+
+/// State of the platform with the means to wait for its changes.
+#[derive(Debug)]
+pub(crate) struct PlatformCore {
+    pub(crate) settings: PlatformSettings,
+    state: Mutex<PlatformState>,
+    changed: watch::Sender<()>,
+    lease_granted: Notify,
+}
+
+impl PlatformCore {
+    pub(crate) fn new(settings: PlatformSettings) -> Self {
+        let state = PlatformState::new(&settings, Instant::now());
+        Self {
+            settings,
+            state: Mutex::new(state),
+            changed: watch::Sender::new(()),
+            lease_granted: Notify::new(),
+        }
+    }
+
+    /// Runs `action` on the state, after the leases whose time is over have ended.
+    pub(crate) fn with<T>(&self, action: impl FnOnce(&mut PlatformState, Instant) -> T) -> T {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let (revision, faults) = (state.store.revision(), state.faults);
+        state.store.expire_leases(now);
+        let result = action(&mut state, now);
+        if (state.store.revision(), state.faults) != (revision, faults) {
+            self.changed.send_replace(());
+        }
+        result
+    }
+
+    pub(crate) fn set_faults(&self, faults: PlatformFaults) {
+        self.with(|state, _| state.faults = faults);
+    }
+
+    /// Returns a receiver that is told of every change to the store or the faults.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    pub(crate) fn grant_lease(&self, ttl: Duration) -> u64 {
+        let id = self.with(|state, now| state.store.grant_lease(now, ttl));
+        self.lease_granted.notify_one();
+        id
+    }
+
+    /// Ends leases in time, so that watches learn of it although nobody calls.
+    pub(crate) async fn expire_leases(self: Arc<Self>) {
+        loop {
+            let next = self.with(|state, _| state.store.next_expiry());
+            let expiry = async {
+                match next {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = expiry => {}
+                () = self.lease_granted.notified() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform_endpoint.rs
@@ -0,0 +1,167 @@
+//! HTTP interface of the platform.
+
+use std::{sync::Arc, time::Duration};
+
+use hawthornquay_decisions::InstanceRecord;
+use hawthornquay_http::{Body, empty_response, json_response};
+use http::{HeaderValue, Method, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, StreamBody};
+use serde_json::{Value, json};
+
+use crate::{
+    StandinRequest,
+    endpoint::Endpoint,
+    platform_core::PlatformCore,
+    refusal::{refuse, refuse_json, refuse_unknown},
+    store_calls::StoreCalls,
+    weight_stream::weight_stream,
+};
+
+pub(crate) const VALUE_LIMIT_BYTES: usize = 1024 * 1024;
+
+/// Serves the calls to the platform.
+#[derive(Debug)]
+pub(crate) struct PlatformEndpoint {
+    core: Arc<PlatformCore>,
+    store: StoreCalls,
+}
+
+impl PlatformEndpoint {
+    pub(crate) fn new(core: &Arc<PlatformCore>) -> Self {
+        Self {
+            core: Arc::clone(core),
+            store: StoreCalls::new(core),
+        }
+    }
+
+    async fn admin(&self, req: &StandinRequest, segments: &[&str]) -> Response<Body> {
+        match (&req.method, segments) {
+            (&Method::GET, ["counters"]) => ok(&json!(self.core.with(|state, _| state.counters()))),
+            (&Method::POST, ["faults"]) => match req.json() {
+                Ok(faults) => {
+                    self.core.set_faults(faults);
+                    ok(&json!(faults))
+                }
+                Err(err) => refuse_json(&err),
+            },
+            (&Method::PUT, ["instances", name]) => self.set_instance(name, req),
+            (&Method::DELETE, ["instances", name]) => {
+                self.core
+                    .with(|state, now| state.instances.set(now, name, None));
+                empty_response(StatusCode::NO_CONTENT)
+            }
+            _ => refuse_unknown(),
+        }
+    }
+
+    fn set_instance(&self, name: &str, req: &StandinRequest) -> Response<Body> {
+        let parsed = req.json().and_then(|mut value: Value| {
+            value["name"] = json!(name);
+            value["state_age_ms"] = json!(0);
+            serde_json::from_value::<InstanceRecord>(value)
+        });
+        match parsed {
+            Ok(record) => {
+                self.core
+                    .with(|state, now| state.instances.set(now, name, Some(record)));
+                empty_response(StatusCode::NO_CONTENT)
+            }
+            Err(err) => refuse_json(&err),
+        }
+    }
+
+    fn instances(&self) -> Response<Body> {
+        let (lag, instances) = self.core.with(|state, now| {
+            state.counters.list_reads += 1;
+            let lag = state.faults.list_lag_ms.map(Duration::from_millis);
+            let lag = lag.unwrap_or(self.core.settings.list_lag);
+            (lag, state.instances.lagged(now, lag))
+        });
+        ok(&json!({"lag_ms": lag.as_millis() as u64, "instances": instances}))
+    }
+
+    fn directory(&self, req: &StandinRequest, name: &str) -> Response<Body> {
+        self.core
+            .with(|state, _| state.counters.directory_calls += 1);
+        if req.method == Method::GET {
+            let Some(data) = self
+                .core
+                .with(|state, _| state.directory.get(name).cloned())
+            else {
+                return refuse(
+                    StatusCode::NOT_FOUND,
+                    "not-found",
+                    "no such directory entry",
+                );
+            };
+            return Response::new(Body::new(Full::new(data).map_err(|never| match never {})));
+        }
+        if req.body.len() > VALUE_LIMIT_BYTES {
+            return too_large();
+        }
+        let data = req.body.clone();
+        self.core
+            .with(|state, _| state.directory.insert(name.to_owned(), data));
+        empty_response(StatusCode::NO_CONTENT)
+    }
+
+    fn weights(&self) -> Response<Body> {
+        let data = weight_stream(Arc::clone(&self.core));
+        let mut res = Response::new(Body::new(StreamBody::new(data)));
+        let length = HeaderValue::from(self.core.settings.weight_bytes);
+        res.headers_mut().insert(header::CONTENT_LENGTH, length);
+        res
+    }
+}
+
+impl Endpoint for PlatformEndpoint {
+    // Leaves room for base64 and the other fields; the value itself is checked afterwards.
+    const BODY_LIMIT: usize = 4 * VALUE_LIMIT_BYTES;
+
+    async fn answer(self: Arc<Self>, req: StandinRequest) -> Response<Body> {
+        let path = req.path.trim_start_matches('/');
+        let segments: Vec<&str> = path.split('/').collect();
+        if let ["admin", rest @ ..] = segments.as_slice() {
+            return self.admin(&req, rest).await;
+        }
+        let refused = self.core.with(|state, _| {
+            state.counters.outage_refusals += u64::from(state.faults.outage);
+            state.faults.outage
+        });
+        if refused {
+            return outage();
+        }
+        let res = match (&req.method, segments.as_slice()) {
+            (_, ["kv", ..] | ["leases", ..]) | (&Method::GET, ["list"] | ["watch"]) => {
+                self.store.answer(&req, &segments).await
+            }
+            (&Method::GET, ["instances"]) => self.instances(),
+            (&Method::GET | &Method::PUT, ["directory", name]) => self.directory(&req, name),
+            (&Method::GET, ["weights", _]) => self.weights(),
+            _ => refuse_unknown(),
+        };
+        let delay_ms = self.core.with(|state, _| state.faults.delay_ms);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        res
+    }
+}
+
+pub(crate) fn ok(value: &Value) -> Response<Body> {
+    json_response(StatusCode::OK, value)
+}
+
+pub(crate) fn outage() -> Response<Body> {
+    refuse(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "outage",
+        "the platform is not available",
+    )
+}
+
+pub(crate) fn too_large() -> Response<Body> {
+    refuse(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "too-large",
+        "the value is larger than 1 MiB",
+    )
+}
--- /dev/null
+++ b/crates/standins/src/store_calls.rs
@@ -0,0 +1,222 @@
+//! Calls to the store.
+
+use std::{sync::Arc, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use hawthornquay_http::{Body, json_response};
+use http::{Method, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep_until};
+
+use crate::{
+    StandinRequest,
+    chat_answer::broken_response,
+    kv_refusal::KvRefusal,
+    platform_core::PlatformCore,
+    platform_endpoint::{VALUE_LIMIT_BYTES, ok, outage, too_large},
+    put_request::PutRequest,
+    refusal::{refuse, refuse_json, refuse_unknown},
+    waiting_watch::WaitingWatch,
+};
+
+const LONGEST_WAIT_MS: u64 = 60_000;
+
+/// Counts, limits and answers the calls to the store.
+#[derive(Debug)]
+pub(crate) struct StoreCalls {
+    core: Arc<PlatformCore>,
+}
+
+impl StoreCalls {
+    pub(crate) fn new(core: &Arc<PlatformCore>) -> Self {
+        Self {
+            core: Arc::clone(core),
+        }
+    }
+
+    pub(crate) async fn answer(&self, req: &StandinRequest, segments: &[&str]) -> Response<Body> {
+        let writes = req.method != Method::GET;
+        if !self.take_from_rate(writes) {
+            let message = "the rate of the store is exceeded";
+            return refuse(StatusCode::TOO_MANY_REQUESTS, "rate-exceeded", message);
+        }
+        let res = match (&req.method, segments) {
+            (&Method::GET, ["kv", ..]) => self.get(key(req)),
+            (&Method::PUT, ["kv", ..]) => self.put(key(req), req),
+            (&Method::DELETE, ["kv", ..]) => self.delete(key(req), req.number("expect")),
+            (&Method::GET, ["list"]) => self.list(&req.parameter("prefix").unwrap_or_default()),
+            (&Method::GET, ["watch"]) => self.watch(req).await,
+            (&Method::POST, ["leases"]) => self.grant_lease(req),
+            (&Method::POST, ["leases", id, "renew"]) => self.renew_lease(id),
+            (&Method::DELETE, ["leases", id]) => self.end_lease(id),
+            _ => refuse_unknown(),
+        };
+        if writes && res.status().is_success() && self.loses_answer() {
+            return broken_response();
+        }
+        res
+    }
+
+    fn take_from_rate(&self, writes: bool) -> bool {
+        self.core.with(|state, now| {
+            let counters = &mut state.counters;
+            let (rate, taken, refused) = if writes {
+                (
+                    &mut state.write_rate,
+                    &mut counters.writes,
+                    &mut counters.refused_writes,
+                )
+            } else {
+                (
+                    &mut state.read_rate,
+                    &mut counters.reads,
+                    &mut counters.refused_reads,
+                )
+            };
+            let allowed = rate.take(now);
+            *if allowed { taken } else { refused } += 1;
+            allowed
+        })
+    }
+
+    fn loses_answer(&self) -> bool {
+        self.core.with(|state, _| {
+            let loses = state.faults.lose_answers > 0;
+            if loses {
+                state.faults.lose_answers -= 1;
+                state.counters.lost_answers += 1;
+            }
+            loses
+        })
+    }
+
+    fn get(&self, key: &str) -> Response<Body> {
+        let entry = self
+            .core
+            .with(|state, _| state.store.get(key).map(|entry| entry.describe(key)));
+        entry.map_or_else(|| not_found("no such key"), |entry| ok(&entry))
+    }
+
+    fn put(&self, key: &str, req: &StandinRequest) -> Response<Body> {
+        let put: PutRequest = match req.json() {
+            Ok(put) => put,
+            Err(err) => return refuse_json(&err),
+        };
+        let Ok(value) = STANDARD.decode(&put.value) else {
+            return refuse(
+                StatusCode::BAD_REQUEST,
+                "bad-value",
+                "the value is not base64",
+            );
+        };
+        if value.len() > VALUE_LIMIT_BYTES {
+            return too_large();
+        }
+        let written = self
+            .core
+            .with(|state, _| state.store.put(key, value.into(), put.expect, put.lease));
+        match written {
+            Ok(revision) => ok(&json!({"revision": revision})),
+            Err(refusal) => answer_refusal(refusal),
+        }
+    }
+
+    fn delete(&self, key: &str, expect: Option<u64>) -> Response<Body> {
+        match self.core.with(|state, _| state.store.delete(key, expect)) {
+            Ok(Some(revision)) => ok(&json!({"revision": revision})),
+            Ok(None) => not_found("no such key"),
+            Err(refusal) => answer_refusal(refusal),
+        }
+    }
+
+    fn list(&self, prefix: &str) -> Response<Body> {
+        let (revision, entries) = self
+            .core
+            .with(|state, _| (state.store.revision(), state.store.list(prefix)));
+        ok(&json!({"revision": revision, "entries": entries}))
+    }
+
+    async fn watch(&self, req: &StandinRequest) -> Response<Body> {
+        let prefix = req.parameter("prefix").unwrap_or_default();
+        let wait_ms = req
+            .number("wait_ms")
+            .unwrap_or_default()
+            .min(LONGEST_WAIT_MS);
+        let end = Instant::now() + Duration::from_millis(wait_ms);
+        let _waiting = WaitingWatch::begin(&self.core);
+        let mut changed = self.core.subscribe();
+        let mut after = req.number("after").unwrap_or_default();
+        loop {
+            changed.mark_unchanged();
+            let (faults, revision, entries) = self.core.with(|state, _| {
+                let entries = state.store.changes(&prefix, after);
+                (state.faults, state.store.revision(), entries)
+            });
+            if faults.outage {
+                return outage();
+            }
+            let ready = !entries.is_empty() || Instant::now() >= end;
+            if ready && !faults.hold_watches {
+                return ok(&json!({"revision": revision, "entries": entries}));
+            }
+            if entries.is_empty() {
+                after = after.max(revision);
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = sleep_until(end), if !faults.hold_watches => {}
+            }
+        }
+    }
+
+    fn grant_lease(&self, req: &StandinRequest) -> Response<Body> {
+        let ttl_ms = req.json().map(|value: Value| value["ttl_ms"].as_u64());
+        match ttl_ms {
+            Ok(Some(ttl_ms)) if ttl_ms > 0 => {
+                let id = self.core.grant_lease(Duration::from_millis(ttl_ms));
+                ok(&json!({"lease": id}))
+            }
+            Ok(_) => refuse(
+                StatusCode::BAD_REQUEST,
+                "bad-ttl",
+                "ttl_ms is no positive number",
+            ),
+            Err(err) => refuse_json(&err),
+        }
+    }
+
+    fn renew_lease(&self, id: &str) -> Response<Body> {
+        let id = id.parse().unwrap_or_default();
+        match self
+            .core
+            .with(|state, now| state.store.renew_lease(now, id))
+        {
+            Some(ttl) => ok(&json!({"lease": id, "ttl_ms": ttl.as_millis() as u64})),
+            None => not_found("the lease has ended"),
+        }
+    }
+
+    fn end_lease(&self, id: &str) -> Response<Body> {
+        let id = id.parse().unwrap_or_default();
+        if self.core.with(|state, _| state.store.end_lease(id)) {
+            ok(&json!({"lease": id}))
+        } else {
+            not_found("the lease has ended")
+        }
+    }
+}
+
+fn key(req: &StandinRequest) -> &str {
+    req.path.strip_prefix("/kv/").unwrap_or_default()
+}
+
+fn not_found(message: &str) -> Response<Body> {
+    refuse(StatusCode::NOT_FOUND, "not-found", message)
+}
+
+fn answer_refusal(refusal: KvRefusal) -> Response<Body> {
+    match refusal {
+        KvRefusal::Conflict(current) => json_response(StatusCode::CONFLICT, &current),
+        KvRefusal::NoLease => not_found("the lease has ended"),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/waiting_watch.rs
@@ -0,0 +1,25 @@
+//! Count of the waiting watches.
+
+use std::sync::Arc;
+
+use crate::platform_core::PlatformCore;
+
+/// Counts as a waiting watch until it is dropped, also when the client disconnects.
+#[derive(Debug)]
+pub(crate) struct WaitingWatch(Arc<PlatformCore>);
+
+impl WaitingWatch {
+    pub(crate) fn begin(core: &Arc<PlatformCore>) -> Self {
+        core.with(|state, _| {
+            state.counters.watches += 1;
+            state.counters.waiting_watches += 1;
+        });
+        Self(Arc::clone(core))
+    }
+}
+
+impl Drop for WaitingWatch {
+    fn drop(&mut self) {
+        self.0.with(|state, _| state.counters.waiting_watches -= 1);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/weight_stream.rs
@@ -0,0 +1,38 @@
+//! Object of the weight store.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use hyper::body::Frame;
+use tokio::time::sleep_until;
+
+use crate::platform_core::PlatformCore;
+
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Streams an object at the speed that all readers share.
+pub(crate) fn weight_stream(
+    core: Arc<PlatformCore>,
+) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send {
+    let chunk = Bytes::from(vec![0x5a; CHUNK_BYTES]);
+    let left = core.settings.weight_bytes;
+    stream::unfold((core, left), move |(core, left)| {
+        let data = chunk.slice(..left.min(CHUNK_BYTES));
+        async move {
+            if data.is_empty() {
+                return None;
+            }
+            let seconds = data.len() as f64 / core.settings.weight_bytes_per_s.max(1) as f64;
+            let ready_at = core.with(|state, now| {
+                state.counters.weight_bytes += data.len() as u64;
+                state.weights_free_at =
+                    state.weights_free_at.max(now) + Duration::from_secs_f64(seconds);
+                state.weights_free_at
+            });
+            sleep_until(ready_at).await;
+            let left = left - data.len();
+            Some((Ok(Frame::data(data)), (core, left)))
+        }
+    })
+}
