Add the decisions of routing, queueing and engine orders

Cause: instances need to choose a server, domain or region on lagging reports, share an overloaded pool fairly, retry without running a request twice, and order engines around without two orderers at once.

- Load reports are corrected by the instance's own sends and by sends that ended since.
A repeated report brings no news and changes nothing.
- Servers and domains share one load entry; a domain's summary has the form of a report, so correction, backoff and ramp apply to both.
- The queue charges an organisation when a request is served, not when it arrives: with the charge at arrival, requests that expired unserved would push their organisation behind the others.
- An attempt that did not run does not prove that an earlier one did not, so the retry state keeps the worst execution seen.

Routing quality is not measured yet.

--- a/crates/decisions/src/load_report.rs
+++ b/crates/decisions/src/load_report.rs
@@ -16,6 +16,9 @@
     pub waiting: u32,
     /// Requests that it can run at once.
     pub slots: u32,
+    /// Servers that the report covers; the summary of a domain covers several.
+    #[serde(default = "one_server")]
+    pub servers: u32,
     /// Tokens held in its KV cache.
     #[serde(default)]
     pub kv_used: u64,
@@ -34,3 +37,7 @@
     /// Number of the report; grows with each report of one run of the server.
     pub sequence: u64,
 }
+
+const fn one_server() -> u32 {
+    1
+}
--- /dev/null
+++ b/crates/decisions/src/load_view.rs
@@ -0,0 +1,171 @@
+//! Load of all servers that an instance knows.
+
+use std::time::Duration;
+
+use crate::{
+    BackendName, Bundle, DomainName, LoadEstimate, LoadKey, LoadOutcome, LoadReport, LoadState,
+    LoadTicket, Map, MonotonicTime, RouteTarget, load_entry::LoadEntry,
+};
+
+/// Age from which a report no longer describes a server.
+const STALE_AFTER: Duration = Duration::from_secs(5);
+/// Time added to the estimate of a server without a recent report.
+const UNREPORTED_SECONDS: f64 = 0.5;
+
+/// Load reports, corrected by what this instance has sent since they were made.
+#[derive(Clone, Debug, Default)]
+pub struct LoadView {
+    entries: Map<LoadKey, LoadEntry>,
+    last_ticket: u64,
+}
+
+impl LoadView {
+    /// Takes a report that reflects the state `age` ago.
+    ///
+    /// Sends made within that age are counted on top of the report, so `age` is the lag's bound
+    /// rather than its mean.
+    pub fn report(&mut self, key: LoadKey, report: LoadReport, age: Duration, now: MonotonicTime) {
+        self.entries
+            .entry(key)
+            .or_default()
+            .report(report, age, now);
+    }
+
+    /// Records a request sent to a server, or forwarded to a domain.
+    pub fn sent(&mut self, key: LoadKey, prefill_tokens: u64, now: MonotonicTime) -> LoadTicket {
+        self.last_ticket += 1;
+        let number = self.last_ticket;
+        let entry = self.entries.entry(key.clone()).or_default();
+        entry.sent(number, prefill_tokens, now);
+        LoadTicket { key, number }
+    }
+
+    /// Records the end of a sent request.
+    pub fn ended(&mut self, ticket: LoadTicket, outcome: LoadOutcome, now: MonotonicTime) {
+        if let Some(entry) = self.entries.get_mut(&ticket.key) {
+            entry.ended(ticket.number, outcome, now);
+        }
+    }
+
+    /// Records that a server is leaving, as the platform's list or a refusal says.
+    ///
+    /// Only a report of a later state takes this back.
+    pub fn mark_leaving(&mut self, key: LoadKey, now: MonotonicTime) {
+        self.entries.entry(key).or_default().mark_leaving(now);
+    }
+
+    /// Forgets what the bundle no longer names.
+    pub fn retain(&mut self, bundle: &Bundle) {
+        self.entries.retain(|key, _| match key {
+            LoadKey::Backend(name) => bundle.backends.contains_key(name),
+            LoadKey::Domain(name, _) => bundle.domains.contains_key(name),
+        });
+    }
+
+    /// Returns the state of a server or domain.
+    pub fn state(&self, key: &LoadKey, now: MonotonicTime) -> LoadState {
+        self.entries
+            .get(key)
+            .map_or(LoadState::Unknown, |entry| entry.state(STALE_AFTER, now))
+    }
+
+    /// Returns the state of a server that may be used without a report.
+    ///
+    /// The servers of the own domain stay usable when their reports fail.
+    pub fn state_or_assumed(&self, name: &BackendName, now: MonotonicTime) -> LoadState {
+        let key = LoadKey::Backend(name.clone());
+        match self.state(&key, now) {
+            LoadState::Unknown => LoadState::Available(self.assumed(&key)),
+            state => state,
+        }
+    }
+
+    /// Sums the reports of a domain's servers for other domains; none if no server has one.
+    ///
+    /// Leaving and failing servers are left out, and a recovered server counts with the share of
+    /// its slots that it may use so far.
+    pub fn summary(
+        &self,
+        bundle: &Bundle,
+        domain: &DomainName,
+        target: &RouteTarget,
+        now: MonotonicTime,
+    ) -> Option<LoadReport> {
+        let mut sum: Option<LoadReport> = None;
+        for server in bundle.backends.values() {
+            if server.domain != *domain || !server.serves(target) {
+                continue;
+            }
+            let key = LoadKey::Backend(server.name.clone());
+            let LoadState::Available(estimate) = self.state(&key, now) else {
+                continue;
+            };
+            let Some(report) = self.entries.get(&key).and_then(LoadEntry::current_report) else {
+                continue;
+            };
+            let part = summary_part(report, &estimate);
+            sum = Some(match sum {
+                Some(sum) => add(&sum, &part),
+                None => part,
+            });
+        }
+        sum.map(|sum| LoadReport {
+            name: domain.as_str().to_owned(),
+            sequence: now.0,
+            ..sum
+        })
+    }
+
+    fn assumed(&self, key: &LoadKey) -> LoadEstimate {
+        let assumed = LoadReport {
+            name: String::new(),
+            running: 0,
+            waiting: 0,
+            slots: 8,
+            servers: 1,
+            kv_used: 0,
+            kv_capacity: 0,
+            prefill_tokens_per_s: 4_000.0,
+            decode_ms: 20.0,
+            leaving: false,
+            sequence: 0,
+        };
+        let mut estimate = match self.entries.get(key) {
+            Some(entry) => entry.estimate_unreported(&assumed),
+            None => LoadEntry::default().estimate_unreported(&assumed),
+        };
+        estimate.queue_seconds += UNREPORTED_SECONDS;
+        estimate
+    }
+}
+
+fn summary_part(report: &LoadReport, estimate: &LoadEstimate) -> LoadReport {
+    let slots = estimate.slots as u32;
+    let occupied = estimate.occupied.round() as u32;
+    LoadReport {
+        running: occupied.min(slots),
+        waiting: occupied.saturating_sub(slots),
+        slots,
+        ..report.clone()
+    }
+}
+
+fn add(a: &LoadReport, b: &LoadReport) -> LoadReport {
+    let servers = a.servers + b.servers;
+    let mean = |x: f64, y: f64| {
+        (x * f64::from(a.servers) + y * f64::from(b.servers)) / f64::from(servers.max(1))
+    };
+    LoadReport {
+        name: String::new(),
+        running: a.running + b.running,
+        waiting: a.waiting + b.waiting,
+        slots: a.slots + b.slots,
+        servers,
+        kv_used: a.kv_used + b.kv_used,
+        kv_capacity: a.kv_capacity + b.kv_capacity,
+        prefill_tokens_per_s: mean(a.prefill_tokens_per_s, b.prefill_tokens_per_s),
+        decode_ms: mean(a.decode_ms, b.decode_ms),
+        leaving: false,
+        sequence: 0,
+    }
+}
--- a/crates/decisions/src/order_kind.rs
+++ b/crates/decisions/src/order_kind.rs
@@ -15,3 +15,16 @@
     /// Change the role, such as prefill or decode.
     SetRole,
 }
+
+impl OrderKind {
+    /// Returns whether an order of this kind decides the effect of an earlier one of kind `other`.
+    pub(crate) fn replaces(self, other: Self, same_model: bool) -> bool {
+        match (self, other) {
+            (Self::SetRole, Self::SetRole) => true,
+            (Self::LoadModel | Self::UnloadModel, Self::LoadModel | Self::UnloadModel) => {
+                same_model
+            }
+            (kind, other) => kind == other && same_model,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/queue_lane.rs
@@ -0,0 +1,120 @@
+//! Waiting requests of one priority.
+
+use std::{collections::VecDeque, time::Duration};
+
+use crate::{Map, MonotonicTime, OrganisationId, QueueEntry};
+
+/// Waiting requests of one priority, shared by start-time fair queueing.
+///
+/// Each organisation's first waiting request has a virtual start time: the end of the last one
+/// served, or the virtual time at its arrival if that is later. The earliest start is served
+/// first, so an organisation that sends ten times as much waits behind its own requests. Requests
+/// that leave unserved cost nothing.
+#[derive(Clone, Debug)]
+pub(crate) struct QueueLane<T> {
+    lines: Map<OrganisationId, Line<T>>,
+    virtual_time: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Line<T> {
+    waiting: VecDeque<QueueEntry<T>>,
+    start: f64,
+    weight: f64,
+}
+
+impl<T> QueueLane<T> {
+    pub(crate) fn new() -> Self {
+        Self {
+            lines: Map::default(),
+            virtual_time: 0.0,
+        }
+    }
+
+    pub(crate) fn push(&mut self, entry: QueueEntry<T>, weight: f64) {
+        let virtual_time = self.virtual_time;
+        let line = self
+            .lines
+            .entry(entry.organisation.clone())
+            .or_insert_with(|| Line {
+                waiting: VecDeque::new(),
+                start: virtual_time,
+                weight,
+            });
+        if line.waiting.is_empty() {
+            line.start = line.start.max(virtual_time);
+        }
+        line.weight = weight;
+        line.waiting.push_back(entry);
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<QueueEntry<T>> {
+        let organisation = self.first()?.clone();
+        let line = self.lines.get_mut(&organisation)?;
+        let entry = line.waiting.pop_front()?;
+        let start = line.start;
+        line.start += entry.cost.max(1) as f64 / line.weight;
+        self.virtual_time = start;
+        // A line that is not ahead of the virtual time carries no state worth keeping.
+        self.lines
+            .retain(|_, line| !line.waiting.is_empty() || line.start > start);
+        Some(entry)
+    }
+
+    /// Returns how many requests are likely to be served before a new one of `organisation`.
+    pub(crate) fn ahead_of(&self, organisation: &OrganisationId) -> usize {
+        let turns = self.len_of(organisation) + 1;
+        let lines = self.lines.iter();
+        let others = lines.filter(|(other, _)| *other != organisation);
+        others
+            .map(|(_, line)| line.waiting.len().min(turns))
+            .sum::<usize>()
+            + turns
+            - 1
+    }
+
+    pub(crate) fn oldest(&self) -> Option<MonotonicTime> {
+        self.lines
+            .values()
+            .filter_map(|line| Some(line.waiting.front()?.since))
+            .min()
+    }
+
+    pub(crate) fn expire(&mut self, limit: Duration, now: MonotonicTime) -> Vec<QueueEntry<T>> {
+        let mut expired = Vec::new();
+        for line in self.lines.values_mut() {
+            while let Some(entry) = line
+                .waiting
+                .pop_front_if(|entry| now.since(entry.since) >= limit)
+            {
+                expired.push(entry);
+            }
+        }
+        expired
+    }
+
+    pub(crate) fn remove(&mut self, matches: impl Fn(&T) -> bool) -> Option<QueueEntry<T>> {
+        self.lines.values_mut().find_map(|line| {
+            let index = line.waiting.iter().position(|entry| matches(&entry.item))?;
+            line.waiting.remove(index)
+        })
+    }
+
+    pub(crate) fn len_of(&self, organisation: &OrganisationId) -> usize {
+        self.lines
+            .get(organisation)
+            .map_or(0, |line| line.waiting.len())
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.lines.values().map(|line| line.waiting.len()).sum()
+    }
+
+    fn first(&self) -> Option<&OrganisationId> {
+        self.lines
+            .iter()
+            .filter(|(_, line)| !line.waiting.is_empty())
+            .min_by(|(x, a), (y, b)| a.start.total_cmp(&b.start).then_with(|| x.cmp(y)))
+            .map(|(organisation, _)| organisation)
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/queue_fairness.rs
@@ -0,0 +1,130 @@
+//! Fair sharing of an overloaded pool.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{
+    Execution, FairQueue, MonotonicTime, OrganisationId, Priority, QueueEntry, RefusalCode,
+};
+use proptest::prelude::*;
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn entry(organisation: &str, priority: Priority, cost: u64, ms: u64) -> QueueEntry<u64> {
+    QueueEntry {
+        organisation: organisation.into(),
+        priority,
+        cost,
+        since: MonotonicTime::from_millis(ms),
+        item: ms,
+    }
+}
+
+fn pop(queue: &mut FairQueue<u64>, ms: u64) -> Option<QueueEntry<u64>> {
+    queue.pop(MonotonicTime::from_millis(ms))
+}
+
+/// Guards against batch requests that go before interactive ones, or never go.
+#[test]
+fn queue_interactive_first_batch_not_starved() {
+    let mut queue = FairQueue::new(LIMIT);
+    queue.push(entry("b", Priority::Batch, 1, 0), 1.0).unwrap();
+    for ms in 0..20 {
+        queue
+            .push(entry("i", Priority::Interactive, 1, ms), 1.0)
+            .unwrap();
+    }
+    for _ in 0..8 {
+        assert_eq!(
+            pop(&mut queue, 100).unwrap().priority,
+            Priority::Interactive
+        );
+    }
+    let overdue = (0..4).filter_map(|_| pop(&mut queue, 6_000));
+    assert_eq!(
+        overdue
+            .filter(|entry| entry.priority == Priority::Batch)
+            .count(),
+        1
+    );
+}
+
+/// Guards against requests that wait without bound, and against charges for unserved ones.
+#[test]
+fn queue_expires_without_charge() {
+    let mut queue = FairQueue::new(LIMIT);
+    for ms in 0..100 {
+        queue
+            .push(entry("a", Priority::Interactive, 1_000, ms), 1.0)
+            .unwrap();
+    }
+    queue
+        .push(entry("b", Priority::Interactive, 10, 9_000), 1.0)
+        .unwrap();
+    let expired = queue.expire(MonotonicTime::from_millis(10_500));
+    assert_eq!(expired.len(), 100);
+    let refusal = &expired[0].1;
+    assert_eq!(refusal.code, RefusalCode::NoCapacity);
+    assert_eq!(refusal.execution, Execution::NotRun);
+    assert!(refusal.retry_after.is_some());
+    queue
+        .push(entry("a", Priority::Interactive, 10, 10_500), 1.0)
+        .unwrap();
+    assert_eq!(pop(&mut queue, 10_500).unwrap().organisation.as_str(), "a");
+    assert_eq!(pop(&mut queue, 10_500).unwrap().organisation.as_str(), "b");
+    assert_eq!(queue.waiting(), 0);
+}
+
+/// Guards against one organisation that fills the memory, and a caller that left but is served.
+#[test]
+fn queue_bounded_and_cancellable() {
+    let mut queue = FairQueue::new(LIMIT);
+    let taken = (0..1_000)
+        .filter(|ms| queue.push(entry("a", Priority::Batch, 1, *ms), 1.0).is_ok())
+        .count();
+    assert!(taken < 1_000);
+    assert!(queue.push(entry("b", Priority::Batch, 1, 0), 1.0).is_ok());
+    assert_eq!(queue.remove(|item| *item == 5).unwrap().item, 5);
+    assert!(queue.remove(|item| *item == 5).is_none());
+    assert_eq!(queue.waiting(), taken);
+    let wait = queue.expected_wait(&"c".into(), Priority::Interactive, 10.0);
+    assert_eq!(wait, Duration::ZERO);
+    let wait = queue.expected_wait(&"c".into(), Priority::Batch, 10.0);
+    assert_eq!(wait, Duration::from_millis(200));
+}
+
+proptest! {
+    /// Guards against an organisation that is starved by others, however much they send.
+    ///
+    /// While it always has a request waiting, its service stays within a few of the largest
+    /// requests of every other organisation's.
+    #[test]
+    fn queue_starves_nobody(
+        costs in prop::collection::vec((0_usize..4, 1_u64..100), 1..400),
+        burst in 1_usize..20,
+    ) {
+        let names = ["a", "b", "c", "d"];
+        let mut queue = FairQueue::new(LIMIT);
+        let mut served = [0_u64; 4];
+        let index_of = |organisation: &OrganisationId| {
+            names.iter().position(|name| *name == organisation.as_str()).unwrap()
+        };
+        for name in names {
+            queue.push(entry(name, Priority::Interactive, 50, 0), 1.0).unwrap();
+        }
+        for (index, cost) in costs {
+            // Organisation `index` sends a burst; each time one request is served.
+            for _ in 0..burst {
+                let _ = queue.push(entry(names[index], Priority::Interactive, cost, 0), 1.0);
+            }
+            let taken = pop(&mut queue, 1).unwrap();
+            let taken_index = index_of(&taken.organisation);
+            served[taken_index] += taken.cost;
+            if queue.waiting_of(&taken.organisation) == 0 {
+                queue.push(entry(names[taken_index], Priority::Interactive, 50, 0), 1.0).unwrap();
+            }
+            let least = served.iter().min().unwrap();
+            let most = served.iter().max().unwrap();
+            prop_assert!(most - least <= 200, "{served:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/tests/routing_invariants.rs
@@ -0,0 +1,145 @@
+//! Invariants of routing over random fleets.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{
+    Execution, LoadKey, LoadOutcome, Priority, Residency, RetryBudget, RetryDecision, RetryState,
+    RoutingDecision, RoutingHop,
+};
+use proptest::prelude::*;
+
+use routing_fleet::{Fleet, NOW, key, report, target};
+
+mod routing_fleet;
+
+const SERVERS: [&str; 4] = ["a1-e1", "a1-e2", "a2", "b1"];
+
+prop_compose! {
+    fn fleet()(
+        running in prop::array::uniform4(prop::option::of(0_u32..20)),
+        leaving in prop::array::uniform4(any::<bool>()),
+        failed in prop::array::uniform4(any::<bool>()),
+        tried in prop::array::uniform4(prop::bool::weighted(0.2)),
+        grant in 0_u32..3,
+        regions in prop::option::of(prop::sample::subsequence(vec!["a", "b"], 0..=2)),
+        hop in prop_oneof![3 => Just(RoutingHop::Caller), 1 => (0_u32..4).prop_map(RoutingHop::Forwarded)],
+        queue_ms in prop_oneof![Just(0_u64), 0_u64..9000],
+    ) -> (Fleet, [bool; 4]) {
+        let mut fleet = Fleet::new().grant("b1", grant);
+        for (index, name) in SERVERS.into_iter().enumerate() {
+            if let Some(running) = running[index] {
+                fleet = fleet.load(name, running);
+            }
+            if leaving[index] {
+                if index % 2 == 0 {
+                    fleet.view.mark_leaving(key(name), NOW);
+                } else {
+                    let mut report = report(0);
+                    report.leaving = true;
+                    report.sequence = 2;
+                    fleet.view.report(key(name), report, Duration::ZERO, NOW);
+                }
+            }
+            if failed[index] {
+                let ticket = fleet.view.sent(key(name), 0, NOW);
+                fleet.view.ended(ticket, LoadOutcome::Failed, NOW);
+            }
+            if tried[index] {
+                fleet.tried.push(key(name));
+            }
+        }
+        fleet.residency = regions.map_or(Residency::Any, |regions| {
+            Residency::Regions(regions.into_iter().map(Into::into).collect())
+        });
+        fleet.hop = hop;
+        fleet.queue_wait = Duration::from_millis(queue_ms);
+        (fleet, leaving)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    /// Guards against data that leaves its residency, a second hop, work for leaving, failing or
+    /// tried servers, and sending away without a grant.
+    #[test]
+    fn decision_keeps_invariants((fleet, leaving) in fleet(), batch in any::<bool>(), random in any::<u64>()) {
+        let priority = if batch { Priority::Batch } else { Priority::Interactive };
+        let (chosen, domain) = match fleet.decide_for(priority, random) {
+            RoutingDecision::Call(name) => {
+                let domain = fleet.bundle.backends[&name].domain.clone();
+                prop_assert_eq!(&domain, &fleet.place.domain);
+                (LoadKey::Backend(name), domain)
+            }
+            RoutingDecision::Forward(domain) => {
+                prop_assert_eq!(fleet.hop, RoutingHop::Caller);
+                prop_assert_ne!(&domain, &fleet.place.domain);
+                (LoadKey::Domain(domain.clone(), target()), domain)
+            }
+            RoutingDecision::Wait => return Ok(()),
+            RoutingDecision::Refuse(refusal) => {
+                prop_assert_eq!(refusal.execution, Execution::NotRun);
+                return Ok(());
+            }
+        };
+        let region = fleet.bundle.region_of(&domain).unwrap();
+        prop_assert!(fleet.residency.allows(region));
+        prop_assert!(fleet.residency.allows(&fleet.place.region));
+        prop_assert!(matches!(fleet.hop, RoutingHop::Caller | RoutingHop::Forwarded(1)));
+        prop_assert!(!fleet.tried.contains(&chosen));
+        if let Some(index) = SERVERS.iter().position(|name| key(name) == chosen) {
+            prop_assert!(!leaving[index], "leaving {chosen:?}");
+        }
+        if *region != fleet.place.region {
+            prop_assert!(fleet.grants.available(&domain, &target(), NOW) > 0);
+        }
+    }
+
+    /// Guards against a second run of a request that must not be repeated, a retry after the
+    /// caller got a part of the answer, endless retries and a false `not-run`.
+    #[test]
+    fn retry_keeps_invariants(
+        repeatable in any::<bool>(),
+        failures in prop::collection::vec((0_u8..3, any::<bool>()), 1..8),
+    ) {
+        let mut state = RetryState::new(repeatable);
+        let mut budget = RetryBudget::default();
+        let mut may_have_run = false;
+        let mut started = false;
+        for (index, (execution, starts)) in failures.into_iter().enumerate() {
+            let execution = [Execution::NotRun, Execution::Unknown, Execution::Ran][usize::from(execution)];
+            if starts && execution != Execution::NotRun {
+                started = true;
+                state.answer_started();
+            }
+            may_have_run |= execution != Execution::NotRun;
+            let decision = state.failed(key(SERVERS[index % 4]), execution, None, &mut budget);
+            match decision {
+                RetryDecision::RouteAgain => {
+                    prop_assert!(!started, "retried after the first answer byte");
+                    prop_assert!(repeatable || !may_have_run, "second run");
+                    prop_assert!(execution != Execution::Ran);
+                    prop_assert!(index < 2, "attempt {index}");
+                }
+                RetryDecision::GiveUp(refusal) => {
+                    prop_assert_eq!(refusal.execution == Execution::NotRun, !may_have_run);
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Guards against retries that multiply the load of an overloaded fleet.
+#[test]
+fn retry_budget_bounds_share() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        let decision =
+            RetryState::new(true).failed(key("a1-e1"), Execution::NotRun, None, &mut budget);
+        retries += u32::from(decision == RetryDecision::RouteAgain);
+    }
+    assert!((900..=1_050).contains(&retries), "{retries}");
+}
