--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -28,11 +28,6 @@
 mod key_digest;
 mod key_grant;
 mod key_requirement;
-mod load_entry;
-mod load_estimate;
-mod load_key;
-mod load_outcome;
-mod load_report;
 mod limit_bucket;
 mod limit_demand;
 mod limit_organisation;
@@ -43,14 +38,19 @@
 mod limit_table;
 mod limit_table_loans;
 mod limit_table_slots;
+mod load_entry;
+mod load_estimate;
+mod load_key;
+mod load_outcome;
+mod load_report;
+mod load_state;
+mod load_ticket;
+mod load_view;
 mod loan_call;
 mod loan_grant;
 mod loan_request;
 mod loan_step;
 mod loan_terms;
-mod load_state;
-mod load_ticket;
-mod load_view;
 mod model_name;
 mod monotonic_time;
 mod order_kind;
@@ -128,22 +128,22 @@
     key_digest::KeyDigest,
     key_grant::KeyGrant,
     key_requirement::KeyRequirement,
-    load_estimate::LoadEstimate,
-    load_key::LoadKey,
-    load_outcome::LoadOutcome,
-    load_report::LoadReport,
     limit_bucket::LimitBucket,
     limit_reservation::LimitReservation,
     limit_share::LimitShare,
     limit_table::LimitTable,
+    load_estimate::LoadEstimate,
+    load_key::LoadKey,
+    load_outcome::LoadOutcome,
+    load_report::LoadReport,
+    load_state::LoadState,
+    load_ticket::LoadTicket,
+    load_view::LoadView,
     loan_call::LoanCall,
     loan_grant::LoanGrant,
     loan_request::LoanRequest,
     loan_step::LoanStep,
     loan_terms::LoanTerms,
-    load_state::LoadState,
-    load_ticket::LoadTicket,
-    load_view::LoadView,
     model_name::ModelName,
     monotonic_time::MonotonicTime,
     order_kind::OrderKind,
