Decide rollout steps without I/O or a clock

Cause: an instance must not go back to an older bundle or take a forged one, whatever order offers arrive in, and must not depend on its watchers alone.

Ruled out: counting a watcher's confirmation from its arrival. The convergence test with a watcher that keeps confirming the bundle before the head failed: the instances never read the head themselves. A confirmation now says how long ago the watcher heard the store, and counts from then.

Conclusion: versions only rise, and a silent or lagging watcher delays a bundle by at most the time until the instance's own read.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,6 +31,15 @@
 mod region_name;
 mod request_id;
 mod residency;
+mod rollout;
+mod rollout_member;
+mod rollout_offer;
+mod rollout_peer_answer;
+mod rollout_start;
+mod rollout_step;
+mod rollout_store_answer;
+mod rollout_version;
+mod rollout_watchers;
 mod route_target;
 mod routing_weights;
 mod service_name;
@@ -64,6 +73,15 @@
     region_name::RegionName,
     request_id::RequestId,
     residency::Residency,
+    rollout::Rollout,
+    rollout_member::RolloutMember,
+    rollout_offer::RolloutOffer,
+    rollout_peer_answer::RolloutPeerAnswer,
+    rollout_start::RolloutStart,
+    rollout_step::RolloutStep,
+    rollout_store_answer::RolloutStoreAnswer,
+    rollout_version::RolloutVersion,
+    rollout_watchers::{rollout_peers_to_notify, rollout_watchers},
     route_target::RouteTarget,
     routing_weights::RoutingWeights,
     service_name::ServiceName,
--- /dev/null
+++ b/crates/decisions/src/rollout_offer.rs
@@ -0,0 +1,40 @@
+//! Offer of a bundle by the store or a peer.
+
+use crate::RolloutVersion;
+
+/// What the store or a peer offers to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutOffer {
+    /// Whole content.
+    Content {
+        /// Bundle that is offered.
+        to: RolloutVersion,
+        /// Whether the signatures satisfy the trust of the held bundle or of the settings, and the
+        /// content has the digest.
+        verified: bool,
+    },
+    /// Difference between two bundles.
+    Difference {
+        /// Bundle that it applies to.
+        from: RolloutVersion,
+        /// Bundle that it leads to.
+        to: RolloutVersion,
+        /// Whether the signatures satisfy the trust of the held bundle, and the result has the
+        /// digest; meaningful only if `from` is the held bundle.
+        verified: bool,
+    },
+    /// Head without content, from the store or a peer's digest message.
+    Head {
+        /// Bundle that the head names.
+        to: RolloutVersion,
+    },
+}
+
+impl RolloutOffer {
+    /// Returns the bundle that is offered.
+    pub const fn to(&self) -> RolloutVersion {
+        match self {
+            Self::Content { to, .. } | Self::Difference { to, .. } | Self::Head { to } => *to,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/rollout_start.rs
@@ -0,0 +1,55 @@
+//! Start of a fresh instance.
+
+use std::time::Duration;
+
+use crate::{RolloutPeerAnswer, RolloutStoreAnswer, RolloutVersion};
+
+/// Time that a fresh instance without the store waits for its domain's peers.
+const PEERS_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What a fresh instance does before it serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutStart {
+    /// Takes the bundle of a peer.
+    TakeFromPeer(RolloutVersion),
+    /// Takes the bundle that the store's head names, from the store or a peer.
+    TakeFromStore(RolloutVersion),
+    /// Waits for answers and asks again; it does not serve.
+    Wait,
+}
+
+impl RolloutStart {
+    /// Decides by the answers so far, `waited` after the peers were asked.
+    ///
+    /// A peer may hold a newer bundle than the store's answer names, because the answer may be
+    /// older than the peer's; the instance must not begin below it.
+    pub fn decide(
+        store: RolloutStoreAnswer,
+        peers: &[RolloutPeerAnswer],
+        waited: Duration,
+    ) -> Self {
+        let best = peers
+            .iter()
+            .filter_map(|peer| match peer {
+                RolloutPeerAnswer::Holds {
+                    held,
+                    verified: true,
+                } => Some(*held),
+                _ => None,
+            })
+            .max_by_key(|held| held.version);
+        match (store, best) {
+            (RolloutStoreAnswer::Pending, _) => Self::Wait,
+            (RolloutStoreAnswer::Head(head), Some(held)) if held.version > head.version => {
+                Self::TakeFromPeer(held)
+            }
+            (RolloutStoreAnswer::Head(head), _) => Self::TakeFromStore(head),
+            (RolloutStoreAnswer::NoBundle | RolloutStoreAnswer::Unreachable, Some(held))
+                if waited >= PEERS_TIMEOUT || !peers.contains(&RolloutPeerAnswer::Pending) =>
+            {
+                Self::TakeFromPeer(held)
+            }
+            (RolloutStoreAnswer::NoBundle | RolloutStoreAnswer::Unreachable, _) => Self::Wait,
+        }
+    }
+}
