Accept and load bundles over a small store trait

Cause: a bundle is accepted by one compare-and-swap on the head, while operators race and the store's answers are lost after a write took effect.

Ruled out: one key `bundle/delta/<version>` for the difference. Two operators who race for a version write it before the head decides, so the loser's difference can stay there. The key now ends with the digest, and differences are found from the head backwards by the digests that the heads name. Also ruled out: reporting a failed write as not accepted after an earlier lost answer; the outcome is then read back or reported as unknown.

Conclusion: each version has one winner, and a result that is reported is the one that the store holds.

--- /dev/null
+++ b/crates/operators/src/accept_bundle.rs
@@ -0,0 +1,250 @@
+//! Accept of a bundle in the store.
+
+use serde::Serialize;
+
+use crate::{
+    AcceptError, AcceptRequest, AcceptedBundle, AuditAction, AuditRecord, BundleDifference,
+    BundleDocument, BundleHead, BundleStore, LostRace, StoreError, StoredDifference, StoredHead,
+    Trust,
+    load_bundle::read,
+    load_content, load_differences, load_head,
+    store_keys::{AUDIT_PREFIX, HEAD_KEY, content_key, difference_key},
+};
+
+/// Bytes of one content part; the store takes values up to 1 MB.
+const PART_BYTES: usize = 900_000;
+/// Writes of one key before a lost answer counts as a failure.
+const WRITE_ATTEMPTS: u32 = 4;
+
+/// Accepts a bundle by one compare-and-swap on the head.
+///
+/// The signatures are checked against the predecessor first, and the content and the difference
+/// are stored before the head, so that everyone who reads the head finds them. A lost answer is
+/// resolved by reading the head back. Accepting the bundle in force again has no effect but to
+/// write a missing audit record.
+///
+/// # Errors
+///
+/// Returns an error that tells whether the bundle is in force, is not, or whether this is unknown.
+pub async fn accept_bundle<S: BundleStore>(
+    store: &S,
+    request: &AcceptRequest<'_>,
+) -> Result<AcceptedBundle, AcceptError> {
+    let document = request.document;
+    let predecessor = load_head(store).await?;
+    if let Some(current) = &predecessor {
+        if current.head.digest == document.digest() {
+            return finish(store, request, current.clone(), true).await;
+        }
+        if current.head.version >= document.version() {
+            return Err(lost_race(store, current, document).await);
+        }
+    }
+    let head = prepare(store, request, predecessor.as_ref()).await?;
+    let value = to_json(&head);
+    let mut may_have_written = false;
+    for _ in 0..WRITE_ATTEMPTS {
+        let written = match &predecessor {
+            Some(current) => {
+                store
+                    .compare_and_swap(HEAD_KEY, &value, current.revision)
+                    .await
+            }
+            None => store.create_if_absent(HEAD_KEY, &value).await,
+        };
+        match written {
+            Ok(revision) => {
+                let current = StoredHead { head, revision };
+                return finish(store, request, current, false).await;
+            }
+            Err(StoreError::Unreachable) if !may_have_written => {
+                return Err(AcceptError::Store(StoreError::Unreachable));
+            }
+            Err(StoreError::Unreachable) => continue,
+            Err(StoreError::AnswerLost) => may_have_written = true,
+            Err(StoreError::Conflict) => {}
+        }
+        let Ok(Some(current)) = load_head(store).await else {
+            // The head may be ours, so neither success nor failure can be claimed.
+            may_have_written = true;
+            continue;
+        };
+        if current.head == head {
+            return finish(store, request, current, false).await;
+        }
+        if predecessor.as_ref() != Some(&current) {
+            return resolve_replaced(store, request, &head, &current).await;
+        }
+    }
+    Err(AcceptError::OutcomeUnknown {
+        version: document.version(),
+        digest: document.digest(),
+    })
+}
+
+/// Checks the request against the predecessor and stores everything that the head refers to.
+async fn prepare<S: BundleStore>(
+    store: &S,
+    request: &AcceptRequest<'_>,
+    predecessor: Option<&StoredHead>,
+) -> Result<BundleHead, AcceptError> {
+    let document = request.document;
+    let parts: Vec<&[u8]> = document.canonical().as_bytes().chunks(PART_BYTES).collect();
+    let head = BundleHead {
+        version: document.version(),
+        digest: document.digest(),
+        previous: predecessor.map(|current| current.head.digest),
+        parts: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+        signatures: request.signatures.to_vec(),
+    };
+    let difference = match predecessor {
+        None => {
+            let own = Trust::of_predecessor(document.bundle());
+            request.first_trust.unwrap_or(&own).verify_head(&head)?;
+            None
+        }
+        Some(current) => {
+            if current.head.version.checked_add(1) != Some(head.version) {
+                return Err(AcceptError::VersionGap {
+                    version: head.version,
+                    current: current.head.version,
+                });
+            }
+            let old = load_content(store, &current.head).await?;
+            Trust::of_predecessor(old.bundle()).verify_head(&head)?;
+            Some(StoredDifference {
+                head: head.clone(),
+                difference: document.difference_from(&old).to_string(),
+            })
+        }
+    };
+    for (part, value) in (0..).zip(parts) {
+        let key = content_key(&head.digest, part);
+        ensure(store, &key, value)
+            .await
+            .map_err(AcceptError::Store)?;
+    }
+    if let Some(difference) = difference {
+        let key = difference_key(head.version, &head.digest);
+        ensure(store, &key, &to_json(&difference))
+            .await
+            .map_err(AcceptError::Store)?;
+    }
+    Ok(head)
+}
+
+/// Decides after a failed write whether ours was accepted before `current`.
+async fn resolve_replaced<S: BundleStore>(
+    store: &S,
+    request: &AcceptRequest<'_>,
+    head: &BundleHead,
+    current: &StoredHead,
+) -> Result<AcceptedBundle, AcceptError> {
+    if current.head.digest == head.digest {
+        return finish(store, request, current.clone(), true).await;
+    }
+    if current.head.version > head.version {
+        // Our write may have taken effect and been followed by others.
+        let followed = load_differences(store, &current.head, head.version).await;
+        let ours = followed.map_err(|_| AcceptError::OutcomeUnknown {
+            version: head.version,
+            digest: head.digest,
+        })?;
+        if ours.first().and_then(|first| first.head.previous) == Some(head.digest) {
+            write_audit(
+                store,
+                request,
+                &format!("{AUDIT_PREFIX}version-{}", head.version),
+            )
+            .await?;
+            return Ok(AcceptedBundle {
+                head: head.clone(),
+                revision: None,
+                was_in_force: false,
+            });
+        }
+    }
+    Err(lost_race(store, current, request.document).await)
+}
+
+async fn finish<S: BundleStore>(
+    store: &S,
+    request: &AcceptRequest<'_>,
+    current: StoredHead,
+    was_in_force: bool,
+) -> Result<AcceptedBundle, AcceptError> {
+    write_audit(
+        store,
+        request,
+        &format!("{AUDIT_PREFIX}{}", current.revision),
+    )
+    .await?;
+    Ok(AcceptedBundle {
+        head: current.head,
+        revision: Some(current.revision),
+        was_in_force,
+    })
+}
+
+/// Writes the audit record unless there is one.
+async fn write_audit<S: BundleStore>(
+    store: &S,
+    request: &AcceptRequest<'_>,
+    key: &str,
+) -> Result<(), AcceptError> {
+    let version = request.document.version();
+    let value = to_json(&AuditRecord {
+        who: request.who.to_owned(),
+        what: AuditAction::BundleAccepted,
+        version,
+        digest: request.document.digest(),
+        when_ms: request.when_ms,
+    });
+    let mut source = StoreError::AnswerLost;
+    for _ in 0..WRITE_ATTEMPTS {
+        match store.create_if_absent(key, &value).await {
+            Ok(_) | Err(StoreError::Conflict) => return Ok(()),
+            Err(error) => source = error,
+        }
+    }
+    Err(AcceptError::AuditMissing { version, source })
+}
+
+async fn lost_race<S: BundleStore>(
+    store: &S,
+    current: &StoredHead,
+    own: &BundleDocument,
+) -> AcceptError {
+    match load_content(store, &current.head).await {
+        Ok(winner) => AcceptError::Lost(Box::new(LostRace {
+            current: current.head.clone(),
+            difference: BundleDifference::between(own, &winner),
+        })),
+        Err(error) => AcceptError::Load(error),
+    }
+}
+
+/// Makes `key` hold `value`, whatever it held before.
+async fn ensure<S: BundleStore>(store: &S, key: &str, value: &[u8]) -> Result<(), StoreError> {
+    let mut last = StoreError::AnswerLost;
+    for _ in 0..WRITE_ATTEMPTS {
+        match store.create_if_absent(key, value).await {
+            Ok(_) => return Ok(()),
+            Err(StoreError::Unreachable) => return Err(StoreError::Unreachable),
+            Err(error) => last = error,
+        }
+        match read(store, key).await? {
+            Some(entry) if entry.value == value => return Ok(()),
+            Some(entry) => match store.compare_and_swap(key, value, entry.revision).await {
+                Ok(_) => return Ok(()),
+                Err(error) => last = error,
+            },
+            None => {}
+        }
+    }
+    Err(last)
+}
+
+fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("these values have only string keys and numbers")
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,5 +1,9 @@
 //! Bundle, settings, signatures, audit records and logging.
 
+mod accept_bundle;
+mod accept_error;
+mod accept_request;
+mod accepted_bundle;
 mod audit_action;
 mod audit_record;
 mod bundle_checks;
@@ -10,6 +14,7 @@
 mod bundle_lines;
 mod bundle_reader;
 mod bundle_signature;
+mod bundle_store;
 mod caller_key;
 mod daemon_settings;
 mod difference_error;
@@ -21,9 +26,12 @@
 mod ini_section;
 mod ini_text;
 mod instance_settings;
+mod load_bundle;
+mod load_error;
 mod log_format;
 mod log_settings;
 mod logs;
+mod lost_race;
 mod operator_key;
 mod part;
 mod random_bytes;
@@ -31,11 +39,20 @@
 mod section_reader;
 mod settings_reader;
 mod signature_error;
+mod store_entry;
+mod store_error;
+mod store_keys;
+mod stored_difference;
+mod stored_head;
 mod tls_settings;
 mod trust;
 mod trust_reader;
 
 pub use {
+    accept_bundle::accept_bundle,
+    accept_error::AcceptError,
+    accept_request::AcceptRequest,
+    accepted_bundle::AcceptedBundle,
     audit_action::AuditAction,
     audit_record::AuditRecord,
     bundle_difference::BundleDifference,
@@ -43,19 +60,28 @@
     bundle_document::BundleDocument,
     bundle_head::BundleHead,
     bundle_signature::BundleSignature,
+    bundle_store::BundleStore,
     caller_key::{caller_key_digest, generate_caller_key, key_digest_text},
     daemon_settings::DaemonSettings,
     difference_error::DifferenceError,
     fault::Fault,
     faults::Faults,
     instance_settings::InstanceSettings,
+    load_bundle::{load_content, load_differences, load_head},
+    load_error::LoadError,
     log_format::LogFormat,
     log_settings::LogSettings,
     logs::Logs,
+    lost_race::LostRace,
     operator_key::OperatorKey,
     part::Part,
     section_change::SectionChange,
     signature_error::SignatureError,
+    store_entry::StoreEntry,
+    store_error::StoreError,
+    store_keys::{AUDIT_PREFIX, HEAD_KEY},
+    stored_difference::StoredDifference,
+    stored_head::StoredHead,
     tls_settings::TlsSettings,
     trust::Trust,
 };
--- /dev/null
+++ b/crates/operators/tests/common/fake_store.rs
@@ -0,0 +1,231 @@
+//! In-memory store with scripted faults, and a scheduler that interleaves operators.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    future::{Future, poll_fn},
+    pin::{Pin, pin},
+    sync::Mutex,
+    task::{Context, Poll, Waker},
+};
+
+use hawthornquay_operators::{BundleStore, HEAD_KEY, StoreEntry, StoreError};
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    None,
+    /// The call has no effect and no answer.
+    LostBefore,
+    /// The call takes effect, but its answer is lost.
+    LostAfter,
+    /// The answer is late, and the call takes effect only after some later calls.
+    Delayed,
+    Unreachable,
+}
+
+struct Write {
+    key: String,
+    value: Vec<u8>,
+    /// Revision that the key must have; zero if it must not exist.
+    expected: u64,
+}
+
+#[derive(Default)]
+struct State {
+    entries: BTreeMap<String, StoreEntry>,
+    revision: u64,
+    faults: VecDeque<CallFault>,
+    delayed: VecDeque<(u32, Write)>,
+    heads: Vec<Vec<u8>>,
+}
+
+impl State {
+    fn write(&mut self, write: Write) -> Result<u64, StoreError> {
+        let found = self
+            .entries
+            .get(&write.key)
+            .map_or(0, |entry| entry.revision);
+        if found != write.expected {
+            return Err(StoreError::Conflict);
+        }
+        assert!(write.value.len() < 1_000_000, "a value must be below 1 MB");
+        self.revision += 1;
+        if write.key == HEAD_KEY {
+            self.heads.push(write.value.clone());
+        }
+        let entry = StoreEntry {
+            value: write.value,
+            revision: self.revision,
+        };
+        self.entries.insert(write.key, entry);
+        Ok(self.revision)
+    }
+
+    fn next_fault(&mut self) -> CallFault {
+        for (calls, _) in &mut self.delayed {
+            *calls = calls.saturating_sub(1);
+        }
+        while self.delayed.front().is_some_and(|(calls, _)| *calls == 0) {
+            let (_, write) = self.delayed.pop_front().unwrap();
+            let _ = self.write(write);
+        }
+        self.faults.pop_front().unwrap_or(CallFault::None)
+    }
+
+    fn call(&mut self, write: Write) -> Result<u64, StoreError> {
+        match self.next_fault() {
+            CallFault::None => self.write(write),
+            CallFault::LostBefore => Err(StoreError::AnswerLost),
+            CallFault::LostAfter => {
+                let _ = self.write(write);
+                Err(StoreError::AnswerLost)
+            }
+            CallFault::Delayed => {
+                self.delayed.push_back((3, write));
+                Err(StoreError::AnswerLost)
+            }
+            CallFault::Unreachable => Err(StoreError::Unreachable),
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct FakeStore(Mutex<State>);
+
+impl FakeStore {
+    /// Scripts the next calls; later ones have no fault.
+    pub fn script(&self, faults: impl IntoIterator<Item = CallFault>) {
+        self.0.lock().unwrap().faults = faults.into_iter().collect();
+    }
+
+    /// Applies the delayed writes and drops the remaining faults.
+    pub fn settle(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.faults.clear();
+        while let Some((_, write)) = state.delayed.pop_front() {
+            let _ = state.write(write);
+        }
+    }
+
+    /// Returns the values that the head has had, the oldest first.
+    pub fn heads(&self) -> Vec<Vec<u8>> {
+        self.0.lock().unwrap().heads.clone()
+    }
+
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.0
+            .lock()
+            .unwrap()
+            .entries
+            .get(key)
+            .map(|entry| entry.value.clone())
+    }
+
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.0.lock().unwrap();
+        state
+            .entries
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
+    pub fn overwrite(&self, key: &str, value: &[u8]) {
+        let mut state = self.0.lock().unwrap();
+        state.revision += 1;
+        let entry = StoreEntry {
+            value: value.to_vec(),
+            revision: state.revision,
+        };
+        state.entries.insert(key.to_owned(), entry);
+    }
+
+    pub fn remove(&self, key: &str) {
+        self.0.lock().unwrap().entries.remove(key);
+    }
+}
+
+impl BundleStore for FakeStore {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        yield_once().await;
+        let mut state = self.0.lock().unwrap();
+        match state.next_fault() {
+            CallFault::None => Ok(state.entries.get(key).cloned()),
+            CallFault::Unreachable => Err(StoreError::Unreachable),
+            _ => Err(StoreError::AnswerLost),
+        }
+    }
+
+    async fn create_if_absent(&self, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+        self.compare_and_swap(key, value, 0).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        value: &[u8],
+        expected: u64,
+    ) -> Result<u64, StoreError> {
+        yield_once().await;
+        let write = Write {
+            key: key.to_owned(),
+            value: value.to_vec(),
+            expected,
+        };
+        self.0.lock().unwrap().call(write)
+    }
+}
+
+/// Lets the scheduler run another operator before each call.
+async fn yield_once() {
+    let mut yielded = false;
+    poll_fn(|_| {
+        if std::mem::replace(&mut yielded, true) {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    })
+    .await;
+}
+
+pub fn run<T>(future: impl Future<Output = T>) -> T {
+    let mut future = pin!(future);
+    loop {
+        if let Poll::Ready(value) = future
+            .as_mut()
+            .poll(&mut Context::from_waker(Waker::noop()))
+        {
+            return value;
+        }
+    }
+}
+
+/// Runs all futures; `schedule` says whose call comes next, then they take turns.
+pub fn interleave<'a, T>(
+    futures: Vec<Pin<Box<dyn Future<Output = T> + 'a>>>,
+    schedule: &[usize],
+) -> Vec<T> {
+    let count = futures.len();
+    let mut running: Vec<_> = futures.into_iter().map(Some).collect();
+    let mut results: Vec<Option<T>> = running.iter().map(|_| None).collect();
+    let mut turns = schedule
+        .iter()
+        .copied()
+        .chain((0..).map(|turn| turn % count));
+    while running.iter().any(Option::is_some) {
+        let index = turns.next().unwrap() % count;
+        let Some(future) = &mut running[index] else {
+            continue;
+        };
+        if let Poll::Ready(value) = future
+            .as_mut()
+            .poll(&mut Context::from_waker(Waker::noop()))
+        {
+            results[index] = Some(value);
+            running[index] = None;
+        }
+    }
+    results.into_iter().map(Option::unwrap).collect()
+}
--- a/crates/operators/tests/common/mod.rs
+++ b/crates/operators/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Valid texts that the tests change.
 #![allow(dead_code)]
 
+pub mod fake_store;
+
 use hawthornquay_operators::{BundleDocument, OperatorKey};
 
 /// Secret keys of the signers `ada` and `bola`.
--- a/crates/operators/tests/settings_faults.rs
+++ b/crates/operators/tests/settings_faults.rs
@@ -8,71 +8,22 @@
 /// Guards against each kind of fault being accepted, or reported at another line.
 #[test]
 fn settings_fault_is_reported_with_its_line() {
+    #[rustfmt::skip]
     let cases = [
         ("[tls]", "[ssl]", 10, "there is no section [ssl]"),
         ("[tls]", "[ssl]", 1, "the section [tls] is missing"),
-        (
-            "[log]",
-            "[instance]",
-            17,
-            "[instance] was already given on line 1",
-        ),
-        (
-            "region = lagos\n",
-            "",
-            1,
-            "[instance] lacks the field `region`",
-        ),
-        (
-            "name = lagos-a-1",
-            "name = lagos a",
-            2,
-            "`name` is `lagos a`, which is no name",
-        ),
-        (
-            "127.0.0.1:7001",
-            "somewhere:1",
-            5,
-            "`somewhere:1` is no address",
-        ),
+        ("[log]", "[instance]", 17, "[instance] was already given on line 1"),
+        ("region = lagos\n", "", 1, "[instance] lacks the field `region`"),
+        ("name = lagos-a-1", "name = lagos a", 2, "`name` is `lagos a`, which is no name"),
+        ("127.0.0.1:7001", "somewhere:1", 5, "`somewhere:1` is no address"),
         ("127.0.0.1:7001", "127.0.0.1:0", 5, "`callers` has port 0"),
         ("peers =", "pears =", 6, "[instance] has no field `pears`"),
-        (
-            "127.0.0.1:7000",
-            "0.0.0.0:7000",
-            9,
-            "`0.0.0.0:7000` is no address that a server can have",
-        ),
-        (
-            "key = tls/lagos-a-1.key",
-            "key =",
-            12,
-            "the field `key` is empty",
-        ),
-        (
-            "signatures_needed = 1",
-            "signatures_needed = 2",
-            15,
-            "2 signatures are needed, but there are 1 signers",
-        ),
-        (
-            "format = json",
-            "format = xml",
-            18,
-            "there is no log format `xml`",
-        ),
-        (
-            "level = info",
-            "level = loud",
-            19,
-            "there is no log level `loud`",
-        ),
-        (
-            "level.limits",
-            "level.limit",
-            20,
-            "there is no part `limit`",
-        ),
+        ("127.0.0.1:7000", "0.0.0.0:7000", 9, "`0.0.0.0:7000` is no address that a server can have"),
+        ("key = tls/lagos-a-1.key", "key =", 12, "the field `key` is empty"),
+        ("signatures_needed = 1", "signatures_needed = 2", 15, "2 signatures are needed, but there are 1 signers"),
+        ("format = json", "format = xml", 18, "there is no log format `xml`"),
+        ("level = info", "level = loud", 19, "there is no log level `loud`"),
+        ("level.limits", "level.limit", 20, "there is no part `limit`"),
     ];
     for (from, to, line, message) in cases {
         let text = replaced(&settings_text(), from, to);
