Add the platform client

Cause: bundle rollout, limit slots and claims need the store, and have to know of each failed call whether it may have taken effect.

A call that could not connect is Unreachable; every later failure is LostAnswer with its cause. The connect limit is shorter than the call limit, so a slow connect is not taken for a lost answer. hyper-util sends a request again only if nothing of it was written. After a timeout the pool is replaced, because its other connections may be silent as well.

write_with_token resolves a lost answer: it reads the key back and, while the key is still at the expected revision, repeats the write. If the key has yet another value, the write was either not done or already replaced; this is LostAnswer(Superseded), not Conflict, since a conflict would claim for certain that the write was not done.

The stand-in takes directory names that hold slashes, and both crates use percent-encoding (already in the lock file through gotham).

--- /dev/null
+++ b/crates/platform/src/lease_id.rs
@@ -0,0 +1,13 @@
+//! Identifier of a lease.
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a lease of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LeaseId(pub u64);
+
+impl std::fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/revision.rs
@@ -0,0 +1,15 @@
+//! Revision of the store.
+
+use serde::{Deserialize, Serialize};
+
+/// Number of a change to the store; grows with every change to any key.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+impl std::fmt::Display for Revision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/client.rs
@@ -0,0 +1,291 @@
+//! Contract tests of the client against the stand-in.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{PATIENCE, any_port, brief_limits, client, outcome};
+use hawthornquay_decisions::{InstanceRecord, InstanceState};
+use hawthornquay_platform::{Change, PlatformClient, Revision, VALUE_LIMIT_BYTES};
+use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
+use tokio::time::{Instant, timeout};
+
+async fn platform() -> (Platform, PlatformClient) {
+    let platform = Platform::start(any_port(), PlatformSettings::default())
+        .await
+        .unwrap();
+    let client = client(platform.address());
+    (platform, client)
+}
+
+/// Guards against keys and values that change on the way.
+#[tokio::test]
+async fn store_keeps_keys_and_values() {
+    let (_platform, client) = platform().await;
+    let keys = [
+        "a", "a/b", "a//b", "a b", "a%2Fb", "a+b", "a?b=c&d", "a#b", "ä/ö", "/a", "a/",
+    ];
+    for key in keys {
+        let value = [key.as_bytes(), &[0, 255]].concat();
+        let revision = client.create(key, &value, None).await.unwrap();
+        let entry = client.get(key).await.unwrap();
+        assert_eq!(
+            (&*entry.key, &*entry.value, entry.revision),
+            (key, &*value, revision)
+        );
+    }
+    let listed = client.list("a/").await.unwrap();
+    let found: Vec<&str> = listed.entries.iter().map(|entry| &*entry.key).collect();
+    assert_eq!(found, ["a/", "a//b", "a/b"]);
+    assert_eq!(listed.revision, Revision(keys.len() as u64));
+    assert_eq!(client.list("").await.unwrap().entries.len(), keys.len());
+}
+
+/// Guards against conflicts that do not show what the writer lost to.
+#[tokio::test]
+async fn conflict_shows_current_entry() {
+    let (_platform, client) = platform().await;
+    let first = client.create("head", b"one", None).await.unwrap();
+    let second = client
+        .compare_and_swap("head", b"two", first, None)
+        .await
+        .unwrap();
+    let current = client.get("head").await.unwrap();
+    let conflicts = [
+        client.create("head", b"three", None).await,
+        client.compare_and_swap("head", b"three", first, None).await,
+        client.delete("head", Some(first)).await,
+    ];
+    for conflict in conflicts {
+        let Err(hawthornquay_platform::PlatformError::Conflict {
+            current: Some(shown),
+        }) = conflict
+        else {
+            panic!("{conflict:?}");
+        };
+        assert_eq!(*shown, current);
+    }
+    client.delete("head", Some(second)).await.unwrap();
+    assert_eq!(outcome(&client.get("head").await), "not found");
+    assert_eq!(outcome(&client.delete("head", None).await), "not found");
+    let gone = client.compare_and_swap("head", b"x", second, None).await;
+    assert_eq!(outcome(&gone), "conflict, absent");
+}
+
+/// Guards against watches that lose changes between two calls.
+#[tokio::test]
+async fn watch_goes_on_from_its_revision() {
+    let (platform, client) = platform().await;
+    let mut revision = client.create("k/a", b"1", None).await.unwrap();
+    let nothing = client
+        .watch("k/", revision, Duration::from_millis(20))
+        .await
+        .unwrap();
+    assert_eq!((nothing.revision, nothing.changes.len()), (revision, 0));
+    let other = PlatformClient::new(platform.address(), brief_limits());
+    let write = async {
+        let written = other
+            .compare_and_swap("k/a", b"2", revision, None)
+            .await
+            .unwrap();
+        other.delete("k/a", Some(written)).await.unwrap();
+    };
+    let (first, ()) = tokio::join!(client.watch("k/", revision, PATIENCE), write);
+    let first = first.unwrap();
+    assert_eq!(first.changes.len(), 1);
+    revision = first.revision;
+    let mut last = first.changes;
+    if matches!(last[0], Change::Written(_)) {
+        last = client
+            .watch("k/", revision, PATIENCE)
+            .await
+            .unwrap()
+            .changes;
+    }
+    let deleted = Change::Deleted {
+        key: "k/a".to_owned(),
+        revision: Revision(3),
+    };
+    assert_eq!(last, [deleted]);
+}
+
+/// Guards against keys that outlive their lease, and renewals of an ended lease that seem to work.
+#[tokio::test]
+async fn leases_end() {
+    let (_platform, client) = platform().await;
+    let long = client.grant_lease(Duration::from_secs(3600)).await.unwrap();
+    let brief = client
+        .grant_lease(Duration::from_millis(100))
+        .await
+        .unwrap();
+    client.create("long", b"", Some(long)).await.unwrap();
+    let written = client.create("brief", b"", Some(brief)).await.unwrap();
+    assert_eq!(client.get("long").await.unwrap().lease, Some(long));
+    let seen = client.watch("brief", written, PATIENCE).await.unwrap();
+    assert!(
+        matches!(seen.changes[..], [Change::Deleted { .. }]),
+        "{seen:?}"
+    );
+    assert_eq!(outcome(&client.renew_lease(brief).await), "not found");
+    assert_eq!(
+        outcome(&client.create("late", b"", Some(brief)).await),
+        "not found"
+    );
+    client.renew_lease(long).await.unwrap();
+    client.end_lease(long).await.unwrap();
+    assert_eq!(outcome(&client.get("long").await), "not found");
+}
+
+/// Guards against a list or directory entry that cannot be read back.
+#[tokio::test]
+async fn instances_and_directory() {
+    let (platform, client) = platform().await;
+    platform.set_faults(PlatformFaults {
+        list_lag_ms: Some(0),
+        ..PlatformFaults::default()
+    });
+    let record = InstanceRecord {
+        name: "one".into(),
+        region: "lagos".into(),
+        domain: "lagos-a".into(),
+        callers: "127.0.0.1:1".parse().unwrap(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        operators: "127.0.0.1:3".parse().unwrap(),
+        state: InstanceState::Leaving,
+        state_age_ms: 0,
+    };
+    platform.set_instance(record.clone());
+    let mut listed = client.instances().await.unwrap();
+    assert_eq!(listed.lag_ms, 0);
+    listed.instances[0].state_age_ms = 0;
+    assert_eq!(listed.instances, [record]);
+
+    assert_eq!(outcome(&client.read_directory("eu/one").await), "not found");
+    client.write_directory("eu/one", "[]".into()).await.unwrap();
+    assert_eq!(client.read_directory("eu/one").await.unwrap(), "[]");
+}
+
+/// Guards against faults that the client reports as something else, above all a write of unknown
+/// outcome that is reported as certain.
+#[tokio::test]
+async fn faults_map_to_errors() {
+    let slow = brief_limits().call.as_millis() as u64 * 4;
+    let faults = |set: fn(&mut PlatformFaults)| {
+        let mut faults = PlatformFaults::default();
+        set(&mut faults);
+        faults
+    };
+    let delayed = PlatformFaults {
+        delay_ms: slow,
+        ..PlatformFaults::default()
+    };
+    // Name, faults, outcome of a read, outcome of a write, whether the write took effect.
+    let cases = [
+        ("none", PlatformFaults::default(), "ok", "ok", true),
+        (
+            "outage",
+            faults(|faults| faults.outage = true),
+            "outage",
+            "outage",
+            false,
+        ),
+        (
+            "lost",
+            faults(|faults| faults.lose_answers = 1),
+            "ok",
+            "lost, broken",
+            true,
+        ),
+        ("delay", delayed, "lost, timeout", "lost, timeout", true),
+    ];
+    for (name, faults, read, write, effect) in cases {
+        let (platform, client) = platform().await;
+        client.create("seed", b"", None).await.unwrap();
+        platform.set_faults(faults);
+        assert_eq!(outcome(&client.get("seed").await), read, "{name}");
+        let written = client.create("key", b"", None).await;
+        assert_eq!(outcome(&written), write, "{name}");
+        let certain = written.as_ref().err().is_none_or(|err| err.is_certain());
+        assert_eq!(certain, !write.starts_with("lost"), "{name}");
+        platform.set_faults(PlatformFaults::default());
+        assert_eq!(client.get("key").await.is_ok(), effect, "{name}");
+    }
+}
+
+/// Guards against refusals because of rate or size that are reported as something else.
+#[tokio::test]
+async fn limits_map_to_errors() {
+    let settings = PlatformSettings {
+        writes_per_s: 1,
+        reads_per_s: 1,
+        ..Default::default()
+    };
+    let platform = Platform::start(any_port(), settings).await.unwrap();
+    let client = client(platform.address());
+    let big = vec![0; VALUE_LIMIT_BYTES + 1];
+    assert_eq!(
+        outcome(&client.create("big", &big, None).await),
+        "too large"
+    );
+    assert_eq!(
+        outcome(&client.write_directory("big", big.into()).await),
+        "too large"
+    );
+    assert_eq!(platform.counters().writes, 0, "nothing is sent");
+    client.create("a", b"", None).await.unwrap();
+    client.get("a").await.unwrap();
+    let mut outcomes = Vec::new();
+    for _ in 0..5 {
+        outcomes.push(outcome(&client.create("b", b"", None).await));
+        outcomes.push(outcome(&client.get("a").await));
+        outcomes.push(outcome(&client.list("a").await));
+        outcomes.push(outcome(
+            &client.watch("a", Revision(0), Duration::ZERO).await,
+        ));
+    }
+    assert!(outcomes.contains(&"rate exceeded"), "{outcomes:?}");
+    let counters = platform.counters();
+    let refused = outcomes
+        .iter()
+        .filter(|outcome| **outcome == "rate exceeded")
+        .count();
+    assert_eq!(
+        counters.refused_writes + counters.refused_reads,
+        refused as u64
+    );
+}
+
+/// Guards against a refused connection that is reported as a lost answer, which would leave a
+/// write in doubt that was never sent.
+#[tokio::test]
+async fn refused_connection_is_unreachable() {
+    let (platform, client) = platform().await;
+    client.create("a", b"", None).await.unwrap();
+    let address = platform.address();
+    platform.stop().await;
+    let fresh = PlatformClient::new(address, brief_limits());
+    for _ in 0..2 {
+        assert_eq!(outcome(&fresh.create("a", b"", None).await), "unreachable");
+        assert_eq!(
+            outcome(&fresh.watch("a", Revision(0), PATIENCE).await),
+            "unreachable"
+        );
+    }
+}
+
+/// Guards against a silent watch that its caller waits for without end.
+#[tokio::test]
+async fn silent_watch_ends() {
+    let (platform, client) = platform().await;
+    platform.set_faults(PlatformFaults {
+        hold_watches: true,
+        ..PlatformFaults::default()
+    });
+    let start = Instant::now();
+    let wait = Duration::from_millis(50);
+    let held = timeout(PATIENCE, client.watch("a", Revision(0), wait)).await;
+    let held = held.expect("the watch ends by its own limit");
+    assert_eq!(outcome(&held), "lost, timeout");
+    assert!(start.elapsed() >= wait + brief_limits().watch_margin);
+    assert_eq!(outcome(&client.list("").await), "ok");
+}
--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,105 @@
+//! Helpers of the client's tests.
+#![allow(dead_code, reason = "each test program uses a part")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use hawthornquay_platform::{CallLimits, LostAnswerCause, PlatformClient, PlatformError};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+pub fn brief_limits() -> CallLimits {
+    CallLimits {
+        connect: Duration::from_millis(150),
+        call: Duration::from_millis(300),
+        watch_margin: Duration::from_millis(100),
+    }
+}
+
+pub fn client(address: SocketAddr) -> PlatformClient {
+    PlatformClient::new(address, brief_limits())
+}
+
+/// Names the case of a result, so that tables can compare it.
+pub fn outcome<T>(result: &Result<T, PlatformError>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(PlatformError::Conflict { current: None }) => "conflict, absent",
+        Err(PlatformError::Conflict { current: Some(_) }) => "conflict, present",
+        Err(PlatformError::NotFound) => "not found",
+        Err(PlatformError::Outage) => "outage",
+        Err(PlatformError::RateExceeded) => "rate exceeded",
+        Err(PlatformError::TooLarge) => "too large",
+        Err(PlatformError::Unreachable(_)) => "unreachable",
+        Err(PlatformError::LostAnswer(cause)) => match cause {
+            LostAnswerCause::Broken(_) => "lost, broken",
+            LostAnswerCause::Malformed(_) => "lost, malformed",
+            LostAnswerCause::Superseded { .. } => "lost, superseded",
+            LostAnswerCause::Timeout => "lost, timeout",
+            LostAnswerCause::UnexpectedStatus(_) => "lost, status",
+        },
+    }
+}
+
+/// What a scripted server does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    Answer(u16, String),
+    Close,
+    Silence,
+}
+
+/// Serves one scripted reply for each connection; returns the address.
+pub async fn scripted(replies: Vec<Reply>) -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut silent = Vec::new();
+        for reply in replies {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            read_request(&mut stream).await;
+            match reply {
+                Reply::Answer(status, body) => answer(&mut stream, status, &body, "close").await,
+                Reply::Close => {}
+                Reply::Silence => silent.push(stream),
+            }
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+pub async fn answer(stream: &mut TcpStream, status: u16, body: &str, connection: &str) {
+    let head = format!(
+        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\nconnection: {connection}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all((head + body).as_bytes()).await.unwrap();
+}
+
+/// Reads one request; returns whether there was one.
+pub async fn read_request(stream: &mut TcpStream) -> bool {
+    let mut buf = Vec::new();
+    loop {
+        if stream.read_buf(&mut buf).await.unwrap_or(0) == 0 {
+            return false;
+        }
+        let text = String::from_utf8_lossy(&buf).to_lowercase();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
+            return true;
+        }
+    }
+}
--- a/crates/standins/src/platform_endpoint.rs
+++ b/crates/standins/src/platform_endpoint.rs
@@ -136,7 +136,10 @@
                 self.store.answer(&req, &segments).await
             }
             (&Method::GET, ["instances"]) => self.instances(),
-            (&Method::GET | &Method::PUT, ["directory", name]) => self.directory(&req, name),
+            (&Method::GET | &Method::PUT, ["directory", ..]) => {
+                let name = path.strip_prefix("directory/").unwrap_or_default();
+                self.directory(&req, name)
+            }
             (&Method::GET, ["weights", _]) => self.weights(),
             _ => refuse_unknown(),
         };
--- a/crates/standins/src/standin_request.rs
+++ b/crates/standins/src/standin_request.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
+use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
 
 /// Method, decoded path, query, headers and whole body of a request.
@@ -48,23 +49,6 @@
     }
 }
 
-/// Decodes `%xx`; other characters, and malformed escapes, stay as they are.
 fn percent_decode(text: &str) -> String {
-    let mut buf = Vec::with_capacity(text.len());
-    let mut rest = text.as_bytes();
-    while let Some((&first, tail)) = rest.split_first() {
-        let escaped = (first == b'%')
-            .then(|| tail.get(..2))
-            .flatten()
-            .and_then(|digits| std::str::from_utf8(digits).ok())
-            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
-        if let Some(byte) = escaped {
-            buf.push(byte);
-            rest = &tail[2..];
-        } else {
-            buf.push(first);
-            rest = tail;
-        }
-    }
-    String::from_utf8_lossy(&buf).into_owned()
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
 }
