--- /dev/null
+++ b/crates/hawthornquay/src/load_task.rs
@@ -0,0 +1,144 @@
+//! Polling of backend servers.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use hawthornquay_decisions::{
+    BackendKind, BackendName, BackendServer, GossipLoad, InstanceName, LoadKey, LoadReport, Map,
+    MemberState, polling_instance,
+};
+use slog::debug;
+
+use crate::{Node, clock};
+
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Bound of the lag of a report from a backend server.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// Bound of the lag of a report that another instance passed on.
+const RELAYED_LAG: Duration = Duration::from_secs(2);
+
+/// Prefill speed assumed for a server that another instance polls, in tokens per second.
+const ASSUMED_PREFILL: f64 = 4_000.0;
+
+/// Time between tokens assumed for a server that another instance polls, in milliseconds.
+const ASSUMED_DECODE_MS: f64 = 20.0;
+
+/// Polls this instance's share of the domain's backend servers for as long as the process runs.
+pub async fn run_load(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut relayed: Map<BackendName, u64> = Map::default();
+    let mut events: Map<BackendName, u64> = Map::default();
+    loop {
+        interval.tick().await;
+        let servers = own_share(&node);
+        let polls = servers.iter().map(|server| poll_load(&node, server));
+        let loads: Vec<GossipLoad> = join_all(polls).await.into_iter().flatten().collect();
+        node.members.lock().own_mut().loads = loads;
+        for server in servers.iter().filter(|server| is_engine(server)) {
+            poll_prefixes(&node, server, &mut events).await;
+        }
+        take_relayed(&node, &mut relayed);
+        node.backends.close_expired();
+        node.queue.signal_free();
+    }
+}
+
+fn own_share(node: &Node) -> Vec<BackendServer> {
+    let Some(bundle) = node.bundle.active() else { return Vec::new() };
+    let instances = domain_instances(node);
+    let own = &node.id.name;
+    bundle
+        .bundle()
+        .backends
+        .values()
+        .filter(|server| server.domain == node.place.domain)
+        .filter(|server| polling_instance(&server.name, &instances) == Some(own))
+        .cloned()
+        .collect()
+}
+
+fn domain_instances(node: &Node) -> Vec<InstanceName> {
+    let members = node.members.lock();
+    let now = clock::now();
+    let others = members
+        .others()
+        .filter(|member| member.record.domain == node.place.domain)
+        .filter(|member| members.state_of(member, now) == MemberState::Live)
+        .map(|member| member.record.name.clone());
+    others.chain([node.id.name.clone()]).collect()
+}
+
+async fn poll_load(node: &Node, server: &BackendServer) -> Option<GossipLoad> {
+    match node.backends.load(server.address).await {
+        Ok(report) => {
+            let load = gossip_load(server, &report);
+            let key = LoadKey::Backend(server.name.clone());
+            node.routing.lock().view.report(key, report, REPORT_LAG, clock::now());
+            Some(load)
+        }
+        Err(error) => {
+            debug!(node.log.backends, "no load report"; "server" => %server.name, "error" => %error);
+            None
+        }
+    }
+}
+
+async fn poll_prefixes(node: &Node, server: &BackendServer, after: &mut Map<BackendName, u64>) {
+    let from = after.get(&server.name).copied().unwrap_or_default();
+    match node.backends.cache_events(server.address, from).await {
+        Ok(events) => {
+            after.insert(server.name.clone(), events.next);
+            node.routing.lock().prefixes.apply(&server.name, &events);
+        }
+        // Events may be missed meanwhile, so what is known of the cache no longer holds.
+        Err(_) => node.routing.lock().prefixes.forget(&server.name),
+    }
+}
+
+fn take_relayed(node: &Node, relayed: &mut Map<BackendName, u64>) {
+    let now = clock::now();
+    let loads = node.members.lock().loads(now);
+    let mut routing = node.routing.lock();
+    for load in loads {
+        let last = relayed.insert(load.backend.clone(), load.sequence);
+        if last == Some(load.sequence) {
+            continue;
+        }
+        let key = LoadKey::Backend(load.backend.clone());
+        routing.view.report(key, relayed_report(&load), RELAYED_LAG, now);
+    }
+}
+
+fn is_engine(server: &BackendServer) -> bool {
+    matches!(server.kind, BackendKind::ModelEngine { .. })
+}
+
+fn gossip_load(server: &BackendServer, report: &LoadReport) -> GossipLoad {
+    GossipLoad {
+        backend: server.name.clone(),
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        sequence: report.sequence,
+        leaving: report.leaving,
+    }
+}
+
+fn relayed_report(load: &GossipLoad) -> LoadReport {
+    LoadReport {
+        name: load.backend.to_string(),
+        running: load.running,
+        waiting: load.waiting,
+        slots: load.slots,
+        servers: 1,
+        kv_used: 0,
+        kv_capacity: 0,
+        prefill_tokens_per_s: ASSUMED_PREFILL,
+        decode_ms: ASSUMED_DECODE_MS,
+        leaving: load.leaving,
+        sequence: load.sequence,
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/platform_store.rs
@@ -0,0 +1,47 @@
+//! The platform's store as the operators' package sees it.
+
+use hawthornquay_operators::{BundleStore, StoreEntry, StoreError};
+use hawthornquay_platform::{Entry, PlatformClient, PlatformError, Revision};
+
+/// Bundle steps over the platform's store.
+pub struct PlatformStore<'a>(pub &'a PlatformClient);
+
+impl BundleStore for PlatformStore<'_> {
+    async fn get(&self, key: &str) -> Result<Option<StoreEntry>, StoreError> {
+        match self.0.get(key).await {
+            Ok(entry) => Ok(Some(store_entry(entry))),
+            Err(PlatformError::NotFound) => Ok(None),
+            Err(error) => Err(store_error(&error)),
+        }
+    }
+
+    async fn create_if_absent(&self, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+        self.compare_and_swap(key, value, 0).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        value: &[u8],
+        expect: u64,
+    ) -> Result<u64, StoreError> {
+        let written = self.0.compare_and_swap(key, value, Revision(expect), None).await;
+        written.map(|revision| revision.0).map_err(|error| store_error(&error))
+    }
+}
+
+fn store_entry(entry: Entry) -> StoreEntry {
+    StoreEntry { value: entry.value.to_vec(), revision: entry.revision.0 }
+}
+
+fn store_error(error: &PlatformError) -> StoreError {
+    match error {
+        PlatformError::Conflict { .. } => StoreError::Conflict,
+        PlatformError::LostAnswer(_) => StoreError::AnswerLost,
+        PlatformError::NotFound
+        | PlatformError::Outage
+        | PlatformError::RateExceeded
+        | PlatformError::TooLarge
+        | PlatformError::Unreachable(_) => StoreError::Unreachable,
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/src/rollout_peers.rs
@@ -0,0 +1,112 @@
+//! Bundles between instances.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use hawthornquay_decisions::{InstanceId, InstanceName};
+use hawthornquay_instances::{BundleContent, BundleDelta, BundleFetch, Notice, PeerAddress};
+use hawthornquay_operators::{BundleDocument, BundleHead, StoredDifference};
+use slog::info;
+
+use crate::{
+    Node,
+    gossip::take_digest,
+    rollout_install::{offer_content, offer_difference},
+};
+
+/// Size of one part of a bundle between instances, in bytes.
+const PART_BYTES: usize = 512 << 10;
+
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Takes a one-way message of another instance.
+pub async fn take_notice(node: &Arc<Node>, from: &InstanceId, notice: Notice) {
+    match notice {
+        Notice::Digest(digest) => take_digest(node, from, &digest).await,
+        Notice::BundleDelta(delta) => {
+            let Ok(difference) = serde_json::from_slice::<StoredDifference>(&delta.delta) else {
+                return;
+            };
+            if difference.head.version <= node.bundle.version() {
+                return;
+            }
+            if !offer_difference(node, &difference).await {
+                fetch_from(node, &from.name).await;
+            }
+        }
+    }
+}
+
+/// Sends a difference on to the gossip partners, over links that are open already.
+///
+/// Each instance passes a difference on once, so it reaches almost all within a few hops; digests
+/// repair the rest.
+pub async fn push_difference(node: &Arc<Node>, difference: &StoredDifference) {
+    let Ok(delta) = serde_json::to_vec(difference) else { return };
+    let notice = Notice::BundleDelta(BundleDelta {
+        version: difference.head.version,
+        base_version: difference.head.version.saturating_sub(1),
+        head: Bytes::new(),
+        delta: delta.into(),
+    });
+    let partners = node.partners.lock().clone();
+    let peers: Vec<PeerAddress> =
+        partners.iter().filter_map(|name| node.peer_named(name)).collect();
+    join_all(peers.iter().map(|peer| node.links.send(peer, notice.clone()))).await;
+}
+
+/// Answers a request for a part of the bundle in force.
+pub fn bundle_content(node: &Node, req: &BundleFetch) -> BundleContent {
+    let Some(active) = node.bundle.active().filter(|active| active.version() >= req.version) else {
+        return BundleContent::default();
+    };
+    let text = active.document.canonical().as_bytes();
+    let parts = text.len().div_ceil(PART_BYTES).max(1);
+    let part = text.chunks(PART_BYTES).nth(req.part as usize).unwrap_or_default();
+    BundleContent {
+        version: active.version(),
+        head: serde_json::to_vec(&active.head).unwrap_or_default().into(),
+        part: req.part,
+        parts: u32::try_from(parts).unwrap_or(u32::MAX),
+        content: Bytes::copy_from_slice(part),
+    }
+}
+
+/// Fetches the bundle of a peer that holds a newer one.
+pub async fn fetch_from(node: &Arc<Node>, name: &InstanceName) -> bool {
+    let Some(peer) = node.peer_named(name) else { return false };
+    let Some((head, document)) = fetch(node, &peer).await else {
+        info!(node.log.rollout, "peer gave no bundle"; "instance" => %name);
+        return false;
+    };
+    offer_content(node, head, document)
+}
+
+async fn fetch(node: &Node, peer: &PeerAddress) -> Option<(BundleHead, BundleDocument)> {
+    let wanted = node.bundle.version() + 1;
+    let first = fetch_part(node, peer, wanted, 0).await?;
+    let mut content = first.content.to_vec();
+    for part in 1..first.parts {
+        let next = fetch_part(node, peer, first.version, part).await?;
+        if next.version != first.version {
+            return None;
+        }
+        content.extend_from_slice(&next.content);
+    }
+    let head: BundleHead = serde_json::from_slice(&first.head).ok()?;
+    let text = String::from_utf8(content).ok()?;
+    let document = BundleDocument::read("bundle of a peer", &text).ok()?;
+    Some((head, document))
+}
+
+async fn fetch_part(
+    node: &Node,
+    peer: &PeerAddress,
+    version: u64,
+    part: u32,
+) -> Option<BundleContent> {
+    let req = BundleFetch { version, part };
+    let content = node.links.call(peer, req, FETCH_TIMEOUT).await.ok()?;
+    (content.version >= version && content.parts > 0).then_some(content)
+}
--- a/crates/instances/src/capacity_request.rs
+++ b/crates/instances/src/capacity_request.rs
@@ -1,18 +1,18 @@
-//! Request for permission to send work to another region.
+//! Question for the load of another failure domain and permission to send work there.
 
-/// Request for permission to send work to another region.
+/// Question for the load of another failure domain and permission to send work there.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CapacityRequest {
-    /// Model name.
+    /// Model name; empty for plain services.
     #[prost(string, tag = "1")]
     pub model: String,
-    /// Failure domain that would run the work.
+    /// Plain service name; empty for models.
     #[prost(string, tag = "2")]
+    pub service: String,
+    /// Failure domain that would run the work.
+    #[prost(string, tag = "3")]
     pub domain: String,
     /// Requests that the sender would send.
-    #[prost(uint32, tag = "3")]
+    #[prost(uint32, tag = "4")]
     pub requests: u32,
-    /// Prompt and output tokens of these requests.
-    #[prost(uint64, tag = "4")]
-    pub tokens: u64,
 }
--- a/crates/instances/src/digest.rs
+++ b/crates/instances/src/digest.rs
@@ -8,4 +8,10 @@
     /// Members, the sender first.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<DigestEntry>,
+    /// Version of the head that the sender or its source last read from the store.
+    #[prost(uint64, tag = "2")]
+    pub head_version: u64,
+    /// Time since that read.
+    #[prost(uint64, tag = "3")]
+    pub head_age_ms: u64,
 }
--- a/crates/instances/src/forward.rs
+++ b/crates/instances/src/forward.rs
@@ -9,31 +9,43 @@
     /// Organisation identifier.
     #[prost(string, tag = "2")]
     pub organisation: String,
-    /// Route of the request.
+    /// HTTP method.
     #[prost(string, tag = "3")]
-    pub route: String,
+    pub method: String,
+    /// Path with query.
+    #[prost(string, tag = "4")]
+    pub path: String,
     /// Hops with this one; always 1.
-    #[prost(uint32, tag = "4")]
+    #[prost(uint32, tag = "5")]
     pub hop_count: u32,
     /// Bundle version of the sender.
-    #[prost(uint64, tag = "5")]
-    pub bundle_version: u64,
-    /// Time left.
     #[prost(uint64, tag = "6")]
+    pub bundle_version: u64,
+    /// Time left; zero when the caller gave no deadline.
+    #[prost(uint64, tag = "7")]
     pub deadline_ms: u64,
     /// Whether the request has batch priority.
-    #[prost(bool, tag = "7")]
+    #[prost(bool, tag = "8")]
     pub batch: bool,
+    /// Whether the sender's bundle allows a second run.
+    #[prost(bool, tag = "9")]
+    pub repeatable: bool,
     /// Model name; empty for plain services.
-    #[prost(string, tag = "8")]
-    pub model: String,
-    /// Backend server that the sender suggests; may be empty.
-    #[prost(string, tag = "9")]
-    pub backend: String,
-    /// Content type of the body.
     #[prost(string, tag = "10")]
+    pub model: String,
+    /// Plain service name; empty for models.
+    #[prost(string, tag = "11")]
+    pub service: String,
+    /// Prompt length in tokens.
+    #[prost(uint64, tag = "12")]
+    pub prompt_tokens: u64,
+    /// Work that the request asks for, in tokens.
+    #[prost(uint64, tag = "13")]
+    pub cost: u64,
+    /// Content type of the body; empty when the caller gave none.
+    #[prost(string, tag = "14")]
     pub content_type: String,
     /// Body.
-    #[prost(bytes = "bytes", tag = "11")]
+    #[prost(bytes = "bytes", tag = "15")]
     pub body: ::prost::bytes::Bytes,
 }
--- a/crates/instances/src/loan_request.rs
+++ b/crates/instances/src/loan_request.rs
@@ -6,22 +6,19 @@
     /// Organisation identifier.
     #[prost(string, tag = "1")]
     pub organisation: String,
-    /// Failure domain of the slot.
+    /// Failure domain of the borrower.
     #[prost(string, tag = "2")]
     pub domain: String,
-    /// Slot of the organisation in that domain.
-    #[prost(uint32, tag = "3")]
-    pub slot: u32,
-    /// Wanted rate, in thousandths of a token per second.
+    /// Number that rises with each request of the borrower's incarnation.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Wanted rate in total, in millitokens per second.
     #[prost(uint64, tag = "4")]
     pub rate: u64,
-    /// Wanted burst, in thousandths of a token.
+    /// Wanted capacity in total, in nanotokens.
     #[prost(uint64, tag = "5")]
-    pub burst: u64,
-    /// Wanted level, in thousandths of a token.
+    pub capacity: u64,
+    /// Wanted level in addition, in nanotokens.
     #[prost(uint64, tag = "6")]
     pub level: u64,
-    /// Wanted duration.
-    #[prost(uint64, tag = "7")]
-    pub duration_ms: u64,
 }
