Add the command hawthornquay for bundles and keys

Printing a drawn key on standard output was ruled out, as that output is appended to the bundle; the key goes to standard error.

--- /dev/null
+++ b/crates/hawthornquay/src/command_output.rs
@@ -0,0 +1,36 @@
+//! Output of the command.
+
+use crate::CommandExit;
+
+/// Text and exit code of a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CommandOutput {
+    /// Exit code.
+    pub exit: CommandExit,
+    /// Text for standard output.
+    pub stdout: String,
+    /// Text for standard error.
+    pub stderr: String,
+}
+
+impl CommandOutput {
+    /// Builds the output of a command that only reports.
+    pub(crate) fn new(exit: CommandExit, stdout: String) -> Self {
+        Self {
+            exit,
+            stdout,
+            stderr: String::new(),
+        }
+    }
+
+    /// Builds output that is `json` or `text`.
+    pub(crate) fn of(
+        exit: CommandExit,
+        as_json: bool,
+        json: &serde_json::Value,
+        text: String,
+    ) -> Self {
+        let stdout = if as_json { format!("{json:#}\n") } else { text };
+        Self::new(exit, stdout)
+    }
+}
--- a/crates/operators/src/operator_key.rs
+++ b/crates/operators/src/operator_key.rs
@@ -45,6 +45,11 @@
         BASE64_STANDARD.encode(self.0.verifying_key().as_bytes())
     }
 
+    /// Returns the public key.
+    pub fn public_bytes(&self) -> [u8; 32] {
+        self.0.verifying_key().to_bytes()
+    }
+
     /// Signs a version and digest under the name that the predecessor gives the signer.
     pub fn sign(&self, signer: &str, version: u64, digest: &BundleDigest) -> BundleSignature {
         let signature = self.0.sign(&signed_message(version, digest));
