Add the daemon's start and stop

Cause: one process has to bring up callers', peers' and operators' interfaces and stop without cutting off a request.

--- /dev/null
+++ b/crates/hawthornquay/src/daemon.rs
@@ -0,0 +1,225 @@
+//! One running instance.
+
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use hawthornquay_backends::{BackendClient, ClientLimits};
+use hawthornquay_callers::caller_router;
+use hawthornquay_decisions::{
+    GossipSettings, Incarnation, InstanceId, InstanceRecord, InstanceState, IssuedKeyTable,
+    LimitTable, MemberTable, Rollout, RoutingPlace,
+};
+use hawthornquay_http::{HttpServer, ServerLimits};
+use hawthornquay_instances::{LinkError, LinkPool, LocalInstance, PeerServer, TlsIdentity};
+use hawthornquay_operators::{DaemonSettings, Logs};
+use hawthornquay_platform::{CallLimits, PlatformClient};
+use parking_lot::Mutex;
+use slog::{info, warn};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    BundleTable, CallerGateway, Drain, MetricsError, Metrics, Node, PartLogs, PeerGateway,
+    RequestLog, RequestQueue, RoutingState, clock, gossip,
+    limit_task::{release_slots, run_loans, run_slots},
+    load_task::run_load,
+    operator_router,
+    rollout_task::{run_rollout, run_watch, start_rollout},
+};
+
+/// Longest time that a shutdown waits for requests in flight.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Failure to start an instance.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// A TLS file cannot be read.
+    #[error("cannot read {path}: {source}")]
+    File {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: io::Error,
+    },
+    /// An address cannot be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Links to other instances cannot be set up.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// Metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+}
+
+/// Running instance.
+pub struct Daemon {
+    node: Arc<Node>,
+    callers: JoinHandle<bool>,
+    operators: JoinHandle<bool>,
+    peers: JoinHandle<()>,
+    tasks: Vec<JoinHandle<()>>,
+    callers_shutdown: CancellationToken,
+    shutdown: CancellationToken,
+}
+
+impl Daemon {
+    /// Starts an instance; it serves callers once it has a bundle.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file cannot be read or an address cannot be bound.
+    pub async fn start(settings: DaemonSettings, logs: Logs) -> Result<Self, DaemonError> {
+        let local = local_instance(&settings)?;
+        let node = Arc::new(build_node(settings, logs, local.clone())?);
+        let peers = PeerServer::bind(
+            node.settings.instance.peers,
+            local,
+            Arc::new(PeerGateway(Arc::clone(&node))),
+        )
+        .await?;
+        let callers_router = caller_router(Arc::new(CallerGateway(Arc::clone(&node))));
+        let callers = bind(node.settings.instance.callers, callers_router).await?;
+        let operators_router = operator_router(Arc::clone(&node));
+        let operators = bind(node.settings.instance.operators, operators_router).await?;
+        let (callers_shutdown, shutdown) = (CancellationToken::new(), CancellationToken::new());
+        info!(node.log.daemon, "started"; "instance" => %node.id);
+        Ok(Self {
+            callers: tokio::spawn(callers.serve(callers_shutdown.clone())),
+            operators: tokio::spawn(operators.serve(shutdown.clone())),
+            peers: tokio::spawn(peers.serve(shutdown.clone())),
+            tasks: spawn_tasks(&node),
+            node,
+            callers_shutdown,
+            shutdown,
+        })
+    }
+
+    /// Returns the shared tables.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Stops without cutting off a request in flight.
+    pub async fn stop(self) {
+        let Self { node, callers, operators, peers, tasks, callers_shutdown, shutdown } = self;
+        info!(node.log.daemon, "stopping"; "in_flight" => node.drain.in_flight());
+        node.drain.close();
+        node.members.lock().own_mut().leaving = true;
+        callers_shutdown.cancel();
+        let drained = tokio::time::timeout(DRAIN_TIMEOUT, node.drain.wait_idle()).await;
+        if drained.is_err() {
+            warn!(node.log.daemon, "requests still in flight"; "in_flight" => node.drain.in_flight());
+        }
+        let _ = callers.await;
+        release_slots(&node).await;
+        shutdown.cancel();
+        node.links.close();
+        for task in tasks {
+            task.abort();
+        }
+        let _ = tokio::join!(operators, peers);
+        info!(node.log.daemon, "stopped");
+    }
+}
+
+fn spawn_tasks(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
+    let queue = Arc::clone(node);
+    let rollout = Arc::clone(node);
+    vec![
+        tokio::spawn(gossip::run_membership(Arc::clone(node))),
+        tokio::spawn(async move {
+            start_rollout(&rollout).await;
+            run_rollout(rollout).await;
+        }),
+        tokio::spawn(run_watch(Arc::clone(node))),
+        tokio::spawn(run_slots(Arc::clone(node))),
+        tokio::spawn(run_loans(Arc::clone(node))),
+        tokio::spawn(run_load(Arc::clone(node))),
+        tokio::spawn(async move { queue.queue.run().await }),
+    ]
+}
+
+async fn bind(
+    address: SocketAddr,
+    router: gotham::router::Router,
+) -> Result<HttpServer, DaemonError> {
+    HttpServer::bind(address, router, ServerLimits::default())
+        .await
+        .map_err(|source| DaemonError::Listen { address, source })
+}
+
+fn local_instance(settings: &DaemonSettings) -> Result<LocalInstance, DaemonError> {
+    let tls = TlsIdentity::from_pem(
+        &read_file(&settings.tls.certificate)?,
+        &read_file(&settings.tls.key)?,
+        &read_file(&settings.tls.authority)?,
+    )?;
+    let id = InstanceId {
+        name: settings.instance.name.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    Ok(LocalInstance::new(id, tls))
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, DaemonError> {
+    fs::read(path).map_err(|source| DaemonError::File { path: path.to_owned(), source })
+}
+
+fn build_node(
+    settings: DaemonSettings,
+    logs: Logs,
+    local: LocalInstance,
+) -> Result<Node, DaemonError> {
+    let id = local.id().clone();
+    let instance = settings.instance.clone();
+    let started = clock::now();
+    let record = InstanceRecord {
+        name: instance.name,
+        region: instance.region.clone(),
+        domain: instance.domain.clone(),
+        callers: instance.callers,
+        peers: instance.peers,
+        operators: instance.operators,
+        state: InstanceState::Live,
+        state_age_ms: 0,
+    };
+    Ok(Node {
+        members: Mutex::new(MemberTable::new(record, id.incarnation, GossipSettings::default())),
+        limits: Mutex::new(LimitTable::new(id.clone(), instance.domain.clone())),
+        issued_keys: Mutex::new(IssuedKeyTable::new(id.clone())),
+        rollout: Mutex::new(Rollout::new(started, rand::random())),
+        place: RoutingPlace { region: instance.region, domain: instance.domain },
+        platform: PlatformClient::new(settings.platform, CallLimits::default()),
+        backends: BackendClient::new(ClientLimits::default()),
+        counters: local.counters(),
+        links: LinkPool::new(local),
+        log: PartLogs::new(logs),
+        metrics: Metrics::new()?,
+        bundle: BundleTable::default(),
+        loans: tokio::sync::Notify::new(),
+        routing: Mutex::new(RoutingState::default()),
+        queue: RequestQueue::default(),
+        requests: RequestLog::default(),
+        claim_leases: crate::ClaimLeases::default(),
+        drain: Arc::new(Drain::default()),
+        partners: Mutex::default(),
+        listed: Mutex::default(),
+        asked_domains: Mutex::default(),
+        head_seen: arc_swap::ArcSwapOption::default(),
+        sequence: AtomicU64::new(0),
+        started,
+        settings,
+        id,
+    })
+}
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -1,26 +1,34 @@
 //! Shared tables of one instance.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
+use arc_swap::ArcSwapOption;
 use hawthornquay_backends::BackendClient;
 use hawthornquay_decisions::{
-    InstanceId, IssuedKeyTable, LimitTable, MemberTable, RequestId, RoutingPlace,
+    DomainName, InstanceId, InstanceName, InstanceRecord, IssuedKeyTable, LimitTable, Map,
+    MemberTable, MonotonicTime, RequestId, Rollout, RouteTarget, RoutingPlace,
 };
-use hawthornquay_instances::LinkPool;
-use hawthornquay_operators::{DaemonSettings, Logs};
+use hawthornquay_instances::{LinkCounters, LinkPool};
+use hawthornquay_operators::DaemonSettings;
 use hawthornquay_platform::PlatformClient;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::{BundleTable, Drain, Metrics, RequestLog, RequestQueue, RoutingState};
+use crate::{
+    BundleTable, ClaimLeases, Drain, Metrics, PartLogs, RequestLog, RequestQueue, RoutingState,
+    clock,
+};
 
 /// Tables that the requests and tasks of one instance share.
 ///
-/// Locks are taken in the order of the fields `members`, `limits`, `routing`, `queue`,
-/// `issued_keys`, and none is held across an `await`.
+/// Locks are taken in the order of the fields `rollout`, `members`, `limits`, `routing`,
+/// `issued_keys`; the others are leaves. None is held across an `await`.
 pub struct Node {
     /// Identity of the process.
     pub id: InstanceId,
@@ -28,35 +36,50 @@
     pub place: RoutingPlace,
     /// Settings.
     pub settings: DaemonSettings,
+    /// When the process started.
+    pub started: MonotonicTime,
     /// Loggers.
-    pub logs: Logs,
+    pub log: PartLogs,
     /// Metrics.
     pub metrics: Metrics,
+    /// Rollout of bundles.
+    pub rollout: Mutex<Rollout>,
     /// Other instances.
     pub members: Mutex<MemberTable>,
-    /// Bundle in force.
-    pub bundle: BundleTable,
     /// Limits of organisations.
     pub limits: Mutex<LimitTable>,
-    /// Signals an answer to a loan request.
-    pub loans: Notify,
     /// Load of backend servers.
     pub routing: Mutex<RoutingState>,
-    /// Requests that wait for a free backend server.
-    pub queue: RequestQueue,
     /// Issued idempotency keys.
     pub issued_keys: Mutex<IssuedKeyTable>,
+    /// Bundle in force.
+    pub bundle: BundleTable,
+    /// Version of the head that the store last gave, and when it was asked.
+    pub head_seen: ArcSwapOption<(u64, MonotonicTime)>,
+    /// Signals an answer to a loan request.
+    pub loans: Notify,
+    /// Requests that wait for a free backend server.
+    pub queue: RequestQueue,
     /// Recent requests.
     pub requests: RequestLog,
+    /// Leases of claims.
+    pub claim_leases: ClaimLeases,
+    /// Instances that digests go to now.
+    pub partners: Mutex<Vec<InstanceName>>,
+    /// The platform's list as last read, with its lag.
+    pub listed: Mutex<(Vec<InstanceRecord>, Duration)>,
+    /// Domains that were asked for their load lately.
+    pub asked_domains: Mutex<Map<(DomainName, RouteTarget), MonotonicTime>>,
     /// Client of backend servers.
     pub backends: BackendClient,
     /// Client of the platform.
     pub platform: PlatformClient,
     /// Links to other instances.
     pub links: LinkPool,
+    /// Traffic of the links.
+    pub counters: Arc<LinkCounters>,
     /// Requests in flight.
     pub drain: Arc<Drain>,
-    /// Number of the last request.
     pub(crate) sequence: AtomicU64,
 }
 
@@ -66,4 +89,28 @@
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         RequestId::new(&format!("{}-{}-{sequence}", self.id.name, self.id.incarnation))
     }
+
+    /// Returns whether this instance is one of its region's watchers of the store.
+    pub fn is_watcher(&self) -> bool {
+        let members = self.members.lock();
+        members.watchers(&self.place.region, clock::now()).contains(&self.id.name)
+    }
+
+    /// Returns the members that hold a bundle, those with the highest version first.
+    pub fn members_by_bundle(&self) -> Vec<InstanceName> {
+        let members = self.members.lock();
+        let mut held: Vec<_> = members
+            .others()
+            .map(|member| (member.bundle_version, &member.record.domain == &self.place.domain, member.record.name.clone()))
+            .collect();
+        held.sort_by(|a, b| b.cmp(a));
+        held.into_iter().map(|(.., name)| name).collect()
+    }
+
+    /// Returns the bytes of control traffic on links, TLS included.
+    pub fn control_bytes(&self) -> u64 {
+        let sockets = self.counters.socket_bytes_in() + self.counters.socket_bytes_out();
+        let forwarded = &self.counters.forwarded;
+        sockets.saturating_sub(forwarded.bytes_in() + forwarded.bytes_out())
+    }
 }
