Verify content from peers, fall back to differences over a large gap

Cause: an instance that is more than 16 versions behind fetches the whole content, but its held bundle may name signers who have changed since. A region named `any` would also have made a residency ambiguous.

Ruled out: checking such content against the settings instead. They may still name a signer that the bundle has dropped, so a running instance would accept what its own bundle refuses. It fetches the differences and checks each one against its predecessor.

Conclusion: only a fresh instance relies on the trust of its settings.

--- a/crates/decisions/src/rollout.rs
+++ b/crates/decisions/src/rollout.rs
@@ -48,13 +48,15 @@
         match *offer {
             RolloutOffer::Head { .. } => self.fetch(to),
             RolloutOffer::Difference { from, .. } if self.held != Some(from) => self.fetch(to),
-            RolloutOffer::Content { verified, .. } | RolloutOffer::Difference { verified, .. } => {
-                if verified {
-                    RolloutStep::Install
-                } else {
-                    RolloutStep::IgnoreUnverified
-                }
-            }
+            RolloutOffer::Content { verified: true, .. }
+            | RolloutOffer::Difference { verified: true, .. } => RolloutStep::Install,
+            // Over a large gap the signers may have changed, and only the differences in between
+            // show by whom.
+            RolloutOffer::Content { .. } => match self.fetch(to) {
+                RolloutStep::FetchContent { .. } => self.fetch_differences(to),
+                _ => RolloutStep::IgnoreUnverified,
+            },
+            RolloutOffer::Difference { .. } => RolloutStep::IgnoreUnverified,
         }
     }
 
@@ -117,16 +119,23 @@
     fn fetch(&self, to: RolloutVersion) -> RolloutStep {
         match self.held {
             Some(held) if to.version - held.version <= DIFFERENCES_MAX => {
-                RolloutStep::FetchDifferences {
-                    first: held.version + 1,
-                    last: to.version,
-                }
+                self.fetch_differences(to)
             }
             _ => RolloutStep::FetchContent {
                 version: to.version,
             },
         }
     }
+
+    fn fetch_differences(&self, to: RolloutVersion) -> RolloutStep {
+        match self.held {
+            Some(held) => RolloutStep::FetchDifferences {
+                first: held.version + 1,
+                last: to.version,
+            },
+            None => RolloutStep::IgnoreUnverified,
+        }
+    }
 }
 
 fn jitter(random: u64) -> Duration {
--- a/crates/decisions/src/rollout_offer.rs
+++ b/crates/decisions/src/rollout_offer.rs
@@ -9,8 +9,8 @@
     Content {
         /// Bundle that is offered.
         to: RolloutVersion,
-        /// Whether the signatures satisfy the trust of the held bundle or of the settings, and the
-        /// content has the digest.
+        /// Whether the content has the digest, and the signatures satisfy the trust of the held
+        /// bundle or, without one, of the settings.
         verified: bool,
     },
     /// Difference between two bundles.
--- a/crates/decisions/src/rollout_step.rs
+++ b/crates/decisions/src/rollout_step.rs
@@ -9,6 +9,8 @@
         version: u64,
     },
     /// Fetches the differences of the versions `first` to `last` and offers each in turn.
+    ///
+    /// `last` is what the offer claims; the fetch ends at the head that the store or the peer has.
     FetchDifferences {
         /// First version, one above the held one.
         first: u64,
--- a/crates/decisions/tests/rollout_steps.rs
+++ b/crates/decisions/tests/rollout_steps.rs
@@ -46,6 +46,8 @@
         (difference(6, 8, true), fetch(8, 8)),
         (content(9, true), RolloutStep::Install),
         (content(9, false), RolloutStep::IgnoreUnverified),
+        (content(7 + 16, false), RolloutStep::IgnoreUnverified),
+        (content(7 + 17, false), fetch(8, 24)),
         (content(7, true), RolloutStep::IgnoreNotNewer),
         (content(6, true), RolloutStep::IgnoreNotNewer),
         (head(7), RolloutStep::IgnoreNotNewer),
--- a/crates/operators/src/bundle_reader.rs
+++ b/crates/operators/src/bundle_reader.rs
@@ -18,6 +18,8 @@
 const SALT_BYTES_MIN: usize = 16;
 /// Greatest length of a name in bytes; names travel in digests with a fixed budget.
 const NAME_BYTES_MAX: usize = 64;
+/// Word by which a residency allows every region.
+const ANY_REGION: &str = "any";
 const KINDS: &str = "bundle, region, domain, organisation, key, route, backend, routing";
 
 /// Reads the sections and records every fault.
@@ -99,7 +101,7 @@
         // A faulty section leaves its fields unread, but its unknown fields are still reported.
         let _ = match kind {
             "bundle" => self.read_head(&mut reader),
-            "region" => self.regions.insert(section.name().into()).then_some(()),
+            "region" => self.read_region(section),
             "domain" => self.read_domain(section, &mut reader),
             "organisation" => self.read_organisation(section, &mut reader),
             "key" => self.read_key(section, &mut reader),
@@ -157,6 +159,18 @@
         Some(())
     }
 
+    fn read_region(&mut self, section: &IniSection) -> Option<()> {
+        if section.name() == ANY_REGION {
+            self.faults.add(
+                section.line,
+                format!("a region cannot be named `{ANY_REGION}`"),
+                "choose another name; a residency uses this word for every region",
+            );
+            return None;
+        }
+        self.regions.insert(section.name().into()).then_some(())
+    }
+
     fn read_domain(&mut self, section: &IniSection, reader: &mut SectionReader<'_>) -> Option<()> {
         let region = reader.required("region", self.faults);
         let limit_weight = reader.positive("limit_weight", self.faults);
@@ -227,7 +241,7 @@
     }
 
     fn read_residency(&mut self, field: &IniField) -> Option<Residency> {
-        if field.value == "any" {
+        if field.value == ANY_REGION {
             return Some(Residency::Any);
         }
         let mut regions = Set::default();
--- a/crates/operators/src/load_bundle.rs
+++ b/crates/operators/src/load_bundle.rs
@@ -47,17 +47,7 @@
         content.extend(entry.ok_or(LoadError::Missing { key })?.value);
     }
     let text = String::from_utf8(content).map_err(|_| LoadError::Mismatch { version })?;
-    let document =
-        BundleDocument::read(&format!("bundle of version {version}"), &text).map_err(|faults| {
-            LoadError::Invalid {
-                version,
-                source: Box::new(faults),
-            }
-        })?;
-    if document.digest() != head.digest || document.version() != version {
-        return Err(LoadError::Mismatch { version });
-    }
-    Ok(document)
+    head.read_content(&text)
 }
 
 /// Loads the differences after version `after` up to `head`, the oldest first.
--- a/crates/operators/tests/bundle_faults.rs
+++ b/crates/operators/tests/bundle_faults.rs
@@ -22,6 +22,7 @@
     let cases: &[(&str, &str, usize, &str)] = &[
         ("[routing]", "[rooting]", 35, "there is no section kind `rooting`"),
         ("[region kano]", "[region lagos]", 8, "[region lagos] was already given on line 7"),
+        ("[region kano]", "[region any]", 8, "a region cannot be named `any`"),
         ("[region kano]", "[region]", 8, "[region] is no valid header"),
         ("[region kano]", "[region kano", 8, "`[region kano` is no section header"),
         ("[region kano]", "[region kano]\nx = 1", 9, "[region kano] has no field `x`"),
--- a/crates/operators/tests/signatures.rs
+++ b/crates/operators/tests/signatures.rs
@@ -4,7 +4,7 @@
 
 use common::{bundle_text, document, key};
 use hawthornquay_operators::{
-    BundleDigest, BundleDocument, BundleHead, OperatorKey, SignatureError, Trust,
+    BundleDigest, BundleDocument, BundleHead, LoadError, OperatorKey, SignatureError, Trust,
     caller_key_digest, generate_caller_key,
 };
 
@@ -87,6 +87,33 @@
     assert_eq!(serde_json::from_str::<BundleHead>(&json).unwrap(), head);
 }
 
+/// Guards against content of a peer that is taken without signatures, or under another head.
+#[test]
+fn signature_of_content_is_checked() {
+    let new = document(8);
+    let mut head = BundleHead {
+        version: 8,
+        digest: new.digest(),
+        previous: None,
+        parts: 1,
+        signatures: vec![key(1).sign("bola", 8, &new.digest())],
+    };
+    let version = |head: &BundleHead, text: &str| {
+        head.verify_content(text, &trust(1))
+            .map(|document| document.version())
+    };
+    assert_eq!(version(&head, new.canonical()), Ok(8));
+    assert_eq!(
+        version(&head, document(7).canonical()),
+        Err(LoadError::Mismatch { version: 8 })
+    );
+    head.signatures.clear();
+    assert!(matches!(
+        version(&head, new.canonical()),
+        Err(LoadError::Signatures(_))
+    ));
+}
+
 /// Guards against a digest other than HMAC-SHA256; vector of RFC 4231, test case 2.
 #[test]
 fn signature_caller_key_digest_is_hmac() {
