Test the lines of faults with random sections and fields

Cause: rust-ini gives no lines, and the reader pairs its sections and fields with remembered ones; repeated sections could have made them drift.

Conclusion: the lines in messages are exact.

--- a/crates/operators/tests/bundle_faults.rs
+++ b/crates/operators/tests/bundle_faults.rs
@@ -6,6 +6,7 @@
 use hawthornquay_decisions::{BackendKind, KeyRequirement, Residency};
 use hawthornquay_operators::{BundleDocument, Faults};
 use miette::Diagnostic;
+use proptest::prelude::*;
 
 fn faults(text: &str) -> Faults {
     BundleDocument::read("bundle.ini", text).expect_err("the text must be faulty")
@@ -43,6 +44,7 @@
         ("rate = 2000\n", "rate = many\n", 13, "`rate` is `many`, not a whole number above zero"),
         ("rate = 2000\n", "rate = -5\n", 13, "`rate` is `-5`, not a whole number above zero"),
         ("rate = 2000\n", "speed = 2000\n", 13, "[organisation yard] has no field `speed`"),
+        ("rate = 2000\n", "rate = 2000\\\n", 13, "the line holds a control character or a backslash"),
         ("burst = 20000", "burst = 0", 14, "`burst` is `0`, not a whole number above zero"),
         ("burst = 20000", "burst = 4", 19, "the route /v1/services/bookings costs 5 tokens, more than the burst of: yard"),
         ("residency = lagos, kano", "residency = kano", 15, "the residency of `yard` allows no domain"),
@@ -204,3 +206,37 @@
         assert!(BundleDocument::read("x", text).is_err(), "{text:?}");
     }
 }
+
+proptest! {
+    /// Guards against lines that drift when sections and fields repeat, since rust-ini gives none.
+    #[test]
+    fn bundle_lines_are_exact(lines in prop::collection::vec(0usize..8, 0..40)) {
+        let words = ["[region a]", "[region b]", "[ region  a ] ; x", "x = 1", "y=", "x = 2 # z", "; c", ""];
+        let mut text = "[region c]\n".to_owned();
+        let mut expected = Vec::new();
+        for (word, line) in lines.into_iter().zip(2..) {
+            text += &format!("{}\n", words[word]);
+            if (3..6).contains(&word) {
+                let name = if word == 4 { 'y' } else { 'x' };
+                expected.push((line, format!("has no field `{name}`")));
+            }
+        }
+        let found = faults(&text).faults;
+        let fields: Vec<_> = found
+            .iter()
+            .filter_map(|fault| {
+                let at = fault.message.find("has no field")?;
+                Some((fault.line, fault.message[at..].to_owned()))
+            })
+            .collect();
+        prop_assert_eq!(fields, expected);
+    }
+
+    /// Guards against text that makes the check panic.
+    #[test]
+    fn bundle_any_text_gives_faults_or_a_bundle(text in "(\\PC|[\\[\\]=;#\\\\ \\n\\t]|bundle|\\[region a\\]\\n){0,60}") {
+        if let Err(found) = BundleDocument::read("x", &text) {
+            prop_assert!(!found.faults.is_empty());
+        }
+    }
+}
