Measure routing on a timing model and correct what it shows

Found and changed: - Renewed grants kept their unused part outstanding for ever, so a receiver soon granted nothing. Each grant now ends by itself, and an arrived request counts until the load reports contain it. - A home-bound request at the head of the queue held up the others. The estimate now rises from 70% of the slots, and each own send counts for half of the other instances' as well.

Raising the start time at arrival changed nothing, because idle lines are dropped, and was removed.

--- /dev/null
+++ b/crates/decisions/examples/routing_measurement/gateway.rs
@@ -0,0 +1,275 @@
+//! Decisions, queues, reports and grants in the timing model.
+
+use super::*;
+
+impl Model {
+    pub(crate) fn at_instance(&mut self, call: usize, instance: usize) {
+        if self.strategy != Strategy::Gateway {
+            return self.send_by_baseline(call, instance);
+        }
+        let organisation = self.organisation(call);
+        let queue = &self.instances[instance].queue;
+        let served = self.instances[instance].served;
+        let wait = queue.expected_wait(&organisation, self.calls[call].priority, served);
+        if let Some(decision) = self.decide(call, instance, wait) {
+            return self.carry_out(call, instance, decision);
+        }
+        let entry = QueueEntry {
+            organisation,
+            priority: self.calls[call].priority,
+            cost: self.calls[call].prompt_tokens + self.calls[call].output_tokens,
+            since: time(self.now),
+            item: call,
+        };
+        if self.instances[instance].queue.push(entry, 1.0).is_err() {
+            self.refuse();
+        }
+    }
+
+    pub(crate) fn organisation(&self, call: usize) -> hawthornquay_decisions::OrganisationId {
+        format!("o{}", self.calls[call].organisation)
+            .as_str()
+            .into()
+    }
+
+    /// Returns the decision for a call, none if it waits.
+    pub(crate) fn decide(
+        &mut self,
+        call: usize,
+        instance: usize,
+        wait: Duration,
+    ) -> Option<RoutingDecision> {
+        let random = self.rng.random();
+        let Instance {
+            place,
+            view,
+            prefixes: map,
+            grants,
+            ..
+        } = &self.instances[instance];
+        let call = &self.calls[call];
+        let state = RoutingSnapshot {
+            bundle: &self.bundle,
+            view,
+            prefixes: map,
+            grants,
+            place,
+            queue_wait: wait,
+            now: time(self.now),
+        };
+        let residency = if call.home_bound {
+            Residency::Regions([place.region.clone()].into_iter().collect())
+        } else {
+            Residency::Any
+        };
+        let req = RoutingRequest {
+            target: &target(),
+            residency: &residency,
+            priority: call.priority,
+            prompt_tokens: call.prompt_tokens,
+            prefixes: &call.document.map(prefixes).unwrap_or_default(),
+            hop: call.hop,
+            tried: &[],
+            deadline_left: None,
+        };
+        match decide_route(&state, &req, random) {
+            RoutingDecision::Wait => None,
+            decision => Some(decision),
+        }
+    }
+
+    pub(crate) fn carry_out(&mut self, call: usize, instance: usize, decision: RoutingDecision) {
+        let now = time(self.now);
+        let tokens = self.calls[call].prompt_tokens;
+        let node = &mut self.instances[instance];
+        match decision {
+            RoutingDecision::Call(name) => {
+                let cached = self.calls[call].document.map_or(0, |document| {
+                    node.prefixes.cached_tokens(&name, &prefixes(document))
+                });
+                self.calls[call].engine = region_of(name.as_str());
+                let key = LoadKey::Backend(name);
+                let ticket = node.view.sent(key, tokens.saturating_sub(cached), now);
+                self.calls[call].tickets.push((instance, ticket));
+                self.schedule(NEAR_PATH, Event::AtEngine { call });
+            }
+            RoutingDecision::Forward(domain) => {
+                assert!(node.grants.spend(&domain, &target(), now));
+                let ticket = node
+                    .view
+                    .sent(LoadKey::Domain(domain.clone(), target()), tokens, now);
+                self.calls[call].tickets.push((instance, ticket));
+                self.calls[call].hop = RoutingHop::Forwarded(1);
+                let region = region_of(domain.as_str());
+                self.grantors[region].arrived(
+                    &InstanceId::new(&format!("i{instance}"), 1),
+                    &target(),
+                    now,
+                );
+                let instance = self.random_instance(region);
+                self.schedule(FAR_PATH, Event::AtInstance { call, instance });
+            }
+            RoutingDecision::Wait | RoutingDecision::Refuse(_) => self.refuse(),
+        }
+    }
+
+    pub(crate) fn send_by_baseline(&mut self, call: usize, instance: usize) {
+        let home = self.calls[call].home;
+        let at_home = self.calls[call].home_bound
+            || matches!(self.strategy, Strategy::RandomHome | Strategy::LeastHome);
+        let engines: Vec<usize> = (0..self.engines.len())
+            .filter(|engine| !at_home || engine / self.engines_per_region == home)
+            .collect();
+        let node = &mut self.instances[instance];
+        let random = matches!(self.strategy, Strategy::RandomFleet | Strategy::RandomHome);
+        let least = engines.iter().map(|engine| node.outstanding[*engine]).min();
+        let choices: Vec<usize> = engines
+            .into_iter()
+            .filter(|engine| random || Some(node.outstanding[*engine]) == least)
+            .collect();
+        let engine = choices[self.rng.random_range(0..choices.len())];
+        node.outstanding[engine] += 1;
+        let ticket = node
+            .view
+            .sent(LoadKey::Backend("e".into()), 0, time(self.now));
+        self.calls[call].tickets.push((instance, ticket));
+        self.calls[call].engine = engine;
+        let far = engine / self.engines_per_region != home;
+        self.schedule(
+            if far { FAR_PATH } else { NEAR_PATH },
+            Event::AtEngine { call },
+        );
+    }
+
+    pub(crate) fn refuse(&mut self) {
+        self.totals.refused += 1;
+    }
+
+    /// Takes calls from an instance's queue until one must wait on.
+    pub(crate) fn drain(&mut self, instance: usize) {
+        let now = time(self.now);
+        for _ in self.instances[instance].queue.expire(now) {
+            self.refuse();
+        }
+        loop {
+            let empty = FairQueue::new(LONGEST_WAIT);
+            let mut queue = std::mem::replace(&mut self.instances[instance].queue, empty);
+            let mut decision = None;
+            let popped = queue.pop(now, |entry| {
+                decision = self.decide(entry.item, instance, Duration::ZERO);
+                decision.is_some()
+            });
+            self.instances[instance].queue = queue;
+            let (Some(entry), Some(decision)) = (popped, decision) else {
+                return;
+            };
+            self.instances[instance].served += 1.0;
+            self.carry_out(entry.item, instance, decision);
+        }
+    }
+
+    pub(crate) fn queues(&mut self) {
+        for instance in 0..self.instances.len() {
+            self.instances[instance].served *= 1.0 - QUEUE_TICK;
+            self.drain(instance);
+        }
+        self.schedule(QUEUE_TICK, Event::Queues);
+    }
+
+    /// Samples every engine and delivers the samples made one lag ago.
+    pub(crate) fn reports(&mut self) {
+        let now = time(self.now);
+        for (index, engine) in self.engines.iter_mut().enumerate() {
+            let report = LoadReport {
+                name: String::new(),
+                running: engine.running as u32,
+                waiting: engine.waiting.len() as u32,
+                slots: SLOTS as u32,
+                servers: 1,
+                kv_used: 0,
+                kv_capacity: 0,
+                prefill_tokens_per_s: PREFILL_TOKENS_PER_S,
+                decode_ms: DECODE_SECONDS * 1e3,
+                leaving: false,
+                sequence: now.0 + 1,
+            };
+            let rng = &mut self.rng;
+            let mut events = std::mem::take(&mut engine.events);
+            events.retain(|_| !rng.random_bool(LOST_EVENTS));
+            let events = PrefixEvents {
+                events,
+                next: engine.sequence,
+            };
+            engine.samples.push_back((report, events));
+            if engine.samples.len() as f64 * REPORT_EVERY <= REPORT_LAG {
+                continue;
+            }
+            let Some((report, events)) = engine.samples.pop_front() else {
+                continue;
+            };
+            let region = index / self.engines_per_region;
+            let name = format!("e{index}").as_str().into();
+            let first = region * INSTANCES_PER_REGION;
+            for node in &mut self.instances[first..first + INSTANCES_PER_REGION] {
+                let age = Duration::from_secs_f64(REPORT_LAG + NEAR_PATH);
+                let key = LoadKey::Backend(std::clone::Clone::clone(&name));
+                node.view.report(key, report.clone(), age, now);
+                node.prefixes.apply(&name, &events);
+            }
+        }
+        self.share_summaries(now);
+        self.schedule(REPORT_EVERY, Event::Reports);
+    }
+
+    pub(crate) fn share_summaries(&mut self, now: MonotonicTime) {
+        for region in 0..REGIONS {
+            let view = &self.instances[region * INSTANCES_PER_REGION].view;
+            let Some(summary) = view.summary(&self.bundle, &domain(region), &target(), now) else {
+                continue;
+            };
+            for (index, node) in self.instances.iter_mut().enumerate() {
+                if index / INSTANCES_PER_REGION != region {
+                    let age = Duration::from_secs_f64(REPORT_LAG + FAR_PATH);
+                    let key = LoadKey::Domain(domain(region), target());
+                    node.view.report(key, summary.clone(), age, now);
+                }
+            }
+        }
+    }
+
+    /// Asks the other regions for grants where home is nearly full.
+    pub(crate) fn grants(&mut self) {
+        let now = time(self.now);
+        for instance in 0..self.instances.len() {
+            let home = instance / INSTANCES_PER_REGION;
+            let view = &self.instances[instance].view;
+            let summary = view.summary(&self.bundle, &domain(home), &target(), now);
+            if summary.is_none_or(|sum| (sum.running + sum.waiting) * 4 < sum.slots * 3) {
+                continue;
+            }
+            for region in (0..REGIONS).filter(|region| *region != home) {
+                let view = &self.instances[region * INSTANCES_PER_REGION].view;
+                let Some(summary) = view.summary(&self.bundle, &domain(region), &target(), now)
+                else {
+                    continue;
+                };
+                let id = InstanceId::new(&format!("i{instance}"), 1);
+                let (name, target) = (domain(region), target());
+                let held = self.instances[instance]
+                    .grants
+                    .available(&name, &target, now);
+                let wanted = GRANT_WANTED.saturating_sub(held);
+                let grantor = &mut self.grantors[region];
+                let grant = grantor.grant(&id, &name, &target, wanted, &summary, now);
+                let asked_at = self.now;
+                let event = Event::Granted {
+                    instance,
+                    grant,
+                    asked_at,
+                };
+                self.schedule(2.0 * FAR_PATH, event);
+            }
+        }
+        self.schedule(GRANT_EVERY, Event::Grants);
+    }
+}
--- a/crates/decisions/src/load_entry.rs
+++ b/crates/decisions/src/load_entry.rs
@@ -11,6 +11,9 @@
 /// Time over which a recovered server's share grows to the whole.
 const RAMP: Duration = Duration::from_secs(30);
 const RAMP_START: f64 = 0.1;
+/// Share of the slots from which a new request is likely to wait. Arrivals are random and reports
+/// lag, so a server that seems to have one slot left often has none.
+const BUSY_SHARE: f64 = 0.7;
 const ASSUMED_PROMPT_TOKENS: f64 = 512.0;
 const ASSUMED_OUTPUT_TOKENS: f64 = 128.0;
 const ASSUMED_SERVICE_SECONDS: f64 = 0.1;
@@ -96,7 +99,12 @@
         self.leaving_since.is_some()
     }
 
-    pub(crate) fn state(&self, stale_after: Duration, now: MonotonicTime) -> LoadState {
+    pub(crate) fn state(
+        &self,
+        stale_after: Duration,
+        senders: f64,
+        now: MonotonicTime,
+    ) -> LoadState {
         if self.is_leaving() {
             return LoadState::Leaving;
         }
@@ -112,7 +120,7 @@
         }
         match &self.report {
             Some(report) if now.since(self.covers_until) < stale_after => {
-                LoadState::Available(self.estimate(report, now))
+                LoadState::Available(self.estimate(report, senders, now))
             }
             _ => LoadState::Unknown,
         }
@@ -120,7 +128,7 @@
 
     /// Estimates the load of a server without a recent report from own sends alone.
     pub(crate) fn estimate_unreported(&self, assumed: &LoadReport) -> LoadEstimate {
-        let mut estimate = self.estimate(assumed, MonotonicTime::default());
+        let mut estimate = self.estimate(assumed, 1.0, MonotonicTime::default());
         estimate.occupied = self
             .sends
             .iter()
@@ -133,14 +141,15 @@
         self.report.as_ref()
     }
 
-    pub(crate) fn ramp(&self, now: MonotonicTime) -> f64 {
+    fn ramp(&self, now: MonotonicTime) -> f64 {
         self.recovered_at.map_or(1.0, |at| {
             let share = now.since(at).as_secs_f64() / RAMP.as_secs_f64();
             (RAMP_START + (1.0 - RAMP_START) * share).min(1.0)
         })
     }
 
-    pub(crate) fn estimate(&self, report: &LoadReport, now: MonotonicTime) -> LoadEstimate {
+    /// Estimates the load now, counting each own send since the report `senders` times.
+    fn estimate(&self, report: &LoadReport, senders: f64, now: MonotonicTime) -> LoadEstimate {
         let unseen = || {
             self.sends
                 .iter()
@@ -152,10 +161,11 @@
             .filter(|send| send.ended.is_some())
             .count() as f64;
         let reported = f64::from(report.running) + f64::from(report.waiting);
-        let occupied = (reported - ended).max(0.0) + unseen().count() as f64;
+        let unseen_sends = unseen().count() as f64;
+        let occupied = (reported + senders * (unseen_sends - ended)).max(unseen_sends);
         let slots = (f64::from(report.slots) * self.ramp(now)).max(1.0);
         let unseen_tokens = unseen().map(|send| send.prefill_tokens).sum::<u64>() as f64;
-        let excess = (occupied + 1.0 - slots).max(0.0);
+        let excess = (occupied + 1.0 - slots * BUSY_SHARE).max(0.0);
         let mut queue_seconds = excess * self.service(report) / slots;
         if report.prefill_tokens_per_s > 0.0 {
             let pending = unseen_tokens + f64::from(report.waiting) * ASSUMED_PROMPT_TOKENS;
--- a/crates/decisions/src/load_estimate.rs
+++ b/crates/decisions/src/load_estimate.rs
@@ -16,7 +16,7 @@
 }
 
 impl LoadEstimate {
-    /// Returns whether a new request would wait behind more than a few others.
+    /// Returns whether a new request would wait behind others for longer than a short while.
     ///
     /// A short queue at the server keeps it busy while the next request is on its way; the rest
     /// waits in the gateway, where organisations share fairly.
--- a/crates/decisions/src/load_view.rs
+++ b/crates/decisions/src/load_view.rs
@@ -12,14 +12,37 @@
 /// Time added to the estimate of a server without a recent report.
 const UNREPORTED_SECONDS: f64 = 0.5;
 
+/// Most times that an own send counts: a few own sends are a noisy sample of everyone's.
+const MOST_SENDERS: f64 = 3.0;
+
 /// Load reports, corrected by what this instance has sent since they were made.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct LoadView {
     entries: Map<LoadKey, LoadEntry>,
     last_ticket: u64,
+    senders: f64,
+}
+
+impl Default for LoadView {
+    fn default() -> Self {
+        Self {
+            entries: Map::default(),
+            last_ticket: 0,
+            senders: 1.0,
+        }
+    }
 }
 
 impl LoadView {
+    /// Sets the number of instances that send to the same servers, the own one included.
+    ///
+    /// The others' sends since a report are unknown; each own send counts for half as many more
+    /// as there are other instances, up to a bound.
+    pub fn set_instances(&mut self, instances: usize) {
+        let others = instances.saturating_sub(1) as f64;
+        self.senders = (1.0 + others / 2.0).min(MOST_SENDERS);
+    }
+
     /// Takes a report that reflects the state `age` ago.
     ///
     /// Sends made within that age are counted on top of the report, so `age` is the lag's bound
@@ -64,9 +87,9 @@
 
     /// Returns the state of a server or domain.
     pub fn state(&self, key: &LoadKey, now: MonotonicTime) -> LoadState {
-        self.entries
-            .get(key)
-            .map_or(LoadState::Unknown, |entry| entry.state(STALE_AFTER, now))
+        self.entries.get(key).map_or(LoadState::Unknown, |entry| {
+            entry.state(STALE_AFTER, self.senders, now)
+        })
     }
 
     /// Returns the state of a server that may be used without a report.
--- a/crates/decisions/src/queue_fair.rs
+++ b/crates/decisions/src/queue_fair.rs
@@ -16,6 +16,8 @@
 
 /// Requests that wait because every server is full.
 ///
+/// An instance keeps one queue for each target, so that a full model does not hold up another.
+///
 /// Interactive requests go first. A batch request that has waited for half of the longest wait
 /// takes every fourth turn, so that an organisation which sends only batch is not starved.
 #[derive(Clone, Debug)]
@@ -53,18 +55,27 @@
         Ok(())
     }
 
-    /// Takes the request that is served next.
-    pub fn pop(&mut self, now: MonotonicTime) -> Option<QueueEntry<T>> {
-        self.turns = self.turns.wrapping_add(1);
-        let patience = self.longest_wait / BATCH_PATIENCE_SHARE;
-        let overdue = self
-            .batch
-            .oldest()
-            .is_some_and(|since| now.since(since) >= patience);
-        if overdue && self.turns.is_multiple_of(BATCH_TURN) {
-            return self.batch.pop();
+    /// Takes the first request, in the order of service, that `is_ready` accepts.
+    ///
+    /// Only the first request of each organisation is tried: residency belongs to the
+    /// organisation, so one that must wait for its home does not hold up the others.
+    pub fn pop(
+        &mut self,
+        now: MonotonicTime,
+        mut is_ready: impl FnMut(&QueueEntry<T>) -> bool,
+    ) -> Option<QueueEntry<T>> {
+        let is_ready = &mut is_ready;
+        let popped = if self.batch_overtakes(now) {
+            let batch = self.batch.pop(is_ready);
+            batch.or_else(|| self.interactive.pop(is_ready))
+        } else {
+            let interactive = self.interactive.pop(is_ready);
+            interactive.or_else(|| self.batch.pop(is_ready))
+        };
+        if popped.is_some() {
+            self.turns = self.turns.wrapping_add(1);
         }
-        self.interactive.pop().or_else(|| self.batch.pop())
+        popped
     }
 
     /// Removes the requests that have waited too long, with the refusal that each gets.
@@ -115,6 +126,13 @@
             .map_or(self.longest_wait, |wait| wait.min(self.longest_wait))
     }
 
+    fn batch_overtakes(&self, now: MonotonicTime) -> bool {
+        let patience = self.longest_wait / BATCH_PATIENCE_SHARE;
+        let oldest = self.batch.oldest();
+        let is_overdue = oldest.is_some_and(|since| now.since(since) >= patience);
+        is_overdue && self.turns % BATCH_TURN == BATCH_TURN - 1
+    }
+
     fn refusal(&self) -> Refusal {
         Refusal::not_run(
             RefusalCode::NoCapacity,
--- a/crates/decisions/src/queue_lane.rs
+++ b/crates/decisions/src/queue_lane.rs
@@ -4,6 +4,9 @@
 
 use crate::{Map, MonotonicTime, OrganisationId, QueueEntry};
 
+/// Most organisations whose first request is tried at once; bounds the time when all must wait.
+const ORGANISATIONS_TRIED: usize = 32;
+
 /// Waiting requests of one priority, shared by start-time fair queueing.
 ///
 /// Each organisation's first waiting request has a virtual start time: the end of the last one
@@ -41,23 +44,32 @@
                 start: virtual_time,
                 weight,
             });
-        if line.waiting.is_empty() {
-            line.start = line.start.max(virtual_time);
-        }
         line.weight = weight;
         line.waiting.push_back(entry);
     }
 
-    pub(crate) fn pop(&mut self) -> Option<QueueEntry<T>> {
-        let organisation = self.first()?.clone();
+    pub(crate) fn pop(
+        &mut self,
+        is_ready: &mut impl FnMut(&QueueEntry<T>) -> bool,
+    ) -> Option<QueueEntry<T>> {
+        let organisation = self
+            .in_order()
+            .into_iter()
+            .take(ORGANISATIONS_TRIED)
+            .find(|organisation| {
+                let first = self.lines[*organisation].waiting.front();
+                first.is_some_and(&mut *is_ready)
+            })?
+            .clone();
         let line = self.lines.get_mut(&organisation)?;
         let entry = line.waiting.pop_front()?;
         let start = line.start;
         line.start += entry.cost.max(1) as f64 / line.weight;
-        self.virtual_time = start;
+        let virtual_time = self.virtual_time.max(start);
+        self.virtual_time = virtual_time;
         // A line that is not ahead of the virtual time carries no state worth keeping.
         self.lines
-            .retain(|_, line| !line.waiting.is_empty() || line.start > start);
+            .retain(|_, line| !line.waiting.is_empty() || line.start > virtual_time);
         Some(entry)
     }
 
@@ -110,11 +122,16 @@
         self.lines.values().map(|line| line.waiting.len()).sum()
     }
 
-    fn first(&self) -> Option<&OrganisationId> {
-        self.lines
+    fn in_order(&self) -> Vec<&OrganisationId> {
+        let mut lines: Vec<_> = self
+            .lines
             .iter()
             .filter(|(_, line)| !line.waiting.is_empty())
-            .min_by(|(x, a), (y, b)| a.start.total_cmp(&b.start).then_with(|| x.cmp(y)))
+            .collect();
+        lines.sort_by(|(x, a), (y, b)| a.start.total_cmp(&b.start).then_with(|| x.cmp(y)));
+        lines
+            .into_iter()
             .map(|(organisation, _)| organisation)
+            .collect()
     }
 }
--- a/crates/decisions/src/routing_grantor.rs
+++ b/crates/decisions/src/routing_grantor.rs
@@ -2,24 +2,35 @@
 
 use std::time::Duration;
 
-use crate::{DomainName, InstanceId, LoadReport, Map, MonotonicTime, RouteTarget, RoutingGrant};
+use crate::{DomainName, InstanceId, LoadReport, MonotonicTime, RouteTarget, RoutingGrant};
 
 const VALID_FOR: Duration = Duration::from_secs(2);
 /// Time beyond the grant during which a forwarded request may still be on its way.
 const TRANSIT: Duration = Duration::from_millis(500);
+/// Time until the load reports contain a request that arrived under a grant.
+const SEEN_AFTER: Duration = Duration::from_millis(1_500);
 /// Part of the free slots that other regions may take; the rest absorbs the home region's bursts.
-const FREE_SHARE: f64 = 0.5;
+const FREE_SHARE: f64 = 0.9;
 
-/// Grants given to instances of other regions and not used yet.
+/// Grants given to instances of other regions.
 ///
 /// One instance of a domain grants for each target, so that the free slots are given out once.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingGrantor {
-    given: Map<(InstanceId, RouteTarget), (u32, MonotonicTime)>,
+    given: Vec<Given>,
+}
+
+#[derive(Clone, Debug)]
+struct Given {
+    /// Holder; none for requests that arrived and are not in the reports yet.
+    holder: Option<InstanceId>,
+    target: RouteTarget,
+    requests: u32,
+    until: MonotonicTime,
 }
 
 impl RoutingGrantor {
-    /// Grants at most `wanted` requests, out of the free slots in the domain's summary.
+    /// Grants at most `wanted` further requests, out of the free slots in the domain's summary.
     ///
     /// A requester gets at most half of what is left, so that the first does not take all.
     pub fn grant(
@@ -31,17 +42,17 @@
         summary: &LoadReport,
         now: MonotonicTime,
     ) -> RoutingGrant {
-        self.given.retain(|_, (_, until)| now < *until);
-        let key = (requester.clone(), target.clone());
-        // A new grant replaces the requester's old one, which may still be spent on its way here.
-        let old = self.given.remove(&key).map_or(0, |(requests, _)| requests);
         let busy = summary.running + summary.waiting;
         let free = f64::from(summary.slots.saturating_sub(busy)) * FREE_SHARE;
-        let left = (free as u32).saturating_sub(self.outstanding(target) + old);
+        let left = (free as u32).saturating_sub(self.outstanding(target, now));
         let requests = wanted.min(left.div_ceil(2));
-        if requests + old > 0 {
-            let until = now + VALID_FOR + TRANSIT;
-            self.given.insert(key, (requests + old, until));
+        if requests > 0 {
+            self.given.push(Given {
+                holder: Some(requester.clone()),
+                target: target.clone(),
+                requests,
+                until: now + VALID_FOR + TRANSIT,
+            });
         }
         RoutingGrant {
             domain: domain.clone(),
@@ -52,22 +63,39 @@
     }
 
     /// Records the arrival of a request under a grant; returns whether one was left.
-    pub fn arrived(&mut self, requester: &InstanceId, target: &RouteTarget) -> bool {
-        match self.given.get_mut(&(requester.clone(), target.clone())) {
-            Some((requests, _)) if *requests > 0 => {
-                *requests -= 1;
-                true
-            }
-            _ => false,
-        }
+    pub fn arrived(
+        &mut self,
+        requester: &InstanceId,
+        target: &RouteTarget,
+        now: MonotonicTime,
+    ) -> bool {
+        let given = self.given.iter_mut().find(|given| {
+            given.holder.as_ref() == Some(requester)
+                && given.target == *target
+                && given.requests > 0
+                && now < given.until
+        });
+        let Some(given) = given else {
+            return false;
+        };
+        given.requests -= 1;
+        self.given.push(Given {
+            holder: None,
+            target: target.clone(),
+            requests: 1,
+            until: now + SEEN_AFTER,
+        });
+        true
     }
 
-    /// Returns the requests granted for a target and not arrived yet.
-    pub fn outstanding(&self, target: &RouteTarget) -> u32 {
+    /// Returns the granted requests of a target that the load reports do not contain yet.
+    pub fn outstanding(&mut self, target: &RouteTarget, now: MonotonicTime) -> u32 {
+        self.given
+            .retain(|given| given.requests > 0 && now < given.until);
         self.given
             .iter()
-            .filter(|((_, granted), _)| granted == target)
-            .map(|(_, (requests, _))| requests)
+            .filter(|given| given.target == *target)
+            .map(|given| given.requests)
             .sum()
     }
 }
--- a/crates/decisions/src/routing_grants.rs
+++ b/crates/decisions/src/routing_grants.rs
@@ -2,37 +2,42 @@
 
 use crate::{DomainName, Map, MonotonicTime, RouteTarget, RoutingGrant};
 
-/// Grants received from other regions.
+/// Grants received from other regions, each with its own end.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingGrants {
-    held: Map<(DomainName, RouteTarget), (u32, MonotonicTime)>,
+    held: Map<(DomainName, RouteTarget), Vec<(u32, MonotonicTime)>>,
 }
 
 impl RoutingGrants {
-    /// Takes a grant that was asked for at `asked_at`; it replaces the one held before.
+    /// Adds a grant that was asked for at `asked_at`.
     pub fn accept(&mut self, grant: RoutingGrant, asked_at: MonotonicTime) {
-        self.held.insert(
-            (grant.domain, grant.target),
-            (grant.requests, asked_at + grant.valid_for),
-        );
+        let until = asked_at + grant.valid_for;
+        let held = self.held.entry((grant.domain, grant.target)).or_default();
+        held.retain(|(requests, until)| *requests > 0 && asked_at < *until);
+        held.push((grant.requests, until));
     }
 
     /// Returns how many requests may be forwarded now.
     pub fn available(&self, domain: &DomainName, target: &RouteTarget, now: MonotonicTime) -> u32 {
-        match self.held.get(&(domain.clone(), target.clone())) {
-            Some((requests, until)) if now < *until => *requests,
-            _ => 0,
-        }
+        let held = self.held.get(&(domain.clone(), target.clone()));
+        held.into_iter()
+            .flatten()
+            .filter(|(_, until)| now < *until)
+            .map(|(requests, _)| requests)
+            .sum()
     }
 
-    /// Uses the grant for one request; returns whether it allowed that.
+    /// Uses the oldest grant for one request; returns whether one allowed that.
     pub fn spend(&mut self, domain: &DomainName, target: &RouteTarget, now: MonotonicTime) -> bool {
-        match self.held.get_mut(&(domain.clone(), target.clone())) {
-            Some((requests, until)) if now < *until && *requests > 0 => {
-                *requests -= 1;
-                true
-            }
-            _ => false,
+        let held = self.held.get_mut(&(domain.clone(), target.clone()));
+        let usable = held
+            .into_iter()
+            .flatten()
+            .find(|(requests, until)| *requests > 0 && now < *until);
+        if let Some((requests, _)) = usable {
+            *requests -= 1;
+            return true;
         }
+        false
     }
 }
--- a/crates/decisions/src/routing_router.rs
+++ b/crates/decisions/src/routing_router.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     BackendServer, DomainName, FailureDomain, LoadEstimate, LoadKey, LoadState, Priority, Refusal,
-    RefusalCode, RegionName, RoutingDecision, RoutingHop, RoutingRequest, RoutingSnapshot,
+    RefusalCode, RegionName, RoutingDecision, RoutingHop, RoutingRequest, RoutingSnapshot, Set,
     routing_candidate::RoutingCandidate,
 };
 
@@ -25,7 +25,7 @@
     req: &RoutingRequest<'_>,
     random: u64,
 ) -> RoutingDecision {
-    Router { state, req }
+    Router::new(state, req)
         .decide(random)
         .unwrap_or_else(RoutingDecision::Refuse)
 }
@@ -33,6 +33,9 @@
 struct Router<'a> {
     state: &'a RoutingSnapshot<'a>,
     req: &'a RoutingRequest<'a>,
+    serving: Vec<&'a BackendServer>,
+    /// Domains with a server in `serving`.
+    domains: Set<&'a DomainName>,
 }
 
 /// Candidates of one tier, and whether a server exists there that may become usable.
@@ -42,7 +45,18 @@
     may_recover: bool,
 }
 
-impl Router<'_> {
+impl<'a> Router<'a> {
+    fn new(state: &'a RoutingSnapshot<'a>, req: &'a RoutingRequest<'a>) -> Self {
+        let servers = state.bundle.backends.values();
+        let serving: Vec<_> = servers.filter(|server| server.serves(req.target)).collect();
+        Self {
+            state,
+            req,
+            domains: serving.iter().map(|server| &server.domain).collect(),
+            serving,
+        }
+    }
+
     fn decide(&self, random: u64) -> Result<RoutingDecision, Refusal> {
         self.check()?;
         let mut near = self.own_domain();
@@ -87,14 +101,13 @@
         if self.req.deadline_left == Some(Duration::ZERO) {
             return refuse(RefusalCode::DeadlineExceeded, "the deadline has passed");
         }
-        let mut serving = self.serving().peekable();
-        if serving.peek().is_none() {
+        if self.serving.is_empty() {
             return refuse(
                 RefusalCode::RouteUnknown,
                 "no backend server serves this target",
             );
         }
-        if !serving.any(|server| self.allows(&server.domain)) {
+        if !self.domains.iter().any(|domain| self.allows(domain)) {
             return refuse(
                 RefusalCode::ResidencyRefused,
                 "no region that the organisation's residency allows serves this target",
@@ -103,14 +116,6 @@
         Ok(())
     }
 
-    fn serving(&self) -> impl Iterator<Item = &BackendServer> {
-        let bundle = self.state.bundle;
-        bundle
-            .backends
-            .values()
-            .filter(|server| server.serves(self.req.target))
-    }
-
     fn region_of(&self, domain: &DomainName) -> Option<&RegionName> {
         self.state.bundle.region_of(domain)
     }
@@ -124,7 +129,8 @@
         let place = self.state.place;
         let mut tier = Tier::default();
         for server in self
-            .serving()
+            .serving
+            .iter()
             .filter(|server| server.domain == place.domain)
         {
             let key = LoadKey::Backend(server.name.clone());
@@ -202,11 +208,8 @@
     }
 
     fn domains(&self, keep: impl Fn(&FailureDomain) -> bool) -> impl Iterator<Item = &DomainName> {
-        let domains = self.state.bundle.domains.values();
-        domains
-            .filter(move |domain| keep(domain))
-            .map(|domain| &domain.name)
-            .filter(|name| self.serving().any(|server| server.domain == **name))
+        let domains = self.domains.iter().copied();
+        domains.filter(move |name| self.state.bundle.domains.get(*name).is_some_and(&keep))
     }
 
     fn domain_candidate(&self, domain: &DomainName, path: f64) -> Option<RoutingCandidate> {
