--- a/crates/decisions/src/limit_table.rs
+++ b/crates/decisions/src/limit_table.rs
@@ -75,6 +75,24 @@
             .map(|record| &record.holder)
     }
 
+    /// Returns the nanotokens that this instance could spend now.
+    pub fn available(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> u64 {
+        let Some(state) = self.organisations.get_mut(organisation) else {
+            return 0;
+        };
+        state.advance(now);
+        state.available()
+    }
+
+    /// Returns the rate and capacity that this instance owns or borrows, without what it lent.
+    pub fn held(&mut self, organisation: &OrganisationId, now: MonotonicTime) -> LimitShare {
+        let Some(state) = self.organisations.get_mut(organisation) else {
+            return LimitShare::default();
+        };
+        state.advance(now);
+        state.held()
+    }
+
     /// Takes `tokens` for a request, or returns `None` if what the instance holds is not enough.
     ///
     /// On `None`, [`Self::loan_request`] says whom to ask before the request is refused.
--- /dev/null
+++ b/crates/decisions/tests/limit_table.rs
@@ -0,0 +1,193 @@
+//! Tests of the limit table: shares, loans between holders, and changes of the split.
+
+mod limit_fixture;
+
+use hawthornquay_decisions::{
+    DomainName, InstanceId, LimitShare, LimitTable, LoanStep, MonotonicTime, SlotRelease,
+};
+use limit_fixture::{BundleBuilder, holders, millis, org, snapshot};
+
+const MILLITOKENS: u64 = LimitShare::MILLITOKENS;
+
+fn id(index: usize) -> InstanceId {
+    InstanceId::new(&format!("h{index}"), 1)
+}
+
+/// Reserves at instance 0 with as many rounds of loans as the table asks for.
+fn reserve(tables: &mut [LimitTable], tokens: u64, now: MonotonicTime) -> (bool, usize) {
+    let mut messages = 0;
+    loop {
+        if tables[0].reserve(&org("a"), tokens, now).is_some() {
+            return (true, messages);
+        }
+        let LoanStep::Ask(calls) = tables[0].loan_request(&org("a"), tokens, now) else {
+            return (false, messages);
+        };
+        for call in calls {
+            messages += 1;
+            let at = (1..tables.len())
+                .find(|index| id(*index) == call.lender)
+                .unwrap();
+            let domain = DomainName::from("d0");
+            let grant = tables[at].handle_loan_request(&id(0), &domain, &call.request, now);
+            if let Some(grant) = grant {
+                tables[0].accept_loan(&call.lender, &grant, now);
+            }
+        }
+    }
+}
+
+/// Guards against shares that lose tokens or exceed the whole by rounding.
+#[test]
+fn shares_add_up_to_the_whole() {
+    let bundle = BundleBuilder::new(1, &[1, 2, 4, 7])
+        .organisation("a", 101, 1_003)
+        .build();
+    let mut sum = LimitShare::default();
+    for domain in bundle.domains.keys() {
+        sum = sum.plus(LimitShare::of_domain(
+            &bundle.organisations["a"],
+            domain,
+            &bundle.domains,
+        ));
+    }
+    assert_eq!(sum, LimitShare::whole(&bundle.organisations["a"]));
+}
+
+/// Guards against a share in, or a loan request to, a region that the residency forbids.
+#[test]
+fn lenders_keep_the_order_and_the_residency() {
+    let builder = BundleBuilder::new(1, &[1, 1, 1, 1]).organisation("a", 100, 1_000);
+    let tables = holders(&builder.build());
+    let names = |table: &LimitTable| -> Vec<Vec<String>> {
+        let name = |(_, id): &(DomainName, InstanceId)| id.name.to_string();
+        table
+            .lenders(&org("a"))
+            .iter()
+            .map(|group| group.iter().map(name).collect())
+            .collect()
+    };
+    assert_eq!(names(&tables[0]), [vec!["h1"], vec!["h2", "h3"]]);
+
+    let home = BundleBuilder::new(1, &[1, 1, 1, 1])
+        .organisation("a", 100, 1_000)
+        .residency("a", &["r0"]);
+    let mut tables = holders(&home.build());
+    assert_eq!(names(&tables[0]), [vec!["h1"]]);
+    assert_eq!(tables[0].held(&org("a"), millis(0)).rate, 50 * MILLITOKENS);
+    assert_eq!(tables[2].held(&org("a"), millis(0)), LimitShare::default());
+}
+
+/// Guards against a request refused although the fleet has the tokens in other domains.
+#[test]
+fn large_request_gathers_loans_from_all_domains() {
+    let bundle = BundleBuilder::new(1, &[1, 1, 1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut tables = holders(&bundle);
+    assert!(reserve(&mut tables, 990, millis(20_000)).0);
+    let (admitted, _) = reserve(&mut tables, 990, millis(21_000));
+    assert!(!admitted);
+    let step = tables[0].loan_request(&org("a"), 990, millis(21_000));
+    let LoanStep::Refuse { retry_after } = step else {
+        panic!("{step:?}");
+    };
+    assert!(retry_after.as_secs() <= 10, "{retry_after:?}");
+}
+
+/// Guards against traffic in one place that gets only its domain's share, and against a loan
+/// message for each request.
+#[test]
+fn steady_traffic_in_one_domain_uses_the_whole_rate_with_few_messages() {
+    let bundle = BundleBuilder::new(1, &[1; 10])
+        .organisation("a", 1_000, 2_000)
+        .build();
+    let mut tables = holders(&bundle);
+    let (mut admitted, mut messages) = (0, 0);
+    for step in 0..3_000_u64 {
+        let now = millis(2_000 + step * 10);
+        if step % 10 == 0 {
+            for call in tables[0].renew_loans(now) {
+                messages += 1;
+                let at = (1..10).find(|index| id(*index) == call.lender).unwrap();
+                let domain = DomainName::from("d0");
+                let grant = tables[at].handle_loan_request(&id(0), &domain, &call.request, now);
+                tables[0].accept_loan(&call.lender, &grant.unwrap(), now);
+            }
+        }
+        // 95% of the rate.
+        let tokens = if step % 20 == 0 { 0 } else { 10 };
+        let (done, sent) = reserve(&mut tables, tokens, now);
+        admitted += u64::from(done);
+        messages += sent;
+    }
+    assert!(admitted >= 2_970, "admitted {admitted} of 3000");
+    assert!(messages <= 300, "{messages} messages in 30 s");
+}
+
+/// Guards against a second holder whose bundle is older and whose split the first holder no
+/// longer considers.
+#[test]
+fn claim_with_an_older_split_waits_for_the_newer_one() {
+    let old = BundleBuilder::new(1, &[3, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let new = BundleBuilder::new(2, &[1, 3])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut first = LimitTable::new(id(1), "d1".into());
+    first.adopt_bundle(&new, millis(0));
+    first.adopt_slots(snapshot(1, &[("d1", &id(1), 2)]), millis(0));
+    assert_eq!(first.held(&org("a"), millis(0)).rate, 75 * MILLITOKENS);
+
+    let mut second = LimitTable::new(id(0), "d0".into());
+    second.adopt_bundle(&old, millis(0));
+    let both = snapshot(2, &[("d0", &id(0), 1), ("d1", &id(1), 2)]);
+    second.adopt_slots(both.clone(), millis(0));
+    assert_eq!(second.held(&org("a"), millis(0)).rate, 0);
+    second.adopt_bundle(&new, millis(0));
+    assert_eq!(second.held(&org("a"), millis(0)).rate, 25 * MILLITOKENS);
+}
+
+/// Guards against a new share that is used while another holder still uses its old one.
+#[test]
+fn changed_split_applies_the_lower_share_until_all_confirm() {
+    let bundle = BundleBuilder::new(1, &[1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut tables = holders(&bundle);
+    let next = BundleBuilder::new(2, &[3, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    tables[0].adopt_bundle(&next, millis(0));
+    assert_eq!(tables[0].held(&org("a"), millis(0)).rate, 50 * MILLITOKENS);
+    tables[1].adopt_bundle(&next, millis(0));
+    assert_eq!(tables[1].held(&org("a"), millis(0)).rate, 25 * MILLITOKENS);
+    let half = snapshot(2, &[("d0", &id(0), 2), ("d1", &id(1), 1)]);
+    tables[0].adopt_slots(half, millis(0));
+    assert_eq!(tables[0].held(&org("a"), millis(0)).rate, 50 * MILLITOKENS);
+    let all = snapshot(3, &[("d0", &id(0), 2), ("d1", &id(1), 2)]);
+    tables[0].adopt_slots(all, millis(0));
+    assert_eq!(tables[0].held(&org("a"), millis(0)).rate, 75 * MILLITOKENS);
+}
+
+/// Guards against slots handed back while a borrower still spends a loan from them.
+#[test]
+fn release_waits_for_loans() {
+    let bundle = BundleBuilder::new(1, &[1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut tables = holders(&bundle);
+    assert!(reserve(&mut tables, 600, millis(8_000)).0);
+    assert!(matches!(
+        tables[1].release_slots(millis(8_001)),
+        SlotRelease::Wait(_)
+    ));
+    assert_eq!(tables[1].available(&org("a"), millis(9_000)), 0);
+    assert!(matches!(
+        tables[1].release_slots(millis(11_250)),
+        SlotRelease::Write(_)
+    ));
+    tables[1].adopt_slots(snapshot(2, &[("d0", &id(0), 1)]), millis(11_300));
+    assert_eq!(tables[1].release_slots(millis(11_300)), SlotRelease::Done);
+}
--- /dev/null
+++ b/crates/decisions/tests/slot_rules.rs
@@ -0,0 +1,105 @@
+//! Tests of the slot record and of the rules by which slots change hands.
+
+mod limit_fixture;
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{
+    DomainName, InstanceId, InstanceRecord, InstanceState, SlotDomain, SlotIndex, SlotRecord,
+    SlotRules,
+};
+use limit_fixture::{org, record};
+
+const LAG_MS: u64 = 500;
+
+fn rules(instances: &[InstanceRecord], running_ms: u64) -> SlotRules<'_> {
+    SlotRules {
+        instances,
+        lag: Duration::from_millis(LAG_MS),
+        running_for: Duration::from_millis(running_ms),
+    }
+}
+
+fn listed(entries: &[(&str, InstanceState, u64)]) -> Vec<InstanceRecord> {
+    let domain = DomainName::from("d0");
+    entries
+        .iter()
+        .map(|(name, state, age)| record(name, &domain, *state, *age))
+        .collect()
+}
+
+/// Guards against a slot taken from a holder that may still run or whose loans still run.
+#[test]
+fn takeover_needs_a_listed_end_and_the_longest_loan() {
+    let (me, other) = (InstanceId::new("me", 1), InstanceId::new("other", 1));
+    let may = |instances: &[InstanceRecord]| rules(instances, 0).may_take_over(&other, &me);
+    assert!(!may(&[]), "absent");
+    assert!(!may(&listed(&[("other", InstanceState::Live, 9_000)])));
+    assert!(!may(&listed(&[("other", InstanceState::Leaving, 9_000)])));
+    assert!(!may(&listed(&[(
+        "other",
+        InstanceState::Gone,
+        LAG_MS + 3_250
+    )])));
+    assert!(may(&listed(&[(
+        "other",
+        InstanceState::Gone,
+        LAG_MS + 3_251
+    )])));
+}
+
+/// Guards against a restarted instance that never gets back the slots held under its name, or
+/// takes them while loans of its earlier incarnation run.
+#[test]
+fn takeover_of_the_earlier_incarnation_waits_for_its_loans() {
+    let (old, new) = (InstanceId::new("me", 1), InstanceId::new("me", 2));
+    let instances = listed(&[("me", InstanceState::Live, 9_000)]);
+    assert!(!rules(&instances, LAG_MS + 3_250).may_take_over(&old, &new));
+    assert!(rules(&instances, LAG_MS + 3_251).may_take_over(&old, &new));
+    assert!(!rules(&instances, 9_000).may_take_over(&new, &new));
+}
+
+/// Guards against a claim by an instance that a lagging list may still report as gone.
+#[test]
+fn claims_need_a_place_in_every_current_list() {
+    let me = InstanceId::new("me", 1);
+    let free = SlotDomain::default();
+    let claims = |age| rules(&listed(&[("me", InstanceState::Live, age)]), 0).claims(&free, &me);
+    assert!(claims(LAG_MS).is_empty());
+    assert_eq!(claims(LAG_MS + 1).len(), usize::from(SlotIndex::COUNT));
+}
+
+/// Guards against one instance that claims most slots, and against concurrent claims of one slot.
+#[test]
+fn claims_spread_free_slots_evenly() {
+    let names = ["a", "b", "c", "d", "e"];
+    let instances = listed(&names.map(|name| (name, InstanceState::Live, 9_000)));
+    let mut slots = SlotDomain::default();
+    for slot in SlotIndex::all().take(20) {
+        let holder = InstanceId::new("a", 1);
+        slots.slots.insert(slot, SlotRecord { holder, split: 1 });
+    }
+    let mut seen = 20;
+    for (name, expected) in names.iter().zip([0, 11, 11, 11, 11]) {
+        let claims = rules(&instances, 0).claims(&slots, &InstanceId::new(name, 1));
+        assert_eq!(claims.len(), expected, "{name}");
+        seen += claims.len();
+    }
+    assert_eq!(seen, usize::from(SlotIndex::COUNT));
+}
+
+/// Guards against a changed form of the stored value or a changed hash, either of which would
+/// give two instances of different builds the same slot.
+#[test]
+fn slot_record_and_hash_keep_their_form() {
+    let holder = InstanceId::new("lagos-a-1", 7);
+    let mut domain = SlotDomain::default();
+    domain
+        .slots
+        .insert(SlotIndex(3), SlotRecord { holder, split: 12 });
+    let text = serde_json::to_string(&domain).unwrap();
+    let form = r#"{"slots":{"3":{"holder":{"name":"lagos-a-1","incarnation":7},"split":12}}}"#;
+    assert_eq!(text, form);
+    assert_eq!(serde_json::from_str::<SlotDomain>(&text).unwrap(), domain);
+    assert_eq!(SlotIndex::of(&org("kolanut")), SlotIndex(58));
+}
