--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,6 +9,7 @@
 mod backend_name;
 mod backend_server;
 mod bundle;
+mod caller_list;
 mod claim_action;
 mod claim_event;
 mod claim_process;
@@ -18,6 +19,10 @@
 mod domain_name;
 mod execution;
 mod failure_domain;
+mod gossip_entry;
+mod gossip_load;
+mod gossip_partners;
+mod gossip_settings;
 mod incarnation;
 mod instance_id;
 mod instance_name;
@@ -51,6 +56,9 @@
 mod loan_request;
 mod loan_step;
 mod loan_terms;
+mod member_entry;
+mod member_state;
+mod member_table;
 mod model_name;
 mod monotonic_time;
 mod order_kind;
@@ -118,6 +126,7 @@
     backend_name::BackendName,
     backend_server::BackendServer,
     bundle::Bundle,
+    caller_list::{CALLER_LIST_TTL, CallerListEntry, caller_list},
     claim_action::ClaimAction,
     claim_event::ClaimEvent,
     claim_process::ClaimProcess,
@@ -127,6 +136,10 @@
     domain_name::DomainName,
     execution::Execution,
     failure_domain::FailureDomain,
+    gossip_entry::GossipEntry,
+    gossip_load::GossipLoad,
+    gossip_partners::GossipPartners,
+    gossip_settings::GossipSettings,
     incarnation::Incarnation,
     instance_id::InstanceId,
     instance_name::InstanceName,
@@ -153,6 +166,9 @@
     loan_request::LoanRequest,
     loan_step::LoanStep,
     loan_terms::LoanTerms,
+    member_entry::MemberEntry,
+    member_state::MemberState,
+    member_table::MemberTable,
     model_name::ModelName,
     monotonic_time::MonotonicTime,
     order_kind::OrderKind,
--- a/crates/decisions/src/refusal_code.rs
+++ b/crates/decisions/src/refusal_code.rs
@@ -38,6 +38,8 @@
     NotReady,
     /// The receiving instance could not be reached, or did not answer.
     PeerUnreachable,
+    /// The instance does not remember the request.
+    RequestUnknown,
     /// The caller's residency does not allow this instance.
     ResidencyRefused,
     /// Nothing is served at this path.
@@ -49,6 +51,11 @@
 }
 
 impl RefusalCode {
+    /// Reads a code as [`Self::as_str`] writes it.
+    pub fn parse(code: &str) -> Option<Self> {
+        serde_json::from_value(serde_json::Value::String(code.to_owned())).ok()
+    }
+
     /// Returns the code used in answers and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -68,6 +75,7 @@
             Self::NoCapacity => "no-capacity",
             Self::NotReady => "not-ready",
             Self::PeerUnreachable => "peer-unreachable",
+            Self::RequestUnknown => "request-unknown",
             Self::ResidencyRefused => "residency-refused",
             Self::RouteUnknown => "route-unknown",
             Self::ShuttingDown => "shutting-down",
@@ -80,7 +88,7 @@
         match self {
             Self::BadRequest | Self::IdempotencyKeyRequired => 400,
             Self::KeyRejected => 401,
-            Self::RouteUnknown => 404,
+            Self::RequestUnknown | Self::RouteUnknown => 404,
             Self::BodyTimeout => 408,
             Self::AlreadyClaimed | Self::ClaimConflict | Self::IssuerGone => 409,
             Self::BodyTooLarge => 413,
--- a/crates/hawthornquay/src/admission.rs
+++ b/crates/hawthornquay/src/admission.rs
@@ -34,7 +34,11 @@
             .cloned()
             .ok_or_else(key_rejected)?;
         let version = bundle.version();
-        Self { bundle, organisation }.opened(node, id, Decision::KeyAccepted { version })
+        Self {
+            bundle,
+            organisation,
+        }
+        .opened(node, id, Decision::KeyAccepted { version })
     }
 
     /// Admits a request on an open route for the organisation that the route names.
@@ -48,10 +52,18 @@
         bundle: Arc<ActiveBundle>,
         organisation: &OrganisationId,
     ) -> Result<Self, Refusal> {
-        let organisation =
-            bundle.bundle().organisations.get(organisation).cloned().ok_or_else(key_rejected)?;
+        let organisation = bundle
+            .bundle()
+            .organisations
+            .get(organisation)
+            .cloned()
+            .ok_or_else(key_rejected)?;
         let version = bundle.version();
-        Self { bundle, organisation }.opened(node, id, Decision::OpenRoute { version })
+        Self {
+            bundle,
+            organisation,
+        }
+        .opened(node, id, Decision::OpenRoute { version })
     }
 
     fn opened(self, node: &Node, id: &RequestId, first: Decision) -> Result<Self, Refusal> {
--- a/crates/hawthornquay/src/attempt_failure.rs
+++ b/crates/hawthornquay/src/attempt_failure.rs
@@ -16,12 +16,20 @@
 impl AttemptFailure {
     /// Builds a failure that is known not to have run.
     pub const fn not_run(key: LoadKey) -> Self {
-        Self { key, execution: Execution::NotRun, refusal: None }
+        Self {
+            key,
+            execution: Execution::NotRun,
+            refusal: None,
+        }
     }
 
     /// Builds a failure with its execution.
     pub const fn new(key: LoadKey, execution: Execution) -> Self {
-        Self { key, execution, refusal: None }
+        Self {
+            key,
+            execution,
+            refusal: None,
+        }
     }
 
     /// Returns the name of the place where it failed.
--- a/crates/hawthornquay/src/backend_attempt.rs
+++ b/crates/hawthornquay/src/backend_attempt.rs
@@ -32,8 +32,19 @@
         }
         Ok((status, headers, body)) => {
             node.requests.set_execution(&req.id, Execution::Ran);
-            node.requests.record(&req.id, Decision::Answered { status: status.as_u16() });
-            Ok(RoutedAnswer { status, headers, body, load, crosses_regions: false })
+            node.requests.record(
+                &req.id,
+                Decision::Answered {
+                    status: status.as_u16(),
+                },
+            );
+            Ok(RoutedAnswer {
+                status,
+                headers,
+                body,
+                load,
+                crosses_regions: false,
+            })
         }
         Err(error) => {
             info!(node.log.backends, "call failed"; "server" => %server.name, "error" => %error);
@@ -94,8 +105,13 @@
 
 /// Returns the headers of an answer that a caller gets.
 pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
-    [header::CONTENT_TYPE, header::CONTENT_ENCODING, header::LOCATION, header::RETRY_AFTER]
-        .into_iter()
-        .filter_map(|name| headers.get(&name).cloned().map(|value| (name, value)))
-        .collect()
+    [
+        header::CONTENT_TYPE,
+        header::CONTENT_ENCODING,
+        header::LOCATION,
+        header::RETRY_AFTER,
+    ]
+    .into_iter()
+    .filter_map(|name| headers.get(&name).cloned().map(|value| (name, value)))
+    .collect()
 }
--- a/crates/hawthornquay/src/bundle_table.rs
+++ b/crates/hawthornquay/src/bundle_table.rs
@@ -35,7 +35,10 @@
 
     /// Returns the version in force, or zero.
     pub fn version(&self) -> u64 {
-        self.active.load().as_ref().map_or(0, |active| active.version())
+        self.active
+            .load()
+            .as_ref()
+            .map_or(0, |active| active.version())
     }
 
     /// Puts `next` in force unless a bundle of the same or a higher version is.
--- a/crates/hawthornquay/src/caller_gateway.rs
+++ b/crates/hawthornquay/src/caller_gateway.rs
@@ -4,8 +4,8 @@
 
 use futures_util::future::{BoxFuture, FutureExt};
 use hawthornquay_callers::{
-    CallerListAnswer, CallerListEntry, CallerService, IssuedKeyAnswer, ModelListAnswer, RequestHead,
-    RequestOutcome,
+    CallerListAnswer, CallerListEntry, CallerService, IssuedKeyAnswer, ModelListAnswer,
+    RequestHead, RequestOutcome,
 };
 use hawthornquay_decisions::{
     BackendKind, CALLER_LIST_TTL, Execution, ISSUED_KEY_LIFETIME, Refusal, RefusalCode, RequestId,
@@ -26,7 +26,8 @@
     fn refused(&self, id: &RequestId, answer: Answer) -> Answer {
         let Err(refusal) = &answer else { return answer };
         let node = &self.0;
-        node.requests.record(id, Decision::Refused { code: refusal.code });
+        node.requests
+            .record(id, Decision::Refused { code: refusal.code });
         node.requests.set_execution(id, refusal.execution);
         node.requests.close(id, refusal.code.http_status());
         let inside_rate = matches!(
@@ -127,8 +128,14 @@
 
 fn unknown_request(node: &Node, id: &RequestId) -> Refusal {
     let (execution, place) = match node.address_of_request(id) {
-        Some(address) => (Execution::Unknown, format!("ask {address}, which served it")),
-        None => (Execution::Unknown, "the instance that served it has ended".to_owned()),
+        Some(address) => (
+            Execution::Unknown,
+            format!("ask {address}, which served it"),
+        ),
+        None => (
+            Execution::Unknown,
+            "the instance that served it has ended".to_owned(),
+        ),
     };
     Refusal {
         code: RefusalCode::RequestUnknown,
--- a/crates/hawthornquay/src/chat_body.rs
+++ b/crates/hawthornquay/src/chat_body.rs
@@ -61,10 +61,16 @@
         let stated = fields.max_completion_tokens.or(fields.max_tokens);
         let output_tokens = stated.unwrap_or(DEFAULT_OUTPUT_TOKENS);
         if output_tokens == 0 || output_tokens > MAX_OUTPUT_TOKENS {
-            return Err(bad_body(&format!("send max_tokens between 1 and {MAX_OUTPUT_TOKENS}")));
+            return Err(bad_body(&format!(
+                "send max_tokens between 1 and {MAX_OUTPUT_TOKENS}"
+            )));
         }
         let prompt: String = fields.messages.iter().map(Message::text).collect();
-        let body = if stated.is_some() { body } else { with_output_limit(&body)? };
+        let body = if stated.is_some() {
+            body
+        } else {
+            with_output_limit(&body)?
+        };
         Ok(Self {
             model: ModelName::new(&fields.model),
             stream: fields.stream,
@@ -95,5 +101,8 @@
 }
 
 fn bad_body(remedy: &str) -> Refusal {
-    Refusal::not_run(RefusalCode::BadRequest, &format!("the body is not valid: {remedy}"))
+    Refusal::not_run(
+        RefusalCode::BadRequest,
+        &format!("the body is not valid: {remedy}"),
+    )
 }
--- a/crates/hawthornquay/src/claim.rs
+++ b/crates/hawthornquay/src/claim.rs
@@ -20,7 +20,11 @@
     /// A key that this process issued.
     Issued(IssuedKey),
     /// An entry in the store.
-    Stored { process: ClaimProcess, key: String, revision: Revision },
+    Stored {
+        process: ClaimProcess,
+        key: String,
+        revision: Revision,
+    },
 }
 
 impl Claim {
@@ -36,7 +40,9 @@
         bundle: &ActiveBundle,
     ) -> Result<Self, Refusal> {
         let Some(text) = key.filter(|_| !req.repeatable) else {
-            return Ok(Self { held: Held::Nothing });
+            return Ok(Self {
+                held: Held::Nothing,
+            });
         };
         let claim_key = ClaimKey::new(&bundle.bundle().key_salt, &req.organisation.id, text);
         let fingerprint = claim_key.fingerprint(req.method.as_str(), &req.path, &req.body);
@@ -53,7 +59,11 @@
         match self.held {
             Held::Nothing => {}
             Held::Issued(key) => node.issued_keys.lock().finish(&key, execution),
-            Held::Stored { process, key, revision } => {
+            Held::Stored {
+                process,
+                key,
+                revision,
+            } => {
                 let state = match execution {
                     Execution::NotRun => ClaimState::Released,
                     Execution::Ran => ClaimState::Ran,
@@ -95,7 +105,11 @@
             }
             ClaimAction::ReadBack => read(node, &key).await,
             ClaimAction::Run { revision } => {
-                return Ok(Held::Stored { process, key, revision: Revision(revision) });
+                return Ok(Held::Stored {
+                    process,
+                    key,
+                    revision: Revision(revision),
+                });
             }
             ClaimAction::Refuse(refusal) => return Err(refusal),
         };
@@ -104,11 +118,20 @@
 }
 
 async fn write(node: &Node, key: &str, record: &ClaimRecord, expect: Revision) -> ClaimEvent {
-    let Some(lease) = claim_lease(node).await else { return ClaimEvent::Unreachable };
-    let written = node.platform.compare_and_swap(key, &encode(record), expect, Some(lease)).await;
+    let Some(lease) = claim_lease(node).await else {
+        return ClaimEvent::Unreachable;
+    };
+    let written = node
+        .platform
+        .compare_and_swap(key, &encode(record), expect, Some(lease))
+        .await;
     match written {
-        Ok(revision) => ClaimEvent::Written { revision: revision.0 },
-        Err(PlatformError::Conflict { current: Some(entry) }) => found(&entry),
+        Ok(revision) => ClaimEvent::Written {
+            revision: revision.0,
+        },
+        Err(PlatformError::Conflict {
+            current: Some(entry),
+        }) => found(&entry),
         Err(PlatformError::Conflict { current: None }) => ClaimEvent::Absent,
         Err(PlatformError::LostAnswer(_)) => ClaimEvent::AnswerLost,
         Err(PlatformError::NotFound) => {
@@ -130,7 +153,10 @@
 
 fn found(entry: &Entry) -> ClaimEvent {
     match serde_json::from_slice(&entry.value) {
-        Ok(record) => ClaimEvent::Found { record, revision: entry.revision.0 },
+        Ok(record) => ClaimEvent::Found {
+            record,
+            revision: entry.revision.0,
+        },
         // An entry that cannot be read may stand for a request that ran.
         Err(_) => ClaimEvent::Unreachable,
     }
@@ -142,7 +168,11 @@
 }
 
 async fn claim_lease(node: &Node) -> Option<LeaseId> {
-    match node.claim_leases.current(&node.platform, clock::now()).await {
+    match node
+        .claim_leases
+        .current(&node.platform, clock::now())
+        .await
+    {
         Ok(lease) => Some(lease),
         Err(error) => {
             warn!(node.log.claims, "store granted no lease"; "error" => %error);
@@ -152,13 +182,20 @@
 }
 
 async fn close_stored(node: &Node, key: &str, record: &ClaimRecord, expect: Revision) {
-    let Some(lease) = claim_lease(node).await else { return };
-    let closed = node.platform.compare_and_swap(key, &encode(record), expect, Some(lease)).await;
+    let Some(lease) = claim_lease(node).await else {
+        return;
+    };
+    let closed = node
+        .platform
+        .compare_and_swap(key, &encode(record), expect, Some(lease))
+        .await;
     if let Err(error) = closed {
         warn!(node.log.claims, "claim stays open"; "error" => %error);
     }
 }
 
 fn encode(record: &ClaimRecord) -> Bytes {
-    serde_json::to_vec(record).expect("a claim has only text and numbers").into()
+    serde_json::to_vec(record)
+        .expect("a claim has only text and numbers")
+        .into()
 }
--- a/crates/hawthornquay/src/claim_key.rs
+++ b/crates/hawthornquay/src/claim_key.rs
@@ -18,21 +18,39 @@
 impl ClaimKey {
     /// Hashes a key under the bundle's salt.
     pub fn new(salt: &[u8], organisation: &OrganisationId, key: &str) -> Self {
-        let digest = keyed_hash(salt, &[b"claim", organisation.as_str().as_bytes(), key.as_bytes()]);
-        Self { salt: salt.to_vec(), digest }
+        let digest = keyed_hash(
+            salt,
+            &[b"claim", organisation.as_str().as_bytes(), key.as_bytes()],
+        );
+        Self {
+            salt: salt.to_vec(),
+            digest,
+        }
     }
 
     /// Returns the key of the claim in the store.
     pub fn store_key(&self) -> String {
-        let hex: String = self.digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        let hex: String = self
+            .digest
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
         format!("{STORE_PREFIX}{hex}")
     }
 
     /// Returns a keyed hash that tells the requests apart that share an idempotency key.
     pub fn fingerprint(&self, method: &str, path: &str, body: &[u8]) -> u64 {
-        let parts = [self.digest.as_slice(), method.as_bytes(), path.as_bytes(), body];
+        let parts = [
+            self.digest.as_slice(),
+            method.as_bytes(),
+            path.as_bytes(),
+            body,
+        ];
         let digest = keyed_hash(&self.salt, &parts);
-        digest.iter().take(8).fold(0, |number, byte| number << 8 | u64::from(*byte))
+        digest
+            .iter()
+            .take(8)
+            .fold(0, |number, byte| number << 8 | u64::from(*byte))
     }
 }
 
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -24,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    BundleTable, CallerGateway, Drain, MetricsError, Metrics, Node, PartLogs, PeerGateway,
+    BundleTable, CallerGateway, Drain, Metrics, MetricsError, Node, PartLogs, PeerGateway,
     RequestLog, RequestQueue, RoutingState, clock, gossip,
     limit_task::{release_slots, run_loans, run_slots},
     load_task::run_load,
@@ -112,7 +112,15 @@
 
     /// Stops without cutting off a request in flight.
     pub async fn stop(self) {
-        let Self { node, callers, operators, peers, tasks, callers_shutdown, shutdown } = self;
+        let Self {
+            node,
+            callers,
+            operators,
+            peers,
+            tasks,
+            callers_shutdown,
+            shutdown,
+        } = self;
         info!(node.log.daemon, "stopping"; "in_flight" => node.drain.in_flight());
         node.drain.close();
         node.members.lock().own_mut().leaving = true;
@@ -146,7 +154,7 @@
         tokio::spawn(run_slots(Arc::clone(node))),
         tokio::spawn(run_loans(Arc::clone(node))),
         tokio::spawn(run_load(Arc::clone(node))),
-        tokio::spawn(async move { queue.queue.run().await }),
+        tokio::spawn(async move { queue.queue.run(&queue).await }),
     ]
 }
 
@@ -173,7 +181,10 @@
 }
 
 fn read_file(path: &Path) -> Result<Vec<u8>, DaemonError> {
-    fs::read(path).map_err(|source| DaemonError::File { path: path.to_owned(), source })
+    fs::read(path).map_err(|source| DaemonError::File {
+        path: path.to_owned(),
+        source,
+    })
 }
 
 fn build_node(
@@ -195,11 +206,18 @@
         state_age_ms: 0,
     };
     Ok(Node {
-        members: Mutex::new(MemberTable::new(record, id.incarnation, GossipSettings::default())),
+        members: Mutex::new(MemberTable::new(
+            record,
+            id.incarnation,
+            GossipSettings::default(),
+        )),
         limits: Mutex::new(LimitTable::new(id.clone(), instance.domain.clone())),
         issued_keys: Mutex::new(IssuedKeyTable::new(id.clone())),
         rollout: Mutex::new(Rollout::new(started, rand::random())),
-        place: RoutingPlace { region: instance.region, domain: instance.domain },
+        place: RoutingPlace {
+            region: instance.region,
+            domain: instance.domain,
+        },
         platform: PlatformClient::new(settings.platform, CallLimits::default()),
         backends: BackendClient::new(ClientLimits::default()),
         counters: local.counters(),
--- a/crates/hawthornquay/src/daemon_exit.rs
+++ b/crates/hawthornquay/src/daemon_exit.rs
@@ -61,8 +61,10 @@
 ///
 /// Returns an error if the file cannot be read or has faults.
 pub fn read_settings(path: &Path) -> Result<DaemonSettings, DaemonExit> {
-    let text = fs::read_to_string(path)
-        .map_err(|source| DaemonExit::Unreadable { path: path.to_owned(), source })?;
+    let text = fs::read_to_string(path).map_err(|source| DaemonExit::Unreadable {
+        path: path.to_owned(),
+        source,
+    })?;
     DaemonSettings::read(&path.display().to_string(), &text)
         .map_err(|faults| DaemonExit::Settings(Box::new(faults)))
 }
--- a/crates/hawthornquay/src/decision.rs
+++ b/crates/hawthornquay/src/decision.rs
@@ -33,8 +33,6 @@
     Chosen {
         /// Backend server.
         backend: BackendName,
-        /// Expected time to the first token, in milliseconds.
-        expected_ms: u64,
     },
     /// All servers were busy and the request waited.
     Waited {
@@ -86,11 +84,11 @@
             Self::KeyClaimed => f.write_str("idempotency key claimed"),
             Self::Reserved { tokens } => write!(f, "reserved {tokens} tokens"),
             Self::LoanRequested { lender } => write!(f, "asked {lender} for a loan of tokens"),
-            Self::Chosen { backend, expected_ms } => {
-                write!(f, "chose backend server {backend}, first token expected in {expected_ms} ms")
-            }
+            Self::Chosen { backend } => write!(f, "chose backend server {backend}"),
             Self::Waited { ms } => write!(f, "waited {ms} ms for a free backend server"),
-            Self::Forwarded { instance, domain } => write!(f, "forwarded to {instance} in {domain}"),
+            Self::Forwarded { instance, domain } => {
+                write!(f, "forwarded to {instance} in {domain}")
+            }
             Self::Received { instance } => write!(f, "received from {instance}"),
             Self::AttemptFailed { at, execution } => {
                 write!(f, "attempt at {at} failed: {}", execution.as_str())
--- a/crates/hawthornquay/src/drain.rs
+++ b/crates/hawthornquay/src/drain.rs
@@ -25,7 +25,9 @@
     pub fn enter(self: &Arc<Self>) -> Result<DrainGuard, Refusal> {
         // Counts first: a request that passes the check below is seen by `wait_idle`.
         self.in_flight.fetch_add(1, Ordering::SeqCst);
-        let guard = DrainGuard { drain: Arc::clone(self) };
+        let guard = DrainGuard {
+            drain: Arc::clone(self),
+        };
         if self.closing.load(Ordering::SeqCst) {
             return Err(Refusal::not_run(
                 RefusalCode::ShuttingDown,
--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -31,7 +31,9 @@
     let offset: u64 = rand::random_range(0..LIST_ROUNDS);
     for round in offset.. {
         interval.tick().await;
-        if round % LIST_ROUNDS == 0 || node.is_watcher() || node.members.lock().others().next().is_none()
+        if round % LIST_ROUNDS == 0
+            || node.is_watcher()
+            || node.members.lock().others().next().is_none()
         {
             read_list(&node).await;
         }
@@ -43,7 +45,9 @@
 pub async fn read_list(node: &Node) -> bool {
     match node.platform.instances().await {
         Ok(listed) => {
-            node.members.lock().apply_list(clock::now(), &listed.instances);
+            node.members
+                .lock()
+                .apply_list(clock::now(), &listed.instances);
             true
         }
         Err(error) => {
@@ -84,22 +88,44 @@
 
 async fn send_digests(node: &Arc<Node>, partners: &mut GossipPartners) {
     let now = clock::now();
-    let (chosen, entries) = {
+    let (head_version, head_age_ms) = head_seen(node);
+    let digests: Vec<(InstanceName, Digest)> = {
         let mut members = node.members.lock();
+        members.beat();
         let chosen = partners.choose(now, &members, rand::random);
-        (chosen, members.digest(now, |entry| write_entry(entry).encoded_len() + ENTRY_OVERHEAD))
+        chosen
+            .into_iter()
+            .map(|name| {
+                let entries = members
+                    .digest(now, &name, entry_len)
+                    .iter()
+                    .map(write_entry)
+                    .collect();
+                (
+                    name,
+                    Digest {
+                        entries,
+                        head_version,
+                        head_age_ms,
+                    },
+                )
+            })
+            .collect()
     };
-    *node.partners.lock() = chosen.clone();
-    let (head_version, head_age_ms) = head_seen(node);
-    let entries = entries.iter().map(write_entry).collect();
-    let digest = Digest { entries, head_version, head_age_ms };
-    let sends = chosen.into_iter().map(|name| send_digest(node, name, digest.clone()));
+    *node.partners.lock() = digests.iter().map(|(name, _)| name.clone()).collect();
+    let sends = digests
+        .into_iter()
+        .map(|(name, digest)| send_digest(node, name, digest));
     for failed in join_all(sends).await.into_iter().flatten() {
         partners.drop_partner(&failed);
         node.members.lock().mark_unreachable(&failed);
     }
 }
 
+fn entry_len(entry: &GossipEntry) -> usize {
+    write_entry(entry).encoded_len() + ENTRY_OVERHEAD
+}
+
 async fn send_digest(node: &Node, name: InstanceName, digest: Digest) -> Option<InstanceName> {
     let peer = node.peer_named(&name)?;
     match node.links.send(&peer, Notice::Digest(digest)).await {
@@ -112,10 +138,13 @@
 }
 
 fn head_seen(node: &Node) -> (u64, u64) {
-    node.head_seen.load().as_ref().map_or((0, u64::MAX), |seen| {
-        let age = clock::now().since(seen.1).as_millis();
-        (seen.0, u64::try_from(age).unwrap_or(u64::MAX))
-    })
+    node.head_seen
+        .load()
+        .as_ref()
+        .map_or((0, u64::MAX), |seen| {
+            let age = clock::now().since(seen.1).as_millis();
+            (seen.0, u64::try_from(age).unwrap_or(u64::MAX))
+        })
 }
 
 fn read_entry(entry: &DigestEntry) -> GossipEntry {
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -1,5 +1,17 @@
 //! Wiring of the daemon and the operators' command.
 
+mod active_bundle;
+mod admission;
+mod answer_failure;
+mod attempt_failure;
+mod backend_attempt;
+mod bundle_table;
+mod caller_gateway;
+mod chat_body;
+mod claim;
+mod claim_key;
+mod claim_leases;
+mod clock;
 mod command_bundle;
 mod command_error;
 mod command_exit;
@@ -9,12 +21,77 @@
 mod command_output;
 mod command_run;
 mod command_signature_file;
+mod daemon;
+mod daemon_exit;
+mod decision;
+mod dispatch;
+mod drain;
+mod fleet_report;
+mod gossip;
+mod limit_guard;
+mod limit_task;
+mod load_guard;
+mod load_task;
+mod metered_answer;
+mod metrics;
+mod model_request;
+mod node;
+mod node_peers;
+mod operator_router;
+mod outbound_request;
+mod part_logs;
+mod peer_attempt;
+mod peer_capacity;
+mod peer_gateway;
+mod peer_loans;
+mod platform_store;
+mod request_body;
+mod request_log;
+mod request_queue;
+mod rollout_install;
+mod rollout_peers;
+mod rollout_task;
+mod route_choice;
+mod routed_answer;
+mod routing_state;
+mod service_request;
+mod token_use;
 
 pub use {
+    active_bundle::ActiveBundle,
+    admission::Admission,
+    answer_failure::AnswerFailure,
+    attempt_failure::AttemptFailure,
+    bundle_table::BundleTable,
+    caller_gateway::CallerGateway,
+    chat_body::ChatBody,
+    claim::Claim,
+    claim_key::ClaimKey,
+    claim_leases::ClaimLeases,
     command_error::CommandError,
     command_exit::CommandExit,
     command_options::{BundleCommand, CommandOptions, KeyCommand, NewKey, command_options},
     command_output::CommandOutput,
     command_run::run_command,
     command_signature_file::SignatureFile,
+    daemon::{Daemon, DaemonError},
+    daemon_exit::{DaemonExit, read_settings},
+    decision::Decision,
+    drain::{Drain, DrainGuard},
+    fleet_report::{FleetMember, FleetReport},
+    limit_guard::LimitGuard,
+    load_guard::LoadGuard,
+    metered_answer::{AnswerEnd, Settlement, metered_response},
+    metrics::{Metrics, MetricsError},
+    node::Node,
+    operator_router::operator_router,
+    outbound_request::OutboundRequest,
+    part_logs::PartLogs,
+    peer_gateway::PeerGateway,
+    platform_store::PlatformStore,
+    request_log::RequestLog,
+    request_queue::RequestQueue,
+    routed_answer::{AnswerStream, RoutedAnswer},
+    routing_state::RoutingState,
+    token_use::TokenUse,
 };
--- a/crates/hawthornquay/src/limit_guard.rs
+++ b/crates/hawthornquay/src/limit_guard.rs
@@ -59,7 +59,11 @@
     }
 
     fn new(node: &Arc<Node>, reservation: LimitReservation) -> Self {
-        Self { node: Arc::clone(node), reservation: Some(reservation), used: 0 }
+        Self {
+            node: Arc::clone(node),
+            reservation: Some(reservation),
+            used: 0,
+        }
     }
 
     /// Notes tokens that are used even if the caller leaves before the answer.
@@ -80,14 +84,19 @@
 
     /// Returns the tokens reserved.
     pub fn tokens(&self) -> u64 {
-        self.reservation.as_ref().map_or(0, LimitReservation::tokens)
+        self.reservation
+            .as_ref()
+            .map_or(0, LimitReservation::tokens)
     }
 }
 
 impl Drop for LimitGuard {
     fn drop(&mut self) {
         if let Some(reservation) = self.reservation.take() {
-            self.node.limits.lock().settle(reservation, self.used, clock::now());
+            self.node
+                .limits
+                .lock()
+                .settle(reservation, self.used, clock::now());
         }
     }
 }
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -71,7 +71,9 @@
 
 async fn write_release(node: &Arc<Node>) -> Result<(), PlatformError> {
     let slots = read_slots(node).await?;
-    node.limits.lock().adopt_slots(slots.snapshot.clone(), clock::now());
+    node.limits
+        .lock()
+        .adopt_slots(slots.snapshot.clone(), clock::now());
     let SlotRelease::Write(next) = node.limits.lock().release_slots(clock::now()) else {
         return Ok(());
     };
@@ -87,8 +89,12 @@
     }
 
     fn apply(&mut self, entry: &Entry) {
-        let Some(domain) = entry.key.strip_prefix(PREFIX).map(DomainName::new) else { return };
-        let Ok(slots) = serde_json::from_slice::<SlotDomain>(&entry.value) else { return };
+        let Some(domain) = entry.key.strip_prefix(PREFIX).map(DomainName::new) else {
+            return;
+        };
+        let Ok(slots) = serde_json::from_slice::<SlotDomain>(&entry.value) else {
+            return;
+        };
         self.revisions.insert(domain.clone(), entry.revision);
         self.snapshot.domains.insert(domain, slots);
     }
@@ -107,7 +113,9 @@
 /// Plans on each change and at intervals, until the store must be read again.
 async fn follow(node: &Arc<Node>, mut slots: Slots) {
     loop {
-        node.limits.lock().adopt_slots(slots.snapshot.clone(), clock::now());
+        node.limits
+            .lock()
+            .adopt_slots(slots.snapshot.clone(), clock::now());
         match plan(node, &slots).await {
             Ok(false) => {}
             // Our own or another write changed the entry; the present one is needed.
@@ -157,7 +165,9 @@
     // process whose successor holds the slot.
     let listed = node.platform.instances().await?;
     let lag = Duration::from_millis(listed.lag_ms);
-    let Some(next) = plan_with(node, &listed.instances, lag) else { return Ok(false) };
+    let Some(next) = plan_with(node, &listed.instances, lag) else {
+        return Ok(false);
+    };
     write_slots(node, &next, slots.revision_of(&node.place.domain)).await?;
     info!(node.log.limits, "slots written"; "slots" => next.slots.len());
     Ok(true)
@@ -165,9 +175,16 @@
 
 fn plan_with(node: &Node, listed: &[InstanceRecord], lag: Duration) -> Option<SlotDomain> {
     let now = clock::now();
-    let own: Vec<InstanceRecord> =
-        listed.iter().filter(|record| record.domain == node.place.domain).cloned().collect();
-    let rules = SlotRules { instances: &own, lag, running_for: running_for(node, now) };
+    let own: Vec<InstanceRecord> = listed
+        .iter()
+        .filter(|record| record.domain == node.place.domain)
+        .cloned()
+        .collect();
+    let rules = SlotRules {
+        instances: &own,
+        lag,
+        running_for: running_for(node, now),
+    };
     node.limits.lock().plan_slots(&rules, now)
 }
 
@@ -182,5 +199,8 @@
 ) -> Result<(), PlatformError> {
     let key = format!("{PREFIX}{}", node.place.domain);
     let value = serde_json::to_vec(slots).expect("slots have only text and numbers");
-    node.platform.compare_and_swap(&key, &value, expect, None).await.map(drop)
+    node.platform
+        .compare_and_swap(&key, &value, expect, None)
+        .await
+        .map(drop)
 }
--- a/crates/hawthornquay/src/load_guard.rs
+++ b/crates/hawthornquay/src/load_guard.rs
@@ -15,8 +15,15 @@
 impl LoadGuard {
     /// Counts an attempt at `key`.
     pub fn new(node: &Arc<Node>, key: LoadKey, prefill_tokens: u64) -> Self {
-        let ticket = node.routing.lock().view.sent(key, prefill_tokens, clock::now());
-        Self { node: Arc::clone(node), ticket: Some(ticket) }
+        let ticket = node
+            .routing
+            .lock()
+            .view
+            .sent(key, prefill_tokens, clock::now());
+        Self {
+            node: Arc::clone(node),
+            ticket: Some(ticket),
+        }
     }
 
     /// Ends the attempt.
@@ -26,7 +33,11 @@
 
     fn end(&mut self, outcome: LoadOutcome) {
         if let Some(ticket) = self.ticket.take() {
-            self.node.routing.lock().view.ended(ticket, outcome, clock::now());
+            self.node
+                .routing
+                .lock()
+                .view
+                .ended(ticket, outcome, clock::now());
             self.node.queue.signal_free();
         }
     }
--- a/crates/hawthornquay/src/load_task.rs
+++ b/crates/hawthornquay/src/load_task.rs
@@ -47,7 +47,9 @@
 }
 
 fn own_share(node: &Node) -> Vec<BackendServer> {
-    let Some(bundle) = node.bundle.active() else { return Vec::new() };
+    let Some(bundle) = node.bundle.active() else {
+        return Vec::new();
+    };
     let instances = domain_instances(node);
     let own = &node.id.name;
     bundle
@@ -76,7 +78,10 @@
         Ok(report) => {
             let load = gossip_load(server, &report);
             let key = LoadKey::Backend(server.name.clone());
-            node.routing.lock().view.report(key, report, REPORT_LAG, clock::now());
+            node.routing
+                .lock()
+                .view
+                .report(key, report, REPORT_LAG, clock::now());
             Some(load)
         }
         Err(error) => {
@@ -108,7 +113,9 @@
             continue;
         }
         let key = LoadKey::Backend(load.backend.clone());
-        routing.view.report(key, relayed_report(&load), RELAYED_LAG, now);
+        routing
+            .view
+            .report(key, relayed_report(&load), RELAYED_LAG, now);
     }
 }
 
--- a/crates/hawthornquay/src/metered_answer.rs
+++ b/crates/hawthornquay/src/metered_answer.rs
@@ -60,11 +60,28 @@
 
 /// Builds the caller's response; its end, also by the caller leaving, settles the reservation.
 pub fn metered_response(answer: RoutedAnswer, end: AnswerEnd) -> Response<Body> {
-    let RoutedAnswer { status, headers, body, load, crosses_regions } = answer;
-    end.node.metrics.observe_first_token(&end.organisation, clock::now().since(end.arrived));
+    let RoutedAnswer {
+        status,
+        headers,
+        body,
+        load,
+        crosses_regions,
+    } = answer;
+    end.node
+        .metrics
+        .observe_first_token(&end.organisation, clock::now().since(end.arrived));
     let used = TokenUse::default();
-    let metered = MeteredAnswer { body, used, crosses_regions, status, open: Some((end, load)) };
-    let mut res = Response::new(Body::new(BodyExt::map_err(StreamBody::new(metered), io::Error::other)));
+    let metered = MeteredAnswer {
+        body,
+        used,
+        crosses_regions,
+        status,
+        open: Some((end, load)),
+    };
+    let mut res = Response::new(Body::new(BodyExt::map_err(
+        StreamBody::new(metered),
+        io::Error::other,
+    )));
     *res.status_mut() = status;
     *res.headers_mut() = headers;
     res
@@ -106,17 +123,26 @@
     }
 
     fn end(&mut self, outcome: LoadOutcome) {
-        let Some((end, load)) = self.open.take() else { return };
+        let Some((end, load)) = self.open.take() else {
+            return;
+        };
         load.finish(outcome);
         let tokens = match end.settlement {
             Settlement::ByUse { prompt_tokens } => self.used.total(prompt_tokens),
             Settlement::InFull => end.limit.tokens(),
         };
         end.limit.settle(tokens);
-        let AnswerEnd { node, id, arrived, drain, .. } = end;
+        let AnswerEnd {
+            node,
+            id,
+            arrived,
+            drain,
+            ..
+        } = end;
         node.requests.record(&id, Decision::Settled { tokens });
         node.requests.close(&id, self.status.as_u16());
-        node.metrics.observe_end(clock::now().since(arrived), tokens);
+        node.metrics
+            .observe_end(clock::now().since(arrived), tokens);
         node.metrics.count_answer();
         drop(drain);
     }
--- a/crates/hawthornquay/src/metrics.rs
+++ b/crates/hawthornquay/src/metrics.rs
@@ -9,8 +9,9 @@
     TextEncoder,
 };
 
-const SECONDS_BUCKETS: [f64; 12] =
-    [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.9, 5.0, 20.0, 60.0];
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 1.9, 5.0, 20.0, 60.0,
+];
 
 /// Weight of the newest request in an organisation's mean first-token time.
 const SMOOTHING: f64 = 0.1;
@@ -47,15 +48,26 @@
     pub fn new() -> Result<Self, MetricsError> {
         let registry = Registry::new_custom(Some("hawthornquay".to_owned()), None)?;
         let requests = IntCounterVec::new(
-            Opts::new("requests_total", "Requests by outcome: `ok` or the refusal's code"),
+            Opts::new(
+                "requests_total",
+                "Requests by outcome: `ok` or the refusal's code",
+            ),
             &["outcome"],
         )?;
         registry.register(Box::new(requests.clone()))?;
         Ok(Self {
             requests,
             first_token: histogram(&registry, "first_token_seconds", "Time to the first token")?,
-            duration: histogram(&registry, "request_seconds", "Time to the end of the answer")?,
-            sent_away: counter(&registry, "sent_away_total", "Requests sent to another region")?,
+            duration: histogram(
+                &registry,
+                "request_seconds",
+                "Time to the end of the answer",
+            )?,
+            sent_away: counter(
+                &registry,
+                "sent_away_total",
+                "Requests sent to another region",
+            )?,
             sent_away_bytes: counter(
                 &registry,
                 "sent_away_bytes_total",
@@ -73,7 +85,11 @@
                 "Mean time to the first token of the worst-served organisation",
             )?,
             in_flight: int_gauge(&registry, "requests_in_flight", "Requests in flight")?,
-            bundle_version: int_gauge(&registry, "bundle_version", "Version of the bundle in force")?,
+            bundle_version: int_gauge(
+                &registry,
+                "bundle_version",
+                "Version of the bundle in force",
+            )?,
             by_organisation: Mutex::default(),
             registry,
         })
@@ -132,12 +148,14 @@
 
     /// Sets the number of requests in flight.
     pub fn set_in_flight(&self, requests: usize) {
-        self.in_flight.set(i64::try_from(requests).unwrap_or(i64::MAX));
+        self.in_flight
+            .set(i64::try_from(requests).unwrap_or(i64::MAX));
     }
 
     /// Sets the version of the bundle in force.
     pub fn set_bundle_version(&self, version: u64) {
-        self.bundle_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.bundle_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/hawthornquay/src/model_request.rs
+++ b/crates/hawthornquay/src/model_request.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use hawthornquay_callers::RequestHead;
-use hawthornquay_decisions::{
-    Execution, PrefixHash, Refusal, RouteTarget, RoutingHop,
-};
+use hawthornquay_decisions::{Execution, PrefixHash, Refusal, RouteTarget, RoutingHop};
 use hawthornquay_http::Body;
 use http::{Method, Response};
 
@@ -38,7 +36,7 @@
     // A caller that leaves before the answer has used the prefill.
     limit.note_use(prompt_tokens);
     let req = outbound(&head, &admission, chat, arrived);
-    match dispatch(node, &admission.bundle, &req).await {
+    match dispatch(node, &admission.bundle, req).await {
         Ok(answer) => {
             let end = AnswerEnd {
                 node: Arc::clone(node),
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -87,13 +87,18 @@
     /// Returns the identifier of the next request.
     pub fn next_request_id(&self) -> RequestId {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        RequestId::new(&format!("{}-{}-{sequence}", self.id.name, self.id.incarnation))
+        RequestId::new(&format!(
+            "{}-{}-{sequence}",
+            self.id.name, self.id.incarnation
+        ))
     }
 
     /// Returns whether this instance is one of its region's watchers of the store.
     pub fn is_watcher(&self) -> bool {
         let members = self.members.lock();
-        members.watchers(&self.place.region, clock::now()).contains(&self.id.name)
+        members
+            .watchers(&self.place.region, clock::now())
+            .contains(&self.id.name)
     }
 
     /// Returns the members that hold a bundle, those with the highest version first.
@@ -101,7 +106,13 @@
         let members = self.members.lock();
         let mut held: Vec<_> = members
             .others()
-            .map(|member| (member.bundle_version, &member.record.domain == &self.place.domain, member.record.name.clone()))
+            .map(|member| {
+                (
+                    member.bundle_version,
+                    member.record.domain == self.place.domain,
+                    member.record.name.clone(),
+                )
+            })
             .collect();
         held.sort_by(|a, b| b.cmp(a));
         held.into_iter().map(|(.., name)| name).collect()
--- a/crates/hawthornquay/src/node_peers.rs
+++ b/crates/hawthornquay/src/node_peers.rs
@@ -24,7 +24,10 @@
             let limits = self.limits.lock();
             let own = limits.holder(&organisation.id).cloned();
             let lenders = limits.lenders(&organisation.id).into_iter().flatten();
-            own.into_iter().chain(lenders.map(|(_, id)| id)).map(|id| id.name).collect()
+            own.into_iter()
+                .chain(lenders.map(|(_, id)| id))
+                .map(|id| id.name)
+                .collect()
         });
         caller_list(&members, clock::now(), residency, &holders, rand::random())
     }
--- a/crates/hawthornquay/src/operator_router.rs
+++ b/crates/hawthornquay/src/operator_router.rs
@@ -53,7 +53,11 @@
 fn ready(state: State) -> (State, Response<Body>) {
     let node = node(&state);
     let is_ready = node.bundle.active().is_some() && !node.drain.is_closing();
-    let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let status = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
     (state, empty_response(status))
 }
 
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -52,8 +52,19 @@
     match exchange(node, bundle_version, req, &peer).await {
         Ok((status, headers, body)) => {
             node.requests.set_execution(&req.id, Execution::Ran);
-            node.requests.record(&req.id, Decision::Answered { status: status.as_u16() });
-            Ok(RoutedAnswer { status, headers, body, load, crosses_regions })
+            node.requests.record(
+                &req.id,
+                Decision::Answered {
+                    status: status.as_u16(),
+                },
+            );
+            Ok(RoutedAnswer {
+                status,
+                headers,
+                body,
+                load,
+                crosses_regions,
+            })
         }
         Err(failure) => {
             load.finish(LoadOutcome::Failed);
@@ -69,7 +80,10 @@
     instance: &InstanceName,
     crosses_regions: bool,
 ) {
-    let decision = Decision::Forwarded { instance: instance.clone(), domain: domain.clone() };
+    let decision = Decision::Forwarded {
+        instance: instance.clone(),
+        domain: domain.clone(),
+    };
     node.requests.record(&req.id, decision);
     node.requests.set_execution(&req.id, Execution::Unknown);
     if crosses_regions {
@@ -102,12 +116,12 @@
     Ok((status, wire_headers(&head), answer_stream(first, stream)))
 }
 
-async fn answer_start(
-    stream: &mut ForwardStream,
-) -> Result<(ForwardHead, Option<Bytes>), Failure> {
+async fn answer_start(stream: &mut ForwardStream) -> Result<(ForwardHead, Option<Bytes>), Failure> {
     let head = match stream.next().await {
         Some(Ok(ForwardEvent::Head(head))) => head,
-        Some(Ok(ForwardEvent::Refused(refused))) => return Err(Failure::Refused(refusal(&refused))),
+        Some(Ok(ForwardEvent::Refused(refused))) => {
+            return Err(Failure::Refused(refusal(&refused)));
+        }
         Some(Err(error)) => return Err(Failure::Link(error)),
         _ => return Err(Failure::Silent(Execution::Unknown)),
     };
@@ -144,7 +158,11 @@
     match failure {
         Failure::Refused(refusal) => {
             let execution = refusal.execution;
-            AttemptFailure { key, execution, refusal: Some(refusal) }
+            AttemptFailure {
+                key,
+                execution,
+                refusal: Some(refusal),
+            }
         }
         Failure::Link(error) => {
             info!(node.log.links, "forward failed"; "instance" => %peer.name, "error" => %error);
@@ -160,7 +178,9 @@
         RouteTarget::Model(model) => (model.to_string(), String::new()),
         RouteTarget::Service(service) => (String::new(), service.to_string()),
     };
-    let left = req.time_left().map_or(0, |left| u64::try_from(left.as_millis()).unwrap_or(0).max(1));
+    let left = req.time_left().map_or(0, |left| {
+        u64::try_from(left.as_millis()).unwrap_or(0).max(1)
+    });
     Forward {
         request_id: req.id.to_string(),
         organisation: req.organisation.id.to_string(),
@@ -192,6 +212,12 @@
 
 fn refusal(refused: &ForwardRefused) -> Refusal {
     let code = RefusalCode::parse(&refused.code).unwrap_or(RefusalCode::BackendFailed);
-    let retry_after = (refused.retry_after_ms > 0).then(|| Duration::from_millis(refused.retry_after_ms));
-    Refusal { code, execution: refused.confirmed_execution(), message: refused.message.clone(), retry_after }
+    let retry_after =
+        (refused.retry_after_ms > 0).then(|| Duration::from_millis(refused.retry_after_ms));
+    Refusal {
+        code,
+        execution: refused.confirmed_execution(),
+        message: refused.message.clone(),
+        retry_after,
+    }
 }
--- a/crates/hawthornquay/src/peer_capacity.rs
+++ b/crates/hawthornquay/src/peer_capacity.rs
@@ -20,7 +20,9 @@
 
 /// Answers a question about this instance's domain.
 pub fn grant_capacity(node: &Node, from: &InstanceId, req: &CapacityRequest) -> CapacityGrant {
-    let Some(bundle) = node.bundle.active() else { return CapacityGrant::default() };
+    let Some(bundle) = node.bundle.active() else {
+        return CapacityGrant::default();
+    };
     if node.drain.is_closing() || req.domain != node.place.domain.as_str() {
         return CapacityGrant::default();
     }
@@ -31,7 +33,9 @@
     let Some(summary) = routing.view.summary(bundle.bundle(), domain, &target, now) else {
         return CapacityGrant::default();
     };
-    let grant = routing.grantor.grant(from, domain, &target, req.requests, &summary, now);
+    let grant = routing
+        .grantor
+        .grant(from, domain, &target, req.requests, &summary, now);
     CapacityGrant {
         requests: grant.requests,
         valid_ms: u64::try_from(grant.valid_for.as_millis()).unwrap_or(0),
@@ -47,9 +51,15 @@
 /// Asks the other domains that may run a request for their load, unless that was done just now.
 pub async fn ask_domains(node: &Arc<Node>, bundle: &Bundle, req: &OutboundRequest) {
     let domains = other_domains(node, bundle, &req.organisation.residency, &req.target);
-    let asks = domains.into_iter().filter(|domain| may_ask(node, domain, &req.target));
+    let asks = domains
+        .into_iter()
+        .filter(|domain| may_ask(node, domain, &req.target));
     let asks: Vec<DomainName> = asks.collect();
-    join_all(asks.iter().map(|domain| ask_domain(node, domain, &req.target))).await;
+    join_all(
+        asks.iter()
+            .map(|domain| ask_domain(node, domain, &req.target)),
+    )
+    .await;
 }
 
 fn other_domains(
@@ -62,7 +72,11 @@
         .backends
         .values()
         .filter(|server| server.domain != node.place.domain && server.serves(target))
-        .filter(|server| bundle.region_of(&server.domain).is_some_and(|region| residency.allows(region)))
+        .filter(|server| {
+            bundle
+                .region_of(&server.domain)
+                .is_some_and(|region| residency.allows(region))
+        })
         .map(|server| server.domain.clone())
         .collect()
 }
@@ -71,13 +85,21 @@
     let now = clock::now();
     let mut asked = node.asked_domains.lock();
     asked.retain(|_, at| now.since(*at) < ASK_INTERVAL);
-    asked.insert((domain.clone(), target.clone()), now).is_none()
+    asked
+        .insert((domain.clone(), target.clone()), now)
+        .is_none()
 }
 
 async fn ask_domain(node: &Arc<Node>, domain: &DomainName, target: &RouteTarget) {
-    let Some(peer) = node.peer_in_domain(domain) else { return };
+    let Some(peer) = node.peer_in_domain(domain) else {
+        return;
+    };
     let asked_at = clock::now();
-    let Ok(answer) = node.links.call(&peer, write_target(domain, target), CALL_TIMEOUT).await else {
+    let Ok(answer) = node
+        .links
+        .call(&peer, write_target(domain, target), CALL_TIMEOUT)
+        .await
+    else {
         node.members.lock().mark_unreachable(&peer.name);
         return;
     };
@@ -87,7 +109,12 @@
     let now = clock::now();
     let mut routing = node.routing.lock();
     let key = LoadKey::Domain(domain.clone(), target.clone());
-    routing.view.report(key, read_report(domain, &answer, now.0), now.since(asked_at), now);
+    routing.view.report(
+        key,
+        read_report(domain, &answer, now.0),
+        now.since(asked_at),
+        now,
+    );
     let grant = RoutingGrant {
         domain: domain.clone(),
         target: target.clone(),
@@ -125,5 +152,10 @@
         RouteTarget::Model(model) => (model.to_string(), String::new()),
         RouteTarget::Service(service) => (String::new(), service.to_string()),
     };
-    CapacityRequest { model, service, domain: domain.to_string(), requests: REQUESTS_PER_GRANT }
+    CapacityRequest {
+        model,
+        service,
+        domain: domain.to_string(),
+        requests: REQUESTS_PER_GRANT,
+    }
 }
--- a/crates/hawthornquay/src/peer_gateway.rs
+++ b/crates/hawthornquay/src/peer_gateway.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use hawthornquay_decisions::{
-    InstanceId, LoadOutcome, Organisation, Priority, Refusal, RefusalCode, RequestId,
-    RouteTarget, RoutingHop,
+    InstanceId, LoadOutcome, Organisation, Priority, Refusal, RefusalCode, RequestId, RouteTarget,
+    RoutingHop,
 };
 use hawthornquay_instances::{
     BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardEnd, ForwardHead,
@@ -15,8 +15,11 @@
 use http::{HeaderMap, Method};
 
 use crate::{
-    ActiveBundle, Decision, Node, OutboundRequest, RoutedAnswer, clock, dispatch::dispatch,
-    peer_capacity::grant_capacity, peer_loans::lend, rollout_peers::{bundle_content, take_notice},
+    ActiveBundle, Decision, Node, OutboundRequest, RoutedAnswer, clock,
+    dispatch::dispatch,
+    peer_capacity::grant_capacity,
+    peer_loans::lend,
+    rollout_peers::{bundle_content, take_notice},
 };
 
 /// Serves other instances out of the shared tables.
@@ -50,7 +53,9 @@
             }
         };
         let cancelled = sink.cancelled();
-        let result = cancelled.run_until_cancelled(run_forwarded(&self.0, from, request)).await;
+        let result = cancelled
+            .run_until_cancelled(run_forwarded(&self.0, from, request))
+            .await;
         match result {
             // The sender gave up; it knows that the outcome is unknown.
             None => {}
@@ -71,8 +76,13 @@
     let bundle = node.bundle.required()?;
     let req = check_forward(node, &bundle, request)?;
     node.requests.open(&req.id, Some(&req.organisation.id));
-    node.requests.record(&req.id, Decision::Received { instance: from.name.clone() });
-    dispatch(node, &bundle, &req).await
+    node.requests.record(
+        &req.id,
+        Decision::Received {
+            instance: from.name.clone(),
+        },
+    );
+    dispatch(node, &bundle, req).await
 }
 
 /// Checks a forwarded request against this instance's own bundle, whatever the sender believes.
@@ -82,7 +92,10 @@
     request: Forward,
 ) -> Result<OutboundRequest, Refusal> {
     if request.hop_count != 1 {
-        return Err(refuse(RefusalCode::HopRefused, "a request is forwarded at most once"));
+        return Err(refuse(
+            RefusalCode::HopRefused,
+            "a request is forwarded at most once",
+        ));
     }
     let organisation = organisation(bundle, &request)?;
     if !organisation.residency.allows(&node.place.region) {
@@ -96,8 +109,8 @@
         .map_err(|_| refuse(RefusalCode::BadRequest, "the forwarded method is not valid"))?;
     let repeatable = request.repeatable && is_repeatable(bundle, &request);
     let arrived = clock::now();
-    let deadline = (request.deadline_ms > 0)
-        .then(|| arrived + Duration::from_millis(request.deadline_ms));
+    let deadline =
+        (request.deadline_ms > 0).then(|| arrived + Duration::from_millis(request.deadline_ms));
     Ok(OutboundRequest {
         id: RequestId::new(&request.request_id),
         organisation,
@@ -106,7 +119,11 @@
         method,
         path: request.path,
         content_type: (!request.content_type.is_empty()).then_some(request.content_type),
-        priority: if request.batch { Priority::Batch } else { Priority::Interactive },
+        priority: if request.batch {
+            Priority::Batch
+        } else {
+            Priority::Interactive
+        },
         prompt_tokens: request.prompt_tokens,
         prefixes: Vec::new(),
         cost: request.cost,
@@ -118,15 +135,25 @@
 }
 
 fn organisation(bundle: &ActiveBundle, request: &Forward) -> Result<Organisation, Refusal> {
-    let known = bundle.bundle().organisations.get(request.organisation.as_str()).cloned();
+    let known = bundle
+        .bundle()
+        .organisations
+        .get(request.organisation.as_str())
+        .cloned();
     known.ok_or_else(|| {
-        refuse(RefusalCode::StaleBundle, "the organisation is not in this instance's bundle")
+        refuse(
+            RefusalCode::StaleBundle,
+            "the organisation is not in this instance's bundle",
+        )
     })
 }
 
 fn target(request: &Forward) -> Result<RouteTarget, Refusal> {
     match (request.model.as_str(), request.service.as_str()) {
-        ("", "") => Err(refuse(RefusalCode::BadRequest, "the forwarded request has no target")),
+        ("", "") => Err(refuse(
+            RefusalCode::BadRequest,
+            "the forwarded request has no target",
+        )),
         ("", service) => Ok(RouteTarget::Service(service.into())),
         (model, _) => Ok(RouteTarget::Model(model.into())),
     }
@@ -138,11 +165,20 @@
         return true;
     }
     let path = request.path.split('?').next().unwrap_or_default();
-    bundle.bundle().route_for(path).is_some_and(|route| route.repeatable)
+    bundle
+        .bundle()
+        .route_for(path)
+        .is_some_and(|route| route.repeatable)
 }
 
 async fn send_answer(node: &Node, id: &RequestId, answer: RoutedAnswer, mut sink: ForwardSink) {
-    let RoutedAnswer { status, headers, mut body, load, .. } = answer;
+    let RoutedAnswer {
+        status,
+        headers,
+        mut body,
+        load,
+        ..
+    } = answer;
     let head = ForwardHead {
         status: u32::from(status.as_u16()),
         headers: wire_headers(&headers),
@@ -172,16 +208,17 @@
 }
 
 fn record_refusal(node: &Node, id: &RequestId, refusal: &Refusal) {
-    node.requests.record(id, Decision::Refused { code: refusal.code });
+    node.requests
+        .record(id, Decision::Refused { code: refusal.code });
     node.requests.set_execution(id, refusal.execution);
     node.requests.close(id, refusal.code.http_status());
 }
 
 fn wire_refusal(refusal: &Refusal) -> ForwardRefused {
     let mut wire = ForwardRefused::new(refusal.code.as_str(), &refusal.message, refusal.execution);
-    wire.retry_after_ms = refusal
-        .retry_after
-        .map_or(0, |after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+    wire.retry_after_ms = refusal.retry_after.map_or(0, |after| {
+        u64::try_from(after.as_millis()).unwrap_or(u64::MAX)
+    });
     wire
 }
 
--- a/crates/hawthornquay/src/peer_loans.rs
+++ b/crates/hawthornquay/src/peer_loans.rs
@@ -10,7 +10,9 @@
 ///
 /// A lost answer leaves the tokens with the lender until the loan ends there.
 pub async fn ask_for_loan(node: &Node, call: LoanCall) {
-    let Some(peer) = node.peer_address(&call.lender) else { return };
+    let Some(peer) = node.peer_address(&call.lender) else {
+        return;
+    };
     let req = WireRequest {
         organisation: call.request.organisation.to_string(),
         domain: node.place.domain.to_string(),
@@ -24,27 +26,43 @@
             let grant = LoanGrant {
                 organisation: call.request.organisation,
                 sequence: grant.sequence,
-                share: LimitShare { rate: grant.rate, capacity: grant.capacity },
+                share: LimitShare {
+                    rate: grant.rate,
+                    capacity: grant.capacity,
+                },
                 level: grant.level,
             };
-            node.limits.lock().accept_loan(&call.lender, &grant, clock::now());
+            node.limits
+                .lock()
+                .accept_loan(&call.lender, &grant, clock::now());
+        }
+        Err(error) => {
+            debug!(node.log.limits, "loan request failed"; "lender" => %call.lender.name, "error" => %error)
         }
-        Err(error) => debug!(node.log.limits, "loan request failed"; "lender" => %call.lender.name, "error" => %error),
     }
     node.loans.notify_waiters();
 }
 
 /// Answers a loan request of another instance; a grant of zero lends nothing.
-pub fn lend(node: &Node, borrower: &hawthornquay_decisions::InstanceId, req: &WireRequest) -> WireGrant {
+pub fn lend(
+    node: &Node,
+    borrower: &hawthornquay_decisions::InstanceId,
+    req: &WireRequest,
+) -> WireGrant {
     let request = hawthornquay_decisions::LoanRequest {
         organisation: req.organisation.as_str().into(),
         sequence: req.sequence,
-        share: LimitShare { rate: req.rate, capacity: req.capacity },
+        share: LimitShare {
+            rate: req.rate,
+            capacity: req.capacity,
+        },
         level: req.level,
     };
     let domain = req.domain.as_str().into();
-    let grant =
-        node.limits.lock().handle_loan_request(borrower, &domain, &request, clock::now());
+    let grant = node
+        .limits
+        .lock()
+        .handle_loan_request(borrower, &domain, &request, clock::now());
     grant.map_or_else(WireGrant::default, |grant| WireGrant {
         sequence: grant.sequence,
         rate: grant.share.rate,
--- a/crates/hawthornquay/src/platform_store.rs
+++ b/crates/hawthornquay/src/platform_store.rs
@@ -25,13 +25,21 @@
         value: &[u8],
         expect: u64,
     ) -> Result<u64, StoreError> {
-        let written = self.0.compare_and_swap(key, value, Revision(expect), None).await;
-        written.map(|revision| revision.0).map_err(|error| store_error(&error))
+        let written = self
+            .0
+            .compare_and_swap(key, value, Revision(expect), None)
+            .await;
+        written
+            .map(|revision| revision.0)
+            .map_err(|error| store_error(&error))
     }
 }
 
 fn store_entry(entry: Entry) -> StoreEntry {
-    StoreEntry { value: entry.value.to_vec(), revision: entry.revision.0 }
+    StoreEntry {
+        value: entry.value.to_vec(),
+        revision: entry.revision.0,
+    }
 }
 
 fn store_error(error: &PlatformError) -> StoreError {
--- a/crates/hawthornquay/src/request_body.rs
+++ b/crates/hawthornquay/src/request_body.rs
@@ -18,12 +18,14 @@
 ///
 /// Returns a refusal if the body is too large, too slow or breaks off.
 pub async fn read_request_body(body: Body) -> Result<Bytes, Refusal> {
-    read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await.map_err(|error| {
-        let code = match error {
-            ReadError::Broken(_) => RefusalCode::BadRequest,
-            ReadError::Timeout => RefusalCode::BodyTimeout,
-            ReadError::TooLarge { .. } => RefusalCode::BodyTooLarge,
-        };
-        Refusal::not_run(code, &error.to_string())
-    })
+    read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT)
+        .await
+        .map_err(|error| {
+            let code = match error {
+                ReadError::Broken(_) => RefusalCode::BadRequest,
+                ReadError::Timeout => RefusalCode::BodyTimeout,
+                ReadError::TooLarge { .. } => RefusalCode::BodyTooLarge,
+            };
+            Refusal::not_run(code, &error.to_string())
+        })
 }
--- a/crates/hawthornquay/src/request_log.rs
+++ b/crates/hawthornquay/src/request_log.rs
@@ -87,7 +87,11 @@
 
     /// Returns the outcome of a request for an operator.
     pub fn explain(&self, id: &RequestId) -> Option<RequestOutcome> {
-        self.entries.lock().by_id.get(id).map(|entry| outcome(id, entry))
+        self.entries
+            .lock()
+            .by_id
+            .get(id)
+            .map(|entry| outcome(id, entry))
     }
 }
 
--- a/crates/hawthornquay/src/rollout_install.rs
+++ b/crates/hawthornquay/src/rollout_install.rs
@@ -12,7 +12,10 @@
 
 /// Returns version and digest of a head.
 pub fn version_of(head: &BundleHead) -> RolloutVersion {
-    RolloutVersion { version: head.version, digest: head.digest.0 }
+    RolloutVersion {
+        version: head.version,
+        digest: head.digest.0,
+    }
 }
 
 /// Puts a verified bundle in force, unless the instance holds the same or a higher version.
@@ -37,12 +40,23 @@
 
 /// Applies a difference to the bundle in force; returns whether it was put in force.
 pub async fn offer_difference(node: &Arc<Node>, difference: &StoredDifference) -> bool {
-    let Some(held) = node.bundle.active() else { return false };
+    let Some(held) = node.bundle.active() else {
+        return false;
+    };
     let to = version_of(&difference.head);
-    let Some(previous) = difference.head.previous else { return false };
-    let from = RolloutVersion { version: to.version.saturating_sub(1), digest: previous.0 };
+    let Some(previous) = difference.head.previous else {
+        return false;
+    };
+    let from = RolloutVersion {
+        version: to.version.saturating_sub(1),
+        digest: previous.0,
+    };
     let applied = difference.verify_and_apply(&held.document);
-    let offer = RolloutOffer::Difference { from, to, verified: applied.is_ok() };
+    let offer = RolloutOffer::Difference {
+        from,
+        to,
+        verified: applied.is_ok(),
+    };
     let step = node.rollout.lock().decide(&offer);
     match (step, applied) {
         (RolloutStep::Install, Ok(document)) => {
@@ -63,13 +77,17 @@
 /// Checks whole content against the settings' trust or the bundle in force, and installs it.
 pub fn offer_content(node: &Node, head: BundleHead, document: BundleDocument) -> bool {
     let by_settings = node.settings.trust.verify_head(&head);
-    let by_held = node
-        .bundle
-        .active()
-        .is_some_and(|held| Trust::of_predecessor(held.bundle()).verify_head(&head).is_ok());
+    let by_held = node.bundle.active().is_some_and(|held| {
+        Trust::of_predecessor(held.bundle())
+            .verify_head(&head)
+            .is_ok()
+    });
     let matches = document.digest() == head.digest && document.version() == head.version;
     let verified = matches && (by_settings.is_ok() || by_held);
-    let offer = RolloutOffer::Content { to: version_of(&head), verified };
+    let offer = RolloutOffer::Content {
+        to: version_of(&head),
+        verified,
+    };
     match node.rollout.lock().decide(&offer) {
         RolloutStep::Install => {}
         RolloutStep::IgnoreUnverified => {
@@ -83,7 +101,9 @@
 
 /// Reads the head in the store and follows it; returns whether the store answered.
 pub async fn follow_store(node: &Arc<Node>) -> bool {
-    node.rollout.lock().head_read_sent(clock::now(), rand::random());
+    node.rollout
+        .lock()
+        .head_read_sent(clock::now(), rand::random());
     let store = PlatformStore(&node.platform);
     let asked = clock::now();
     let head = match load_head(&store).await {
@@ -95,7 +115,9 @@
         }
     };
     node.head_seen.store(Some(Arc::new((head.version, asked))));
-    let step = node.rollout.lock().decide(&RolloutOffer::Head { to: version_of(&head) });
+    let step = node.rollout.lock().decide(&RolloutOffer::Head {
+        to: version_of(&head),
+    });
     match step {
         RolloutStep::FetchDifferences { first, .. } => {
             if !follow_differences(node, &store, &head, first).await {
@@ -103,9 +125,7 @@
             }
         }
         RolloutStep::FetchContent { .. } => follow_content(node, &store, head).await,
-        RolloutStep::IgnoreNotNewer
-        | RolloutStep::IgnoreUnverified
-        | RolloutStep::Install => {}
+        RolloutStep::IgnoreNotNewer | RolloutStep::IgnoreUnverified | RolloutStep::Install => {}
     }
     true
 }
--- a/crates/hawthornquay/src/rollout_peers.rs
+++ b/crates/hawthornquay/src/rollout_peers.rs
@@ -43,7 +43,9 @@
 /// Each instance passes a difference on once, so it reaches almost all within a few hops; digests
 /// repair the rest.
 pub async fn push_difference(node: &Arc<Node>, difference: &StoredDifference) {
-    let Ok(delta) = serde_json::to_vec(difference) else { return };
+    let Ok(delta) = serde_json::to_vec(difference) else {
+        return;
+    };
     let notice = Notice::BundleDelta(BundleDelta {
         version: difference.head.version,
         base_version: difference.head.version.saturating_sub(1),
@@ -51,19 +53,33 @@
         delta: delta.into(),
     });
     let partners = node.partners.lock().clone();
-    let peers: Vec<PeerAddress> =
-        partners.iter().filter_map(|name| node.peer_named(name)).collect();
-    join_all(peers.iter().map(|peer| node.links.send(peer, notice.clone()))).await;
+    let peers: Vec<PeerAddress> = partners
+        .iter()
+        .filter_map(|name| node.peer_named(name))
+        .collect();
+    join_all(
+        peers
+            .iter()
+            .map(|peer| node.links.send(peer, notice.clone())),
+    )
+    .await;
 }
 
 /// Answers a request for a part of the bundle in force.
 pub fn bundle_content(node: &Node, req: &BundleFetch) -> BundleContent {
-    let Some(active) = node.bundle.active().filter(|active| active.version() >= req.version) else {
+    let Some(active) = node
+        .bundle
+        .active()
+        .filter(|active| active.version() >= req.version)
+    else {
         return BundleContent::default();
     };
     let text = active.document.canonical().as_bytes();
     let parts = text.len().div_ceil(PART_BYTES).max(1);
-    let part = text.chunks(PART_BYTES).nth(req.part as usize).unwrap_or_default();
+    let part = text
+        .chunks(PART_BYTES)
+        .nth(req.part as usize)
+        .unwrap_or_default();
     BundleContent {
         version: active.version(),
         head: serde_json::to_vec(&active.head).unwrap_or_default().into(),
@@ -75,7 +91,9 @@
 
 /// Fetches the bundle of a peer that holds a newer one.
 pub async fn fetch_from(node: &Arc<Node>, name: &InstanceName) -> bool {
-    let Some(peer) = node.peer_named(name) else { return false };
+    let Some(peer) = node.peer_named(name) else {
+        return false;
+    };
     let Some((head, document)) = fetch(node, &peer).await else {
         info!(node.log.rollout, "peer gave no bundle"; "instance" => %name);
         return false;
--- a/crates/hawthornquay/src/rollout_task.rs
+++ b/crates/hawthornquay/src/rollout_task.rs
@@ -5,11 +5,7 @@
 use hawthornquay_platform::Revision;
 use slog::info;
 
-use crate::{
-    Node, clock,
-    rollout_install::follow_store,
-    rollout_peers::fetch_from,
-};
+use crate::{Node, clock, rollout_install::follow_store, rollout_peers::fetch_from};
 
 const HEAD_KEY: &str = "bundle/head";
 
@@ -25,7 +21,11 @@
 pub async fn start_rollout(node: &Arc<Node>) {
     loop {
         let answered = follow_store(node).await;
-        let from_peers = if answered { node.bundle.active().is_none() } else { true };
+        let from_peers = if answered {
+            node.bundle.active().is_none()
+        } else {
+            true
+        };
         if from_peers {
             fetch_highest(node).await;
         }
--- a/crates/hawthornquay/src/routing_state.rs
+++ b/crates/hawthornquay/src/routing_state.rs
@@ -1,8 +1,6 @@
 //! State of routing at this instance.
 
-use hawthornquay_decisions::{
-    LoadView, PrefixMap, RetryBudget, RoutingGrantor, RoutingGrants,
-};
+use hawthornquay_decisions::{LoadView, PrefixMap, RetryBudget, RoutingGrantor, RoutingGrants};
 
 /// Tables that routing decisions read and change under one lock.
 #[derive(Default)]
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -31,7 +31,11 @@
     let drain = node.drain.enter()?;
     let arrived = clock::now();
     let bundle = node.bundle.required()?;
-    let route = bundle.bundle().route_for(head.path()).cloned().ok_or_else(|| unknown_path(&head))?;
+    let route = bundle
+        .bundle()
+        .route_for(head.path())
+        .cloned()
+        .ok_or_else(|| unknown_path(&head))?;
     let admission = match &route.open_for {
         Some(organisation) if head.key.is_none() => {
             Admission::by_open_route(node, &head.id, bundle, organisation)?
@@ -45,8 +49,14 @@
     let req = outbound(&head, &admission, &route, body, arrived);
     let node = Arc::clone(node);
     let run = tokio::spawn(async move {
-        let claim = Claim::take(&node, &req, head.idempotency_key.as_deref(), &admission.bundle).await?;
-        let result = run(&node, &req, &admission, arrived, drain).await;
+        let claim = Claim::take(
+            &node,
+            &req,
+            head.idempotency_key.as_deref(),
+            &admission.bundle,
+        )
+        .await?;
+        let result = run(&node, req, &admission, arrived, drain).await;
         let execution = match &result {
             Ok(_) => Execution::Ran,
             Err(refusal) => refusal.execution,
@@ -59,18 +69,19 @@
 
 async fn run(
     node: &Arc<Node>,
-    req: &OutboundRequest,
+    req: OutboundRequest,
     admission: &Admission,
     arrived: MonotonicTime,
     drain: crate::DrainGuard,
 ) -> Result<Response<Body>, Refusal> {
     let organisation = admission.organisation.id.clone();
-    let limit = LimitGuard::reserve(node, &req.id, &organisation, req.cost).await?;
+    let id = req.id.clone();
+    let limit = LimitGuard::reserve(node, &id, &organisation, req.cost).await?;
     match dispatch(node, &admission.bundle, req).await {
         Ok(answer) => {
             let end = AnswerEnd {
                 node: Arc::clone(node),
-                id: req.id.clone(),
+                id,
                 organisation,
                 arrived,
                 limit,
@@ -95,7 +106,10 @@
     body: Bytes,
     arrived: MonotonicTime,
 ) -> OutboundRequest {
-    let path = head.uri.path_and_query().map_or(head.path(), |path| path.as_str());
+    let path = head
+        .uri
+        .path_and_query()
+        .map_or(head.path(), |path| path.as_str());
     OutboundRequest {
         id: head.id.clone(),
         organisation: admission.organisation.clone(),
--- a/crates/hawthornquay/src/token_use.rs
+++ b/crates/hawthornquay/src/token_use.rs
@@ -27,7 +27,10 @@
 impl TokenUse {
     /// Adds a part of the answer.
     pub fn add(&mut self, data: &[u8]) {
-        self.events += data.windows(EVENT_MARK.len()).filter(|part| *part == EVENT_MARK).count() as u64;
+        self.events += data
+            .windows(EVENT_MARK.len())
+            .filter(|part| *part == EVENT_MARK)
+            .count() as u64;
         self.tail.extend_from_slice(data);
         if self.tail.len() > 2 * TAIL_BYTES {
             self.tail.drain(..self.tail.len() - TAIL_BYTES);
@@ -45,7 +48,10 @@
             .windows(USAGE_FIELD.len())
             .rposition(|part| part == USAGE_FIELD)?;
         let rest = &self.tail[start + USAGE_FIELD.len()..];
-        let usage: Usage = serde_json::Deserializer::from_slice(rest).into_iter().next()?.ok()?;
+        let usage: Usage = serde_json::Deserializer::from_slice(rest)
+            .into_iter()
+            .next()?
+            .ok()?;
         Some(usage.prompt_tokens + usage.completion_tokens)
     }
 }
--- a/crates/instances/src/local_instance.rs
+++ b/crates/instances/src/local_instance.rs
@@ -33,6 +33,11 @@
         self
     }
 
+    /// Returns the identity of the process.
+    pub const fn id(&self) -> &InstanceId {
+        &self.id
+    }
+
     /// Returns the counters.
     pub fn counters(&self) -> Arc<LinkCounters> {
         self.counters.clone()
--- a/crates/instances/tests/support/service.rs
+++ b/crates/instances/tests/support/service.rs
@@ -90,7 +90,7 @@
     }
 
     async fn forward(&self, _: &InstanceId, request: Forward, mut sink: ForwardSink) {
-        match request.route.as_str() {
+        match request.path.as_str() {
             "/refuse" => {
                 let refused = ForwardRefused::new("no", "refused", Execution::NotRun);
                 sink.refuse(refused).await.unwrap();
@@ -125,7 +125,7 @@
 
 pub fn forward(route: &str, body: &'static [u8]) -> Forward {
     Forward {
-        route: route.to_owned(),
+        path: route.to_owned(),
         hop_count: 1,
         body: Bytes::from_static(body),
         ..Forward::default()
