--- /dev/null
+++ b/crates/hawthornquay/tests/support/fleet.rs
@@ -0,0 +1,63 @@
+//! Running fleet.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hawthornquay::{Daemon, Node};
+use hawthornquay_operators::{DaemonSettings, OperatorKey};
+use hawthornquay_platform::PlatformClient;
+use hawthornquay_standins::{ModelEngine, PlainService, Platform};
+use tokio::time::Instant;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Fleet in the process of a test.
+pub struct Fleet {
+    pub platform: Platform,
+    pub engines: Vec<ModelEngine>,
+    pub service: PlainService,
+    pub signer: OperatorKey,
+    pub text: String,
+    pub client: PlatformClient,
+    pub daemons: Vec<Option<Daemon>>,
+    pub settings: Vec<DaemonSettings>,
+}
+
+impl Fleet {
+    /// Returns the callers' address of an instance.
+    pub fn callers(&self, index: usize) -> SocketAddr {
+        self.settings[index].instance.callers
+    }
+
+    /// Returns the operators' address of an instance.
+    pub fn operators(&self, index: usize) -> SocketAddr {
+        self.settings[index].instance.operators
+    }
+
+    /// Returns the tables of a running instance.
+    pub fn node(&self, index: usize) -> &Node {
+        self.daemons[index]
+            .as_ref()
+            .expect("the instance runs")
+            .node()
+    }
+
+    /// Stops an instance gracefully.
+    pub async fn stop_instance(&mut self, index: usize) {
+        if let Some(daemon) = self.daemons[index].take() {
+            daemon.stop().await;
+        }
+    }
+}
+
+/// Polls until `condition` holds.
+///
+/// # Panics
+///
+/// Panics after `limit`, naming what was waited for.
+pub async fn wait_until(limit: Duration, what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !condition() {
+        assert!(Instant::now() < end, "no {what} within {limit:?}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -0,0 +1,279 @@
+//! Builder of a fleet.
+
+use std::{
+    fs,
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    time::{Duration, SystemTime},
+};
+
+use hawthornquay::{Daemon, PlatformStore};
+use hawthornquay_decisions::{InstanceRecord, InstanceState};
+use hawthornquay_instances::generate_test_authority;
+use hawthornquay_operators::{
+    AcceptRequest, BundleDocument, DaemonSettings, Logs, OperatorKey, accept_bundle,
+    caller_key_digest, key_digest_text,
+};
+use hawthornquay_platform::{CallLimits, PlatformClient};
+use hawthornquay_standins::{
+    EngineSettings, ModelEngine, PlainService, Platform, PlatformSettings,
+};
+
+use super::{Fleet, wait_until};
+
+const SALT: &str = "00112233445566778899aabbccddeeff";
+
+/// Fleet of three instances in two regions, unless told otherwise.
+pub struct FleetBuilder {
+    instances: Vec<(String, String, String)>,
+    engine: EngineSettings,
+    engine_domains: Vec<String>,
+    rate: u64,
+    burst: u64,
+    platform: PlatformSettings,
+    idempotency_key: &'static str,
+}
+
+impl Default for FleetBuilder {
+    fn default() -> Self {
+        let place = |name: &str, region: &str, domain: &str| {
+            (name.to_owned(), region.to_owned(), domain.to_owned())
+        };
+        Self {
+            instances: vec![
+                place("lagos-1", "lagos", "lagos-a"),
+                place("lagos-2", "lagos", "lagos-a"),
+                place("kano-1", "kano", "kano-a"),
+            ],
+            engine: EngineSettings::default(),
+            engine_domains: vec!["lagos-a".to_owned(), "kano-a".to_owned()],
+            rate: 1_000_000,
+            burst: 1_000_000,
+            platform: PlatformSettings::default(),
+            idempotency_key: "optional",
+        }
+    }
+}
+
+impl FleetBuilder {
+    pub fn engine(mut self, engine: EngineSettings) -> Self {
+        self.engine = engine;
+        self
+    }
+
+    pub fn engine_domains(mut self, domains: &[&str]) -> Self {
+        self.engine_domains = domains.iter().map(|domain| (*domain).to_owned()).collect();
+        self
+    }
+
+    pub fn limit(mut self, rate: u64, burst: u64) -> Self {
+        (self.rate, self.burst) = (rate, burst);
+        self
+    }
+
+    pub fn require_idempotency_key(mut self) -> Self {
+        self.idempotency_key = "required";
+        self
+    }
+
+    /// Starts everything and waits until each instance has the bundle and every slot a holder.
+    pub async fn start(self) -> Fleet {
+        let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
+        let platform = Platform::start(any, self.platform.clone()).await.unwrap();
+        let mut engines = Vec::new();
+        for (index, domain) in self.engine_domains.iter().enumerate() {
+            let name = format!("engine-{}", index + 1);
+            let settings = EngineSettings {
+                name: name.clone(),
+                ..self.engine.clone()
+            };
+            engines.push((
+                name,
+                domain.clone(),
+                ModelEngine::start(any, settings).await.unwrap(),
+            ));
+        }
+        let service = PlainService::start(any, "bookings-1").await.unwrap();
+        let signer = OperatorKey::generate().unwrap();
+        let text = self.bundle_text(&engines, service.address(), &signer);
+        let client = PlatformClient::new(platform.address(), CallLimits::default());
+        let mut fleet = Fleet {
+            platform,
+            engines: engines.into_iter().map(|(_, _, engine)| engine).collect(),
+            service,
+            signer,
+            text,
+            client,
+            daemons: Vec::new(),
+            settings: Vec::new(),
+        };
+        fleet.accept(1).await.unwrap();
+        fleet.settings = self.settings(&fleet);
+        for index in 0..fleet.settings.len() {
+            fleet.list_instance(index, InstanceState::Live);
+            fleet.start_instance(index).await;
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    fn bundle_text(
+        &self,
+        engines: &[(String, String, ModelEngine)],
+        service: SocketAddr,
+        signer: &OperatorKey,
+    ) -> String {
+        let salt: Vec<u8> = (0..SALT.len() / 2)
+            .map(|index| u8::from_str_radix(&SALT[2 * index..2 * index + 2], 16).unwrap())
+            .collect();
+        let digest = |key: &str| key_digest_text(&caller_key_digest(&salt, key));
+        let mut text = format!(
+            "[bundle]\nversion = 1\nsignatures_needed = 1\nkey_salt = {SALT}\nsigner.ada = {}\n\
+             [region lagos]\n[region kano]\n\
+             [domain lagos-a]\nregion = lagos\nlimit_weight = 1\n\
+             [domain kano-a]\nregion = kano\nlimit_weight = 1\n\
+             [organisation kolanut]\nrate = {}\nburst = {}\nresidency = any\n\
+             [organisation homebound]\nrate = {}\nburst = {}\nresidency = lagos\n\
+             [key kolanut-1]\norganisation = kolanut\ndigest = {}\n\
+             [key homebound-1]\norganisation = homebound\ndigest = {}\n\
+             [route /v1/services/bookings]\nservice = bookings\nrepeatable = no\n\
+             idempotency_key = {}\ncost = 1\n\
+             [route /v1/services/lookups]\nservice = bookings\nrepeatable = yes\ncost = 1\n\
+             [route /v1/services/open]\nservice = bookings\nopen = yes\norganisation = kolanut\n\
+             [backend bookings-1]\nkind = plain-service\naddress = {service}\ndomain = lagos-a\n\
+             service = bookings\n",
+            signer.public_base64(),
+            self.rate,
+            self.burst,
+            self.rate,
+            self.burst,
+            digest("key-kolanut"),
+            digest("key-homebound"),
+            self.idempotency_key,
+        );
+        for (name, domain, engine) in engines {
+            text += &format!(
+                "[backend {name}]\nkind = model-engine\naddress = {}\ndomain = {domain}\n\
+                 models = ledger-7b\nfencing = yes\n",
+                engine.address()
+            );
+        }
+        text
+    }
+
+    fn settings(&self, fleet: &Fleet) -> Vec<DaemonSettings> {
+        let names: Vec<(&str, IpAddr)> = self
+            .instances
+            .iter()
+            .map(|(name, ..)| (name.as_str(), IpAddr::V4(Ipv4Addr::LOCALHOST)))
+            .collect();
+        let authority = generate_test_authority(&names).unwrap();
+        let dir = std::env::temp_dir().join(format!("hawthornquay-{:016x}", rand::random::<u64>()));
+        fs::create_dir_all(&dir).unwrap();
+        let write = |name: &str, text: &str| {
+            let path = dir.join(name);
+            fs::write(&path, text).unwrap();
+            path.display().to_string()
+        };
+        let authority_path = write("authority.pem", &authority.authority);
+        let ports = free_ports(3 * self.instances.len());
+        let mut settings = Vec::new();
+        for (index, (name, region, domain)) in self.instances.iter().enumerate() {
+            let files = &authority.instances[index];
+            let certificate = write(&format!("{name}.pem"), &files.certificate);
+            let key = write(&format!("{name}.key"), &files.key);
+            let [callers, peers, operators] = [0, 1, 2].map(|offset| ports[3 * index + offset]);
+            let text = format!(
+                "[instance]\nname = {name}\nregion = {region}\ndomain = {domain}\n\
+                 callers = {callers}\npeers = {peers}\noperators = {operators}\n\
+                 [platform]\naddress = {}\n\
+                 [tls]\ncertificate = {certificate}\nkey = {key}\nauthority = {authority_path}\n\
+                 [trust]\nsignatures_needed = 1\nsigner.ada = {}\n\
+                 [log]\nformat = human\nlevel = warning\n",
+                fleet.platform.address(),
+                fleet.signer.public_base64(),
+            );
+            settings.push(DaemonSettings::read("settings", &text).unwrap());
+        }
+        settings
+    }
+}
+
+/// Returns free loopback addresses; all are held until the last is found.
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap())
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap())
+        .collect()
+}
+
+impl Fleet {
+    /// Accepts the fleet's bundle text with this version in place of the one before.
+    pub async fn accept(
+        &mut self,
+        version: u64,
+    ) -> Result<(), hawthornquay_operators::AcceptError> {
+        let previous = format!("version = {}\n", version.saturating_sub(1).max(1));
+        self.text = self
+            .text
+            .replacen(&previous, &format!("version = {version}\n"), 1);
+        let document = BundleDocument::read("bundle", &self.text).unwrap();
+        let signature = self.signer.sign("ada", version, &document.digest());
+        let request = AcceptRequest {
+            document: &document,
+            signatures: &[signature],
+            first_trust: None,
+            who: "ada",
+            when_ms: SystemTime::UNIX_EPOCH.elapsed().unwrap().as_millis() as u64,
+        };
+        accept_bundle(&PlatformStore(&self.client), &request)
+            .await
+            .map(drop)
+    }
+
+    /// Writes an instance into the platform's list.
+    pub fn list_instance(&self, index: usize, state: InstanceState) {
+        let instance = &self.settings[index].instance;
+        self.platform.set_instance(InstanceRecord {
+            name: instance.name.clone(),
+            region: instance.region.clone(),
+            domain: instance.domain.clone(),
+            callers: instance.callers,
+            peers: instance.peers,
+            operators: instance.operators,
+            state,
+            state_age_ms: 0,
+        });
+    }
+
+    /// Starts an instance from its settings.
+    pub async fn start_instance(&mut self, index: usize) {
+        let settings = self.settings[index].clone();
+        let logs = Logs::new(&settings.log, Box::new(std::io::stderr()));
+        let daemon = Daemon::start(settings, logs).await.unwrap();
+        while self.daemons.len() <= index {
+            self.daemons.push(None);
+        }
+        self.daemons[index] = Some(daemon);
+    }
+
+    async fn wait_ready(&self) {
+        wait_until(
+            Duration::from_secs(20),
+            "a bundle and slots at each instance",
+            || {
+                self.daemons.iter().flatten().all(|daemon| {
+                    let node = daemon.node();
+                    let limits = node.limits.lock();
+                    node.bundle.active().is_some()
+                        && ["kolanut", "homebound"]
+                            .iter()
+                            .all(|org| limits.holder(&(*org).into()).is_some())
+                })
+            },
+        )
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -0,0 +1,13 @@
+//! Fleet of instances and stand-ins in the process of a test.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod caller;
+mod fleet;
+mod fleet_builder;
+
+pub use {
+    caller::{Answer, Caller},
+    fleet::{Fleet, wait_until},
+    fleet_builder::FleetBuilder,
+};
--- /dev/null
+++ b/crates/hawthornquay/tests/whole_path.rs
@@ -0,0 +1,118 @@
+//! Requests through instances, platform and backend servers over real sockets.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use serde_json::Value;
+use support::{Caller, FleetBuilder, wait_until};
+
+/// Guards against an answer that is not the caller's own, whole or streamed, local or forwarded.
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_each_instance_answers_its_own_request() {
+    let fleet = FleetBuilder::default().start().await;
+    let caller = Caller::new(Some("key-kolanut"));
+    for instance in 0..3 {
+        for stream in [false, true] {
+            let nonce = format!("n{instance}{stream}");
+            let answer = caller
+                .chat(fleet.callers(instance), &nonce, 8, stream)
+                .await;
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+            assert!(answer.text().contains(&nonce), "{}", answer.text());
+        }
+    }
+}
+
+/// Guards against a service call that does not reach a server of another domain, or runs twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn service_call_from_each_domain_runs_once() {
+    let fleet = FleetBuilder::default().start().await;
+    let caller = Caller::new(Some("key-kolanut"));
+    for instance in 0..3 {
+        let key = format!("payment-{instance}");
+        let answer = caller.book(fleet.callers(instance), Some(&key), "a").await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        let again = caller
+            .book(fleet.callers((instance + 1) % 3), Some(&key), "a")
+            .await;
+        assert_eq!(again.code(), "already-claimed");
+        assert_eq!(again.execution(), "ran");
+        let runs = fleet.service.runs();
+        assert_eq!(runs.get(&answer.request_id()), Some(&1));
+        assert_eq!(runs.get(&again.request_id()), None);
+    }
+}
+
+/// Guards against keys that work at the wrong place or for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn admission_wrong_key_or_region_is_refused() {
+    let fleet = FleetBuilder::default().start().await;
+    let unknown = Caller::new(Some("key-unknown"))
+        .chat(fleet.callers(0), "n", 4, false)
+        .await;
+    assert_eq!(
+        (unknown.status, unknown.execution().as_str()),
+        (StatusCode::UNAUTHORIZED, "not-run")
+    );
+    let caller = Caller::new(Some("key-homebound"));
+    let refused = caller.chat(fleet.callers(2), "n", 4, false).await;
+    assert_eq!(refused.code(), "residency-refused");
+    assert!(
+        refused.text().contains(&fleet.callers(0).to_string()),
+        "{}",
+        refused.text()
+    );
+    let allowed = caller.chat(fleet.callers(0), "n", 4, false).await;
+    assert_eq!(allowed.status, StatusCode::OK, "{}", allowed.text());
+}
+
+/// Guards against an outcome or an explanation that is missing or shown to others.
+#[tokio::test(flavor = "multi_thread")]
+async fn outcome_own_request_is_explained() {
+    let fleet = FleetBuilder::default().start().await;
+    let caller = Caller::new(Some("key-kolanut"));
+    let answer = caller.chat(fleet.callers(0), "n", 4, false).await;
+    let path = format!("/v1/requests/{}", answer.request_id());
+    let node = fleet.node(0);
+    wait_until(Duration::from_secs(5), "end of the request", || {
+        node.drain.in_flight() == 0
+    })
+    .await;
+    let outcome = caller.get(fleet.callers(0), &path).await.json();
+    assert_eq!(outcome["execution"], Value::from("ran"));
+    assert_eq!(outcome["finished"], Value::from(true));
+    let other = Caller::new(Some("key-homebound"))
+        .get(fleet.callers(0), &path)
+        .await;
+    assert_eq!(other.code(), "request-unknown");
+    let elsewhere = caller.get(fleet.callers(1), &path).await;
+    assert!(
+        elsewhere.text().contains(&fleet.callers(0).to_string()),
+        "{}",
+        elsewhere.text()
+    );
+}
+
+/// Guards against a list that names instances which the residency forbids.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_residency_filters_the_list() {
+    let fleet = FleetBuilder::default().start().await;
+    let all = Caller::new(Some("key-kolanut"))
+        .get(fleet.callers(0), "/v1/instances")
+        .await
+        .json();
+    assert_eq!(all["instances"].as_array().map(Vec::len), Some(3));
+    let home = Caller::new(Some("key-homebound"))
+        .get(fleet.callers(2), "/v1/instances")
+        .await
+        .json();
+    let names: Vec<&str> = home["instances"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|entry| entry["region"].as_str().unwrap())
+        .collect();
+    assert_eq!(names, ["lagos", "lagos"]);
+}
