Close idle connections after a failure, test the load estimate

Cause: connections can go silent for good while new ones work. Every idle connection to the server then cost one call its head timeout. Now a failed or silent call closes the idle connections to its address, so a failed poll of the load report also protects requests.

The load view had no test against counting a send twice, once in the report and once as own. view_estimate_stays_sound covers it over random orders of reports, sends and ends.

Trials with the protection taken out, undone: idle connections kept (connection_silent_pool_replaced fails); ended sends not dropped, contained sends still counted (view_estimate_stays_sound fails for each).

--- a/crates/backends/src/answer_body.rs
+++ b/crates/backends/src/answer_body.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    fn close(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.pool.close_all(connection.address);
+        }
+    }
+
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BackendError>>> {
         let Some(connection) = &self.connection else {
             return Poll::Ready(None);
@@ -82,7 +88,7 @@
             match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Pending => {
                     ready!(self.silence.as_mut().poll(cx));
-                    self.connection = None;
+                    self.close();
                     return Poll::Ready(Some(Err(BackendError::BodySilent { address, after })));
                 }
                 Poll::Ready(None) => {
@@ -90,7 +96,7 @@
                     return Poll::Ready(None);
                 }
                 Poll::Ready(Some(Err(source))) => {
-                    self.connection = None;
+                    self.close();
                     return Poll::Ready(Some(Err(BackendError::BodyBroken { address, source })));
                 }
                 Poll::Ready(Some(Ok(frame))) => {
--- a/crates/backends/src/backend_client.rs
+++ b/crates/backends/src/backend_client.rs
@@ -156,8 +156,9 @@
             let body = answer.body.read(self.pool.limits.report_bytes).await?;
             Ok((answer.head.status, body))
         };
-        timeout(after, exchange)
-            .await
-            .map_err(|_| BackendError::HeadTimeout { address, after })?
+        timeout(after, exchange).await.unwrap_or_else(|_| {
+            self.pool.close_all(address);
+            Err(BackendError::HeadTimeout { address, after })
+        })
     }
 }
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -51,17 +51,24 @@
         let address = self.address;
         let after = req.head_timeout.unwrap_or(self.pool.limits.head_timeout);
         let req = req.into_http(address)?;
-        let res = timeout(after, self.open.sender.try_send_request(req))
-            .await
-            .map_err(|_| BackendError::HeadTimeout { address, after })?
-            .map_err(|mut error| match error.take_message() {
+        let res = match timeout(after, self.open.sender.try_send_request(req)).await {
+            Ok(Ok(res)) => res,
+            Ok(Err(mut error)) => {
+                self.pool.close_all(address);
                 // hyper hands the request back only if it never began to write it.
-                Some(_) => BackendError::ClosedUnsent { address },
-                None => BackendError::Send {
-                    address,
-                    source: error.into_error(),
-                },
-            })?;
+                return Err(match error.take_message() {
+                    Some(_) => BackendError::ClosedUnsent { address },
+                    None => BackendError::Send {
+                        address,
+                        source: error.into_error(),
+                    },
+                });
+            }
+            Err(_) => {
+                self.pool.close_all(address);
+                return Err(BackendError::HeadTimeout { address, after });
+            }
+        };
         let (head, body) = res.into_parts();
         Ok(Answer {
             head,
--- a/crates/backends/src/connection_pool.rs
+++ b/crates/backends/src/connection_pool.rs
@@ -46,6 +46,14 @@
         connections.push((connection, Instant::now()));
     }
 
+    /// Closes the idle connections to an address on which a connection failed.
+    ///
+    /// Connections can go silent for good while new ones work, and those opened before share the
+    /// path that failed.
+    pub(crate) fn close_all(&self, address: SocketAddr) {
+        self.idle.lock().remove(&address);
+    }
+
     pub(crate) fn close_expired(&self) {
         let now = Instant::now();
         self.idle.lock().retain(|_, connections| {
--- a/crates/backends/tests/client_calls.rs
+++ b/crates/backends/tests/client_calls.rs
@@ -168,6 +168,26 @@
     assert_eq!(server.requests().len(), 3);
 }
 
+/// Guards against call after call lost on idle connections that went silent for good.
+#[tokio::test]
+async fn connection_silent_pool_replaced() {
+    let server = FakeServer::start(Reply::TextOnce(answer(200, "ok"))).await;
+    let client = client();
+    let mut open = Vec::new();
+    for _ in 0..4 {
+        open.push(client.connect_fresh(server.address).await.unwrap());
+    }
+    for connection in open {
+        let answer = connection.send(request()).await.unwrap();
+        answer.body.read(LIMIT).await.unwrap();
+    }
+    assert_eq!(client.idle_connections(), 4);
+    let error = call(&client, server.address).await.unwrap_err();
+    assert!(matches!(error, BackendError::HeadTimeout { .. }), "{error}");
+    assert_eq!(client.idle_connections(), 0);
+    assert_eq!(call(&client, server.address).await.unwrap(), "ok");
+}
+
 /// Guards against a pool that outlives its limit or hands out an idle connection as fresh.
 #[tokio::test]
 async fn connection_fresh_and_expired() {
--- a/crates/backends/tests/fake_server/mod.rs
+++ b/crates/backends/tests/fake_server/mod.rs
@@ -14,6 +14,8 @@
 pub enum Reply {
     /// Writes the text and keeps the connection.
     Text(String),
+    /// Answers the first request on each connection and none after it.
+    TextOnce(String),
     /// Writes the text and closes the connection.
     TextThenClose(String),
     /// Writes the text and stays silent until the client closes.
@@ -82,10 +84,15 @@
 }
 
 async fn serve(mut stream: TcpStream, reply: Reply, seen: Arc<Mutex<Seen>>) {
+    let mut answered = false;
     while let Some(request) = read_request(&mut stream).await {
         seen.lock().requests.push(request);
+        if answered && matches!(reply, Reply::TextOnce(_)) {
+            continue;
+        }
+        answered = true;
         let (text, keeps, silent) = match &reply {
-            Reply::Text(text) => (text, true, false),
+            Reply::Text(text) | Reply::TextOnce(text) => (text, true, false),
             Reply::TextThenClose(text) => (text, false, false),
             Reply::TextThenSilence(text) => (text, true, true),
         };
--- a/crates/decisions/src/routing_decision.rs
+++ b/crates/decisions/src/routing_decision.rs
@@ -8,8 +8,11 @@
     /// Call a backend server of the own domain.
     Call(BackendName),
     /// Forward to an instance of another domain.
+    ///
+    /// In another region, this uses up a grant: the instance calls
+    /// [`crate::RoutingGrants::spend`] before it forwards, and decides again if that fails.
     Forward(DomainName),
-    /// Wait in the queue for a free server, and decide again.
+    /// Wait in the [`crate::FairQueue`] for a free server, and decide again.
     Wait,
     /// Refuse.
     Refuse(Refusal),
--- a/crates/decisions/tests/routing_invariants.rs
+++ b/crates/decisions/tests/routing_invariants.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{
-    Execution, LoadKey, LoadOutcome, Priority, Residency, RetryBudget, RetryDecision, RetryState,
-    RoutingDecision, RoutingHop,
+    Execution, LoadKey, LoadOutcome, LoadState, Priority, Residency, RetryBudget, RetryDecision,
+    RetryState, RoutingDecision, RoutingHop,
 };
 use proptest::prelude::*;
 
@@ -95,6 +95,55 @@
         }
     }
 
+    /// Guards against an estimate that is negative or infinite, or keeps sends that have ended,
+    /// however reports, sends and ends are ordered.
+    #[test]
+    fn view_estimate_stays_sound(
+        steps in prop::collection::vec((0_u8..4, 0_u64..400, 0_u32..12), 1..80),
+        instances in 1_usize..50,
+    ) {
+        let mut fleet = Fleet::new();
+        fleet.view.set_instances(instances);
+        let mut now = NOW;
+        let mut tickets = Vec::new();
+        for (number, (step, ms, value)) in steps.into_iter().enumerate() {
+            now = now + Duration::from_millis(ms);
+            match step {
+                0 => {
+                    let mut report = report(value);
+                    report.sequence = number as u64 + 2;
+                    fleet.view.report(key("a1-e1"), report, Duration::from_millis(ms * 3), now);
+                }
+                1 if !tickets.is_empty() => {
+                    let ticket = tickets.swap_remove(value as usize % tickets.len());
+                    fleet.view.ended(ticket, LoadOutcome::Answered, now);
+                }
+                _ => tickets.push(fleet.view.sent(key("a1-e1"), u64::from(value), now)),
+            }
+            if let LoadState::Available(estimate) = fleet.view.state(&key("a1-e1"), now) {
+                prop_assert!(estimate.occupied >= 0.0 && estimate.occupied.is_finite());
+                prop_assert!(estimate.queue_seconds >= 0.0 && estimate.queue_seconds.is_finite());
+            }
+        }
+        let occupied_after_report = |fleet: &mut Fleet, sequence, now| {
+            let mut last = report(3);
+            last.sequence = sequence;
+            fleet.view.report(key("a1-e1"), last, Duration::ZERO, now);
+            match fleet.view.state(&key("a1-e1"), now) {
+                LoadState::Available(estimate) => estimate.occupied,
+                state => panic!("{state:?}"),
+            }
+        };
+        // The report contains the sends that are still running, and the next one those that ended.
+        now = now + Duration::from_millis(1);
+        prop_assert_eq!(occupied_after_report(&mut fleet, 1_000, now), 3.0);
+        for ticket in tickets {
+            fleet.view.ended(ticket, LoadOutcome::Answered, now);
+        }
+        now = now + Duration::from_millis(1);
+        prop_assert_eq!(occupied_after_report(&mut fleet, 1_001, now), 3.0);
+    }
+
     /// Guards against a second run of a request that must not be repeated, a retry after the
     /// caller got a part of the answer, endless retries and a false `not-run`.
     #[test]
