Give the timing model two failure domains in each region

Cause: with one domain in each region, the model never chose another domain of the own region. Three instances over two domains also load the domains unevenly.

The strategies compared against know no domains and are unchanged.

--- a/crates/decisions/examples/routing_measurement.rs
+++ b/crates/decisions/examples/routing_measurement.rs
@@ -24,6 +24,8 @@
 mod model;
 
 const REGIONS: usize = 3;
+const DOMAINS_PER_REGION: usize = 2;
+const DOMAINS: usize = REGIONS * DOMAINS_PER_REGION;
 const INSTANCES_PER_REGION: usize = 3;
 const SLOTS: usize = 8;
 const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
@@ -32,6 +34,7 @@
 const ENGINE_RATE: f64 = 2.3;
 const FAR_PATH: f64 = 0.055;
 const NEAR_PATH: f64 = 0.002;
+const DOMAIN_PATH: f64 = 0.004;
 const REPORT_EVERY: f64 = 0.25;
 const REPORT_LAG: f64 = 1.0;
 const QUEUE_TICK: f64 = 0.02;
@@ -179,6 +182,7 @@
     interactive: Vec<f64>,
     refused: usize,
     far_calls: u64,
+    domain_calls: u64,
     link_bytes: u64,
 }
 
@@ -190,6 +194,7 @@
         self.interactive.extend(other.interactive);
         self.refused += other.refused;
         self.far_calls += other.far_calls;
+        self.domain_calls += other.domain_calls;
         self.link_bytes += other.link_bytes;
     }
 }
@@ -214,17 +219,28 @@
     RouteTarget::Model("m".into())
 }
 
-fn view() -> LoadView {
+/// Returns the domain of a region's engine or instance, given its index and their number.
+fn domain_of(index: usize, per_region: usize) -> usize {
+    index / per_region * DOMAINS_PER_REGION + index % per_region % DOMAINS_PER_REGION
+}
+
+fn view(domain: usize) -> LoadView {
     let mut view = LoadView::default();
-    view.set_instances(INSTANCES_PER_REGION);
+    view.set_instances(instances_of(domain).len());
     view
 }
 
-fn domain(region: usize) -> DomainName {
-    format!("d{region}").as_str().into()
+fn instances_of(domain: usize) -> Vec<usize> {
+    (0..REGIONS * INSTANCES_PER_REGION)
+        .filter(|instance| domain_of(*instance, INSTANCES_PER_REGION) == domain)
+        .collect()
+}
+
+fn domain(index: usize) -> DomainName {
+    format!("d{index}").as_str().into()
 }
 
-fn region_of(name: &str) -> usize {
+fn number_in(name: &str) -> usize {
     name[1..].parse().expect("names end in a number")
 }
 
@@ -243,20 +259,21 @@
         routing,
         ..Bundle::default()
     };
-    for region in 0..REGIONS {
+    for index in 0..DOMAINS {
+        let region = index / DOMAINS_PER_REGION;
         let failure_domain = FailureDomain {
-            name: domain(region),
+            name: domain(index),
             region: format!("r{region}").as_str().into(),
             limit_weight: 1,
         };
-        bundle.domains.insert(domain(region), failure_domain);
+        bundle.domains.insert(domain(index), failure_domain);
     }
     for engine in 0..REGIONS * engines_per_region {
         let name = format!("e{engine}");
         let server = BackendServer {
             name: name.as_str().into(),
             address: ([127, 0, 0, 1], 9).into(),
-            domain: domain(engine / engines_per_region),
+            domain: domain(domain_of(engine, engines_per_region)),
             kind: BackendKind::ModelEngine {
                 models: vec!["m".into()],
             },
@@ -294,7 +311,7 @@
         Strategy::LeastHome,
     ];
     println!(
-        "{:<22}{:<8}{:<13}{:>9}{:>9}{:>10}{:>8}{:>10}{:>9}{:>9}",
+        "{:<22}{:<8}{:<13}{:>9}{:>9}{:>10}{:>8}{:>10}{:>10}{:>9}{:>9}",
         "deployment",
         "load",
         "strategy",
@@ -302,6 +319,7 @@
         "inter. s",
         "worst org",
         "away %",
+        "domain %",
         "far calls",
         "link MB",
         "refused"
@@ -320,7 +338,7 @@
     }
 }
 
-/// Measures one decision of an instance whose domain has a third of the target fleet.
+/// Measures one decision of an instance whose domain has a sixth of the target fleet.
 fn print_decision_cost() {
     const DECISIONS: u32 = 5_000;
     let bundle = bundle(760 / REGIONS, RoutingWeights::default());
@@ -334,7 +352,7 @@
         black_box(model.decide(0, 0, Duration::ZERO));
     }
     let each = start.elapsed() / DECISIONS;
-    println!("one decision among 760 engines, 253 of them in the own domain: {each:?}");
+    println!("one decision among 760 engines, 127 of them in the own domain: {each:?}");
 }
 
 fn print(name: &str, shape: Shape, strategy: Strategy, totals: &Totals) {
@@ -345,7 +363,7 @@
         .map(|values| p95(values))
         .fold(0.0, f64::max);
     println!(
-        "{:<22}{:<8}{:<13}{:>9.2}{:>9.2}{:>10.2}{:>8.1}{:>10}{:>9.1}{:>9}",
+        "{:<22}{:<8}{:<13}{:>9.2}{:>9.2}{:>10.2}{:>8.1}{:>10.1}{:>10}{:>9.1}{:>9}",
         name,
         format!("{shape:?}"),
         format!("{strategy:?}"),
@@ -353,6 +371,7 @@
         p95(&totals.interactive),
         worst,
         totals.far_calls as f64 / all.len() as f64 * 100.0,
+        totals.domain_calls as f64 / all.len() as f64 * 100.0,
         totals.far_calls,
         totals.link_bytes as f64 / 1e6,
         totals.refused,
--- a/crates/decisions/examples/routing_measurement/gateway.rs
+++ b/crates/decisions/examples/routing_measurement/gateway.rs
@@ -87,27 +87,30 @@
                 let cached = self.calls[call].document.map_or(0, |document| {
                     node.prefixes.cached_tokens(&name, &prefixes(document))
                 });
-                self.calls[call].engine = region_of(name.as_str());
+                self.calls[call].engine = number_in(name.as_str());
                 let key = LoadKey::Backend(name);
                 let ticket = node.view.sent(key, tokens.saturating_sub(cached), now);
                 self.calls[call].tickets.push((instance, ticket));
                 self.schedule(NEAR_PATH, Event::AtEngine { call });
             }
             RoutingDecision::Forward(domain) => {
-                assert!(node.grants.spend(&domain, &target(), now));
-                let ticket = node
-                    .view
-                    .sent(LoadKey::Domain(domain.clone(), target()), tokens, now);
+                let key = LoadKey::Domain(domain.clone(), target());
+                let ticket = node.view.sent(key, tokens, now);
                 self.calls[call].tickets.push((instance, ticket));
                 self.calls[call].hop = RoutingHop::Forwarded(1);
-                let region = region_of(domain.as_str());
-                self.grantors[region].arrived(
-                    &InstanceId::new(&format!("i{instance}"), 1),
-                    &target(),
-                    now,
-                );
-                let instance = self.random_instance(region);
-                self.schedule(FAR_PATH, Event::AtInstance { call, instance });
+                let index = number_in(domain.as_str());
+                let mut path = DOMAIN_PATH;
+                if index / DOMAINS_PER_REGION == instance / INSTANCES_PER_REGION {
+                    self.totals.domain_calls += 1;
+                } else {
+                    path = FAR_PATH;
+                    assert!(node.grants.spend(&domain, &target(), now));
+                    let id = InstanceId::new(&format!("i{instance}"), 1);
+                    self.grantors[index].arrived(&id, &target(), now);
+                }
+                let receivers = instances_of(index);
+                let instance = receivers[self.rng.random_range(0..receivers.len())];
+                self.schedule(path, Event::AtInstance { call, instance });
             }
             RoutingDecision::Wait | RoutingDecision::Refuse(_) => self.refuse(),
         }
@@ -207,10 +210,9 @@
             let Some((report, events)) = engine.samples.pop_front() else {
                 continue;
             };
-            let region = index / self.engines_per_region;
             let name = format!("e{index}").as_str().into();
-            let first = region * INSTANCES_PER_REGION;
-            for node in &mut self.instances[first..first + INSTANCES_PER_REGION] {
+            for instance in instances_of(domain_of(index, self.engines_per_region)) {
+                let node = &mut self.instances[instance];
                 let age = Duration::from_secs_f64(REPORT_LAG + NEAR_PATH);
                 let key = LoadKey::Backend(std::clone::Clone::clone(&name));
                 node.view.report(key, report.clone(), age, now);
@@ -222,54 +224,61 @@
     }
 
     pub(crate) fn share_summaries(&mut self, now: MonotonicTime) {
-        for region in 0..REGIONS {
-            let view = &self.instances[region * INSTANCES_PER_REGION].view;
-            let Some(summary) = view.summary(&self.bundle, &domain(region), &target(), now) else {
+        for index in 0..DOMAINS {
+            let Some(summary) = self.summary(index, now) else {
                 continue;
             };
-            for (index, node) in self.instances.iter_mut().enumerate() {
-                if index / INSTANCES_PER_REGION != region {
+            for (instance, node) in self.instances.iter_mut().enumerate() {
+                if domain_of(instance, INSTANCES_PER_REGION) != index {
                     let age = Duration::from_secs_f64(REPORT_LAG + FAR_PATH);
-                    let key = LoadKey::Domain(domain(region), target());
+                    let key = LoadKey::Domain(domain(index), target());
                     node.view.report(key, summary.clone(), age, now);
                 }
             }
         }
     }
 
+    /// Returns a domain's summary, as its first instance makes it.
+    fn summary(&self, index: usize, now: MonotonicTime) -> Option<LoadReport> {
+        let view = &self.instances[instances_of(index)[0]].view;
+        view.summary(&self.bundle, &domain(index), &target(), now)
+    }
+
     /// Asks the other regions for grants where home is nearly full.
     pub(crate) fn grants(&mut self) {
         let now = time(self.now);
         for instance in 0..self.instances.len() {
-            let home = instance / INSTANCES_PER_REGION;
-            let view = &self.instances[instance].view;
-            let summary = view.summary(&self.bundle, &domain(home), &target(), now);
+            let home = domain_of(instance, INSTANCES_PER_REGION);
+            let summary = self.summary(home, now);
             if summary.is_none_or(|sum| (sum.running + sum.waiting) * 4 < sum.slots * 3) {
                 continue;
             }
-            for region in (0..REGIONS).filter(|region| *region != home) {
-                let view = &self.instances[region * INSTANCES_PER_REGION].view;
-                let Some(summary) = view.summary(&self.bundle, &domain(region), &target(), now)
-                else {
-                    continue;
-                };
-                let id = InstanceId::new(&format!("i{instance}"), 1);
-                let (name, target) = (domain(region), target());
-                let held = self.instances[instance]
-                    .grants
-                    .available(&name, &target, now);
-                let wanted = GRANT_WANTED.saturating_sub(held);
-                let grantor = &mut self.grantors[region];
-                let grant = grantor.grant(&id, &name, &target, wanted, &summary, now);
-                let asked_at = self.now;
-                let event = Event::Granted {
-                    instance,
-                    grant,
-                    asked_at,
-                };
-                self.schedule(2.0 * FAR_PATH, event);
+            for index in 0..DOMAINS {
+                if index / DOMAINS_PER_REGION != home / DOMAINS_PER_REGION {
+                    self.ask_grant(instance, index, now);
+                }
             }
         }
         self.schedule(GRANT_EVERY, Event::Grants);
     }
+
+    fn ask_grant(&mut self, instance: usize, index: usize, now: MonotonicTime) {
+        let Some(summary) = self.summary(index, now) else {
+            return;
+        };
+        let id = InstanceId::new(&format!("i{instance}"), 1);
+        let (name, target) = (domain(index), target());
+        let held = self.instances[instance]
+            .grants
+            .available(&name, &target, now);
+        let wanted = GRANT_WANTED.saturating_sub(held);
+        let grant = self.grantors[index].grant(&id, &name, &target, wanted, &summary, now);
+        let asked_at = self.now;
+        let event = Event::Granted {
+            instance,
+            grant,
+            asked_at,
+        };
+        self.schedule(2.0 * FAR_PATH, event);
+    }
 }
--- a/crates/decisions/examples/routing_measurement/model.rs
+++ b/crates/decisions/examples/routing_measurement/model.rs
@@ -8,9 +8,9 @@
         let instance = |index: usize| Instance {
             place: RoutingPlace {
                 region: format!("r{}", index / INSTANCES_PER_REGION).as_str().into(),
-                domain: domain(index / INSTANCES_PER_REGION),
+                domain: domain(domain_of(index, INSTANCES_PER_REGION)),
             },
-            view: view(),
+            view: view(domain_of(index, INSTANCES_PER_REGION)),
             prefixes: PrefixMap::default(),
             grants: RoutingGrants::default(),
             queue: FairQueue::new(LONGEST_WAIT),
@@ -24,7 +24,7 @@
             bundle,
             engines: (0..engines).map(|_| Engine::default()).collect(),
             instances: (0..REGIONS * INSTANCES_PER_REGION).map(instance).collect(),
-            grantors: vec![RoutingGrantor::default(); REGIONS],
+            grantors: vec![RoutingGrantor::default(); DOMAINS],
             calls: Vec::new(),
             events: BTreeMap::new(),
             event_number: 0,
