Add the load tool

Cause: tests and the demonstration need load as callers send it, with a check of every answer, and the cost of an instance has to be measured against the backend server alone.

Requests arrive at random times that do not depend on the answers; arrivals beyond the concurrency limit are counted and not sent, so a slow system does not lower its own load.

The engine, the service and the platform slept for zero time before each answer, which tokio rounds up to a millisecond. The engine yields between tokens, so that each is sent at once.

Ruled out: latency from the scheduled arrival. Arrivals never wait, and the timer's rounding would show in the comparison.

With the protection taken out, these failed: - no comparison of the text, usage or [DONE]: load_detects_incomplete_answers (text and [DONE] only after cases for each alone were added) - no next instance: load_follows_discovered_list - key sent to the backend server: load_compares_with_backend - arrivals that wait: load_is_open_loop - exit status 0: program_exits_with_1_on_wrong_answers

--- a/crates/standins/src/generation.rs
+++ b/crates/standins/src/generation.rs
@@ -3,10 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
-use tokio::{
-    sync::oneshot,
-    time::{Instant, sleep_until},
-};
+use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
     EngineFaults, Usage,
@@ -14,6 +11,7 @@
     answer_text::answer_token,
     engine_state::{EngineState, QueueKey},
     generation_step::GenerationStep,
+    pause::pause_until,
 };
 
 /// Holds the place of a request in the engine until it is dropped.
@@ -97,7 +95,7 @@
         if self.faults.silent_after_tokens == Some(generated) {
             std::future::pending::<()>().await;
         }
-        sleep_until(self.next_at).await;
+        pause_until(self.next_at).await;
         if generated == 0 {
             let prefixes = std::mem::take(&mut self.prefixes);
             self.state.lock().store_prefixes(Instant::now(), &prefixes);
--- /dev/null
+++ b/crates/standins/src/instance_addresses.rs
@@ -0,0 +1,105 @@
+//! Addresses that the requests of a load are sent to.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use crate::{LoadPlan, load_client::LoadClient, load_request::LoadRequest};
+
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Addresses from the plan, or the lists that the instances give to each organisation.
+#[derive(Debug)]
+pub(crate) struct InstanceAddresses {
+    fixed: Vec<SocketAddr>,
+    discovers: bool,
+    turn: AtomicUsize,
+    /// Address list and its end for each organisation; the last is for requests without a key.
+    lists: Mutex<Vec<(Instant, Vec<SocketAddr>)>>,
+}
+
+impl InstanceAddresses {
+    pub(crate) fn new(plan: &LoadPlan) -> Self {
+        let unknown = (Instant::now(), Vec::new());
+        Self {
+            fixed: plan.instances.clone(),
+            discovers: plan.discover,
+            turn: AtomicUsize::new(0),
+            lists: Mutex::new(vec![unknown; plan.organisations.len() + 1]),
+        }
+    }
+
+    /// Returns the addresses for `request`, the one to be tried first in front.
+    pub(crate) async fn choose(
+        &self,
+        client: &LoadClient,
+        request: &LoadRequest,
+    ) -> Vec<SocketAddr> {
+        if !self.discovers {
+            return self.in_turn();
+        }
+        let place = request.organisation.unwrap_or(self.lists.lock().len() - 1);
+        let now = Instant::now();
+        let expired = {
+            let list = &mut self.lists.lock()[place];
+            let expired = list.0 <= now;
+            if expired {
+                // Other requests go on with the old list while this one fetches the new.
+                list.0 = now + RETRY_DELAY;
+            }
+            expired
+        };
+        if expired && let Some(found) = self.discover(client, request.key.as_deref()).await {
+            let end = Instant::now() + Duration::from_millis(found.ttl_ms);
+            let addresses = found
+                .instances
+                .into_iter()
+                .map(|entry| entry.address)
+                .collect();
+            self.lists.lock()[place] = (end, addresses);
+        }
+        let list = self.lists.lock()[place].1.clone();
+        if list.is_empty() {
+            self.in_turn()
+        } else {
+            list
+        }
+    }
+
+    async fn discover(&self, client: &LoadClient, key: Option<&str>) -> Option<DiscoveredList> {
+        for address in self.in_turn() {
+            let value = client.get(address, "/v1/instances", key).await;
+            let list = value.and_then(|value| serde_json::from_value(value).ok());
+            if list.is_some() {
+                return list;
+            }
+        }
+        None
+    }
+
+    fn in_turn(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.fixed.clone();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        addresses.rotate_left(turn % self.fixed.len().max(1));
+        addresses
+    }
+}
+
+/// Answer to `GET /v1/instances`.
+#[derive(Debug, Deserialize)]
+struct DiscoveredList {
+    ttl_ms: u64,
+    instances: Vec<DiscoveredInstance>,
+}
+
+#[derive(Debug, Deserialize)]
+struct DiscoveredInstance {
+    #[serde(alias = "callers")]
+    address: SocketAddr,
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,15 +20,31 @@
 mod engine_state;
 mod generation;
 mod generation_step;
+mod instance_addresses;
 mod instance_list;
 mod kv_entry;
 mod kv_lease;
 mod kv_refusal;
 mod kv_store;
+mod load_answer;
+mod load_chart;
+mod load_client;
 mod load_history;
+mod load_outcome;
+mod load_plan;
 mod load_report;
+mod load_request;
+mod load_run;
+mod load_second;
+mod load_stats;
+mod load_summary;
+mod load_times;
+mod load_times_report;
 mod model_engine;
 mod order_kind;
+mod organisation_key;
+mod organisation_report;
+mod pause;
 mod plain_service;
 mod platform;
 mod platform_core;
@@ -41,6 +57,7 @@
 mod program;
 mod prompt;
 mod put_request;
+mod quantiles;
 mod refusal;
 mod request_ids;
 mod running_server;
@@ -48,6 +65,8 @@
 mod service_faults;
 mod service_run;
 mod service_state;
+mod size_range;
+mod sse_answer;
 mod standin_request;
 mod store_calls;
 mod usage;
@@ -66,9 +85,18 @@
     engine_faults::EngineFaults,
     engine_order::EngineOrder,
     engine_settings::EngineSettings,
+    load_chart::draw_load_chart,
+    load_outcome::LoadOutcome,
+    load_plan::LoadPlan,
     load_report::LoadReport,
+    load_run::run_load,
+    load_second::LoadSecond,
+    load_summary::LoadSummary,
+    load_times_report::LoadTimesReport,
     model_engine::ModelEngine,
     order_kind::OrderKind,
+    organisation_key::OrganisationKey,
+    organisation_report::OrganisationReport,
     plain_service::PlainService,
     platform::Platform,
     platform_counters::PlatformCounters,
@@ -76,7 +104,9 @@
     platform_settings::PlatformSettings,
     program::announce_and_wait,
     prompt::{BLOCK_TOKENS, count_prompt_tokens, kv_block, prompt_prefixes},
+    quantiles::Quantiles,
     service_faults::ServiceFaults,
+    size_range::SizeRange,
     usage::Usage,
     usage_details::UsageDetails,
 };
--- /dev/null
+++ b/crates/standins/src/load_answer.rs
@@ -0,0 +1,16 @@
+//! Answer to a request of a load.
+
+use std::time::Duration;
+
+use crate::LoadOutcome;
+
+/// Outcome and times of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadAnswer {
+    pub(crate) outcome: LoadOutcome,
+    /// Time to the first token of a streamed answer.
+    pub(crate) first_token: Option<Duration>,
+    /// Times between the tokens of a streamed answer.
+    pub(crate) gaps: Vec<Duration>,
+    pub(crate) total: Duration,
+}
--- /dev/null
+++ b/crates/standins/src/load_client.rs
@@ -0,0 +1,173 @@
+//! Client that sends the requests of a load and checks the answers.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::Value;
+use tokio::time::{Instant, timeout};
+
+use crate::{
+    LoadOutcome, answer_text, load_answer::LoadAnswer, load_request::LoadRequest,
+    sse_answer::SseAnswer,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends requests over pooled connections.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+}
+
+impl LoadClient {
+    pub(crate) fn new(timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+            timeout,
+        }
+    }
+
+    /// Asks the first of `addresses` that can be reached.
+    pub(crate) async fn ask(&self, addresses: &[SocketAddr], request: &LoadRequest) -> LoadAnswer {
+        let begun = Instant::now();
+        let mut answer = SseAnswer::new(begun);
+        let exchange = self.exchange(addresses, request, &mut answer);
+        let outcome = timeout(self.timeout, exchange)
+            .await
+            .unwrap_or(LoadOutcome::TimedOut);
+        LoadAnswer {
+            outcome,
+            first_token: answer.first_token,
+            gaps: answer.gaps,
+            total: begun.elapsed(),
+        }
+    }
+
+    /// Reads JSON from `path`.
+    pub(crate) async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        key: Option<&str>,
+    ) -> Option<Value> {
+        let mut req = Request::get(format!("http://{address}{path}"));
+        if let Some(key) = key {
+            req = req.header(header::AUTHORIZATION, format!("Bearer {key}"));
+        }
+        let exchange = async {
+            let res = self
+                .client
+                .request(req.body(Full::default()).ok()?)
+                .await
+                .ok()?;
+            let data = res.into_body().collect().await.ok()?.to_bytes();
+            serde_json::from_slice(&data).ok()
+        };
+        timeout(CONNECT_TIMEOUT, exchange).await.ok()?
+    }
+
+    async fn exchange(
+        &self,
+        addresses: &[SocketAddr],
+        request: &LoadRequest,
+        answer: &mut SseAnswer,
+    ) -> LoadOutcome {
+        for address in addresses {
+            match self.client.request(build(*address, request)).await {
+                Ok(res) => return read_answer(res, request, answer).await,
+                Err(err) if err.is_connect() => {}
+                Err(_) => return LoadOutcome::Broken,
+            }
+        }
+        LoadOutcome::Unreachable
+    }
+}
+
+fn build(address: SocketAddr, request: &LoadRequest) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(&request.chat).expect("request can be written as JSON");
+    let priority = if request.batch {
+        "batch"
+    } else {
+        "interactive"
+    };
+    let mut req = Request::post(format!("http://{address}/v1/chat/completions"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("x-priority", priority);
+    if let Some(key) = &request.key {
+        req = req.header(header::AUTHORIZATION, format!("Bearer {key}"));
+    }
+    req.body(Full::new(body.into()))
+        .expect("key can be sent as a header")
+}
+
+async fn read_answer(
+    res: Response<Incoming>,
+    request: &LoadRequest,
+    answer: &mut SseAnswer,
+) -> LoadOutcome {
+    let status = res.status();
+    let mut body = res.into_body();
+    if status != StatusCode::OK || !request.chat.stream {
+        return match body.collect().await {
+            Ok(data) => judge_whole(status, &data.to_bytes(), request),
+            Err(_) => LoadOutcome::Broken,
+        };
+    }
+    while let Some(frame) = body.frame().await {
+        match frame.map(|frame| frame.into_data()) {
+            Ok(Ok(data)) => answer.push(&data),
+            Ok(Err(_)) => {}
+            Err(_) => return LoadOutcome::Broken,
+        }
+    }
+    if let Some(error) = &answer.error {
+        return refused(StatusCode::OK, error);
+    }
+    if !answer.done {
+        return LoadOutcome::Wrong("the stream ends without [DONE]".to_owned());
+    }
+    judge(&answer.text, &answer.usage, request)
+}
+
+fn judge_whole(status: StatusCode, data: &[u8], request: &LoadRequest) -> LoadOutcome {
+    let value: Value = serde_json::from_slice(data).unwrap_or_default();
+    if status != StatusCode::OK {
+        return refused(status, &value);
+    }
+    let text = value["choices"][0]["message"]["content"].as_str();
+    judge(text.unwrap_or_default(), &value["usage"], request)
+}
+
+fn judge(text: &str, usage: &Value, request: &LoadRequest) -> LoadOutcome {
+    let tokens = request.chat.max_tokens;
+    let nonce = format!("nonce={}", request.nonce);
+    if text.split(' ').next() != Some(&nonce) {
+        let start: String = text.chars().take(40).collect();
+        return LoadOutcome::Wrong(format!("expected nonce {}, got {start:?}", request.nonce));
+    }
+    if text != answer_text(&request.nonce, tokens) {
+        let got = text.split(' ').count();
+        return LoadOutcome::Wrong(format!("expected {tokens} tokens, got {got} or others"));
+    }
+    if usage["completion_tokens"] != tokens {
+        return LoadOutcome::Wrong(format!("expected a usage of {tokens} tokens, got {usage}"));
+    }
+    LoadOutcome::Right
+}
+
+fn refused(status: StatusCode, value: &Value) -> LoadOutcome {
+    let code = value["error"]["code"].as_str().unwrap_or("no-code");
+    let execution = value["error"]["execution"].as_str().unwrap_or("unstated");
+    LoadOutcome::Refused(format!("{} {code} {execution}", status.as_u16()))
+}
--- /dev/null
+++ b/crates/standins/src/load_request.rs
@@ -0,0 +1,62 @@
+//! Request of a load.
+
+use rand::Rng;
+
+use crate::{ChatMessage, ChatRequest, LoadPlan};
+
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Request with a nonce of its own.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadRequest {
+    pub(crate) nonce: String,
+    /// Index of the organisation in the plan.
+    pub(crate) organisation: Option<usize>,
+    pub(crate) key: Option<String>,
+    pub(crate) batch: bool,
+    pub(crate) chat: ChatRequest,
+}
+
+impl LoadRequest {
+    pub(crate) fn draw(plan: &LoadPlan, rng: &mut impl Rng) -> Self {
+        let organisation = draw_organisation(plan, rng);
+        let nonce = format!("{:016x}", rng.random::<u64>());
+        let tail = format!(" nonce={nonce}");
+        let prompt_bytes = plan.prompt_tokens.draw(rng) as usize * BYTES_PER_TOKEN;
+        // The filler differs between organisations, so that they share no cached prefixes.
+        let filler = format!(
+            "ledger of organisation {} ",
+            organisation.unwrap_or_default()
+        );
+        let filler = filler
+            .chars()
+            .cycle()
+            .take(prompt_bytes.saturating_sub(tail.len()));
+        let message = ChatMessage {
+            role: "user".to_owned(),
+            content: filler.chain(tail.chars()).collect(),
+        };
+        Self {
+            nonce,
+            organisation,
+            key: organisation.map(|index| plan.organisations[index].key.clone()),
+            batch: rng.random_bool(plan.batch),
+            chat: ChatRequest {
+                model: plan.model.clone(),
+                messages: vec![message],
+                max_tokens: plan.output_tokens.draw(rng),
+                stream: rng.random_bool(plan.streamed),
+            },
+        }
+    }
+}
+
+fn draw_organisation(plan: &LoadPlan, rng: &mut impl Rng) -> Option<usize> {
+    let total: u32 = plan.organisations.iter().map(|entry| entry.weight).sum();
+    let mut drawn = rng.random_range(0..total.max(1));
+    plan.organisations.iter().position(|entry| {
+        let found = drawn < entry.weight;
+        drawn = drawn.saturating_sub(entry.weight);
+        found
+    })
+}
--- /dev/null
+++ b/crates/standins/src/load_run.rs
@@ -0,0 +1,100 @@
+//! Run of a load.
+
+use std::{sync::Arc, time::Duration};
+
+use indicatif::ProgressBar;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::Semaphore,
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    LoadPlan, LoadSummary, instance_addresses::InstanceAddresses, load_client::LoadClient,
+    load_request::LoadRequest, load_stats::LoadStats,
+};
+
+/// Sends the load of `plan` and waits for all answers.
+///
+/// Requests arrive at random times that do not depend on the answers. A progress bar is shown if
+/// the standard error is a terminal.
+pub async fn run_load(plan: &LoadPlan) -> LoadSummary {
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let run = Arc::new(LoadRun {
+        addresses: InstanceAddresses::new(plan),
+        client: LoadClient::new(plan.timeout),
+        stats: Mutex::new(LoadStats::new(plan)),
+        direct: plan.direct,
+        begun: Instant::now(),
+    });
+    let permits = Arc::new(Semaphore::new(plan.concurrency));
+    let bar = ProgressBar::new(plan.duration.as_millis() as u64);
+    let mut tasks = JoinSet::new();
+    let mut arrival = run.begun;
+    for number in 0_u64.. {
+        arrival += draw_gap(plan.requests_per_s, &mut rng);
+        if arrival > run.begun + plan.duration {
+            break;
+        }
+        sleep_until(arrival).await;
+        bar.set_position(run.begun.elapsed().as_millis() as u64);
+        while tasks.try_join_next().is_some() {}
+        let request = LoadRequest::draw(plan, &mut rng);
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            run.stats.lock().count_over_concurrency();
+            continue;
+        };
+        let run = Arc::clone(&run);
+        tasks.spawn(async move {
+            run.send(number, request).await;
+            drop(permit);
+        });
+    }
+    tasks.join_all().await;
+    bar.finish_and_clear();
+    run.stats.lock().summary()
+}
+
+struct LoadRun {
+    addresses: InstanceAddresses,
+    client: LoadClient,
+    stats: Mutex<LoadStats>,
+    direct: Option<std::net::SocketAddr>,
+    begun: Instant,
+}
+
+impl LoadRun {
+    async fn send(&self, number: u64, request: LoadRequest) {
+        let addresses = self.addresses.choose(&self.client, &request).await;
+        let Some(direct) = self.direct else {
+            let answer = self.client.ask(&addresses, &request).await;
+            self.stats
+                .lock()
+                .record(self.begun.elapsed(), &request, &answer);
+            return;
+        };
+        let keyless = LoadRequest {
+            key: None,
+            ..request.clone()
+        };
+        // The order alternates, so that a cache warmed by the first favours neither side.
+        let (answer, direct) = if number.is_multiple_of(2) {
+            let answer = self.client.ask(&addresses, &request).await;
+            (answer, self.client.ask(&[direct], &keyless).await)
+        } else {
+            let direct = self.client.ask(&[direct], &keyless).await;
+            (self.client.ask(&addresses, &request).await, direct)
+        };
+        let mut stats = self.stats.lock();
+        stats.record(self.begun.elapsed(), &request, &answer);
+        stats.record_direct(&answer, &direct);
+    }
+}
+
+/// Draws the time between two arrivals of a Poisson process.
+fn draw_gap(per_second: f64, rng: &mut impl Rng) -> Duration {
+    let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    Duration::from_secs_f64(-uniform.ln() / per_second)
+}
--- /dev/null
+++ b/crates/standins/src/load_stats.rs
@@ -0,0 +1,142 @@
+//! Statistics of a running load.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    LoadOutcome, LoadPlan, LoadSecond, LoadSummary, OrganisationReport, Quantiles,
+    count_prompt_tokens, load_answer::LoadAnswer, load_request::LoadRequest, load_times::LoadTimes,
+};
+
+const WRONG_EXAMPLES: usize = 10;
+
+/// Collects the outcomes of requests.
+#[derive(Debug)]
+pub(crate) struct LoadStats {
+    names: Vec<String>,
+    summary: LoadSummary,
+    times: LoadTimes,
+    direct_times: LoadTimes,
+    added_total_us: Vec<i64>,
+    added_first_token_us: Vec<i64>,
+}
+
+impl LoadStats {
+    pub(crate) fn new(plan: &LoadPlan) -> Self {
+        let names = plan
+            .organisations
+            .iter()
+            .map(|entry| entry.organisation.clone());
+        Self {
+            names: names.collect(),
+            summary: LoadSummary {
+                seed: plan.seed,
+                ..LoadSummary::default()
+            },
+            times: LoadTimes::new(),
+            direct_times: LoadTimes::new(),
+            added_total_us: Vec::new(),
+            added_first_token_us: Vec::new(),
+        }
+    }
+
+    pub(crate) fn count_over_concurrency(&mut self) {
+        self.summary.over_concurrency += 1;
+    }
+
+    /// Records an answer that ended `elapsed` after the load began.
+    pub(crate) fn record(&mut self, elapsed: Duration, request: &LoadRequest, answer: &LoadAnswer) {
+        self.record_outcome(&answer.outcome);
+        self.record_organisation(request, &answer.outcome);
+        self.record_second(elapsed, answer);
+        if answer.outcome == LoadOutcome::Right {
+            self.times.record(answer);
+        }
+    }
+
+    /// Records the direct answer to a request that an instance has answered, too.
+    pub(crate) fn record_direct(&mut self, answer: &LoadAnswer, direct: &LoadAnswer) {
+        if let LoadOutcome::Wrong(reason) = &direct.outcome {
+            self.count_wrong(format!("direct: {reason}"));
+        }
+        if direct.outcome != LoadOutcome::Right || answer.outcome != LoadOutcome::Right {
+            return;
+        }
+        self.direct_times.record(direct);
+        let added = |through: Duration, direct: Duration| {
+            through.as_micros() as i64 - direct.as_micros() as i64
+        };
+        self.added_total_us.push(added(answer.total, direct.total));
+        if let (Some(through), Some(direct)) = (answer.first_token, direct.first_token) {
+            self.added_first_token_us.push(added(through, direct));
+        }
+    }
+
+    pub(crate) fn summary(&self) -> LoadSummary {
+        LoadSummary {
+            times: self.times.report(),
+            direct_times: self.direct_times.report(),
+            added_total_ms: Quantiles::of_differences(&self.added_total_us),
+            added_first_token_ms: Quantiles::of_differences(&self.added_first_token_us),
+            ..self.summary.clone()
+        }
+    }
+
+    fn record_outcome(&mut self, outcome: &LoadOutcome) {
+        let summary = &mut self.summary;
+        summary.sent += 1;
+        match outcome {
+            LoadOutcome::Broken => summary.broken += 1,
+            LoadOutcome::Refused(code) => {
+                *summary.refusals.entry(code.clone()).or_default() += 1;
+            }
+            LoadOutcome::Right => summary.right += 1,
+            LoadOutcome::TimedOut => summary.timed_out += 1,
+            LoadOutcome::Unreachable => summary.unreachable += 1,
+            LoadOutcome::Wrong(reason) => self.count_wrong(reason.clone()),
+        }
+    }
+
+    fn count_wrong(&mut self, reason: String) {
+        self.summary.wrong += 1;
+        if self.summary.wrong_examples.len() < WRONG_EXAMPLES {
+            self.summary.wrong_examples.push(reason);
+        }
+    }
+
+    fn record_organisation(&mut self, request: &LoadRequest, outcome: &LoadOutcome) {
+        let Some(index) = request.organisation else {
+            return;
+        };
+        let organisations: &mut BTreeMap<String, OrganisationReport> =
+            &mut self.summary.organisations;
+        let report = organisations.entry(self.names[index].clone()).or_default();
+        report.sent += 1;
+        match outcome {
+            LoadOutcome::Right => {
+                report.right += 1;
+                report.tokens +=
+                    count_prompt_tokens(&request.chat.prompt()) + request.chat.max_tokens;
+            }
+            LoadOutcome::Refused(_) => report.refused += 1,
+            _ => {}
+        }
+    }
+
+    fn record_second(&mut self, elapsed: Duration, answer: &LoadAnswer) {
+        let index = elapsed.as_secs() as usize;
+        let seconds = &mut self.summary.seconds;
+        if seconds.len() <= index {
+            seconds.resize_with(index + 1, LoadSecond::default);
+        }
+        match answer.outcome {
+            LoadOutcome::Right => {
+                seconds[index].right += 1;
+                seconds[index]
+                    .total_us
+                    .push(answer.total.as_micros() as u64);
+            }
+            LoadOutcome::Refused(_) => seconds[index].refused += 1,
+            _ => seconds[index].other += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load_times.rs
@@ -0,0 +1,48 @@
+//! Times of a load's answers.
+
+use hdrhistogram::Histogram;
+
+use crate::{LoadTimesReport, Quantiles, load_answer::LoadAnswer};
+
+const LONGEST_US: u64 = 3_600_000_000;
+const DIGITS: u8 = 3;
+
+/// Histograms of times, in microseconds.
+#[derive(Debug)]
+pub(crate) struct LoadTimes {
+    first_token: Histogram<u64>,
+    between_tokens: Histogram<u64>,
+    total: Histogram<u64>,
+}
+
+impl LoadTimes {
+    pub(crate) fn new() -> Self {
+        let empty = || Histogram::new_with_max(LONGEST_US, DIGITS).expect("bounds are valid");
+        Self {
+            first_token: empty(),
+            between_tokens: empty(),
+            total: empty(),
+        }
+    }
+
+    pub(crate) fn record(&mut self, answer: &LoadAnswer) {
+        let record = |histogram: &mut Histogram<u64>, time: std::time::Duration| {
+            histogram.saturating_record(time.as_micros() as u64);
+        };
+        if let Some(time) = answer.first_token {
+            record(&mut self.first_token, time);
+        }
+        for gap in &answer.gaps {
+            record(&mut self.between_tokens, *gap);
+        }
+        record(&mut self.total, answer.total);
+    }
+
+    pub(crate) fn report(&self) -> LoadTimesReport {
+        LoadTimesReport {
+            first_token_ms: Quantiles::of(&self.first_token),
+            between_tokens_ms: Quantiles::of(&self.between_tokens),
+            total_ms: Quantiles::of(&self.total),
+        }
+    }
+}
--- a/crates/standins/src/platform_endpoint.rs
+++ b/crates/standins/src/platform_endpoint.rs
@@ -11,6 +11,7 @@
 use crate::{
     StandinRequest,
     endpoint::Endpoint,
+    pause::pause,
     platform_core::PlatformCore,
     refusal::{refuse, refuse_json, refuse_unknown},
     store_calls::StoreCalls,
@@ -144,7 +145,7 @@
             _ => refuse_unknown(),
         };
         let delay_ms = self.core.with(|state, _| state.faults.delay_ms);
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        pause(Duration::from_millis(delay_ms)).await;
         res
     }
 }
--- /dev/null
+++ b/crates/standins/src/quantiles.rs
@@ -0,0 +1,52 @@
+//! Quantiles of a time.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Quantiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Number of values.
+    pub count: u64,
+    /// Median.
+    pub p50: f64,
+    /// 95% quantile.
+    pub p95: f64,
+    /// 99% quantile.
+    pub p99: f64,
+    /// Largest value.
+    pub max: f64,
+}
+
+impl Quantiles {
+    /// Reads the quantiles of a histogram in microseconds.
+    pub(crate) fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        Self {
+            count: histogram.len(),
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            max: histogram.max() as f64 / 1000.0,
+        }
+    }
+
+    /// Computes the quantiles of differences in microseconds, which may be negative.
+    pub(crate) fn of_differences(differences: &[i64]) -> Self {
+        let mut sorted = differences.to_vec();
+        sorted.sort_unstable();
+        let at = |quantile: f64| {
+            let rank = (sorted.len() as f64 * quantile).ceil() as usize;
+            sorted
+                .get(rank.saturating_sub(1))
+                .map_or(0.0, |value| *value as f64 / 1000.0)
+        };
+        Self {
+            count: sorted.len() as u64,
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            max: at(1.0),
+        }
+    }
+}
--- a/crates/standins/src/service_endpoint.rs
+++ b/crates/standins/src/service_endpoint.rs
@@ -12,6 +12,7 @@
     chat_answer::broken_response,
     endpoint::Endpoint,
     engine_endpoint::X_REQUEST_ID,
+    pause::pause,
     refusal::{refuse, refuse_json},
     request_ids::RequestIds,
     service_run::ServiceRun,
@@ -43,7 +44,7 @@
             let message = "the service takes no new requests";
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "leaving", message);
         };
-        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        pause(Duration::from_millis(faults.delay_ms)).await;
         match faults.after_run {
             AfterRun::Answer => {}
             AfterRun::Break => return broken_response(),
--- /dev/null
+++ b/crates/standins/src/size_range.rs
@@ -0,0 +1,30 @@
+//! Range of sizes.
+
+use std::{ops::RangeInclusive, str::FromStr};
+
+use rand::Rng;
+
+/// Sizes of which each is drawn equally often, written as `N` or `N-M`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SizeRange(pub RangeInclusive<u64>);
+
+impl SizeRange {
+    /// Draws a size.
+    pub fn draw(&self, rng: &mut impl Rng) -> u64 {
+        rng.random_range(self.0.clone())
+    }
+}
+
+impl FromStr for SizeRange {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (low, high) = text.split_once('-').unwrap_or((text, text));
+        let number = |part: &str| part.parse::<u64>().map_err(|err| format!("{part}: {err}"));
+        let (low, high) = (number(low)?, number(high)?);
+        if low == 0 || low > high {
+            return Err(format!("{text} is no range of positive sizes"));
+        }
+        Ok(Self(low..=high))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/sse_answer.rs
@@ -0,0 +1,78 @@
+//! Streamed answer as it arrives.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::Instant;
+
+/// Joins the events of a streamed answer and notes the times of its tokens.
+#[derive(Debug)]
+pub(crate) struct SseAnswer {
+    pub(crate) text: String,
+    pub(crate) usage: Value,
+    pub(crate) error: Option<Value>,
+    pub(crate) done: bool,
+    pub(crate) first_token: Option<Duration>,
+    pub(crate) gaps: Vec<Duration>,
+    begun: Instant,
+    last_token: Option<Instant>,
+    unread: Vec<u8>,
+}
+
+impl SseAnswer {
+    pub(crate) fn new(begun: Instant) -> Self {
+        Self {
+            text: String::new(),
+            usage: Value::Null,
+            error: None,
+            done: false,
+            first_token: None,
+            gaps: Vec::new(),
+            begun,
+            last_token: None,
+            unread: Vec::new(),
+        }
+    }
+
+    pub(crate) fn push(&mut self, data: &[u8]) {
+        self.unread.extend_from_slice(data);
+        while let Some(end) = self.unread.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = self.unread.drain(..end + 2).collect();
+            let event = String::from_utf8_lossy(&event);
+            for line in event.lines() {
+                if let Some(data) = line.strip_prefix("data:") {
+                    self.read_event(data.trim());
+                }
+            }
+        }
+    }
+
+    fn read_event(&mut self, data: &str) {
+        if data == "[DONE]" {
+            self.done = true;
+            return;
+        }
+        let mut value: Value = serde_json::from_str(data).unwrap_or_default();
+        if !value["error"].is_null() {
+            self.error = Some(value.take());
+            return;
+        }
+        if let Some(token) = value["choices"][0]["delta"]["content"].as_str()
+            && !token.is_empty()
+        {
+            self.text += token;
+            self.note_token(Instant::now());
+        }
+        if !value["usage"].is_null() {
+            self.usage = value["usage"].take();
+        }
+    }
+
+    fn note_token(&mut self, now: Instant) {
+        match self.last_token {
+            Some(last) => self.gaps.push(now - last),
+            None => self.first_token = Some(now - self.begun),
+        }
+        self.last_token = Some(now);
+    }
+}
--- a/crates/standins/src/weight_stream.rs
+++ b/crates/standins/src/weight_stream.rs
@@ -2,12 +2,10 @@
 
 use std::{io, sync::Arc, time::Duration};
 
+use crate::{pause::pause_until, platform_core::PlatformCore};
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use hyper::body::Frame;
-use tokio::time::sleep_until;
-
-use crate::platform_core::PlatformCore;
 
 const CHUNK_BYTES: usize = 64 * 1024;
 
@@ -30,7 +28,7 @@
                     state.weights_free_at.max(now) + Duration::from_secs_f64(seconds);
                 state.weights_free_at
             });
-            sleep_until(ready_at).await;
+            pause_until(ready_at).await;
             let left = left - data.len();
             Some((Ok(Frame::data(data)), (core, left)))
         }
