Let the load tool exit with 2 on bad input

Cause: bpaf and miette both end a program with 1, which the load tool uses for wrong answers; a script could not tell a mistyped option from a crossed answer. The operators' commands use 2 for bad usage as well.

--- a/crates/standins/src/bin/hawthornquay-load.rs
+++ b/crates/standins/src/bin/hawthornquay-load.rs
@@ -11,6 +11,8 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 /// Sends open-loop load as callers do, and checks the answers
+///
+/// Exits with 1 if any answer was wrong and with 2 on bad input.
 struct Options {
     /// Address of an instance; may be given several times
     #[bpaf(argument("ADDRESS"), some("needs an --instance"))]
@@ -73,9 +75,30 @@
     (0.0..=1.0).contains(share)
 }
 
+const EXIT_BAD_INPUT: u8 = 2;
+const MESSAGE_WIDTH: usize = 100;
+
 #[tokio::main]
-async fn main() -> miette::Result<ExitCode> {
-    let options = options().run();
+async fn main() -> ExitCode {
+    let options = match options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(failure) => {
+            failure.print_message(MESSAGE_WIDTH);
+            let helped = failure.exit_code() == 0;
+            return ExitCode::from(if helped { 0 } else { EXIT_BAD_INPUT });
+        }
+    };
+    match run(options).await {
+        Ok(wrong) => ExitCode::from(u8::from(wrong > 0)),
+        Err(err) => {
+            eprintln!("{err:?}");
+            ExitCode::from(EXIT_BAD_INPUT)
+        }
+    }
+}
+
+/// Runs the load and writes the reports; returns the number of wrong answers.
+async fn run(options: Options) -> miette::Result<u64> {
     let plan = LoadPlan {
         instances: options.instance,
         discover: options.discover,
@@ -104,7 +127,7 @@
             &draw_load_chart(&summary).map_err(|err| miette!("{err}"))?,
         )?;
     }
-    Ok(ExitCode::from(u8::from(summary.wrong > 0)))
+    Ok(summary.wrong)
 }
 
 fn read_keys(path: Option<PathBuf>) -> miette::Result<Vec<OrganisationKey>> {
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -344,3 +344,22 @@
     std::fs::remove_dir_all(dir).unwrap();
     assert!(get(engine.address(), "/load").await["slots"] == 64);
 }
+
+/// Guards against bad input that scripts take for wrong answers.
+#[test]
+fn program_exits_with_2_on_bad_input() {
+    let cases: [&[&str]; 4] = [
+        &[],
+        &["--instance", "nowhere"],
+        &["--instance", "127.0.0.1:1", "--keys", "/absent/keys"],
+        &["--instance", "127.0.0.1:1", "--output-tokens", "8-4"],
+    ];
+    for args in cases {
+        let output = Command::new(env!("CARGO_BIN_EXE_hawthornquay-load"))
+            .args(args)
+            .output();
+        let output = output.unwrap();
+        assert_eq!(output.status.code(), Some(2), "{args:?}: {output:?}");
+        assert!(!output.stderr.is_empty(), "{args:?}");
+    }
+}
