Serve requests end to end through separate parts

Cause: the platform's list was never kept for the slot rules, so no instance claimed a slot; a domain without load reports granted no capacity; a request that waited never asked other domains again.

Ruled out: a fault of the slot rules (the plan was given an empty list).

Before: the fleet did not become ready within 20 s; a service call from the other region waited 10 s and was refused.

--- a/crates/decisions/src/load_report.rs
+++ b/crates/decisions/src/load_report.rs
@@ -13,8 +13,10 @@
     /// Requests that it runs.
     pub running: u32,
     /// Requests that wait in its queue.
+    #[serde(default)]
     pub waiting: u32,
     /// Requests that it can run at once.
+    #[serde(default = "default_slots")]
     pub slots: u32,
     /// Servers that the report covers; the summary of a domain covers several.
     #[serde(default = "one_server")]
@@ -41,3 +43,8 @@
 const fn one_server() -> u32 {
     1
 }
+
+/// Slots assumed for a plain service, which reports none.
+const fn default_slots() -> u32 {
+    64
+}
--- a/crates/hawthornquay/src/dispatch.rs
+++ b/crates/hawthornquay/src/dispatch.rs
@@ -9,8 +9,11 @@
 
 use crate::{
     ActiveBundle, AttemptFailure, Decision, Node, OutboundRequest, RoutedAnswer,
-    backend_attempt::call_backend, clock, peer_attempt::forward_to_domain,
-    peer_capacity::ask_domains, route_choice::choose_route,
+    backend_attempt::call_backend,
+    clock,
+    peer_attempt::forward_to_domain,
+    peer_capacity::{ASK_INTERVAL, ask_domains},
+    route_choice::choose_route,
 };
 
 /// Decides and attempts until an answer arrives or the request is refused.
@@ -29,7 +32,7 @@
     loop {
         let queue_wait = match has_turn {
             true => Duration::ZERO,
-            false => node.queue.expected_wait(&req.organisation.id, req.priority),
+            false => node.queue.expected_wait(req),
         };
         has_turn = false;
         let mut decision = choose_route(node, bundle.bundle(), req, retry.tried(), queue_wait);
@@ -99,13 +102,13 @@
 }
 
 async fn wait_for_turn(
-    node: &Node,
+    node: &Arc<Node>,
     bundle: &Arc<ActiveBundle>,
     req: &Arc<OutboundRequest>,
     tried: &[LoadKey],
 ) -> Result<(), Refusal> {
     let began = clock::now();
-    let turn = node.queue.wait(req, bundle, tried);
+    let turn = turn_or_news(node, bundle, req, tried);
     let result = match req.time_left() {
         Some(left) => tokio::time::timeout(left, turn)
             .await
@@ -117,6 +120,26 @@
     result
 }
 
+/// Waits for a turn, and meanwhile asks other domains whether they have become free.
+async fn turn_or_news(
+    node: &Arc<Node>,
+    bundle: &Arc<ActiveBundle>,
+    req: &Arc<OutboundRequest>,
+    tried: &[LoadKey],
+) -> Result<(), Refusal> {
+    let turn = node.queue.wait(req, bundle, tried);
+    tokio::pin!(turn);
+    loop {
+        tokio::select! {
+            turn = &mut turn => return turn,
+            () = tokio::time::sleep(ASK_INTERVAL), if req.hop == RoutingHop::Caller => {
+                ask_domains(node, bundle.bundle(), req).await;
+                node.queue.signal_free();
+            }
+        }
+    }
+}
+
 fn late() -> Refusal {
     Refusal::not_run(
         RefusalCode::DeadlineExceeded,
--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -48,6 +48,8 @@
             node.members
                 .lock()
                 .apply_list(clock::now(), &listed.instances);
+            let lag = Duration::from_millis(listed.lag_ms);
+            *node.listed.lock() = (listed.instances, lag);
             true
         }
         Err(error) => {
--- a/crates/hawthornquay/src/node_peers.rs
+++ b/crates/hawthornquay/src/node_peers.rs
@@ -86,7 +86,9 @@
         }
         let members = self.members.lock();
         let member = members.get(&InstanceName::new(name))?;
-        let current = member.incarnation?.to_string() == incarnation;
+        let current = member
+            .incarnation
+            .is_none_or(|known| known.to_string() == incarnation);
         current.then_some(member.record.callers)
     }
 }
--- a/crates/hawthornquay/src/peer_capacity.rs
+++ b/crates/hawthornquay/src/peer_capacity.rs
@@ -15,8 +15,17 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Slots assumed for a server without a report.
+const ASSUMED_SLOTS: u32 = 4;
+
+/// Prefill speed assumed for a server without a report, in tokens per second.
+const ASSUMED_PREFILL: f64 = 4_000.0;
+
+/// Time between tokens assumed for a server without a report, in milliseconds.
+const ASSUMED_DECODE_MS: f64 = 20.0;
+
 /// Shortest time between two questions to one domain about one target.
-const ASK_INTERVAL: Duration = Duration::from_millis(500);
+pub const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Answers a question about this instance's domain.
 pub fn grant_capacity(node: &Node, from: &InstanceId, req: &CapacityRequest) -> CapacityGrant {
@@ -30,7 +39,9 @@
     let now = clock::now();
     let domain = &node.place.domain;
     let mut routing = node.routing.lock();
-    let Some(summary) = routing.view.summary(bundle.bundle(), domain, &target, now) else {
+    let summary = routing.view.summary(bundle.bundle(), domain, &target, now);
+    let summary = summary.or_else(|| assumed_summary(bundle.bundle(), domain, &target));
+    let Some(summary) = summary else {
         return CapacityGrant::default();
     };
     let grant = routing
@@ -48,6 +59,33 @@
     }
 }
 
+/// Returns a cautious summary of servers whose reports fail; they may still serve.
+fn assumed_summary(
+    bundle: &Bundle,
+    domain: &DomainName,
+    target: &RouteTarget,
+) -> Option<LoadReport> {
+    let serving = bundle
+        .backends
+        .values()
+        .filter(|server| server.domain == *domain);
+    let servers = serving.filter(|server| server.serves(target)).count();
+    let servers = u32::try_from(servers).ok().filter(|&servers| servers > 0)?;
+    Some(LoadReport {
+        name: domain.to_string(),
+        running: 0,
+        waiting: 0,
+        slots: servers * ASSUMED_SLOTS,
+        servers,
+        kv_used: 0,
+        kv_capacity: 0,
+        prefill_tokens_per_s: ASSUMED_PREFILL,
+        decode_ms: ASSUMED_DECODE_MS,
+        leaving: false,
+        sequence: 0,
+    })
+}
+
 /// Asks the other domains that may run a request for their load, unless that was done just now.
 pub async fn ask_domains(node: &Arc<Node>, bundle: &Bundle, req: &OutboundRequest) {
     let domains = other_domains(node, bundle, &req.organisation.residency, &req.target);
--- a/crates/hawthornquay/src/request_queue.rs
+++ b/crates/hawthornquay/src/request_queue.rs
@@ -1,14 +1,10 @@
 //! Waiting for a free backend server.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use hawthornquay_decisions::{FairQueue, LoadKey, OrganisationId, Priority, QueueEntry, Refusal};
+use hawthornquay_decisions::{
+    FairQueue, LoadKey, Map, MonotonicTime, QueueEntry, Refusal, RouteTarget,
+};
 use parking_lot::Mutex;
 use tokio::{
     sync::{Notify, oneshot},
@@ -23,6 +19,9 @@
 /// Interval at which waiting requests are tried without a sign of a free server.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Interval over which the rate of turns is measured.
+const RATE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Requests per second assumed to leave the queue before any has.
 const INITIAL_SERVICE_RATE: f64 = 1.0;
 
@@ -37,19 +36,27 @@
     turn: oneshot::Sender<Result<(), Refusal>>,
 }
 
-/// Fair queue of the requests that found every backend server busy.
+/// Fair queues of the requests that found every backend server busy, one for each target.
+///
+/// The targets have servers of their own, so that a busy one does not hold up the others.
+#[derive(Default)]
 pub struct RequestQueue {
-    queue: Mutex<FairQueue<Waiter>>,
+    targets: Mutex<Map<RouteTarget, TargetQueue>>,
     freed: Notify,
-    served: AtomicU64,
 }
 
-impl Default for RequestQueue {
+struct TargetQueue {
+    queue: FairQueue<Waiter>,
+    turns: f64,
+    turns_per_second: f64,
+}
+
+impl Default for TargetQueue {
     fn default() -> Self {
         Self {
-            queue: Mutex::new(FairQueue::new(LONGEST_WAIT)),
-            freed: Notify::new(),
-            served: AtomicU64::new(0),
+            queue: FairQueue::new(LONGEST_WAIT),
+            turns: 0.0,
+            turns_per_second: INITIAL_SERVICE_RATE,
         }
     }
 }
@@ -81,10 +88,14 @@
             item,
         };
         let weight = req.organisation.rate.max(1) as f64;
-        self.queue
-            .lock()
-            .push(entry, weight)
-            .map_err(|(refusal, _)| refusal)?;
+        {
+            let mut targets = self.targets.lock();
+            let target = targets.entry(req.target.clone()).or_default();
+            target
+                .queue
+                .push(entry, weight)
+                .map_err(|(refusal, _)| refusal)?;
+        }
         rx.await.unwrap_or(Ok(()))
     }
 
@@ -94,33 +105,41 @@
     }
 
     /// Estimates how long a new request would wait.
-    pub fn expected_wait(&self, organisation: &OrganisationId, priority: Priority) -> Duration {
-        let rate = f64::from_bits(self.served.load(Ordering::Relaxed)).max(INITIAL_SERVICE_RATE);
-        self.queue
-            .lock()
-            .expected_wait(organisation, priority, rate)
+    pub fn expected_wait(&self, req: &OutboundRequest) -> Duration {
+        let targets = self.targets.lock();
+        targets.get(&req.target).map_or(Duration::ZERO, |target| {
+            let rate = target.turns_per_second;
+            target
+                .queue
+                .expected_wait(&req.organisation.id, req.priority, rate)
+        })
     }
 
     /// Gives turns for as long as the process runs.
     pub async fn run(&self, node: &Node) {
         let mut second = Instant::now();
-        let mut turns = 0.0;
         loop {
             let _ = tokio::time::timeout(TICK, self.freed.notified()).await;
-            turns += f64::from(u8::from(self.give_turn(node)));
+            let now = clock::now();
+            let mut targets = self.targets.lock();
+            for target in targets.values_mut() {
+                target.give_turn(node, now);
+            }
             let elapsed = second.elapsed();
-            if elapsed >= Duration::from_secs(1) {
-                self.served
-                    .store((turns / elapsed.as_secs_f64()).to_bits(), Ordering::Relaxed);
-                (second, turns) = (Instant::now(), 0.0);
+            if elapsed >= RATE_INTERVAL {
+                targets.retain(|_, target| target.queue.waiting() > 0);
+                targets
+                    .values_mut()
+                    .for_each(|target| target.measure(elapsed));
+                second = Instant::now();
             }
         }
     }
+}
 
-    fn give_turn(&self, node: &Node) -> bool {
-        let now = clock::now();
-        let mut queue = self.queue.lock();
-        for (entry, refusal) in queue.expire(now) {
+impl TargetQueue {
+    fn give_turn(&mut self, node: &Node, now: MonotonicTime) {
+        for (entry, refusal) in self.queue.expire(now) {
             let _ = entry.item.turn.send(Err(refusal));
         }
         let ready = |entry: &QueueEntry<Waiter>| {
@@ -133,11 +152,16 @@
             // A caller that left has closed its end; its entry is taken out here.
             turn.is_closed() || is_ready(node, bundle.bundle(), req, tried)
         };
-        while let Some(entry) = queue.pop(now, ready) {
+        while let Some(entry) = self.queue.pop(now, ready) {
             if entry.item.turn.send(Ok(())).is_ok() {
-                return true;
+                self.turns += 1.0;
+                return;
             }
         }
-        false
+    }
+
+    fn measure(&mut self, elapsed: Duration) {
+        self.turns_per_second = (self.turns / elapsed.as_secs_f64()).max(INITIAL_SERVICE_RATE);
+        self.turns = 0.0;
     }
 }
--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -7,7 +7,7 @@
 mod fleet_builder;
 
 pub use {
-    caller::{Answer, Caller},
+    caller::Caller,
     fleet::{Fleet, wait_until},
     fleet_builder::FleetBuilder,
 };
--- a/crates/standins/src/service_endpoint.rs
+++ b/crates/standins/src/service_endpoint.rs
@@ -60,11 +60,13 @@
     }
 
     fn load(&self) -> Value {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        state.reports += 1;
         json!({
             "name": self.name,
             "running": state.running,
             "leaving": state.faults.leaving,
+            "sequence": state.reports,
         })
     }
 }
--- a/crates/standins/src/service_state.rs
+++ b/crates/standins/src/service_state.rs
@@ -9,6 +9,8 @@
 pub(crate) struct ServiceState {
     pub(crate) faults: ServiceFaults,
     pub(crate) keys_seen: u64,
+    /// Load reports given so far.
+    pub(crate) reports: u64,
     pub(crate) running: usize,
     pub(crate) runs: BTreeMap<String, u64>,
 }
