Add the commands tls new and bundle accept

Cause: a fleet needs certificates for its links, and operators had no way to put a signed bundle in force.

An accept ends with 0 (in force), 1 (lost race or refusal) or 3 (no answer). The loser of a race gets the digest in force and the difference from its own bundle to it.

Ruled out: replacing or completing a directory of certificates. The key of the authority is not kept, so a later certificate could not chain to it; every target is checked before the first is written.

--- a/crates/hawthornquay/src/command_bundle.rs
+++ b/crates/hawthornquay/src/command_bundle.rs
@@ -10,6 +10,7 @@
     command_files::{
         read_document, read_operator_key, read_signatures, replace_file, signature_path,
     },
+    command_output::changes_json,
     command_signature_file::SignatureFile,
 };
 
@@ -54,17 +55,7 @@
 pub(crate) fn diff(as_json: bool, old: &Path, new: &Path) -> Result<CommandOutput, CommandError> {
     let (old, new) = (read_document(old)?, read_document(new)?);
     let difference = new.difference_from(&old);
-    let changes: Vec<Value> = difference
-        .changes
-        .iter()
-        .map(|(header, change)| {
-            json!({
-                "section": header,
-                "change": change.mark().to_string(),
-                "fields": change.body().lines().collect::<Vec<_>>(),
-            })
-        })
-        .collect();
+    let changes = changes_json(&difference);
     let exit = if changes.is_empty() {
         CommandExit::Done
     } else {
--- a/crates/hawthornquay/src/command_error.rs
+++ b/crates/hawthornquay/src/command_error.rs
@@ -1,16 +1,42 @@
 //! Failure of the command.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
-use hawthornquay_operators::{Faults, SignatureError};
+use hawthornquay_instances::LinkError;
+use hawthornquay_operators::{AcceptError, Faults, LostRace, SignatureError};
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde_json::{Value, json};
 
-use crate::{CommandExit, CommandOutput};
+use crate::{CommandExit, CommandOutput, command_output::changes_json};
 
 /// Reason why a command did not do what was asked.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum CommandError {
+    /// The bundle is in force, but its audit record is missing.
+    #[error("{source}")]
+    #[diagnostic(help("run the same command again; it writes only what is missing"))]
+    AuditMissing {
+        /// Reason.
+        source: AcceptError,
+    },
+    /// Certificates cannot be made.
+    #[error(transparent)]
+    #[diagnostic(help("check the names of the instances"))]
+    Certificates(#[from] LinkError),
+    /// Two instances have the same name, or one has the name of the authority's file.
+    #[error("the name `{name}` is taken by another certificate")]
+    #[diagnostic(help("give each instance a name of its own, and none the name `authority`"))]
+    DuplicateInstance {
+        /// The name.
+        name: String,
+    },
+    /// A file that would be written exists.
+    #[error("{} exists already; nothing was written", path.display())]
+    #[diagnostic(help("choose another directory, or move the file away"))]
+    FileExists {
+        /// Path of the file.
+        path: PathBuf,
+    },
     /// A bundle has faults.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -28,6 +54,63 @@
         /// File of the predecessor.
         predecessor: PathBuf,
     },
+    /// Another bundle came first.
+    #[error(
+        "version {} with digest {} is in force already; the bundle was not accepted",
+        .0.current.version,
+        .0.current.digest
+    )]
+    #[diagnostic(help(
+        "apply your change to the bundle in force and raise `version`; the difference leads from \
+         your bundle to the one in force"
+    ))]
+    LostRace(Box<LostRace>),
+    /// The platform gave no answer before anything was accepted.
+    #[error("the bundle was not accepted; the platform at {address} gave no answer: {source}")]
+    #[diagnostic(help(
+        "check the address; if the platform has an outage or is over its rate, run the command \
+         again later"
+    ))]
+    NotAccepted {
+        /// Address of the platform.
+        address: SocketAddr,
+        /// Reason.
+        source: AcceptError,
+    },
+    /// A bundle has no file of signatures.
+    #[error("{} has no signatures: {} does not exist", bundle.display(), path.display())]
+    #[diagnostic(help(
+        "sign it with `hawthornquay bundle sign --key FILE --signer NAME {}`",
+        bundle.display()
+    ))]
+    NotSigned {
+        /// File of the bundle.
+        bundle: PathBuf,
+        /// File of signatures that was looked for.
+        path: PathBuf,
+    },
+    /// The signatures are of another text than the bundle's.
+    #[error("{} holds signatures of another text than {}", path.display(), bundle.display())]
+    #[diagnostic(help(
+        "the bundle was changed after it was signed; let its signers sign it again"
+    ))]
+    OtherText {
+        /// File of the bundle.
+        bundle: PathBuf,
+        /// File of signatures.
+        path: PathBuf,
+    },
+    /// The platform did not tell whether the bundle was accepted.
+    #[error("{source} (the answers of the platform at {address} were lost)")]
+    #[diagnostic(help(
+        "run the same command again: it has no further effect if the bundle is in force"
+    ))]
+    OutcomeUnknown {
+        /// Address of the platform.
+        address: SocketAddr,
+        /// Reason.
+        source: AcceptError,
+    },
     /// A file cannot be read.
     #[error("cannot read {}: {source}", path.display())]
     #[diagnostic(help("check the path and its permissions"))]
@@ -37,6 +120,13 @@
         /// Reason.
         source: std::io::Error,
     },
+    /// The bundle was refused.
+    #[error("the bundle was not accepted: {source}")]
+    #[diagnostic(help("nothing was changed; correct the cause and run the command again"))]
+    Rejected {
+        /// Reason.
+        source: AcceptError,
+    },
     /// A file of signatures is malformed.
     #[error("{} is no file of signatures: {source}", path.display())]
     #[diagnostic(help("remove the file and sign again"))]
@@ -46,6 +136,18 @@
         /// Reason.
         source: serde_json::Error,
     },
+    /// The signatures in a file are not enough.
+    #[error("{}: {source}", path.display())]
+    #[diagnostic(help(
+        "let signers that the bundle in force names sign with `hawthornquay bundle sign`, and pass \
+         that bundle as `--predecessor` to count the signatures"
+    ))]
+    Signatures {
+        /// File of signatures.
+        path: PathBuf,
+        /// Reason.
+        source: SignatureError,
+    },
     /// A file holds no signing key.
     #[error("{}: {source}", path.display())]
     #[diagnostic(help("pass a file that `hawthornquay key new --signer` wrote"))]
@@ -55,6 +157,10 @@
         /// Reason.
         source: SignatureError,
     },
+    /// The runtime for calls to the platform cannot be started.
+    #[error("cannot start: {0}")]
+    #[diagnostic(help("check the limits of the system on open files and threads"))]
+    Start(#[source] std::io::Error),
     /// A name has characters that a bundle does not allow.
     #[error("`{name}` is no name")]
     #[diagnostic(help("use letters, digits and `-_.`"))]
@@ -108,7 +214,14 @@
     /// Returns the exit code.
     pub fn exit(&self) -> CommandExit {
         match self {
-            Self::OtherKey { .. } | Self::UnknownSigner { .. } => CommandExit::Refused,
+            Self::LostRace(_)
+            | Self::OtherKey { .. }
+            | Self::Rejected { .. }
+            | Self::Signatures { .. }
+            | Self::UnknownSigner { .. } => CommandExit::Refused,
+            Self::AuditMissing { .. } | Self::NotAccepted { .. } | Self::OutcomeUnknown { .. } => {
+                CommandExit::Unreachable
+            }
             _ => CommandExit::BadInput,
         }
     }
@@ -124,9 +237,13 @@
         if handler.render_report(&mut stderr, &self).is_err() {
             stderr = format!("{self}\n");
         }
+        let stdout = match self {
+            Self::LostRace(race) => race.difference.to_string(),
+            _ => String::new(),
+        };
         CommandOutput {
             exit,
-            stdout: String::new(),
+            stdout,
             stderr,
         }
     }
@@ -147,12 +264,27 @@
                 .collect(),
             _ => Vec::new(),
         };
-        json!({
-            "error": {
-                "message": self.to_string(),
-                "remedy": self.help().map(|help| help.to_string()),
-                "faults": faults,
+        let mut error = json!({
+            "message": self.to_string(),
+            "remedy": self.help().map(|help| help.to_string()),
+            "faults": faults,
+        });
+        match self {
+            Self::AuditMissing { .. } => error["accepted"] = json!(true),
+            Self::OutcomeUnknown { .. } => error["accepted"] = Value::Null,
+            Self::NotAccepted { .. } | Self::Rejected { .. } | Self::Signatures { .. } => {
+                error["accepted"] = json!(false);
+            }
+            Self::LostRace(race) => {
+                error["accepted"] = json!(false);
+                error["current"] = json!({
+                    "version": race.current.version,
+                    "digest": race.current.digest.to_string(),
+                    "changes": changes_json(&race.difference),
+                });
             }
-        })
+            _ => {}
+        }
+        json!({ "error": error })
     }
 }
--- a/crates/hawthornquay/src/command_files.rs
+++ b/crates/hawthornquay/src/command_files.rs
@@ -13,6 +13,7 @@
 
 /// Only the operator may read a secret key.
 const SECRET_MODE: u32 = 0o600;
+const PUBLIC_MODE: u32 = 0o644;
 
 pub(crate) fn read_document(path: &Path) -> Result<BundleDocument, CommandError> {
     let text = read_text(path)?;
@@ -59,23 +60,32 @@
 
 /// Writes a secret to a new file; an existing file is never replaced.
 pub(crate) fn create_secret_file(path: &Path, text: &str) -> Result<(), CommandError> {
+    create_file(path, text, SECRET_MODE)
+}
+
+/// Writes a new file that everyone may read; an existing file is never replaced.
+pub(crate) fn create_public_file(path: &Path, text: &str) -> Result<(), CommandError> {
+    create_file(path, text, PUBLIC_MODE)
+}
+
+fn create_file(path: &Path, text: &str, mode: u32) -> Result<(), CommandError> {
     fs::OpenOptions::new()
         .write(true)
         .create_new(true)
-        .mode(SECRET_MODE)
+        .mode(mode)
         .open(path)
         .and_then(|mut file| file.write_all(text.as_bytes()))
         .map_err(|source| write_error(path, source))
 }
 
-fn write_error(path: &Path, source: std::io::Error) -> CommandError {
+pub(crate) fn write_error(path: &Path, source: std::io::Error) -> CommandError {
     CommandError::Write {
         path: path.to_owned(),
         source,
     }
 }
 
-fn read_text(path: &Path) -> Result<String, CommandError> {
+pub(crate) fn read_text(path: &Path) -> Result<String, CommandError> {
     fs::read_to_string(path).map_err(|source| CommandError::Read {
         path: path.to_owned(),
         source,
--- a/crates/hawthornquay/src/command_key.rs
+++ b/crates/hawthornquay/src/command_key.rs
@@ -82,7 +82,8 @@
     Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
 }
 
-fn check_name(name: &str) -> Result<(), CommandError> {
+/// Checks that a bundle allows `name`.
+pub(crate) fn check_name(name: &str) -> Result<(), CommandError> {
     let allowed = |char: char| char.is_ascii_alphanumeric() || matches!(char, '_' | '-' | '.');
     if name.is_empty() || !name.chars().all(allowed) {
         return Err(CommandError::InvalidName {
--- a/crates/hawthornquay/src/command_options.rs
+++ b/crates/hawthornquay/src/command_options.rs
@@ -1,10 +1,12 @@
 //! Options of the command.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::Bpaf;
 
-/// Checks, compares and signs bundles, and draws keys.
+use crate::InstanceAddress;
+
+/// Prepares, signs and accepts bundles, makes keys and certificates, and shows the fleet.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(command_options))]
 pub enum CommandOptions {
@@ -14,6 +16,9 @@
     /// Keys of callers and operators
     #[bpaf(command("key"))]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Certificates for the links between instances
+    #[bpaf(command("tls"))]
+    Tls(#[bpaf(external(tls_command))] TlsCommand),
 }
 
 /// Commands about bundles.
@@ -58,6 +63,25 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Put a signed bundle in force; reads the signatures from FILE.signatures
+    #[bpaf(command("accept"))]
+    Accept {
+        /// Write JSON
+        json: bool,
+        /// Address of the platform
+        #[bpaf(argument("IP:PORT"))]
+        platform: SocketAddr,
+        /// Operator to name in the audit record
+        #[bpaf(argument("NAME"))]
+        who: String,
+        /// Settings of a daemon whose [trust] the first bundle has to satisfy; without it, the
+        /// signers of the first bundle itself count
+        #[bpaf(argument("SETTINGS"))]
+        first_trust: Option<PathBuf>,
+        /// Bundle to accept
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Show the version, digest and contents of a bundle
     #[bpaf(command("show"))]
     Show {
@@ -83,6 +107,26 @@
     },
 }
 
+/// Commands about certificates.
+#[derive(Clone, Debug, Bpaf)]
+pub enum TlsCommand {
+    /// Make an authority, and a certificate and key for each instance
+    ///
+    /// Writes authority.pem, and NAME.pem and NAME.key for each instance. The key of the authority
+    /// is not kept: to add an instance, make new certificates for all.
+    #[bpaf(command("new"))]
+    New {
+        /// Write JSON
+        json: bool,
+        /// Directory for the files; made if absent
+        #[bpaf(argument("DIR"))]
+        out: PathBuf,
+        /// Name of an instance and the IP address that others reach it at
+        #[bpaf(positional("NAME=IP"), some("name at least one instance, as NAME=IP"))]
+        instances: Vec<InstanceAddress>,
+    },
+}
+
 /// Key to draw.
 #[derive(Clone, Debug, Bpaf)]
 pub enum NewKey {
--- a/crates/hawthornquay/src/command_output.rs
+++ b/crates/hawthornquay/src/command_output.rs
@@ -1,5 +1,8 @@
 //! Output of the command.
 
+use hawthornquay_operators::BundleDifference;
+use serde_json::{Value, json};
+
 use crate::CommandExit;
 
 /// Text and exit code of a command.
@@ -24,13 +27,23 @@
     }
 
     /// Builds output that is `json` or `text`.
-    pub(crate) fn of(
-        exit: CommandExit,
-        as_json: bool,
-        json: &serde_json::Value,
-        text: String,
-    ) -> Self {
+    pub(crate) fn of(exit: CommandExit, as_json: bool, json: &Value, text: String) -> Self {
         let stdout = if as_json { format!("{json:#}\n") } else { text };
         Self::new(exit, stdout)
     }
 }
+
+/// Returns the changes of a difference, in the order of their sections.
+pub(crate) fn changes_json(difference: &BundleDifference) -> Vec<Value> {
+    difference
+        .changes
+        .iter()
+        .map(|(header, change)| {
+            json!({
+                "section": header,
+                "change": change.mark().to_string(),
+                "fields": change.body().lines().collect::<Vec<_>>(),
+            })
+        })
+        .collect()
+}
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -12,15 +12,19 @@
 mod claim_key;
 mod claim_leases;
 mod clock;
+mod command_accept;
 mod command_bundle;
 mod command_error;
 mod command_exit;
 mod command_files;
+mod command_instance_address;
 mod command_key;
 mod command_options;
 mod command_output;
 mod command_run;
+mod command_runtime;
 mod command_signature_file;
+mod command_tls;
 mod daemon;
 mod daemon_exit;
 mod decision;
@@ -70,7 +74,10 @@
     claim_leases::ClaimLeases,
     command_error::CommandError,
     command_exit::CommandExit,
-    command_options::{BundleCommand, CommandOptions, KeyCommand, NewKey, command_options},
+    command_instance_address::{InstanceAddress, InvalidInstanceAddress},
+    command_options::{
+        BundleCommand, CommandOptions, KeyCommand, NewKey, TlsCommand, command_options,
+    },
     command_output::CommandOutput,
     command_run::run_command,
     command_signature_file::SignatureFile,
--- a/crates/hawthornquay/tests/command.rs
+++ b/crates/hawthornquay/tests/command/files.rs
@@ -1,65 +1,10 @@
 //! Guards against a command with wrong exit codes, or messages that an operator cannot act on.
 
-use std::{
-    fs,
-    path::{Path, PathBuf},
-    process::Command,
-};
+use std::fs;
 
 use hawthornquay_operators::{BundleDocument, Trust, caller_key_digest, key_digest_text};
-use serde_json::Value;
 
-/// Directory of one test with a copy of an example.
-struct Workplace(PathBuf);
-
-struct Ran {
-    code: i32,
-    stdout: String,
-    stderr: String,
-}
-
-impl Ran {
-    fn json(&self) -> Value {
-        serde_json::from_str(&self.stdout).unwrap()
-    }
-}
-
-impl Workplace {
-    fn new(test: &str) -> Self {
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
-        let _ = fs::remove_dir_all(&path);
-        fs::create_dir_all(&path).unwrap();
-        let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/kolanut");
-        for name in ["bundle.ini", "signer-ada.key", "signer-bola.key"] {
-            fs::copy(example.join(name), path.join(name)).unwrap();
-        }
-        Self(path)
-    }
-
-    /// Writes a copy of the bundle with one replacement.
-    fn change(&self, name: &str, from: &str, to: &str) {
-        let text = self.read("bundle.ini");
-        assert!(text.contains(from));
-        fs::write(self.0.join(name), text.replacen(from, to, 1)).unwrap();
-    }
-
-    fn read(&self, name: &str) -> String {
-        fs::read_to_string(self.0.join(name)).unwrap()
-    }
-
-    fn run(&self, arguments: &str) -> Ran {
-        let output = Command::new(env!("CARGO_BIN_EXE_hawthornquay"))
-            .args(arguments.split(' '))
-            .current_dir(&self.0)
-            .output()
-            .unwrap();
-        Ran {
-            code: output.status.code().unwrap(),
-            stdout: String::from_utf8(output.stdout).unwrap(),
-            stderr: String::from_utf8(output.stderr).unwrap(),
-        }
-    }
-}
+use crate::workplace::Workplace;
 
 /// Guards against bad usage that scripts take for a refusal.
 #[test]
@@ -219,7 +164,7 @@
     assert_eq!(ran.code, 0, "{}", ran.stderr);
     assert!(ran.stdout.contains("signer.chi = "));
     let first = workplace.read("chi.key");
-    let mode = fs::metadata(workplace.0.join("chi.key"))
+    let mode = fs::metadata(workplace.path("chi.key"))
         .unwrap()
         .permissions()
         .mode();
--- /dev/null
+++ b/crates/hawthornquay/tests/command/store.rs
@@ -0,0 +1,77 @@
+//! Platform stand-in of one test.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+use hawthornquay_platform::{CallLimits, PlatformClient, PlatformError, Revision};
+use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
+use tokio::runtime::{Builder, Runtime};
+
+/// Platform that runs in the test's process.
+pub struct TestPlatform {
+    pub runtime: Runtime,
+    platform: Platform,
+}
+
+impl TestPlatform {
+    pub fn start() -> Self {
+        Self::with(PlatformSettings::default())
+    }
+
+    pub fn with(settings: PlatformSettings) -> Self {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        let any_port = (Ipv4Addr::LOCALHOST, 0).into();
+        let platform = runtime.block_on(Platform::start(any_port, settings));
+        Self {
+            runtime,
+            platform: platform.unwrap(),
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.platform.address()
+    }
+
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.platform.set_faults(faults);
+    }
+
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        match self.runtime.block_on(self.client().get(key)) {
+            Ok(entry) => Some(entry.value.to_vec()),
+            Err(PlatformError::NotFound) => None,
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    /// Returns the keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let listing = self.runtime.block_on(self.client().list(prefix)).unwrap();
+        listing.entries.into_iter().map(|entry| entry.key).collect()
+    }
+
+    /// Writes a value, whatever the key held before.
+    pub fn write(&self, key: &str, value: &str) {
+        let client = self.client();
+        self.runtime.block_on(async {
+            let revision = match client.get(key).await {
+                Ok(entry) => entry.revision,
+                Err(_) => Revision(0),
+            };
+            let written = client
+                .compare_and_swap(key, value.as_bytes(), revision, None)
+                .await;
+            written.unwrap();
+        });
+    }
+
+    fn client(&self) -> PlatformClient {
+        PlatformClient::new(self.address(), CallLimits::default())
+    }
+}
+
+/// Returns an address at which nothing listens.
+pub fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
