Keep capacity for the lender's own rate; shrink loans instead of ending them

A ledger of each instance showed two slot holders losing 99 and 94 tokens/s: they had lent nearly all capacity and the rate that they kept overflowed.

Ruled out: lost or late grants (granted and accepted levels were equal), loans that end unrenewed (the rates held added up to the whole).

Change: a lender keeps capacity in proportion to the rate that it keeps. A loan that another borrower needs a part of is renewed with less instead of ended; the difference stays bound until the old end.

--- a/crates/decisions/src/limit_slice.rs
+++ b/crates/decisions/src/limit_slice.rs
@@ -21,6 +21,8 @@
     pub(crate) number: u64,
     total: LimitShare,
     lent: BTreeMap<InstanceId, LentLoan>,
+    /// Parts of earlier loans that were not renewed, with their ends.
+    ending: Vec<(LimitShare, MonotonicTime)>,
     contended: Option<(InstanceId, MonotonicTime)>,
 }
 
@@ -32,15 +34,17 @@
             number,
             total: LimitShare::default(),
             lent: BTreeMap::new(),
+            ending: Vec::new(),
             contended: None,
         }
     }
 
     /// Adds what accrued and takes back the loans that ended until `now`.
     pub(crate) fn advance(&mut self, now: MonotonicTime) {
-        while let Some((borrower, end)) = self.next_end(now) {
+        while let Some(end) = self.ends().min().filter(|end| *end <= now) {
             self.bucket.advance(end);
-            self.lent.remove(&borrower);
+            self.lent.retain(|_, loan| loan.end > end);
+            self.ending.retain(|(_, until)| *until > end);
             self.apply();
         }
         self.bucket.advance(now);
@@ -55,14 +59,14 @@
 
     /// Returns the latest end of a loan.
     pub(crate) fn last_end(&self) -> Option<MonotonicTime> {
-        self.lent.values().map(|loan| loan.end).max()
+        self.ends().max()
     }
 
     /// Returns the rates and capacities lent.
     pub(crate) fn lent(&self) -> LimitShare {
-        self.lent
-            .values()
-            .fold(LimitShare::default(), |sum, loan| sum.plus(loan.share))
+        let lent = self.lent.values().map(|loan| loan.share);
+        lent.chain(self.ending.iter().map(|(share, _)| *share))
+            .fold(LimitShare::default(), LimitShare::plus)
     }
 
     /// Answers a loan request and keeps `own_rate` millitokens per second where it can.
@@ -80,16 +84,11 @@
         if old.is_some_and(|loan| loan.sequence >= req.sequence) {
             return None;
         }
-        let had = old.map_or_else(LimitShare::default, |loan| loan.share);
-        if !self.may_lend(borrower, had, now) {
+        if !self.lent().fits_in(self.total) {
+            // A renewal would bind what a smaller share no longer covers.
             return Some(refused(req));
         }
-        // The borrower lowers its own loan before it asks for less.
-        let had = had.lower(req.share);
-        if let Some(loan) = self.lent.get_mut(borrower) {
-            loan.share = had;
-        }
-        self.apply();
+        let had = self.lower_loan(borrower, req, own_rate, now);
         let wanted = req.share.minus(had);
         let free = self.bucket.share();
         let kept = self.kept(own_rate);
@@ -97,10 +96,12 @@
         if self.contended(borrower, now) {
             rate = rate.min(free.rate / 2);
         }
-        let level = self.bucket.withdraw(req.level.min(req.share.capacity));
-        // The lender's level must fit the capacity that it keeps, or tokens would be lost.
-        let spare = free.capacity.saturating_sub(kept.capacity).max(level);
-        let capacity = wanted.capacity.min(spare).min(self.bucket.headroom());
+        // Without a part of the capacity, the rate that is kept would overflow.
+        let spare = free.capacity.saturating_sub(kept.capacity);
+        let capacity = wanted.capacity.min(spare);
+        let level = req.level.min(had.capacity + capacity);
+        let level = self.bucket.withdraw(level);
+        let capacity = capacity.min(self.bucket.headroom());
         let share = had.plus(LimitShare { rate, capacity });
         if wanted.rate > 0 && rate < wanted.rate / 2 {
             self.contended = Some((borrower.clone(), now + LoanTerms::DURATION));
@@ -123,13 +124,34 @@
         })
     }
 
-    /// Returns whether a loan may be made or renewed.
+    /// Lowers an earlier loan and returns what the borrower may keep of it.
     ///
-    /// A renewal binds the old amount for longer. It is refused when the share has shrunk below
-    /// what is lent, and when another borrower went short while this one has more than its part.
-    fn may_lend(&self, borrower: &InstanceId, had: LimitShare, now: MonotonicTime) -> bool {
-        let part = self.total.rate / (self.lent.len() as u64 + 1);
-        self.lent().fits_in(self.total) && (had.rate <= part || !self.contended(borrower, now))
+    /// What the borrower gave up by asking for less is free at once. What the lender calls in for
+    /// another borrower stays bound until the old end, because the answer may be lost.
+    fn lower_loan(
+        &mut self,
+        borrower: &InstanceId,
+        req: &LoanRequest,
+        own_rate: u64,
+        now: MonotonicTime,
+    ) -> LimitShare {
+        let users = self.lent.len() as u64 + u64::from(own_rate > 0);
+        let contended = self.contended(borrower, now);
+        let Some(loan) = self.lent.get_mut(borrower) else {
+            return LimitShare::default();
+        };
+        loan.share = loan.share.lower(req.share);
+        if contended {
+            let part = loan.share.lower(LimitShare {
+                rate: self.total.rate / users.max(1),
+                capacity: self.total.capacity / users.max(1),
+            });
+            self.ending.push((loan.share.minus(part), loan.end));
+            loan.share = part;
+        }
+        let had = loan.share;
+        self.apply();
+        had
     }
 
     /// Returns what is kept for the lender's own callers, at most half.
@@ -149,12 +171,9 @@
             .is_some_and(|(short, until)| short != borrower && now < *until)
     }
 
-    fn next_end(&self, now: MonotonicTime) -> Option<(InstanceId, MonotonicTime)> {
-        self.lent
-            .iter()
-            .filter(|(_, loan)| loan.end <= now)
-            .min_by_key(|(_, loan)| loan.end)
-            .map(|(borrower, loan)| (borrower.clone(), loan.end))
+    fn ends(&self) -> impl Iterator<Item = MonotonicTime> {
+        let lent = self.lent.values().map(|loan| loan.end);
+        lent.chain(self.ending.iter().map(|(_, end)| *end))
     }
 
     fn apply(&mut self) {
