--- a/crates/decisions/src/limit_demand.rs
+++ b/crates/decisions/src/limit_demand.rs
@@ -26,13 +26,13 @@
         self.roll(now);
         let rest = amount.saturating_sub(self.charged);
         self.charged = self.charged.saturating_sub(amount);
-        self.average = self.average.saturating_sub(rest / 2);
+        self.average = self.average.saturating_sub(rest / 4);
     }
 
     /// Returns the demand in millitokens per second.
     pub(crate) fn rate(&mut self, now: MonotonicTime) -> u64 {
         self.roll(now);
-        self.average.max(self.charged) / (LimitShare::NANOTOKENS / LimitShare::MILLITOKENS)
+        self.average / (LimitShare::NANOTOKENS / LimitShare::MILLITOKENS)
     }
 
     fn roll(&mut self, now: MonotonicTime) {
@@ -45,7 +45,7 @@
             return;
         }
         while windows > 0 {
-            self.average = self.average / 2 + self.charged / 2;
+            self.average = self.average - self.average / 4 + self.charged / 4;
             self.charged = 0;
             self.window = self.window + Self::WINDOW;
             windows -= 1;
--- a/crates/decisions/src/limit_organisation.rs
+++ b/crates/decisions/src/limit_organisation.rs
@@ -23,6 +23,7 @@
     pub(crate) sequence: u64,
     pub(crate) sent: MonotonicTime,
     pub(crate) level: u64,
+    pub(crate) end: MonotonicTime,
     pub(crate) answered: bool,
     pub(crate) retry: Duration,
 }
--- a/crates/decisions/src/limit_slice.rs
+++ b/crates/decisions/src/limit_slice.rs
@@ -109,9 +109,13 @@
         if share == LimitShare::default() {
             return Some(refused(req));
         }
+        let end = now + req.duration.min(LoanTerms::DURATION) + LoanTerms::MARGIN;
         let loan = LentLoan {
             share,
-            end: now + LoanTerms::LONGEST,
+            end: self
+                .lent
+                .get(borrower)
+                .map_or(end, |loan| loan.end.max(end)),
             sequence: req.sequence,
         };
         self.lent.insert(borrower.clone(), loan);
--- a/crates/decisions/src/limit_table_loans.rs
+++ b/crates/decisions/src/limit_table_loans.rs
@@ -49,6 +49,7 @@
         now: MonotonicTime,
     ) -> LoanStep {
         let groups = self.lenders(organisation);
+        let lenders = groups.iter().map(Vec::len).sum::<usize>() as u64;
         let amount = tokens.saturating_mul(LimitShare::NANOTOKENS);
         let Some(state) = self.organisations.get_mut(organisation) else {
             return refuse(LimitShare::default(), amount);
@@ -72,21 +73,42 @@
             if group.is_empty() {
                 continue;
             }
-            let wanted = wanted_rate(state, now).max(missing / NANOTOKENS_PER_MILLITOKEN / 4);
-            let count = group.len() as u64;
-            let rate = wanted.saturating_sub(state.held().rate).div_ceil(count);
-            let spare = wanted.saturating_mul(NANOTOKENS_PER_MILLITOKEN) / 4;
-            let level = missing.saturating_add(spare).div_ceil(count);
+            let wanted = wanted_rate(state, now);
+            let single = wanted.saturating_mul(LOAN_SECONDS) < amount / NANOTOKENS_PER_MILLITOKEN;
+            let (rate, spare, duration) = if single {
+                (0, 0, LoanTerms::SINGLE)
+            } else {
+                let rate = wanted.saturating_sub(state.held().rate);
+                let spare = wanted.saturating_mul(NANOTOKENS_PER_MILLITOKEN) / 4;
+                (rate, spare, LoanTerms::DURATION)
+            };
+            let level = missing.saturating_add(spare);
+            let count = lenders_needed(
+                state,
+                &group,
+                LimitShare {
+                    rate,
+                    capacity: level,
+                },
+                lenders,
+            );
+            let (rate, level) = (rate.div_ceil(count), level.div_ceil(count));
+            // Borrowers begin at different lenders, so that none is asked by all.
+            let first = self.instance.incarnation.0 as usize % group.len();
             let calls = group
-                .into_iter()
+                .iter()
+                .cycle()
+                .skip(first)
+                .take(count as usize)
                 .map(|(domain, lender)| {
-                    let had = loan_share(state, &lender);
-                    let room = bucket_room(state, &lender);
+                    let had = loan_share(state, lender);
+                    let room = bucket_room(state, lender);
                     let share = had.plus(LimitShare {
                         rate,
                         capacity: level.max(burst_of(rate)).saturating_sub(room),
                     });
                     self.sequence += 1;
+                    let (domain, lender) = (domain.clone(), lender.clone());
                     call(
                         state,
                         organisation,
@@ -94,6 +116,7 @@
                         lender,
                         share,
                         level,
+                        duration,
                         self.sequence,
                         now,
                     )
@@ -152,6 +175,7 @@
                     lender,
                     share,
                     0,
+                    LoanTerms::DURATION,
                     self.sequence,
                     now,
                 ));
@@ -196,7 +220,7 @@
             return false;
         }
         attempt.answered = true;
-        let end = attempt.sent + LoanTerms::DURATION;
+        let end = attempt.end;
         let refused = grant.share == LimitShare::default();
         attempt.retry = if refused {
             (attempt.retry * 2).clamp(LoanTerms::SHORTEST_RETRY, LoanTerms::DURATION)
@@ -212,7 +236,7 @@
         if let Some(loan) = state.loans.get_mut(lender) {
             loan.bucket.set_share(grant.share);
             loan.bucket.deposit(grant.level);
-            loan.end = end;
+            loan.end = loan.end.max(end);
             return true;
         }
         self.buckets += 1;
@@ -235,6 +259,24 @@
 /// Nanotokens in one millitoken.
 const NANOTOKENS_PER_MILLITOKEN: u64 = LimitShare::NANOTOKENS / LimitShare::MILLITOKENS;
 
+/// Seconds of a loan, by which a steady demand is told from a single request.
+const LOAN_SECONDS: u64 = LoanTerms::DURATION.as_secs();
+
+/// Returns how many lenders of the group can be expected to cover `missing` with half their share.
+///
+/// The others are asked only if these lend too little, which saves messages.
+fn lenders_needed(
+    state: &LimitOrganisation,
+    group: &[Lender],
+    missing: LimitShare,
+    lenders: u64,
+) -> u64 {
+    let one = |whole: u64| (whole / (2 * (lenders + 1))).max(1);
+    let rate = missing.rate.div_ceil(one(state.whole.rate));
+    let level = missing.capacity.div_ceil(one(state.whole.capacity));
+    rate.max(level).clamp(1, group.len() as u64)
+}
+
 /// Returns the rate that covers the demand with a quarter to spare.
 fn wanted_rate(state: &mut LimitOrganisation, now: MonotonicTime) -> u64 {
     let rate = state.demand.rate(now);
@@ -269,6 +311,7 @@
     lender: InstanceId,
     share: LimitShare,
     level: u64,
+    duration: Duration,
     sequence: u64,
     now: MonotonicTime,
 ) -> LoanCall {
@@ -284,6 +327,7 @@
         sequence,
         sent: now,
         level,
+        end: now + duration,
         answered: false,
         retry,
     };
@@ -296,6 +340,7 @@
             sequence,
             share,
             level,
+            duration,
         },
     }
 }
--- a/crates/decisions/src/loan_request.rs
+++ b/crates/decisions/src/loan_request.rs
@@ -1,5 +1,7 @@
 //! Request for a loan.
 
+use std::time::Duration;
+
 use crate::{LimitShare, OrganisationId};
 
 /// Asks a slot holder for a part of its slice, or to renew and enlarge an earlier loan.
@@ -13,4 +15,6 @@
     pub share: LimitShare,
     /// Level in nanotokens that the borrower wants in addition to what it has.
     pub level: u64,
+    /// Time of the loan; the lender counts no more than [`crate::LoanTerms::DURATION`].
+    pub duration: Duration,
 }
--- a/crates/decisions/src/loan_terms.rs
+++ b/crates/decisions/src/loan_terms.rs
@@ -12,6 +12,8 @@
     /// A lowered rate takes full force when the loans made before have ended, which together with
     /// the delivery of the bundle must stay under the 4 s of invariant 11.
     pub const DURATION: Duration = Duration::from_secs(3);
+    /// Time of a loan for a single request, which binds the lender's capacity only shortly.
+    pub const SINGLE: Duration = Duration::from_millis(1_000);
     /// Time that the lender adds, so that clocks which run at different speeds are harmless.
     pub const MARGIN: Duration = Duration::from_millis(250);
     /// Longest time for which a loan can bind a lender after it was granted.
