--- /dev/null
+++ b/crates/decisions/examples/limit_support/limit_platform.rs
@@ -0,0 +1,78 @@
+//! Network, store and instance list of a measurement.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{InstanceRecord, InstanceState, MonotonicTime, SlotRules};
+use rand::Rng;
+
+use super::limit_types::*;
+
+impl Run {
+    pub(crate) fn update_slots(&mut self, index: usize) {
+        let now = MonotonicTime(self.now);
+        if self.instances[index].revision != self.store.revision {
+            self.instances[index].revision = self.store.revision;
+            self.instances[index]
+                .table
+                .adopt_slots(self.store.clone(), now);
+        }
+        let domain = self.instances[index].domain;
+        let instances: Vec<InstanceRecord> = self
+            .instances
+            .iter()
+            .enumerate()
+            .filter(|(_, instance)| instance.domain == domain)
+            .map(|(at, instance)| self.record(at, instance))
+            .collect();
+        let rules = SlotRules {
+            instances: &instances,
+            lag: Duration::from_micros(LAG),
+            running_for: Duration::ZERO,
+        };
+        if let Some(value) = self.instances[index].table.plan_slots(&rules, now) {
+            self.store.revision += 1;
+            self.store.domains.insert(domain_name(domain), value);
+        }
+    }
+
+    pub(crate) fn record(&self, at: usize, instance: &Instance) -> InstanceRecord {
+        let address = ([127, 0, 0, 1], 1).into();
+        let since = self
+            .lost
+            .filter(|(lost, _)| at == *lost || at + 1 == self.instances.len());
+        let age_ms = since.map_or(3_600_000, |(_, since)| (self.now - since) / 1_000);
+        InstanceRecord {
+            name: instance.id.name.clone(),
+            region: format!("r{}", region_of(instance.domain)).into(),
+            domain: domain_name(instance.domain),
+            callers: address,
+            peers: address,
+            operators: address,
+            state: if instance.alive {
+                InstanceState::Live
+            } else {
+                InstanceState::Gone
+            },
+            state_age_ms: age_ms,
+        }
+    }
+
+    /// Returns the time of arrival of a message, unless it is lost.
+    pub(crate) fn delivery(&mut self, from: usize, to: usize) -> Option<u64> {
+        let (a, b) = (self.instances[from].domain, self.instances[to].domain);
+        let one_way = match () {
+            () if a == b => 300,
+            () if region_of(a) == region_of(b) => 3_000,
+            () => 55_000,
+        };
+        let cut = a != b && (self.is_cut_off(a) || self.is_cut_off(b));
+        let lost = self.random.random_ratio(LOSS_PERCENT, 100);
+        (!cut && !lost).then(|| self.now + one_way + self.random.random_range(0..one_way / 5))
+    }
+
+    pub(crate) fn is_cut_off(&self, domain: usize) -> bool {
+        self.scenario == Scenario::CutOffDomain
+            && domain == 0
+            && (FAULT_FROM..FAULT_UNTIL).contains(&self.now)
+    }
+}
--- a/crates/decisions/src/limit_table_loans.rs
+++ b/crates/decisions/src/limit_table_loans.rs
@@ -222,13 +222,13 @@
         attempt.answered = true;
         let end = attempt.end;
         let refused = grant.share == LimitShare::default();
-        attempt.retry = if refused {
-            (attempt.retry * 2).clamp(LoanTerms::SHORTEST_RETRY, LoanTerms::DURATION)
-        } else if grant.level >= attempt.level {
+        attempt.retry = if !refused && grant.level >= attempt.level {
             // A lender that gave all that was asked for may have more.
             Duration::ZERO
-        } else {
+        } else if grant.level >= attempt.level / 2 && !refused {
             LoanTerms::SHORTEST_RETRY
+        } else {
+            (attempt.retry * 2).clamp(LoanTerms::SHORTEST_RETRY, LoanTerms::DURATION)
         };
         if refused || end <= now {
             return false;
--- a/crates/decisions/src/loan_terms.rs
+++ b/crates/decisions/src/loan_terms.rs
@@ -17,7 +17,7 @@
     /// Time that the lender adds, so that clocks which run at different speeds are harmless.
     pub const MARGIN: Duration = Duration::from_millis(250);
     /// Longest time for which a loan can bind a lender after it was granted.
-    pub const LONGEST: Duration = Duration::from_millis(3_250);
+    pub const LONGEST: Duration = Self::DURATION.saturating_add(Self::MARGIN);
     /// Time before its end at which a loan in use is renewed.
     pub const RENEW_BEFORE: Duration = Duration::from_millis(1_000);
     /// Time after which an unanswered request counts as lost.
