--- a/crates/hawthornquay/src/peer_loans.rs
+++ b/crates/hawthornquay/src/peer_loans.rs
@@ -1,5 +1,7 @@
 //! Loans between instances.
 
+use std::time::Duration;
+
 use hawthornquay_decisions::{LimitShare, LoanCall, LoanGrant, LoanTerms};
 use hawthornquay_instances::{LoanGrant as WireGrant, LoanRequest as WireRequest};
 use slog::debug;
@@ -20,6 +22,7 @@
         rate: call.request.share.rate,
         capacity: call.request.share.capacity,
         level: call.request.level,
+        duration_ms: u64::try_from(call.request.duration.as_millis()).unwrap_or(u64::MAX),
     };
     match node.links.call(&peer, req, LoanTerms::ANSWER_TIMEOUT).await {
         Ok(grant) => {
@@ -57,6 +60,7 @@
             capacity: req.capacity,
         },
         level: req.level,
+        duration: Duration::from_millis(req.duration_ms),
     };
     let domain = req.domain.as_str().into();
     let grant = node
--- a/crates/instances/src/loan_request.rs
+++ b/crates/instances/src/loan_request.rs
@@ -21,4 +21,7 @@
     /// Wanted level in addition, in nanotokens.
     #[prost(uint64, tag = "6")]
     pub level: u64,
+    /// Time of the loan, which the borrower counts from when it sent the request.
+    #[prost(uint64, tag = "7")]
+    pub duration_ms: u64,
 }
