Order missing models from the engines of the own domain

Cause: decisions for engine orders existed without a task that carries them out. Each domain has one orderer by store lease; the lease key's revision is the fencing number. The stand-in's words for orders did not match the client's.

Ruled out: one orderer for the fleet, which could not reach engines of a domain that is cut off from its own.

--- a/crates/backends/src/backend_client.rs
+++ b/crates/backends/src/backend_client.rs
@@ -3,9 +3,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hawthornquay_decisions::{LoadReport, OrderList, OrderRequest, PrefixEvents};
+use hawthornquay_decisions::{LoadReport, ModelName, OrderList, OrderRequest, PrefixEvents};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, de::DeserializeOwned};
 use tokio::time::timeout;
 
 use crate::{
@@ -16,6 +16,16 @@
 /// Longest wait for a pooled connection to finish its last exchange.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
+#[derive(Deserialize)]
+struct ModelList {
+    data: Vec<ModelItem>,
+}
+
+#[derive(Deserialize)]
+struct ModelItem {
+    id: ModelName,
+}
+
 /// Client with a small pool of idle connections to each backend server.
 #[derive(Clone, Debug)]
 pub struct BackendClient {
@@ -93,6 +103,16 @@
             .await
     }
 
+    /// Reads the models that an engine has loaded.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the engine does not send a well-formed list in time.
+    pub async fn models(&self, address: SocketAddr) -> Result<Vec<ModelName>, BackendError> {
+        let list: ModelList = self.report(address, "/v1/models").await?;
+        Ok(list.data.into_iter().map(|model| model.id).collect())
+    }
+
     /// Reads back the orders of an engine.
     ///
     /// # Errors
--- a/crates/decisions/src/order_kind.rs
+++ b/crates/decisions/src/order_kind.rs
@@ -6,9 +6,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
-    /// Load a model, or a version of it.
+    /// Load a model.
     LoadModel,
-    /// Remove a model.
+    /// Load a version, which is then served like a model.
+    LoadVersion,
+    /// Remove a model or version.
     UnloadModel,
     /// Load an adapter.
     LoadAdapter,
@@ -21,9 +23,10 @@
     pub(crate) fn replaces(self, other: Self, same_model: bool) -> bool {
         match (self, other) {
             (Self::SetRole, Self::SetRole) => true,
-            (Self::LoadModel | Self::UnloadModel, Self::LoadModel | Self::UnloadModel) => {
-                same_model
-            }
+            (
+                Self::LoadModel | Self::LoadVersion | Self::UnloadModel,
+                Self::LoadModel | Self::LoadVersion | Self::UnloadModel,
+            ) => same_model,
             (kind, other) => kind == other && same_model,
         }
     }
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -29,6 +29,7 @@
     limit_task::{release_slots, run_loans, run_slots},
     load_task::run_load,
     operator_router,
+    order_task::run_orders,
     rollout_task::{run_rollout, run_watch, start_rollout},
 };
 
@@ -154,6 +155,7 @@
         tokio::spawn(run_slots(Arc::clone(node))),
         tokio::spawn(run_loans(Arc::clone(node))),
         tokio::spawn(run_load(Arc::clone(node))),
+        tokio::spawn(run_orders(Arc::clone(node))),
         tokio::spawn(async move { queue.queue.run(&queue).await }),
     ]
 }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -42,6 +42,7 @@
 mod node;
 mod node_peers;
 mod operator_router;
+mod order_task;
 mod outbound_request;
 mod part_logs;
 mod peer_attempt;
--- /dev/null
+++ b/crates/hawthornquay/src/order_task.rs
@@ -0,0 +1,206 @@
+//! Orders to the model engines of the own failure domain.
+
+use std::{sync::Arc, time::Duration};
+
+use hawthornquay_backends::OrderAnswer;
+use hawthornquay_decisions::{
+    BackendKind, BackendServer, MemberState, MonotonicTime, OrderKind, OrderLease, OrderPlan,
+    OrderRequest, OrderStep,
+};
+use hawthornquay_platform::{LeaseId, PlatformError, Revision};
+use slog::{info, warn};
+
+use crate::{Node, clock};
+
+/// Time between two looks at the engines' models when the bundle does not change.
+const CHECK_INTERVAL: Duration = Duration::from_secs(60);
+
+const TICK: Duration = Duration::from_millis(500);
+
+const LEASE_TTL: Duration = Duration::from_secs(6);
+
+/// Time between two renewals of the lease.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+
+const READ_BACK_INTERVAL: Duration = Duration::from_millis(250);
+
+const RETRY_DELAY: Duration = Duration::from_secs(2);
+
+/// Engine with the orders that it still needs.
+struct Engine {
+    server: BackendServer,
+    plan: OrderPlan,
+}
+
+/// Lease that makes this instance the orderer of its domain.
+struct Orderer {
+    lease: OrderLease,
+    id: LeaseId,
+    renew_at: MonotonicTime,
+}
+
+/// Orders what the bundle names and engines lack, for as long as the process runs.
+pub async fn run_orders(node: Arc<Node>) {
+    let mut checked: Option<(u64, MonotonicTime)> = None;
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = clock::now();
+        let version = node.bundle.version();
+        let due =
+            checked.is_none_or(|(known, at)| known != version || now.since(at) > CHECK_INTERVAL);
+        if version == 0 || !due || !is_candidate(&node) || node.drain.is_closing() {
+            continue;
+        }
+        let engines = engines_in_need(&node).await;
+        if engines.is_empty() || order(&node, engines).await {
+            checked = Some((version, now));
+        } else {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+}
+
+/// Returns whether this instance is the first live one of its domain by name.
+///
+/// Views may differ for a while; the lease then decides.
+fn is_candidate(node: &Node) -> bool {
+    let members = node.members.lock();
+    let now = clock::now();
+    members
+        .others()
+        .filter(|member| member.record.domain == node.place.domain)
+        .filter(|member| members.state_of(member, now) == MemberState::Live)
+        .all(|member| member.record.name > node.id.name)
+}
+
+async fn engines_in_need(node: &Node) -> Vec<Engine> {
+    let Some(bundle) = node.bundle.active() else {
+        return Vec::new();
+    };
+    let mut engines = Vec::new();
+    for server in bundle.bundle().backends.values() {
+        let BackendKind::ModelEngine { models } = &server.kind else {
+            continue;
+        };
+        if server.domain != node.place.domain {
+            continue;
+        }
+        let Ok(loaded) = node.backends.models(server.address).await else {
+            continue;
+        };
+        let missing: Vec<(OrderKind, String)> = models
+            .iter()
+            .filter(|model| !loaded.contains(model))
+            .map(|model| (OrderKind::LoadModel, model.to_string()))
+            .collect();
+        if !missing.is_empty() {
+            let plan = OrderPlan::new(missing, server.checks_fencing);
+            engines.push(Engine {
+                server: server.clone(),
+                plan,
+            });
+        }
+    }
+    engines
+}
+
+/// Takes the lease and orders until everything is settled; returns whether it is.
+async fn order(node: &Node, engines: Vec<Engine>) -> bool {
+    let mut orderer = match take_lease(node).await {
+        Ok(orderer) => orderer,
+        Err(error) => {
+            info!(node.log.orders, "lease not taken"; "error" => %error);
+            return false;
+        }
+    };
+    info!(node.log.orders, "lease taken"; "fence" => orderer.lease.fence());
+    let mut settled = true;
+    for engine in engines {
+        settled &= settle(node, &mut orderer, engine).await;
+    }
+    let _ = node.platform.end_lease(orderer.id).await;
+    settled
+}
+
+async fn take_lease(node: &Node) -> Result<Orderer, PlatformError> {
+    let id = node.platform.grant_lease(LEASE_TTL).await?;
+    let key = format!("orders/{}", node.place.domain);
+    let asked_at = clock::now();
+    // The incarnation and the lease make the value unique, so a lost answer can be read back.
+    let value = format!("{} {id}", node.id);
+    let created = node
+        .platform
+        .write_with_token(&key, value.as_bytes(), Revision(0), Some(id))
+        .await;
+    match created {
+        Ok(revision) => Ok(Orderer {
+            lease: OrderLease::new(revision.0, LEASE_TTL, asked_at, clock::now()),
+            id,
+            renew_at: asked_at + RENEW_INTERVAL,
+        }),
+        Err(error) => {
+            let _ = node.platform.end_lease(id).await;
+            Err(error)
+        }
+    }
+}
+
+async fn settle(node: &Node, orderer: &mut Orderer, mut engine: Engine) -> bool {
+    loop {
+        renew(node, orderer).await;
+        match engine.plan.next_step(&orderer.lease, clock::now()) {
+            OrderStep::Settled => return true,
+            OrderStep::Stop => {
+                warn!(node.log.orders, "orders stopped"; "server" => %engine.server.name);
+                return false;
+            }
+            OrderStep::WaitUntil(until) => {
+                // Short waits, so that the lease is renewed meanwhile.
+                tokio::time::sleep(until.since(clock::now()).min(RENEW_INTERVAL)).await;
+            }
+            OrderStep::ReadBack => {
+                tokio::time::sleep(READ_BACK_INTERVAL).await;
+                match node.backends.orders(engine.server.address).await {
+                    Ok(list) => engine.plan.read_back(list),
+                    Err(_) if !is_wanted(node, &engine.server) => return true,
+                    Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+                }
+            }
+            OrderStep::Send(order) => send(node, &mut engine, order).await,
+        }
+    }
+}
+
+fn is_wanted(node: &Node, server: &BackendServer) -> bool {
+    node.bundle
+        .active()
+        .is_some_and(|active| active.bundle().backends.get(&server.name) == Some(server))
+}
+
+async fn send(node: &Node, engine: &mut Engine, order: OrderRequest) {
+    let answer = node.backends.order(engine.server.address, &order).await;
+    let server = &engine.server.name;
+    match answer {
+        Ok(OrderAnswer::Accepted) => {
+            info!(node.log.orders, "order sent"; "server" => %server, "model" => &order.model);
+        }
+        Ok(OrderAnswer::Fenced) => {
+            warn!(node.log.orders, "order fenced off"; "server" => %server);
+        }
+        Err(error) => {
+            warn!(node.log.orders, "order failed"; "server" => %server, "error" => %error);
+        }
+    }
+    engine.plan.sent(order, clock::now());
+}
+
+async fn renew(node: &Node, orderer: &mut Orderer) {
+    let asked_at = clock::now();
+    if asked_at < orderer.renew_at {
+        return;
+    }
+    if node.platform.renew_lease(orderer.id).await.is_ok() {
+        orderer.lease.renewed(asked_at);
+        orderer.renew_at = asked_at + RENEW_INTERVAL;
+    }
+}
--- a/crates/hawthornquay/src/part_logs.rs
+++ b/crates/hawthornquay/src/part_logs.rs
@@ -19,6 +19,8 @@
     pub links: Logger,
     /// View of the other instances.
     pub membership: Logger,
+    /// Orders to model engines.
+    pub orders: Logger,
     /// Client of the platform.
     pub platform: Logger,
     /// Requests in flight.
@@ -41,6 +43,7 @@
             limits: logs.part(Part::Limits),
             links: logs.part(Part::Links),
             membership: logs.part(Part::Membership),
+            orders: logs.part(Part::Orders),
             platform: logs.part(Part::Platform),
             requests: logs.part(Part::Requests),
             rollout: logs.part(Part::Rollout),
--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -1,6 +1,6 @@
 //! Fleet of instances and stand-ins in the process of a test.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod caller;
 mod fleet;
--- a/crates/standins/src/engine_orders.rs
+++ b/crates/standins/src/engine_orders.rs
@@ -48,7 +48,7 @@
         let mut models = self.initial_models.clone();
         for (_, order) in self.orders.iter().filter(|(at, _)| *at + self.delay <= now) {
             match order.kind {
-                OrderKind::ChangeRole => {}
+                OrderKind::SetRole => {}
                 OrderKind::LoadAdapter | OrderKind::LoadModel | OrderKind::LoadVersion => {
                     if !models.contains(&order.model) {
                         models.push(order.model.clone());
@@ -66,13 +66,13 @@
         let role = self
             .orders
             .iter()
-            .rfind(|(at, order)| order.kind == OrderKind::ChangeRole && settled(*at))
+            .rfind(|(at, order)| order.kind == OrderKind::SetRole && settled(*at))
             .map(|(_, order)| order.model.as_str());
         let orders: Vec<Value> = self
             .orders
             .iter()
             .map(|(at, order)| {
-                let state = if settled(*at) { "settled" } else { "pending" };
+                let state = if settled(*at) { "done" } else { "pending" };
                 json!({
                     "kind": order.kind,
                     "model": order.model,
@@ -92,7 +92,7 @@
 
 /// Returns whether `new` takes the place of `held`.
 fn replaces(new: &EngineOrder, held: &EngineOrder) -> bool {
-    let both_roles = new.kind == OrderKind::ChangeRole && held.kind == OrderKind::ChangeRole;
-    let neither_role = new.kind != OrderKind::ChangeRole && held.kind != OrderKind::ChangeRole;
+    let both_roles = new.kind == OrderKind::SetRole && held.kind == OrderKind::SetRole;
+    let neither_role = new.kind != OrderKind::SetRole && held.kind != OrderKind::SetRole;
     both_roles || (neither_role && new.model == held.model)
 }
--- a/crates/standins/src/order_kind.rs
+++ b/crates/standins/src/order_kind.rs
@@ -7,7 +7,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
     /// Takes on the role that the `model` field names.
-    ChangeRole,
+    SetRole,
     /// Loads an adapter, which is then served like a model.
     LoadAdapter,
     /// Loads a model.
--- a/crates/standins/tests/engine_cache.rs
+++ b/crates/standins/tests/engine_cache.rs
@@ -236,7 +236,7 @@
     let models = async || get(engine.address(), "/orders").await["models"].clone();
     eventually("loaded", async || models().await == json!([MODEL, "yard"])).await;
     order("unload-model", "yard").await;
-    order("change-role", "prefill").await;
+    order("set-role", "prefill").await;
     eventually("unloaded", async || models().await == json!([MODEL])).await;
     eventually("role", async || {
         get(engine.address(), "/orders").await["role"] == "prefill"
