Test late requests, skipped versions and confirmations under loans

Cause: with the protection taken out, the property test found some faults in one run and not in another (400 and 200 random cases without a fixed seed), so these rules need a case of their own.

Seen failing with the protection taken out (each edit undone): - refund not limited by the least headroom: fleet_never_exceeds_rate_and_burst and four bucket tests - borrower counts the loan from the receipt: fleet_never_exceeds_rate_and_burst - lender takes the loan back after half its time: the same - new share without the lower of both: the same, and changed_split_applies_the_lower_share_until_all_confirm - level not debited by the lender, duplicated grant accepted, no expiry at spending: fleet_never_exceeds_rate_and_burst - takeover without the wait: two tests of slot_rules (the property test found it with 400 cases, not with 200) - two refunds into one headroom: two bucket tests (the property test never found it) - claim with an older split active at once: one test of limit_table (the property test never found it) - confirmation despite loans, skipped version ignored, late request answered: one test of limit_table each

--- a/crates/decisions/tests/limit_bucket.rs
+++ b/crates/decisions/tests/limit_bucket.rs
@@ -62,6 +62,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     /// Guards against drift when a span is split into many small steps.
     #[test]
     fn advance_does_not_drift(steps in proptest::collection::vec(1_u64..5_000, 1..300), rate in 1_u64..10_000_000) {
--- a/crates/decisions/tests/limit_table.rs
+++ b/crates/decisions/tests/limit_table.rs
@@ -2,8 +2,11 @@
 
 mod limit_fixture;
 
+use std::time::Duration;
+
 use hawthornquay_decisions::{
-    DomainName, InstanceId, LimitShare, LimitTable, LoanStep, MonotonicTime, SlotRelease,
+    DomainName, InstanceId, LimitShare, LimitTable, LoanRequest, LoanStep, LoanTerms,
+    MonotonicTime, SlotIndex, SlotRelease, SlotRules,
 };
 use limit_fixture::{BundleBuilder, holders, millis, org, snapshot};
 
@@ -191,3 +194,68 @@
     tables[1].adopt_slots(snapshot(2, &[("d0", &id(0), 1)]), millis(11_300));
     assert_eq!(tables[1].release_slots(millis(11_300)), SlotRelease::Done);
 }
+
+/// Guards against a confirmed split that loans made under the old one still exceed.
+#[test]
+fn confirmation_of_a_smaller_share_waits_for_loans() {
+    let bundle = BundleBuilder::new(1, &[1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut tables = holders(&bundle);
+    assert!(reserve(&mut tables, 600, millis(8_000)).0);
+    let next = BundleBuilder::new(2, &[9, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    tables[1].adopt_bundle(&next, millis(8_100));
+    let rules = SlotRules {
+        instances: &[],
+        lag: Duration::ZERO,
+        running_for: Duration::ZERO,
+    };
+    assert_eq!(tables[1].plan_slots(&rules, millis(8_100)), None);
+    let plan = tables[1].plan_slots(&rules, millis(11_300)).unwrap();
+    assert_eq!(plan.slots[&SlotIndex::of(&org("a"))].split, 2);
+}
+
+/// Guards against a holder that missed a version with a lower share and ignores it.
+#[test]
+fn skipped_version_empties_the_slice_until_all_confirm_a_later_one() {
+    let bundle = BundleBuilder::new(1, &[1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut tables = holders(&bundle);
+    let third = BundleBuilder::new(3, &[1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    tables[0].adopt_bundle(&third, millis(0));
+    assert_eq!(tables[0].held(&org("a"), millis(0)), LimitShare::default());
+    let all = snapshot(2, &[("d0", &id(0), 3), ("d1", &id(1), 3)]);
+    tables[0].adopt_slots(all, millis(0));
+    assert_eq!(tables[0].held(&org("a"), millis(0)).rate, 50 * MILLITOKENS);
+}
+
+/// Guards against a late request that lowers the lender's record below what a newer one gave.
+#[test]
+fn late_request_gets_no_answer() {
+    let bundle = BundleBuilder::new(1, &[1, 1])
+        .organisation("a", 100, 1_000)
+        .build();
+    let mut tables = holders(&bundle);
+    let domain = DomainName::from("d0");
+    let mut ask = |sequence, rate| {
+        let req = LoanRequest {
+            organisation: org("a"),
+            sequence,
+            share: LimitShare {
+                rate,
+                capacity: 1_000,
+            },
+            level: 0,
+            duration: LoanTerms::DURATION,
+        };
+        tables[1].handle_loan_request(&id(0), &domain, &req, millis(4_000))
+    };
+    assert_eq!(ask(2, 10_000).unwrap().share.rate, 10_000);
+    assert_eq!(ask(1, 1_000), None);
+    assert_eq!(ask(2, 10_000), None);
+}
