--- a/crates/instances/src/link_settings.rs
+++ b/crates/instances/src/link_settings.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkSettings {
     /// Interval between heartbeats.
+    ///
+    /// Two intervals are shorter than the silence, so that one late heartbeat ends no link.
     pub heartbeat: Duration,
     /// Silence after which a link is given up.
     pub silence: Duration,
@@ -35,7 +37,7 @@
 impl Default for LinkSettings {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(700),
             silence: Duration::from_millis(1_500),
             idle: Duration::from_secs(10),
             connect: Duration::from_secs(1),
