Add membership, gossip and the list for callers

- Only the list makes a member gone.
An entry that another instance passes on replaces a known incarnation only once that makes no progress; an entry from the process itself does so at once.
Incarnations have no order, so a comparison of their numbers was ruled out.
- Trials with a random choice of entries left a long tail of members without progress, so digests cycle through the members for each receiver.
- Load reports are passed on within a failure domain only.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -9,10 +9,15 @@
 mod backend_name;
 mod backend_server;
 mod bundle;
+mod caller_list;
 mod collections;
 mod domain_name;
 mod execution;
 mod failure_domain;
+mod gossip_entry;
+mod gossip_load;
+mod gossip_partners;
+mod gossip_settings;
 mod incarnation;
 mod instance_id;
 mod instance_name;
@@ -21,6 +26,9 @@
 mod key_digest;
 mod key_grant;
 mod key_requirement;
+mod member_entry;
+mod member_state;
+mod member_table;
 mod model_name;
 mod monotonic_time;
 mod organisation;
@@ -42,10 +50,15 @@
     backend_name::BackendName,
     backend_server::BackendServer,
     bundle::Bundle,
+    caller_list::{CALLER_LIST_TTL, CallerListEntry, caller_list},
     collections::{Map, Set},
     domain_name::DomainName,
     execution::Execution,
     failure_domain::FailureDomain,
+    gossip_entry::GossipEntry,
+    gossip_load::GossipLoad,
+    gossip_partners::GossipPartners,
+    gossip_settings::GossipSettings,
     incarnation::Incarnation,
     instance_id::InstanceId,
     instance_name::InstanceName,
@@ -54,6 +67,9 @@
     key_digest::KeyDigest,
     key_grant::KeyGrant,
     key_requirement::KeyRequirement,
+    member_entry::MemberEntry,
+    member_state::MemberState,
+    member_table::MemberTable,
     model_name::ModelName,
     monotonic_time::MonotonicTime,
     organisation::Organisation,
--- /dev/null
+++ b/crates/decisions/src/member_table.rs
@@ -0,0 +1,385 @@
+//! Members of the fleet as one instance sees them.
+
+use std::{
+    collections::BTreeMap,
+    ops::Bound::{Excluded, Unbounded},
+    time::Duration,
+};
+
+use crate::{
+    GossipEntry, GossipLoad, GossipSettings, Incarnation, InstanceId, InstanceName, InstanceRecord,
+    InstanceState, Map, MemberEntry, MemberState, MonotonicTime, RegionName, Set,
+};
+
+/// Time for which a member that the list no longer shows is remembered as gone.
+const GONE_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Watchers of the store in each region.
+const WATCHERS_PER_REGION: usize = 2;
+
+/// Members of the fleet, from the platform's list and from digests.
+///
+/// Digests are evidence of progress only. A member is gone when the list says so, and stays known
+/// when the list merely omits it.
+#[derive(Clone, Debug)]
+pub struct MemberTable {
+    own: GossipEntry,
+    own_record: InstanceRecord,
+    /// Sorted, because digests cycle through the names.
+    members: BTreeMap<InstanceName, MemberEntry>,
+    settings: GossipSettings,
+    round: u64,
+    /// Member that the last digest to each receiver ended with.
+    cursors: Map<InstanceName, InstanceName>,
+}
+
+impl MemberTable {
+    /// Starts with this instance alone.
+    pub fn new(
+        own_record: InstanceRecord,
+        incarnation: Incarnation,
+        settings: GossipSettings,
+    ) -> Self {
+        let id = InstanceId {
+            name: own_record.name.clone(),
+            incarnation,
+        };
+        Self {
+            own: GossipEntry::new(id),
+            own_record,
+            members: BTreeMap::new(),
+            settings,
+            round: 0,
+            cursors: Map::default(),
+        }
+    }
+
+    /// Returns this instance's part of the digests, for changes.
+    pub const fn own_mut(&mut self) -> &mut GossipEntry {
+        &mut self.own
+    }
+
+    /// Returns this instance's record.
+    pub const fn own_record(&self) -> &InstanceRecord {
+        &self.own_record
+    }
+
+    /// Returns the other members, by name.
+    pub fn others(&self) -> impl Iterator<Item = &MemberEntry> {
+        self.members.values()
+    }
+
+    /// Returns another member.
+    pub fn get(&self, name: &InstanceName) -> Option<&MemberEntry> {
+        self.members.get(name)
+    }
+
+    /// Takes the platform's list.
+    pub fn apply_list(&mut self, now: MonotonicTime, records: &[InstanceRecord]) {
+        for record in records {
+            if record.name != self.own_record.name {
+                self.apply_record(now, record);
+            }
+        }
+        let listed: Set<_> = records.iter().map(|record| &record.name).collect();
+        let addresses: Set<_> = records
+            .iter()
+            .filter(|record| record.state != InstanceState::Gone)
+            .map(|record| record.peers)
+            .collect();
+        self.members.retain(|name, member| {
+            let forgotten = member
+                .gone()
+                .is_some_and(|since| now.since(since) > GONE_LIFETIME);
+            if listed.contains(name) {
+                return true;
+            }
+            member.superseded |= addresses.contains(&member.record.peers);
+            !forgotten
+        });
+        let members = &self.members;
+        self.cursors.retain(|name, _| members.contains_key(name));
+    }
+
+    /// Takes a digest from the process `from`; its first entry must be the sender's own.
+    pub fn apply_digest(&mut self, now: MonotonicTime, from: &InstanceId, entries: &[GossipEntry]) {
+        let Some((own, relayed)) = entries.split_first() else {
+            return;
+        };
+        if own.id != *from {
+            return;
+        }
+        self.absorb(now, own, true);
+        for entry in relayed {
+            self.absorb(now, entry, false);
+        }
+    }
+
+    /// Notes that a link to the member failed; it stays suspect until its next progress.
+    pub fn mark_unreachable(&mut self, name: &InstanceName) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.unreachable = true;
+        }
+    }
+
+    /// Raises the own heartbeat; called each second.
+    pub const fn beat(&mut self) {
+        self.own.heartbeat += 1;
+    }
+
+    /// Returns the entries of a digest to the member `to` that fit the byte budget.
+    ///
+    /// `encoded_len` gives the bytes that an entry adds to the encoded digest. The own entry comes
+    /// first, with as many load reports as half of the budget holds. Other members' reports are
+    /// passed on within the failure domain only, one member's in each digest: all reports of a
+    /// large fleet exceed the budget.
+    pub fn digest(
+        &mut self,
+        now: MonotonicTime,
+        to: &InstanceName,
+        encoded_len: impl Fn(&GossipEntry) -> usize,
+    ) -> Vec<GossipEntry> {
+        self.round += 1;
+        let budget = self.settings.digest_bytes;
+        let own = self.own_within(budget / 2, &encoded_len);
+        let mut used = encoded_len(&own);
+        let mut entries = vec![own];
+        if let Some(entry) = self.due_loads(now, to, budget - used, &encoded_len) {
+            used += encoded_len(&entry);
+            entries.push(entry);
+        }
+        // One more, as the loop skips the member whose load reports are in the digest.
+        let shortest = encoded_len(&GossipEntry::new(InstanceId::new("", 1)));
+        let count = budget / shortest + 1;
+        for name in self.next_mentions(now, to, count) {
+            let Some(member) = self.members.get_mut(&name) else {
+                continue;
+            };
+            let mentioned = entries.iter().any(|entry| entry.id.name == name);
+            let Some(entry) = member.gossip().filter(|_| !mentioned) else {
+                continue;
+            };
+            used += encoded_len(&entry);
+            if used > budget {
+                break;
+            }
+            if member.news > 0 {
+                member.news -= 1;
+            } else {
+                self.cursors.insert(to.clone(), name);
+            }
+            entries.push(entry);
+        }
+        entries
+    }
+
+    /// Returns the state of a member, or of this instance.
+    pub fn state(&self, name: &InstanceName, now: MonotonicTime) -> Option<MemberState> {
+        if *name == self.own_record.name {
+            return Some(self.own_state());
+        }
+        Some(self.state_of(self.members.get(name)?, now))
+    }
+
+    /// Returns the state of a member of this table.
+    pub fn state_of(&self, member: &MemberEntry, now: MonotonicTime) -> MemberState {
+        if member.gone().is_some() {
+            return MemberState::Gone;
+        }
+        if member.unreachable || member.superseded || self.is_stalled(member, now) {
+            return MemberState::Suspect;
+        }
+        if member.is_leaving() {
+            return MemberState::Leaving;
+        }
+        MemberState::Live
+    }
+
+    /// Returns the time since the member's last progress, or since it was first listed.
+    pub const fn progress_age(&self, member: &MemberEntry, now: MonotonicTime) -> Duration {
+        now.since(member.progress)
+    }
+
+    /// Returns how long the list has reported a process as gone.
+    ///
+    /// Returns `None` for a process that the list merely omits, or whose name a newer incarnation
+    /// uses.
+    pub fn gone_for(&self, id: &InstanceId, now: MonotonicTime) -> Option<Duration> {
+        let member = self.members.get(&id.name)?;
+        if member.gone().is_some() || member.incarnation != Some(id.incarnation) {
+            return member.gone_since.map(|since| now.since(since));
+        }
+        None
+    }
+
+    /// Returns the instances of a region that watch the store in this view.
+    pub fn watchers(&self, region: &RegionName, now: MonotonicTime) -> Vec<InstanceName> {
+        let own = (self.own_state() == MemberState::Live).then_some(&self.own_record);
+        let others = self
+            .members
+            .values()
+            .filter(|member| self.state_of(member, now) == MemberState::Live)
+            .map(|member| &member.record);
+        let mut names: Vec<_> = own
+            .into_iter()
+            .chain(others)
+            .filter(|record| record.region == *region)
+            .map(|record| record.name.clone())
+            .collect();
+        names.sort();
+        names.truncate(WATCHERS_PER_REGION);
+        names
+    }
+
+    /// Returns the highest bundle version that a member has, with the members that have it.
+    pub fn highest_bundle(&self) -> (u64, Vec<InstanceName>) {
+        let highest = self.members.values().map(|member| member.bundle_version);
+        let highest = highest.max().unwrap_or(0);
+        let mut names: Vec<_> = self
+            .members
+            .values()
+            .filter(|member| member.bundle_version == highest)
+            .map(|member| member.record.name.clone())
+            .collect();
+        names.sort();
+        (highest, names)
+    }
+
+    /// Returns the newest report of each backend server that other instances poll.
+    pub fn loads(&self, now: MonotonicTime) -> Vec<GossipLoad> {
+        let mut newest: Map<_, &GossipLoad> = Map::default();
+        for load in self.members.values().flat_map(|m| m.fresh_loads(now)) {
+            let known = newest.entry(&load.backend).or_insert(load);
+            if load.sequence > known.sequence {
+                *known = load;
+            }
+        }
+        newest.into_values().cloned().collect()
+    }
+
+    pub(crate) const fn own_state(&self) -> MemberState {
+        if self.own.leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Live
+        }
+    }
+
+    fn apply_record(&mut self, now: MonotonicTime, record: &InstanceRecord) {
+        let member = self
+            .members
+            .entry(record.name.clone())
+            .or_insert_with(|| MemberEntry::new(record.clone(), now));
+        member.record = record.clone();
+        member.superseded = false;
+        member.gone_since = (record.state == InstanceState::Gone).then(|| {
+            let age_us = record.state_age_ms.saturating_mul(1_000);
+            MonotonicTime(now.0.saturating_sub(age_us))
+        });
+    }
+
+    fn absorb(&mut self, now: MonotonicTime, entry: &GossipEntry, direct: bool) {
+        // The list gives addresses and places, so a name that it has not shown yet waits for it.
+        let Some(member) = self.members.get(&entry.id.name) else {
+            return;
+        };
+        let known = member.incarnation;
+        // Incarnations have no order. A relayed one replaces a known one only once that makes no
+        // progress, so that an old entry cannot bring a former incarnation back.
+        let replaces = known.is_none() || direct || self.is_stalled(member, now);
+        let Some(member) = self.members.get_mut(&entry.id.name) else {
+            return;
+        };
+        if known == Some(entry.id.incarnation) {
+            member.advance(entry, now);
+        } else if replaces {
+            member.adopt(entry, direct, now);
+        }
+    }
+
+    fn is_stalled(&self, member: &MemberEntry, now: MonotonicTime) -> bool {
+        let members = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        let extra = self.settings.suspect_per_member.saturating_mul(members);
+        now.since(member.progress) > self.settings.suspect_base + extra
+    }
+
+    /// Returns the members to mention to `to` in this order: changed ones, then the others, from
+    /// where the last digest to `to` ended.
+    ///
+    /// A cycle for each receiver bounds the time between two mentions. A random choice has a long
+    /// tail, in which live members become suspect.
+    fn next_mentions(
+        &self,
+        now: MonotonicTime,
+        to: &InstanceName,
+        count: usize,
+    ) -> Vec<InstanceName> {
+        let changed = self.members.values().filter(|member| member.news > 0);
+        let cursor = self.cursors.get(to).unwrap_or(to);
+        let after = self
+            .members
+            .range::<InstanceName, _>((Excluded(cursor), Unbounded));
+        let cycle = after
+            .chain(self.members.range::<InstanceName, _>(..=cursor))
+            .map(|(_, member)| member)
+            .filter(|member| member.news == 0);
+        changed
+            .chain(cycle)
+            .filter(|member| member.record.name != *to && member.incarnation.is_some())
+            .filter(|member| self.state_of(member, now).takes_digests())
+            .map(|member| member.record.name.clone())
+            .take(count)
+            .collect()
+    }
+
+    /// Returns the entry, with load reports, of the near member whose reports are due most.
+    fn due_loads(
+        &mut self,
+        now: MonotonicTime,
+        to: &InstanceName,
+        room: usize,
+        encoded_len: impl Fn(&GossipEntry) -> usize,
+    ) -> Option<GossipEntry> {
+        let domain = &self.own_record.domain;
+        if self.members.get(to)?.record.domain != *domain {
+            return None;
+        }
+        let near = |member: &&MemberEntry| {
+            member.record.domain == *domain
+                && member.record.name != *to
+                && self.state_of(member, now).takes_digests()
+                && member.fresh_loads(now).next().is_some()
+        };
+        let due = self.members.values().filter(near).max_by_key(|member| {
+            let age = self.round - member.loads_round;
+            (member.load_news > 0, age, &member.record.name)
+        })?;
+        let name = due.record.name.clone();
+        let member = self.members.get_mut(&name)?;
+        let mut entry = member.gossip_with_loads(now)?;
+        trim_loads(&mut entry, room, encoded_len);
+        if entry.loads.is_empty() {
+            return None;
+        }
+        member.loads_round = self.round;
+        member.load_news = member.load_news.saturating_sub(1);
+        Some(entry)
+    }
+
+    fn own_within(&self, room: usize, encoded_len: impl Fn(&GossipEntry) -> usize) -> GossipEntry {
+        let mut own = self.own.clone();
+        if let Ok(count @ 1..) = u64::try_from(own.loads.len()) {
+            own.loads.rotate_left((self.round % count) as usize);
+        }
+        trim_loads(&mut own, room, encoded_len);
+        own
+    }
+}
+
+/// Removes load reports until the entry fits, those of leaving servers last.
+///
+/// Work must stop going to leaving servers within seconds.
+fn trim_loads(entry: &mut GossipEntry, room: usize, encoded_len: impl Fn(&GossipEntry) -> usize) {
+    entry.loads.sort_by_key(|load| !load.leaving);
+    while encoded_len(entry) > room && entry.loads.pop().is_some() {}
+}
--- /dev/null
+++ b/crates/decisions/tests/member_support/mod.rs
@@ -0,0 +1,265 @@
+//! Simulated fleet that exchanges digests and reads a lagging list.
+#![allow(dead_code, missing_docs)]
+
+use std::{net::SocketAddr, time::Duration};
+
+use hawthornquay_decisions::{
+    GossipEntry, GossipLoad, GossipPartners, GossipSettings, Incarnation, InstanceId, InstanceName,
+    InstanceRecord, InstanceState, MemberState, MemberTable, MonotonicTime, Set,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Seconds after which the list shows a change.
+pub const LIST_LAG_S: u64 = 5;
+
+pub fn record(index: usize, domains: usize, regions: usize) -> InstanceRecord {
+    let domain = index % domains;
+    let address = |port: usize| SocketAddr::from(([10, 0, 0, 1], (port + index) as u16));
+    InstanceRecord {
+        name: format!("entry-{index:03}").into(),
+        region: format!("region-{}", domain % regions).into(),
+        domain: format!("domain-{domain}").into(),
+        callers: address(1_000),
+        peers: address(11_000),
+        operators: address(21_000),
+        state: InstanceState::Live,
+        state_age_ms: 0,
+    }
+}
+
+pub fn seconds(s: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(s * 1_000)
+}
+
+pub fn table(index: usize) -> MemberTable {
+    let record = record(index, 2, 1);
+    MemberTable::new(record, Incarnation(1), GossipSettings::default())
+}
+
+pub fn entry(index: usize, incarnation: u64, heartbeat: u64) -> GossipEntry {
+    let name = record(index, 1, 1).name;
+    GossipEntry {
+        heartbeat,
+        ..GossipEntry::new(InstanceId::new(name.as_str(), incarnation))
+    }
+}
+
+/// Sizes near those of the encoded messages, which the tests of the instances package count.
+pub fn rough_len(entry: &GossipEntry) -> usize {
+    23 + entry.id.name.as_str().len() + 28 * entry.loads.len()
+}
+
+pub struct Node {
+    pub table: MemberTable,
+    partners: GossipPartners,
+    pub running: bool,
+    pub incarnation: u64,
+    /// Seconds since the last change that the list will show.
+    changed: u64,
+}
+
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub records: Vec<InstanceRecord>,
+    pub second: u64,
+    pub loss_percent: u32,
+    /// Domain that no message enters or leaves.
+    pub cut_domain: Option<usize>,
+    pub digests_sent: Vec<(usize, usize)>,
+    pub partner_changes: usize,
+    last_partners: Vec<Set<InstanceName>>,
+    domains: usize,
+    regions: usize,
+    rng: StdRng,
+}
+
+impl Fleet {
+    pub fn new(count: usize, domains: usize, regions: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            records: Vec::new(),
+            second: 1,
+            loss_percent: 0,
+            cut_domain: None,
+            digests_sent: Vec::new(),
+            partner_changes: 0,
+            last_partners: Vec::new(),
+            domains,
+            regions,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        for _ in 0..count {
+            fleet.join();
+        }
+        fleet.publish_list();
+        fleet
+    }
+
+    pub fn now(&self) -> MonotonicTime {
+        seconds(self.second)
+    }
+
+    pub fn join(&mut self) {
+        let index = self.nodes.len();
+        let record = record(index, self.domains, self.regions);
+        let incarnation = self.rng.random();
+        let node = self.start(record.clone(), incarnation);
+        self.nodes.push(node);
+        self.records.push(record);
+        self.last_partners.push(Set::default());
+    }
+
+    /// Ends a process at once.
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].running = false;
+        self.nodes[index].changed = self.second;
+    }
+
+    /// Starts a new incarnation at the name and address of a node.
+    pub fn restart(&mut self, index: usize) {
+        let incarnation = self.rng.random();
+        self.nodes[index] = self.start(self.records[index].clone(), incarnation);
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        self.nodes[index].table.own_mut().leaving = true;
+    }
+
+    pub fn set_loads(&mut self, index: usize, count: usize) {
+        let loads = (0..count).map(|n| GossipLoad {
+            backend: format!("engine-{index:03}-{n}").into(),
+            running: 96,
+            waiting: 40,
+            slots: 128,
+            sequence: 100_000,
+            leaving: false,
+        });
+        self.nodes[index].table.own_mut().loads = loads.collect();
+    }
+
+    fn start(&self, record: InstanceRecord, incarnation: u64) -> Node {
+        let settings = GossipSettings::default();
+        let mut table = MemberTable::new(record, Incarnation(incarnation), settings);
+        table.apply_list(self.now(), &self.records);
+        Node {
+            table,
+            partners: GossipPartners::new(settings, self.now()),
+            running: true,
+            incarnation,
+            changed: self.second,
+        }
+    }
+
+    /// Shows changes that are older than the lag; a crashed process becomes gone.
+    pub fn publish_list(&mut self) {
+        for (node, record) in self.nodes.iter().zip(&mut self.records) {
+            let age = self.second - node.changed;
+            if !node.running && age >= LIST_LAG_S {
+                record.state = InstanceState::Gone;
+                record.state_age_ms = age * 1_000;
+            } else if node.running && age >= LIST_LAG_S {
+                record.state = InstanceState::Live;
+            }
+        }
+        for node in &mut self.nodes {
+            node.table.apply_list(seconds(self.second), &self.records);
+        }
+    }
+
+    pub fn step(&mut self, encoded_len: impl Fn(&GossipEntry) -> usize + Copy) {
+        self.second += 1;
+        let now = self.now();
+        for index in 0..self.nodes.len() {
+            if !self.nodes[index].running {
+                continue;
+            }
+            // Sequences rise as in a server that reports each second, so that reports change.
+            for load in &mut self.nodes[index].table.own_mut().loads {
+                load.sequence += 1;
+            }
+            self.nodes[index].table.beat();
+            let rng = &mut self.rng;
+            let node = &mut self.nodes[index];
+            let chosen = node.partners.choose(now, &node.table, || rng.random());
+            let chosen_set: Set<_> = chosen.iter().cloned().collect();
+            self.partner_changes += chosen_set.difference(&self.last_partners[index]).count();
+            self.last_partners[index] = chosen_set;
+            for partner in chosen {
+                let entries = self.nodes[index].table.digest(now, &partner, encoded_len);
+                let len = entries.iter().map(encoded_len).sum();
+                self.digests_sent.push((index, len));
+                self.deliver(index, &partner, &entries);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: &InstanceName, entries: &[GossipEntry]) {
+        let to: usize = to.as_str().rsplit('-').next().unwrap().parse().unwrap();
+        let cut = self
+            .cut_domain
+            .is_some_and(|cut| (from % self.domains == cut) != (to % self.domains == cut));
+        let lost = cut || self.rng.random_ratio(self.loss_percent, 100);
+        if lost || !self.nodes[to].running {
+            return;
+        }
+        let name = self.records[from].name.as_str();
+        let id = InstanceId::new(name, self.nodes[from].incarnation);
+        let now = self.now();
+        self.nodes[to].table.apply_digest(now, &id, entries);
+    }
+
+    pub fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.step(rough_len);
+            self.publish_list();
+        }
+    }
+
+    pub fn state(&self, viewer: usize, of: usize) -> Option<MemberState> {
+        let name = &self.records[of].name;
+        self.nodes[viewer].table.state(name, self.now())
+    }
+
+    /// Returns the first disagreement between a running viewer and the truth.
+    pub fn disagreement(&self) -> Option<String> {
+        for viewer in (0..self.nodes.len()).filter(|&n| self.nodes[n].running) {
+            for (of, node) in self.nodes.iter().enumerate() {
+                let state = self.state(viewer, of);
+                let expected = match node.running {
+                    false => MemberState::Gone,
+                    true if self.leaving(of) => MemberState::Leaving,
+                    true => MemberState::Live,
+                };
+                let name = &self.records[of].name;
+                let known = self.nodes[viewer].table.get(name);
+                let known = known.and_then(|member| member.incarnation);
+                let same =
+                    viewer == of || !node.running || known == Some(Incarnation(node.incarnation));
+                if state != Some(expected) || !same {
+                    return Some(format!("{viewer} sees {of} as {state:?}, not {expected:?}"));
+                }
+            }
+        }
+        None
+    }
+
+    fn leaving(&self, index: usize) -> bool {
+        // A process knows its own state first.
+        self.nodes[index]
+            .table
+            .state(&self.records[index].name, self.now())
+            == Some(MemberState::Leaving)
+    }
+
+    /// Runs until all views agree with the truth; returns the seconds that took.
+    pub fn run_until_agreed(&mut self, limit: Duration) -> Result<u64, String> {
+        let start = self.second;
+        while self.second - start < limit.as_secs() {
+            self.run(1);
+            if self.disagreement().is_none() {
+                return Ok(self.second - start);
+            }
+        }
+        Err(self.disagreement().unwrap_or_default())
+    }
+}
--- a/crates/instances/src/backend_load.rs
+++ b/crates/instances/src/backend_load.rs
@@ -1,5 +1,7 @@
 //! Load of a backend server, as reported by the instance that polls it.
 
+use hawthornquay_decisions::GossipLoad;
+
 /// Load of a backend server, as reported by the instance that polls it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct BackendLoad {
@@ -22,3 +24,29 @@
     #[prost(bool, tag = "6")]
     pub leaving: bool,
 }
+
+impl From<&GossipLoad> for BackendLoad {
+    fn from(load: &GossipLoad) -> Self {
+        Self {
+            name: load.backend.to_string(),
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            sequence: load.sequence,
+            leaving: load.leaving,
+        }
+    }
+}
+
+impl From<BackendLoad> for GossipLoad {
+    fn from(load: BackendLoad) -> Self {
+        Self {
+            backend: load.name.into(),
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            sequence: load.sequence,
+            leaving: load.leaving,
+        }
+    }
+}
--- a/crates/instances/src/digest_entry.rs
+++ b/crates/instances/src/digest_entry.rs
@@ -1,6 +1,9 @@
 //! State of one member as the sender of a digest knows it.
 
-use crate::BackendLoad;
+use hawthornquay_decisions::{GossipEntry, InstanceId};
+use prost::Message;
+
+use crate::{BackendLoad, Digest};
 
 /// State of one member as the sender of a digest knows it.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -24,3 +27,36 @@
     #[prost(message, repeated, tag = "6")]
     pub loads: Vec<BackendLoad>,
 }
+
+impl DigestEntry {
+    /// Returns the bytes that a member's entry adds to an encoded [`Digest`].
+    pub fn len_in_digest(entry: &GossipEntry) -> usize {
+        let entries = vec![Self::from(entry)];
+        Digest { entries }.encoded_len()
+    }
+}
+
+impl From<&GossipEntry> for DigestEntry {
+    fn from(entry: &GossipEntry) -> Self {
+        Self {
+            name: entry.id.name.to_string(),
+            incarnation: entry.id.incarnation.0,
+            heartbeat: entry.heartbeat,
+            bundle_version: entry.bundle_version,
+            leaving: entry.leaving,
+            loads: entry.loads.iter().map(BackendLoad::from).collect(),
+        }
+    }
+}
+
+impl From<DigestEntry> for GossipEntry {
+    fn from(entry: DigestEntry) -> Self {
+        Self {
+            id: InstanceId::new(&entry.name, entry.incarnation),
+            heartbeat: entry.heartbeat,
+            bundle_version: entry.bundle_version,
+            leaving: entry.leaving,
+            loads: entry.loads.into_iter().map(Into::into).collect(),
+        }
+    }
+}
--- a/crates/instances/tests/faults.rs
+++ b/crates/instances/tests/faults.rs
@@ -74,9 +74,9 @@
     let error = pair.pool.call(&pair.peer(), loan("held", 1), soon).await;
     assert_eq!(error.unwrap_err().execution(), Execution::Unknown);
     let listener = TcpListener::bind(ANY_PORT).await.unwrap();
-    let mute = PeerAddress::new("b", listener.local_addr().unwrap());
+    let unresponsive = PeerAddress::new("b", listener.local_addr().unwrap());
     let pool = LinkPool::new(pair.client.clone());
-    let error = pool.call(&mute, loan("o", 1), soon).await;
+    let error = pool.call(&unresponsive, loan("o", 1), soon).await;
     assert_eq!(error.unwrap_err().execution(), Execution::NotRun);
 }
 
@@ -85,13 +85,13 @@
 async fn connect_wrong_identity_is_not_run() {
     let pair = Pair::start().await;
     let other_authority = local(&authority(), "a", 1);
-    let stranger = LinkPool::new(other_authority);
+    let foreign_pool = LinkPool::new(other_authority);
     let mut other_name = pair.peer();
     other_name.name = "c".into();
     let mut other_incarnation = pair.peer();
     other_incarnation.incarnation = Some(Incarnation(99));
     for (case, pool, peer) in [
-        ("wrong authority", &stranger, pair.peer()),
+        ("wrong authority", &foreign_pool, pair.peer()),
         ("wrong name", &pair.pool, other_name),
         ("wrong incarnation", &pair.pool, other_incarnation),
     ] {
