--- a/crates/decisions/src/gossip_partners.rs
+++ b/crates/decisions/src/gossip_partners.rs
@@ -1,6 +1,8 @@
 //! Choice of the members that digests go to.
 
-use crate::{GossipSettings, InstanceName, MemberState, MemberTable, MonotonicTime};
+use crate::{
+    GossipSettings, InstanceName, InstanceRecord, MemberState, MemberTable, MonotonicTime,
+};
 
 /// One digest in this many goes to a suspect member as well.
 ///
@@ -91,21 +93,13 @@
     wanted: impl Fn(MemberState) -> bool,
 ) -> (Vec<InstanceName>, Vec<InstanceName>) {
     let own_domain = &table.own_record().domain;
-    let mut names: Vec<_> = table
+    let (near, far): (Vec<_>, Vec<_>) = table
         .others()
         .filter(|member| wanted(table.state_of(member, now)))
-        .map(|member| {
-            (
-                member.record.domain != *own_domain,
-                member.record.name.clone(),
-            )
-        })
-        .collect();
-    // The table's order is arbitrary; decisions depend on their arguments alone.
-    names.sort();
-    let far = names.split_off(names.partition_point(|(far, _)| !far));
-    let strip = |names: Vec<(bool, InstanceName)>| names.into_iter().map(|(_, name)| name);
-    (strip(names).collect(), strip(far).collect())
+        .map(|member| &member.record)
+        .partition(|record| record.domain == *own_domain);
+    let names = |records: Vec<&InstanceRecord>| records.iter().map(|r| r.name.clone()).collect();
+    (names(near), names(far))
 }
 
 fn refill(
--- a/crates/decisions/src/gossip_settings.rs
+++ b/crates/decisions/src/gossip_settings.rs
@@ -30,7 +30,7 @@
             far_partners: 1,
             rotation_per_member: Duration::from_millis(170),
             suspect_base: Duration::from_secs(5),
-            suspect_per_member: Duration::from_millis(200),
+            suspect_per_member: Duration::from_millis(600),
         }
     }
 }
--- a/crates/decisions/src/member_entry.rs
+++ b/crates/decisions/src/member_entry.rs
@@ -24,7 +24,7 @@
     pub(crate) heartbeat: u64,
     pub(crate) leaving: bool,
     pub(crate) loads: Vec<(MonotonicTime, GossipLoad)>,
-    /// When this incarnation was first seen.
+    /// When this instance first heard from this incarnation itself.
     pub(crate) incarnation_since: MonotonicTime,
     /// When the heartbeat last rose, or the member was first listed.
     pub(crate) progress: MonotonicTime,
@@ -75,19 +75,22 @@
 
     /// Takes an entry about another incarnation than the known one.
     ///
-    /// The first rumour about a member may be older than the list's report of its end, so only
-    /// later or direct evidence counts as a replacement of the process that ended.
+    /// A relayed entry may be older than the list's report of the end of the process, so only direct
+    /// evidence shows that a newer one runs.
     pub(crate) fn adopt(&mut self, entry: &GossipEntry, direct: bool, now: MonotonicTime) {
-        if direct || self.incarnation.is_some() {
+        if direct {
             self.incarnation_since = now;
         }
+        // The first sight of a member is no change that others wait for.
+        if self.incarnation.is_some() {
+            self.news = NEWS_REPEATS;
+        }
         self.incarnation = Some(entry.id.incarnation);
         self.heartbeat = entry.heartbeat;
         self.bundle_version = entry.bundle_version;
         self.leaving = entry.leaving;
         self.loads.clear();
         self.superseded = false;
-        self.news = NEWS_REPEATS;
         self.merge_loads(entry, now);
         self.record_progress(now);
     }
--- a/crates/decisions/src/member_table.rs
+++ b/crates/decisions/src/member_table.rs
@@ -1,6 +1,10 @@
 //! Members of the fleet as one instance sees them.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    ops::Bound::{Excluded, Unbounded},
+    time::Duration,
+};
 
 use crate::{
     GossipEntry, GossipLoad, GossipSettings, Incarnation, InstanceId, InstanceName, InstanceRecord,
@@ -21,7 +25,8 @@
 pub struct MemberTable {
     own: GossipEntry,
     own_record: InstanceRecord,
-    members: Map<InstanceName, MemberEntry>,
+    /// Sorted, because digests cycle through the names.
+    members: BTreeMap<InstanceName, MemberEntry>,
     settings: GossipSettings,
     round: u64,
     /// Member that the last digest to each receiver ended with.
@@ -42,7 +47,7 @@
         Self {
             own: GossipEntry::new(id),
             own_record,
-            members: Map::default(),
+            members: BTreeMap::new(),
             settings,
             round: 0,
             cursors: Map::default(),
@@ -59,7 +64,7 @@
         &self.own_record
     }
 
-    /// Returns the other members, in arbitrary order.
+    /// Returns the other members, by name.
     pub fn others(&self) -> impl Iterator<Item = &MemberEntry> {
         self.members.values()
     }
@@ -143,7 +148,10 @@
             used += encoded_len(&entry);
             entries.push(entry);
         }
-        for name in self.next_mentions(now, to) {
+        // One more, as the loop skips the member whose load reports are in the digest.
+        let shortest = encoded_len(&GossipEntry::new(InstanceId::new("", 1)));
+        let count = budget / shortest + 1;
+        for name in self.next_mentions(now, to, count) {
             let Some(member) = self.members.get_mut(&name) else {
                 continue;
             };
@@ -277,7 +285,7 @@
         };
         let known = member.incarnation;
         // Incarnations have no order. A relayed one replaces a known one only once that makes no
-        // progress, so that an old rumour cannot bring a former incarnation back.
+        // progress, so that an old entry cannot bring a former incarnation back.
         let replaces = known.is_none() || direct || self.is_stalled(member, now);
         let Some(member) = self.members.get_mut(&entry.id.name) else {
             return;
@@ -291,8 +299,8 @@
 
     fn is_stalled(&self, member: &MemberEntry, now: MonotonicTime) -> bool {
         let members = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        let patience = self.settings.suspect_per_member.saturating_mul(members);
-        now.since(member.progress) > self.settings.suspect_base + patience
+        let extra = self.settings.suspect_per_member.saturating_mul(members);
+        now.since(member.progress) > self.settings.suspect_base + extra
     }
 
     /// Returns the members to mention to `to` in this order: changed ones, then the others, from
@@ -300,22 +308,28 @@
     ///
     /// A cycle for each receiver bounds the time between two mentions. A random choice has a long
     /// tail, in which live members become suspect.
-    fn next_mentions(&self, now: MonotonicTime, to: &InstanceName) -> Vec<InstanceName> {
-        let mut names: Vec<_> = self
+    fn next_mentions(
+        &self,
+        now: MonotonicTime,
+        to: &InstanceName,
+        count: usize,
+    ) -> Vec<InstanceName> {
+        let changed = self.members.values().filter(|member| member.news > 0);
+        let cursor = self.cursors.get(to).unwrap_or(to);
+        let after = self
             .members
-            .values()
-            .filter(|member| member.record.name != *to)
+            .range::<InstanceName, _>((Excluded(cursor), Unbounded));
+        let cycle = after
+            .chain(self.members.range::<InstanceName, _>(..=cursor))
+            .map(|(_, member)| member)
+            .filter(|member| member.news == 0);
+        changed
+            .chain(cycle)
+            .filter(|member| member.record.name != *to && member.incarnation.is_some())
             .filter(|member| self.state_of(member, now).takes_digests())
-            .map(|member| (member.news == 0, &member.record.name))
-            .collect();
-        names.sort_unstable();
-        let steady = names.partition_point(|(steady, _)| !steady);
-        if let Some(cursor) = self.cursors.get(to) {
-            let steady = &mut names[steady..];
-            let next = steady.partition_point(|(_, name)| *name <= cursor);
-            steady.rotate_left(next);
-        }
-        names.into_iter().map(|(_, name)| name.clone()).collect()
+            .map(|member| member.record.name.clone())
+            .take(count)
+            .collect()
     }
 
     /// Returns the entry, with load reports, of the near member whose reports are due most.
--- a/crates/instances/src/digest.rs
+++ b/crates/instances/src/digest.rs
@@ -1,5 +1,7 @@
 //! Gossip about members; the first entry is the sender's own.
 
+use hawthornquay_decisions::GossipEntry;
+
 use crate::DigestEntry;
 
 /// Gossip about members; the first entry is the sender's own.
@@ -15,3 +17,17 @@
     #[prost(uint64, tag = "3")]
     pub head_age_ms: u64,
 }
+
+impl From<&[GossipEntry]> for Digest {
+    fn from(entries: &[GossipEntry]) -> Self {
+        Self {
+            entries: entries.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<Digest> for Vec<GossipEntry> {
+    fn from(digest: Digest) -> Self {
+        digest.entries.into_iter().map(Into::into).collect()
+    }
+}
