--- a/crates/instances/src/digest.rs
+++ b/crates/instances/src/digest.rs
@@ -22,6 +22,7 @@
     fn from(entries: &[GossipEntry]) -> Self {
         Self {
             entries: entries.iter().map(Into::into).collect(),
+            ..Self::default()
         }
     }
 }
--- a/crates/instances/src/digest_entry.rs
+++ b/crates/instances/src/digest_entry.rs
@@ -32,7 +32,11 @@
     /// Returns the bytes that a member's entry adds to an encoded [`Digest`].
     pub fn len_in_digest(entry: &GossipEntry) -> usize {
         let entries = vec![Self::from(entry)];
-        Digest { entries }.encoded_len()
+        let digest = Digest {
+            entries,
+            ..Digest::default()
+        };
+        digest.encoded_len()
     }
 }
 
