Drop replies above the frame limit

The frame encoder refuses an envelope above 4 MiB, and that error ended the link and all its calls. Requests were checked before they were queued, replies were not. Such a reply is now dropped and counted, and its call ends by the deadline as unknown. Without the check the new test fails with a lost link.

--- a/crates/instances/src/framed.rs
+++ b/crates/instances/src/framed.rs
@@ -53,6 +53,11 @@
 impl<S: AsyncWrite> EnvelopeWriter<S> {
     pub(crate) async fn feed(&mut self, envelope: &Envelope) -> io::Result<()> {
         let frame: Bytes = envelope.encode_to_vec().into();
+        // A reply that is too large fails its own call by the deadline, not the whole link.
+        if frame.len() > FRAME_LIMIT {
+            LinkCounters::increment(&self.counters.dropped);
+            return Ok(());
+        }
         if let Some(body) = &envelope.body {
             self.counters
                 .of(body)
--- a/crates/instances/src/link_counters.rs
+++ b/crates/instances/src/link_counters.rs
@@ -39,7 +39,8 @@
         self.silent.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of received messages that matched no call of this incarnation.
+    /// Returns the number of messages that were dropped: received ones that match no call of this
+    /// incarnation or exceed the calls of a link, and replies above the frame limit.
     pub fn messages_dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
     }
--- a/crates/instances/tests/calls.rs
+++ b/crates/instances/tests/calls.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use hawthornquay_decisions::Execution;
 use hawthornquay_instances::{
     BundleFetch, CapacityRequest, Digest, FRAME_LIMIT, ForwardEvent, LinkError, Notice,
@@ -113,6 +115,23 @@
     assert_eq!(error.execution(), Execution::NotRun);
 }
 
+/// Guards against a reply above the frame limit that ends the link for all other calls.
+#[tokio::test]
+async fn call_reply_above_frame_limit_fails_alone() {
+    let pair = Pair::start().await;
+    let fetch = BundleFetch {
+        version: 1,
+        part: FRAME_LIMIT as u32,
+    };
+    let soon = Duration::from_millis(200);
+    let error = pair.pool.call(&pair.peer(), fetch, soon).await.unwrap_err();
+    assert!(matches!(error, LinkError::DeadlinePassed { .. }), "{error}");
+    assert_eq!(error.execution(), Execution::Unknown);
+    let grant = pair.pool.call(&pair.peer(), loan("o", 5), AMPLE).await;
+    assert_eq!(grant.unwrap().rate, 5);
+    assert_eq!(pair.client.counters().links_opened(), 1);
+}
+
 /// Guards against a shutdown that interrupts calls in flight or accepts new work.
 #[tokio::test]
 async fn shutdown_finishes_calls_and_refuses_new_forwards() {
--- a/crates/instances/tests/support/service.rs
+++ b/crates/instances/tests/support/service.rs
@@ -68,6 +68,7 @@
     async fn fetch_bundle(&self, _: &InstanceId, request: BundleFetch) -> BundleContent {
         BundleContent {
             version: request.version,
+            content: vec![0; request.part as usize].into(),
             ..BundleContent::default()
         }
     }
