Add the commands audit, fleet and explain, and show the bundle in force

Cause: operators saw neither the records of accepts nor the versions of the fleet, and a loser of a race had no way to fetch the bundle that it lost to.

fleet skips instances that the platform lists as gone, and takes another instance at a listed address, an empty list and an unusable answer for disagreement. audit places a record without the revision of its accept before the record of the next version. `bundle show` now sorts routes, as it sorted domains and organisations, since the order in the text has no meaning.

Ruled out: verifying the signatures of the bundle in force in `bundle show`. They are checked against its predecessor, which the store may not hold. Ruled out too: exit code 3 for an instance that does not answer; it stays reserved for the platform.

With the protection taken out, these fail: audit_follows_the_revisions (order of the keys, late record last), audit_reports_malformed_records (malformed records accepted, control characters printed), fleet_unusable_answers_are_reported (silence counted as agreement, no time or size limit), fleet_listed_instances_are_asked (empty list, gone instance, other instance at the address), the explain tests (identifier split from the left, characters unchecked, answer for another request) and show_in_force_tells_faults_apart (malformed store taken for silence).

--- a/crates/hawthornquay/src/command_bundle.rs
+++ b/crates/hawthornquay/src/command_bundle.rs
@@ -1,16 +1,23 @@
 //! Commands about bundles.
 
-use std::path::{Path, PathBuf};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 
-use hawthornquay_operators::{BundleDocument, OperatorKey, SignatureError, Trust};
+use hawthornquay_operators::{
+    BundleDocument, LoadError, OperatorKey, SignatureError, Trust, load_content, load_head,
+};
+use hawthornquay_platform::{CallLimits, PlatformClient};
 use serde_json::{Value, json};
 
 use crate::{
-    CommandError, CommandExit, CommandOutput,
+    CommandError, CommandExit, CommandOutput, PlatformStore,
     command_files::{
         read_document, read_operator_key, read_signatures, replace_file, signature_path,
     },
     command_output::changes_json,
+    command_runtime::block_on,
     command_signature_file::SignatureFile,
 };
 
@@ -159,7 +166,44 @@
         .flat_map(|signatures| signatures.signatures)
         .map(|signature| signature.signer)
         .collect();
-    let json = summary(&document, &signed_by);
+    Ok(show_document(as_json, &document, &signed_by))
+}
+
+/// Shows what the bundle in force holds, or its text.
+pub(crate) fn show_in_force(
+    as_json: bool,
+    address: SocketAddr,
+    as_text: bool,
+) -> Result<CommandOutput, CommandError> {
+    let loaded = block_on(async {
+        let client = PlatformClient::new(address, CallLimits::default());
+        let store = PlatformStore(&client);
+        let Some(stored) = load_head(&store).await? else {
+            return Ok(None);
+        };
+        let document = load_content(&store, &stored.head).await?;
+        Ok(Some((stored.head, document)))
+    })?;
+    let loaded = loaded.map_err(|error: LoadError| match error {
+        LoadError::Store(source) => CommandError::PlatformSilent {
+            address,
+            source: source.into(),
+        },
+        source => CommandError::StoredBundle { address, source },
+    })?;
+    let (head, document) = loaded.ok_or(CommandError::NoBundle { address })?;
+    if as_text {
+        let json = json!({"version": head.version, "text": document.canonical()});
+        let text = document.canonical().to_owned();
+        return Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text));
+    }
+    let signers = head.signatures.into_iter();
+    let signed_by: Vec<String> = signers.map(|signature| signature.signer).collect();
+    Ok(show_document(as_json, &document, &signed_by))
+}
+
+fn show_document(as_json: bool, document: &BundleDocument, signed_by: &[String]) -> CommandOutput {
+    let json = summary(document, signed_by);
     let mut text = String::new();
     if let Value::Object(fields) = &json {
         for (name, value) in fields {
@@ -173,15 +217,17 @@
             };
         }
     }
-    Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
+    CommandOutput::of(CommandExit::Done, as_json, &json, text)
 }
 
 fn summary(document: &BundleDocument, signed_by: &[String]) -> Value {
     let bundle = document.bundle();
     let mut organisations: Vec<_> = bundle.organisations.keys().map(|id| id.as_str()).collect();
     let mut domains: Vec<_> = bundle.domains.keys().map(|name| name.as_str()).collect();
+    let mut routes: Vec<_> = bundle.routes.iter().map(|route| &route.path).collect();
     organisations.sort_unstable();
     domains.sort_unstable();
+    routes.sort_unstable();
     json!({
         "version": document.version(),
         "digest": document.digest().to_string(),
@@ -191,7 +237,7 @@
         "domains": domains,
         "organisations": organisations,
         "keys": bundle.keys.len(),
-        "routes": bundle.routes.iter().map(|route| &route.path).collect::<Vec<_>>(),
+        "routes": routes,
         "backends": bundle.backends.len(),
     })
 }
--- a/crates/hawthornquay/src/command_error.rs
+++ b/crates/hawthornquay/src/command_error.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use hawthornquay_instances::LinkError;
-use hawthornquay_operators::{AcceptError, Faults, LostRace, SignatureError};
+use hawthornquay_operators::{AcceptError, Faults, LoadError, LostRace, SignatureError};
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde_json::{Value, json};
 
-use crate::{CommandExit, CommandOutput, command_output::changes_json};
+use crate::{CommandExit, CommandOutput, InstanceError, RequestName, command_output::changes_json};
 
 /// Reason why a command did not do what was asked.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -54,6 +54,24 @@
         /// File of the predecessor.
         predecessor: PathBuf,
     },
+    /// An instance gave no usable answer.
+    #[error("the instance at {address} gave no answer: {source}")]
+    #[diagnostic(help("check that this is the operators' address of a running instance"))]
+    InstanceSilent {
+        /// Address of the instance.
+        address: SocketAddr,
+        /// Reason.
+        source: InstanceError,
+    },
+    /// The text is no identifier of a request.
+    #[error("`{text}` is no identifier of a request")]
+    #[diagnostic(help(
+        "pass the value of the answer's X-Request-Id: <instance>-<incarnation>-<sequence>"
+    ))]
+    InvalidRequestId {
+        /// The text.
+        text: String,
+    },
     /// Another bundle came first.
     #[error(
         "version {} with digest {} is in force already; the bundle was not accepted",
@@ -77,6 +95,13 @@
         /// Reason.
         source: AcceptError,
     },
+    /// No bundle was ever accepted.
+    #[error("the platform at {address} holds no bundle yet")]
+    #[diagnostic(help("put a signed bundle in force with `hawthornquay bundle accept`"))]
+    NoBundle {
+        /// Address of the platform.
+        address: SocketAddr,
+    },
     /// A bundle has no file of signatures.
     #[error("{} has no signatures: {} does not exist", bundle.display(), path.display())]
     #[diagnostic(help(
@@ -89,6 +114,18 @@
         /// File of signatures that was looked for.
         path: PathBuf,
     },
+    /// The platform lists no instance with the name.
+    #[error("the platform at {address} lists no instance `{name}`")]
+    #[diagnostic(help(
+        "an instance that has ended keeps no requests; if it runs, pass its operators' address in \
+         place of --platform"
+    ))]
+    NotListed {
+        /// Address of the platform.
+        address: SocketAddr,
+        /// Name of the instance.
+        name: String,
+    },
     /// The signatures are of another text than the bundle's.
     #[error("{} holds signatures of another text than {}", path.display(), bundle.display())]
     #[diagnostic(help(
@@ -111,6 +148,18 @@
         /// Reason.
         source: AcceptError,
     },
+    /// The platform gave no usable answer to a read.
+    #[error("the platform at {address} gave no answer: {source}")]
+    #[diagnostic(help(
+        "check the address; if the platform has an outage or is over its rate, run the command \
+         again later"
+    ))]
+    PlatformSilent {
+        /// Address of the platform.
+        address: SocketAddr,
+        /// Reason.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
     /// A file cannot be read.
     #[error("cannot read {}: {source}", path.display())]
     #[diagnostic(help("check the path and its permissions"))]
@@ -127,6 +176,23 @@
         /// Reason.
         source: AcceptError,
     },
+    /// The instance does not know the request.
+    #[error(
+        "the instance at {address} does not know request {}; the identifier names `{}`, which may \
+         have restarted or forgotten the request since",
+        id.text,
+        id.instance
+    )]
+    #[diagnostic(help(
+        "check the identifier and the address; an instance remembers its latest requests until it \
+         ends"
+    ))]
+    RequestUnknown {
+        /// Address of the instance.
+        address: SocketAddr,
+        /// Request.
+        id: RequestName,
+    },
     /// A file of signatures is malformed.
     #[error("{} is no file of signatures: {source}", path.display())]
     #[diagnostic(help("remove the file and sign again"))]
@@ -161,6 +227,17 @@
     #[error("cannot start: {0}")]
     #[diagnostic(help("check the limits of the system on open files and threads"))]
     Start(#[source] std::io::Error),
+    /// The bundle in the store cannot be used.
+    #[error("the platform at {address} holds a bundle that cannot be used: {source}")]
+    #[diagnostic(help(
+        "running instances keep the bundle that they have; restore the named value in the store"
+    ))]
+    StoredBundle {
+        /// Address of the platform.
+        address: SocketAddr,
+        /// Reason.
+        source: LoadError,
+    },
     /// A name has characters that a bundle does not allow.
     #[error("`{name}` is no name")]
     #[diagnostic(help("use letters, digits and `-_.`"))]
@@ -214,14 +291,20 @@
     /// Returns the exit code.
     pub fn exit(&self) -> CommandExit {
         match self {
-            Self::LostRace(_)
+            Self::InstanceSilent { .. }
+            | Self::LostRace(_)
+            | Self::NoBundle { .. }
+            | Self::NotListed { .. }
             | Self::OtherKey { .. }
             | Self::Rejected { .. }
+            | Self::RequestUnknown { .. }
             | Self::Signatures { .. }
+            | Self::StoredBundle { .. }
             | Self::UnknownSigner { .. } => CommandExit::Refused,
-            Self::AuditMissing { .. } | Self::NotAccepted { .. } | Self::OutcomeUnknown { .. } => {
-                CommandExit::Unreachable
-            }
+            Self::AuditMissing { .. }
+            | Self::NotAccepted { .. }
+            | Self::OutcomeUnknown { .. }
+            | Self::PlatformSilent { .. } => CommandExit::Unreachable,
             _ => CommandExit::BadInput,
         }
     }
--- /dev/null
+++ b/crates/hawthornquay/src/command_explain.rs
@@ -0,0 +1,86 @@
+//! Command that explains a request.
+
+use std::net::SocketAddr;
+
+use hawthornquay_decisions::Execution;
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{
+    CommandError, CommandExit, CommandOutput, ExplainTarget, InstanceError, RequestName,
+    command_instance::get, command_platform::read_instances, command_runtime::block_on,
+};
+
+/// Answer to `GET /requests/<id>` of the operators' interface.
+#[derive(Debug, Serialize, Deserialize)]
+struct Explanation {
+    request_id: String,
+    execution: Execution,
+    finished: bool,
+    status: Option<u16>,
+    decisions: Vec<String>,
+}
+
+/// Asks the instance that served a request what became of it.
+pub(crate) fn explain(
+    as_json: bool,
+    target: &ExplainTarget,
+    id: &str,
+) -> Result<CommandOutput, CommandError> {
+    let id: RequestName = id.parse()?;
+    let explanation = block_on(async {
+        let address = match target {
+            ExplainTarget::Named { instance } => *instance,
+            ExplainTarget::Listed { platform } => find_instance(*platform, &id.instance).await?,
+        };
+        ask(address, id).await
+    })??;
+    let text = text_of(&explanation);
+    let json = json!(explanation);
+    Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
+}
+
+async fn find_instance(platform: SocketAddr, name: &str) -> Result<SocketAddr, CommandError> {
+    let listed = read_instances(platform).await?.instances;
+    let found = listed.iter().find(|record| record.name.as_str() == name);
+    found
+        .map(|record| record.operators)
+        .ok_or_else(|| CommandError::NotListed {
+            address: platform,
+            name: name.to_owned(),
+        })
+}
+
+async fn ask(address: SocketAddr, id: RequestName) -> Result<Explanation, CommandError> {
+    let answer: Result<Explanation, _> = get(address, &format!("/requests/{}", id.text)).await;
+    match answer {
+        Ok(explanation) if explanation.request_id != id.text => {
+            let source = InstanceError::OtherRequest(explanation.request_id);
+            Err(CommandError::InstanceSilent { address, source })
+        }
+        Ok(explanation) => Ok(explanation),
+        Err(InstanceError::Status(StatusCode::NOT_FOUND)) => {
+            Err(CommandError::RequestUnknown { address, id })
+        }
+        Err(source) => Err(CommandError::InstanceSilent { address, source }),
+    }
+}
+
+fn text_of(explanation: &Explanation) -> String {
+    let execution = explanation.execution.as_str();
+    let end = if explanation.finished {
+        "finished"
+    } else {
+        "in flight"
+    };
+    let mut text = format!("request {}: {end}, {execution}", explanation.request_id);
+    if let Some(status) = explanation.status {
+        text += &format!(", status {status}");
+    }
+    text.push('\n');
+    for (number, decision) in (1..).zip(&explanation.decisions) {
+        text += &format!("{number:>3}. {decision}\n");
+    }
+    text
+}
--- a/crates/hawthornquay/src/command_options.rs
+++ b/crates/hawthornquay/src/command_options.rs
@@ -16,6 +16,36 @@
     /// Keys of callers and operators
     #[bpaf(command("key"))]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Show the audit records in the order of their revisions
+    #[bpaf(command("audit"))]
+    Audit {
+        /// Write JSON
+        json: bool,
+        /// Address of the platform
+        #[bpaf(argument("IP:PORT"))]
+        platform: SocketAddr,
+    },
+    /// Ask instances for their versions; exit code 1 if these differ or an instance fails to answer
+    #[bpaf(command("fleet"))]
+    Fleet {
+        /// Write JSON
+        json: bool,
+        /// Instances to ask
+        #[bpaf(external(fleet_target))]
+        target: FleetTarget,
+    },
+    /// Show what became of a request and why
+    #[bpaf(command("explain"))]
+    Explain {
+        /// Write JSON
+        json: bool,
+        /// Instance to ask
+        #[bpaf(external(explain_target))]
+        target: ExplainTarget,
+        /// Request, as X-Request-Id names it
+        #[bpaf(positional("ID"))]
+        id: String,
+    },
     /// Certificates for the links between instances
     #[bpaf(command("tls"))]
     Tls(#[bpaf(external(tls_command))] TlsCommand),
@@ -87,6 +117,25 @@
     Show {
         /// Write JSON
         json: bool,
+        /// Bundle to show
+        #[bpaf(external(bundle_source))]
+        source: BundleSource,
+    },
+}
+
+/// Where a bundle is read.
+#[derive(Clone, Debug, Bpaf)]
+pub enum BundleSource {
+    /// Bundle in force.
+    Platform {
+        /// Address of the platform, to show the bundle in force
+        #[bpaf(argument("IP:PORT"))]
+        platform: SocketAddr,
+        /// Print the bundle itself, without comments
+        text: bool,
+    },
+    /// Bundle in a file.
+    File {
         /// Bundle to show
         #[bpaf(positional("FILE"))]
         file: PathBuf,
@@ -127,6 +176,43 @@
     },
 }
 
+/// Instances whose fleet view is wanted.
+#[derive(Clone, Debug, Bpaf)]
+pub enum FleetTarget {
+    /// Every instance that the platform lists.
+    Listed {
+        /// Address of the platform, to ask each instance that it lists
+        #[bpaf(argument("IP:PORT"))]
+        platform: SocketAddr,
+    },
+    /// Named instances.
+    Named {
+        /// Operators' address of an instance
+        #[bpaf(
+            positional("IP:PORT"),
+            some("name --platform, or the operators' address of at least one instance")
+        )]
+        instances: Vec<SocketAddr>,
+    },
+}
+
+/// Instance that is asked about a request.
+#[derive(Clone, Debug, Bpaf)]
+pub enum ExplainTarget {
+    /// Instance that the identifier names, found in the platform's list.
+    Listed {
+        /// Address of the platform, to find the instance that the ID names
+        #[bpaf(argument("IP:PORT"))]
+        platform: SocketAddr,
+    },
+    /// Instance at an address.
+    Named {
+        /// Operators' address of the instance
+        #[bpaf(positional("IP:PORT"))]
+        instance: SocketAddr,
+    },
+}
+
 /// Key to draw.
 #[derive(Clone, Debug, Bpaf)]
 pub enum NewKey {
--- a/crates/hawthornquay/src/command_run.rs
+++ b/crates/hawthornquay/src/command_run.rs
@@ -1,14 +1,20 @@
 //! Dispatch of the command.
 
 use crate::{
-    BundleCommand, CommandError, CommandOptions, CommandOutput, KeyCommand, TlsCommand,
-    command_accept, command_bundle, command_key, command_tls,
+    BundleCommand, BundleSource, CommandError, CommandOptions, CommandOutput, KeyCommand,
+    TlsCommand, command_accept, command_audit, command_bundle, command_explain, command_fleet,
+    command_key, command_tls,
 };
 
 /// Runs a command and returns what it prints.
 pub fn run_command(options: &CommandOptions) -> CommandOutput {
     let (as_json, result) = match options {
+        CommandOptions::Audit { json, platform } => (*json, command_audit::audit(*json, *platform)),
         CommandOptions::Bundle(command) => run_bundle_command(command),
+        CommandOptions::Explain { json, target, id } => {
+            (*json, command_explain::explain(*json, target, id))
+        }
+        CommandOptions::Fleet { json, target } => (*json, command_fleet::fleet(*json, target)),
         CommandOptions::Key(KeyCommand::New { json, new_key }) => {
             (*json, command_key::new_key(*json, new_key))
         }
@@ -47,6 +53,12 @@
             let signed = command_bundle::sign(*json, key, signer, predecessor, file);
             (*json, signed)
         }
-        BundleCommand::Show { json, file } => (*json, command_bundle::show(*json, file)),
+        BundleCommand::Show { json, source } => match source {
+            BundleSource::File { file } => (*json, command_bundle::show(*json, file)),
+            BundleSource::Platform { platform, text } => (
+                *json,
+                command_bundle::show_in_force(*json, *platform, *text),
+            ),
+        },
     }
 }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -13,17 +13,24 @@
 mod claim_leases;
 mod clock;
 mod command_accept;
+mod command_audit;
 mod command_bundle;
 mod command_error;
 mod command_exit;
+mod command_explain;
 mod command_files;
+mod command_fleet;
+mod command_instance;
 mod command_instance_address;
 mod command_key;
 mod command_options;
 mod command_output;
+mod command_platform;
+mod command_request_name;
 mod command_run;
 mod command_runtime;
 mod command_signature_file;
+mod command_table;
 mod command_tls;
 mod daemon;
 mod daemon_exit;
@@ -74,11 +81,14 @@
     claim_leases::ClaimLeases,
     command_error::CommandError,
     command_exit::CommandExit,
+    command_instance::InstanceError,
     command_instance_address::{InstanceAddress, InvalidInstanceAddress},
     command_options::{
-        BundleCommand, CommandOptions, KeyCommand, NewKey, TlsCommand, command_options,
+        BundleCommand, BundleSource, CommandOptions, ExplainTarget, FleetTarget, KeyCommand,
+        NewKey, TlsCommand, command_options,
     },
     command_output::CommandOutput,
+    command_request_name::RequestName,
     command_run::run_command,
     command_signature_file::SignatureFile,
     daemon::{Daemon, DaemonError},
--- /dev/null
+++ b/crates/hawthornquay/tests/command/audit.rs
@@ -0,0 +1,109 @@
+//! Guards against audit records that are hidden, or shown in an order that never was.
+
+use hawthornquay_operators::{AuditAction, AuditRecord, BundleDigest};
+use hawthornquay_standins::{PlatformFaults, PlatformSettings};
+use serde_json::json;
+
+use crate::{
+    store::{TestPlatform, read_faults, unused_address},
+    workplace::Workplace,
+};
+
+fn record(version: u64, who: &str) -> String {
+    let record = AuditRecord {
+        who: who.to_owned(),
+        what: AuditAction::BundleAccepted,
+        version,
+        digest: BundleDigest([7; 32]),
+        when_ms: 1_796_365_804_250,
+    };
+    json!(record).to_string()
+}
+
+/// Guards against an order by text, in which revision 10 stands before revision 9.
+#[test]
+fn audit_follows_the_revisions() {
+    let workplace = Workplace::new("audit-order");
+    let platform = TestPlatform::start();
+    let command = format!("audit --platform {}", platform.address());
+    let ran = workplace.run(&command);
+    assert_eq!(ran.code, 0, "{ran:?}");
+
+    // Version 3 was recorded only after version 4 had replaced it.
+    for (key, version) in [("audit/100", 4), ("audit/9", 1), ("audit/10", 2)] {
+        platform.write(key, &record(version, "ada"));
+    }
+    platform.write("audit/version-3", &record(3, "bola"));
+    let ran = workplace.run(&format!("{command} --json"));
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let versions: Vec<_> = (0..4)
+        .map(|index| ran.json()[index]["version"].clone())
+        .collect();
+    assert_eq!(versions, [1, 2, 3, 4]);
+    assert_eq!(ran.json()[0]["when"], "2026-12-04T06:30:04.25Z");
+    let ran = workplace.run(&command);
+    assert!(
+        ran.stdout
+            .contains("2026-12-04T06:30:04.25Z  bola  bundle-accepted  3"),
+        "{}",
+        ran.stdout
+    );
+}
+
+/// Guards against one malformed record that hides the others, or passes unnoticed.
+#[test]
+fn audit_reports_malformed_records() {
+    let workplace = Workplace::new("audit-malformed");
+    let platform = TestPlatform::start();
+    platform.write("audit/1", &record(1, "ada"));
+    platform.write("audit/2", "no record");
+    platform.write("audit/3", &record(u64::MAX, "\u{1b}[2Jeve"));
+    platform.write(
+        "audit/4",
+        &record(3, "ada").replace("1796365804250", "18446744073709551615"),
+    );
+    platform.write("audit/5", &record(3, "ada").replace("who", "whom"));
+    let command = format!("audit --platform {}", platform.address());
+    let ran = workplace.run(&command);
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(
+        ran.stderr.contains("audit/2: the record is malformed"),
+        "{ran:?}"
+    );
+    assert!(
+        ran.stderr.contains("audit/5: the record is malformed"),
+        "{ran:?}"
+    );
+    assert!(ran.stdout.contains("?[2Jeve"), "{ran:?}");
+    assert!(ran.stdout.contains("18446744073709551615 ms"), "{ran:?}");
+    let ran = workplace.run(&format!("{command} --json"));
+    assert_eq!(ran.code, 1, "{ran:?}");
+    assert_eq!(ran.json()[1]["key"], "audit/2");
+    assert_eq!(ran.json()[3]["version"], 3);
+}
+
+/// Guards against a store without an answer that is taken for one without records.
+#[test]
+fn audit_unreachable_platform_has_its_code() {
+    let workplace = Workplace::new("audit-outage");
+    let platform = TestPlatform::start();
+    let limited = TestPlatform::with(PlatformSettings {
+        reads_per_s: 0,
+        ..PlatformSettings::default()
+    });
+    for (name, faults) in read_faults() {
+        platform.set_faults(faults);
+        let ran = workplace.run(&format!("audit --platform {}", platform.address()));
+        assert_eq!(ran.code, 3, "{name}: {ran:?}");
+        platform.set_faults(PlatformFaults::default());
+    }
+    for (address, message) in [
+        (limited.address(), "the rate of the store is exceeded"),
+        (unused_address(), "cannot be reached"),
+    ] {
+        let ran = workplace.run(&format!("audit --json --platform {address}"));
+        assert_eq!(ran.code, 3, "{ran:?}");
+        let said = ran.json()["error"]["message"].to_string();
+        assert!(said.contains(message), "{said}");
+    }
+}
