Capture log lines of libraries as the part `libraries`

Cause: gotham and others log through the `log` crate, which had no logger, so their errors (a failed accept of a connection, for example) were lost.

Logs::capture_libraries passes warnings and errors on through slog-stdlog, with the prefix `libraries:` and the level of `[log] level.libraries`.

Ruled out: following a configured level below warning. HTTP libraries put headers into such lines, and with these a caller's key. Ruled out too: resetting the logger when the logs are dropped; a library that logs later would panic.

The daemon does not call capture_libraries yet.

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -71,7 +71,7 @@
     load_error::LoadError,
     log_format::LogFormat,
     log_settings::LogSettings,
-    logs::Logs,
+    logs::{ForeignLogger, Logs},
     lost_race::LostRace,
     operator_key::OperatorKey,
     part::Part,
--- a/crates/operators/src/logs.rs
+++ b/crates/operators/src/logs.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::Write,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
 };
 
 use slog::{Drain, Level, Logger, OwnedKVList, Record, RecordStatic};
@@ -42,15 +42,53 @@
 
     /// Returns the logger of `part`.
     pub fn part(&self, part: Part) -> Logger {
+        self.logger(part, self.settings.level_of(part))
+    }
+
+    /// Writes what libraries log through the `log` crate, as [`Part::Libraries`].
+    ///
+    /// Lines below warning are never written, whatever the settings say: HTTP libraries put headers
+    /// into them, and with these a caller's key. A later call, of these or other logs, replaces
+    /// this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has another logger for the `log` crate.
+    pub fn capture_libraries(&self) -> Result<(), ForeignLogger> {
+        static INSTALLED: OnceLock<bool> = OnceLock::new();
+        let level = self.settings.level_of(Part::Libraries);
+        let level = if level.is_at_least(Level::Warning) {
+            level
+        } else {
+            Level::Warning
+        };
+        let logger = self.logger(Part::Libraries, level);
+        // A library may still log after these logs are dropped; a reset would make that a panic.
+        slog_scope::set_global_logger(logger).cancel_reset();
+        let installed =
+            INSTALLED.get_or_init(|| slog_stdlog::init_with_level(log::Level::Warn).is_ok());
+        if *installed {
+            Ok(())
+        } else {
+            Err(ForeignLogger)
+        }
+    }
+
+    fn logger(&self, part: Part, level: Level) -> Logger {
         let drain = PartDrain {
             part,
-            level: self.settings.level_of(part),
+            level,
             next: Arc::clone(&self.drain),
         };
         Logger::root(drain.ignore_res(), slog::o!())
     }
 }
 
+/// Process that has another logger for the `log` crate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the process has another logger for the `log` crate, so lines of libraries go there")]
+pub struct ForeignLogger;
+
 fn start_writer<D>(format: D) -> (Async, AsyncGuard)
 where
     D: Drain + Send + 'static,
--- a/crates/operators/src/part.rs
+++ b/crates/operators/src/part.rs
@@ -11,6 +11,8 @@
     Claims,
     /// Start and stop of the process.
     Daemon,
+    /// Libraries that log through the `log` crate.
+    Libraries,
     /// Rates and bursts of organisations.
     Limits,
     /// Links between instances.
@@ -33,11 +35,12 @@
 
 impl Part {
     /// All parts, sorted by prefix.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Backends,
         Self::Callers,
         Self::Claims,
         Self::Daemon,
+        Self::Libraries,
         Self::Limits,
         Self::Links,
         Self::Membership,
@@ -56,6 +59,7 @@
             Self::Callers => "callers",
             Self::Claims => "claims",
             Self::Daemon => "daemon",
+            Self::Libraries => "libraries",
             Self::Limits => "limits",
             Self::Links => "links",
             Self::Membership => "membership",
