Write the client directory

Cause: the platform's client directory was never written.

Result: each region's first watcher keeps an entry; the test finds both regions' entries with all three instances.

--- a/crates/hawthornquay/src/caller_gateway.rs
+++ b/crates/hawthornquay/src/caller_gateway.rs
@@ -111,7 +111,11 @@
     }
 }
 
-fn list_answer(node: &Node, key: Option<&hawthornquay_callers::CallerKey>) -> CallerListAnswer {
+/// Returns the instances for the organisation of `key`, or for any caller.
+pub(crate) fn list_answer(
+    node: &Node,
+    key: Option<&hawthornquay_callers::CallerKey>,
+) -> CallerListAnswer {
     let instances = node
         .caller_list_for(key)
         .into_iter()
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -25,7 +25,9 @@
 
 use crate::{
     BundleTable, CallerGateway, Drain, Metrics, MetricsError, Node, PartLogs, PeerGateway,
-    RequestLog, RequestQueue, RoutingState, clock, gossip,
+    RequestLog, RequestQueue, RoutingState, clock,
+    directory_task::run_directory,
+    gossip,
     limit_task::{release_slots, run_loans, run_slots},
     load_task::run_load,
     operator_router,
@@ -156,6 +158,7 @@
         tokio::spawn(run_loans(Arc::clone(node))),
         tokio::spawn(run_load(Arc::clone(node))),
         tokio::spawn(run_orders(Arc::clone(node))),
+        tokio::spawn(run_directory(Arc::clone(node))),
         tokio::spawn(async move { queue.queue.run(&queue).await }),
     ]
 }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -35,6 +35,7 @@
 mod daemon;
 mod daemon_exit;
 mod decision;
+mod directory_task;
 mod dispatch;
 mod drain;
 mod fleet_report;
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -93,12 +93,16 @@
         ))
     }
 
+    /// Returns this instance's rank among its region's watchers of the store, if it is one.
+    pub fn watcher_rank(&self) -> Option<usize> {
+        let members = self.members.lock();
+        let watchers = members.watchers(&self.place.region, clock::now());
+        watchers.iter().position(|name| *name == self.id.name)
+    }
+
     /// Returns whether this instance is one of its region's watchers of the store.
     pub fn is_watcher(&self) -> bool {
-        let members = self.members.lock();
-        members
-            .watchers(&self.place.region, clock::now())
-            .contains(&self.id.name)
+        self.watcher_rank().is_some()
     }
 
     /// Returns the members that hold a bundle, those with the highest version first.
--- a/crates/hawthornquay/tests/whole_path.rs
+++ b/crates/hawthornquay/tests/whole_path.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use serde_json::Value;
 use support::{Caller, FleetBuilder, wait_until};
+use tokio::time::Instant;
 
 /// Guards against an answer that is not the caller's own, whole or streamed, local or forwarded.
 #[tokio::test(flavor = "multi_thread")]
@@ -116,3 +117,25 @@
         .collect();
     assert_eq!(names, ["lagos", "lagos"]);
 }
+
+/// Guards against a client directory that lacks the region's instances.
+#[tokio::test(flavor = "multi_thread")]
+async fn run_directory_region_entry_lists_all() {
+    let fleet = FleetBuilder::default().start().await;
+    let end = Instant::now() + Duration::from_secs(15);
+    for region in ["lagos", "kano"] {
+        let name = format!("hawthornquay-{region}");
+        loop {
+            let entry = fleet.client.read_directory(&name).await.unwrap_or_default();
+            let list: Value = serde_json::from_slice(&entry).unwrap_or_default();
+            if list["instances"]
+                .as_array()
+                .is_some_and(|entries| entries.len() == 3)
+            {
+                break;
+            }
+            assert!(Instant::now() < end, "no entry of {region} within 15 s");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
