Name the file of a malformed signature and mend the command's help

Cause: a signature cut short by a copy was reported as one that does not count, without the file to replace. The help named no order of work and no exit codes, and its groups were headed by nouns without verbs.

A signature of the wrong form is now bad input (exit code 2) with the file, the signer and the remedy; one by an unknown signer or another key stays a refusal (1).

Ruled out: the text of the help in several paragraphs; the short help ends at the first empty line.

--- a/crates/hawthornquay/src/command_error.rs
+++ b/crates/hawthornquay/src/command_error.rs
@@ -95,6 +95,15 @@
         /// Reason.
         source: AcceptError,
     },
+    /// A signature in a file has the wrong form.
+    #[error("{}: the signature of `{signer}` is malformed", path.display())]
+    #[diagnostic(help("remove the file, and let its signers sign the bundle again"))]
+    MalformedSignature {
+        /// File of signatures.
+        path: PathBuf,
+        /// Name of the signer.
+        signer: String,
+    },
     /// No bundle was ever accepted.
     #[error("the platform at {address} holds no bundle yet")]
     #[diagnostic(help("put a signed bundle in force with `hawthornquay bundle accept`"))]
--- a/crates/hawthornquay/src/command_files.rs
+++ b/crates/hawthornquay/src/command_files.rs
@@ -40,12 +40,18 @@
     if !path.exists() {
         return Ok(None);
     }
-    serde_json::from_str(&read_text(path)?)
-        .map(Some)
-        .map_err(|source| CommandError::SignatureFile {
+    let file: SignatureFile =
+        serde_json::from_str(&read_text(path)?).map_err(|source| CommandError::SignatureFile {
             path: path.to_owned(),
             source,
-        })
+        })?;
+    match file.malformed_signer() {
+        Some(signer) => Err(CommandError::MalformedSignature {
+            path: path.to_owned(),
+            signer: signer.to_owned(),
+        }),
+        None => Ok(Some(file)),
+    }
 }
 
 /// Replaces a file as a whole, so that an interrupted write leaves the old one.
--- a/crates/hawthornquay/src/command_options.rs
+++ b/crates/hawthornquay/src/command_options.rs
@@ -6,26 +6,33 @@
 
 use crate::InstanceAddress;
 
-/// Prepares, signs and accepts bundles, makes keys and certificates, and shows the fleet.
+/// Text below the list of commands.
+///
+/// It is one paragraph with fixed line breaks, because short help ends at the first empty line.
+const FOOTER: &str = "To change the bundle:
+ 1. fetch it:    bundle show --platform IP:PORT --text > next.ini
+ 2. edit next.ini and raise `version`
+ 3. check it:    bundle check next.ini
+ 4. sign it:     bundle sign --key FILE --signer NAME next.ini
+ 5. accept it:   bundle accept --platform IP:PORT --who NAME next.ini
+ 6. watch it:    fleet --platform IP:PORT
+ Exit codes: 0 done; 1 refused, or something differs; 2 bad usage or input;
+ 3 the platform cannot be reached, or the outcome is unknown";
+
+/// Changes the bundle of a hawthornquay fleet and shows what the fleet does
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, generate(command_options))]
+#[bpaf(options, version, footer(FOOTER), generate(command_options))]
 pub enum CommandOptions {
-    /// Bundles
+    /// Check, compare, sign, accept and show bundles
     #[bpaf(command("bundle"))]
     Bundle(#[bpaf(external(bundle_command))] BundleCommand),
-    /// Keys of callers and operators
+    /// Make keys of callers and signers
     #[bpaf(command("key"))]
     Key(#[bpaf(external(key_command))] KeyCommand),
-    /// Show the audit records in the order of their revisions
-    #[bpaf(command("audit"))]
-    Audit {
-        /// Write JSON
-        json: bool,
-        /// Address of the platform
-        #[bpaf(argument("IP:PORT"))]
-        platform: SocketAddr,
-    },
-    /// Ask instances for their versions; exit code 1 if these differ or an instance fails to answer
+    /// Make certificates for the links between instances
+    #[bpaf(command("tls"))]
+    Tls(#[bpaf(external(tls_command))] TlsCommand),
+    /// Show the bundle version of each instance; exit code 1 if versions differ or one is silent
     #[bpaf(command("fleet"))]
     Fleet {
         /// Write JSON
@@ -42,16 +49,22 @@
         /// Instance to ask
         #[bpaf(external(explain_target))]
         target: ExplainTarget,
-        /// Request, as X-Request-Id names it
+        /// Identifier of the request: the X-Request-Id of its answer
         #[bpaf(positional("ID"))]
         id: String,
     },
-    /// Certificates for the links between instances
-    #[bpaf(command("tls"))]
-    Tls(#[bpaf(external(tls_command))] TlsCommand),
+    /// Show who put which bundle in force and when, the oldest first
+    #[bpaf(command("audit"))]
+    Audit {
+        /// Write JSON
+        json: bool,
+        /// Address of the platform
+        #[bpaf(argument("IP:PORT"))]
+        platform: SocketAddr,
+    },
 }
 
-/// Commands about bundles.
+/// Commands about bundles
 #[derive(Clone, Debug, Bpaf)]
 pub enum BundleCommand {
     /// Report every fault of bundles
@@ -83,17 +96,17 @@
         /// File with the signing key
         #[bpaf(argument("FILE"))]
         key: PathBuf,
-        /// Name that the predecessor gives the signer
+        /// Name of the signer in the bundle in force
         #[bpaf(argument("NAME"))]
         signer: String,
-        /// Bundle in force, to check the signer and to count the signatures
+        /// File with the bundle in force, to check the signer and to count the signatures
         #[bpaf(argument("FILE"))]
         predecessor: Option<PathBuf>,
         /// Bundle to sign
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Put a signed bundle in force; reads the signatures from FILE.signatures
+    /// Put a bundle in force with the signatures in FILE.signatures
     #[bpaf(command("accept"))]
     Accept {
         /// Write JSON
@@ -101,12 +114,12 @@
         /// Address of the platform
         #[bpaf(argument("IP:PORT"))]
         platform: SocketAddr,
-        /// Operator to name in the audit record
+        /// Your name, for the audit record
         #[bpaf(argument("NAME"))]
         who: String,
         /// Settings of a daemon whose [trust] the first bundle has to satisfy; without it, the
         /// signers of the first bundle itself count
-        #[bpaf(argument("SETTINGS"))]
+        #[bpaf(argument("FILE"))]
         first_trust: Option<PathBuf>,
         /// Bundle to accept
         #[bpaf(positional("FILE"))]
@@ -123,7 +136,7 @@
     },
 }
 
-/// Where a bundle is read.
+/// Bundle in force, or a file
 #[derive(Clone, Debug, Bpaf)]
 pub enum BundleSource {
     /// Bundle in force.
@@ -142,10 +155,10 @@
     },
 }
 
-/// Commands about keys.
+/// Commands about keys
 #[derive(Clone, Debug, Bpaf)]
 pub enum KeyCommand {
-    /// Draw a caller's key (--bundle, --organisation, --name) or a signer's key (--signer, --out)
+    /// Make a key of a caller, or a signing key
     #[bpaf(command("new"))]
     New {
         /// Write JSON
@@ -156,11 +169,12 @@
     },
 }
 
-/// Commands about certificates.
+/// Commands about certificates
 #[derive(Clone, Debug, Bpaf)]
 pub enum TlsCommand {
     /// Make an authority, and a certificate and key for each instance
     ///
+    ///
     /// Writes authority.pem, and NAME.pem and NAME.key for each instance. The key of the authority
     /// is not kept: to add an instance, make new certificates for all.
     #[bpaf(command("new"))]
@@ -176,7 +190,7 @@
     },
 }
 
-/// Instances whose fleet view is wanted.
+/// Instances to ask, all or some
 #[derive(Clone, Debug, Bpaf)]
 pub enum FleetTarget {
     /// Every instance that the platform lists.
@@ -196,7 +210,7 @@
     },
 }
 
-/// Instance that is asked about a request.
+/// Instance to ask
 #[derive(Clone, Debug, Bpaf)]
 pub enum ExplainTarget {
     /// Instance that the identifier names, found in the platform's list.
@@ -213,12 +227,12 @@
     },
 }
 
-/// Key to draw.
+/// Key of a caller or of a signer
 #[derive(Clone, Debug, Bpaf)]
 pub enum NewKey {
     /// Key of a caller.
     Caller {
-        /// Bundle whose salt the digest takes
+        /// File with the bundle that the key is for; it is not changed
         #[bpaf(argument("FILE"))]
         bundle: PathBuf,
         /// Organisation of the key
@@ -230,7 +244,7 @@
     },
     /// Key of an operator.
     Signer {
-        /// Name of the operator in the bundle
+        /// Name of the signer in the bundle
         #[bpaf(argument("NAME"))]
         signer: String,
         /// New file for the signing key
--- a/crates/hawthornquay/src/command_signature_file.rs
+++ b/crates/hawthornquay/src/command_signature_file.rs
@@ -1,8 +1,12 @@
 //! File of a bundle's signatures.
 
+use base64::{Engine, prelude::BASE64_STANDARD};
 use hawthornquay_operators::{BundleDigest, BundleDocument, BundleSignature};
 use serde::{Deserialize, Serialize};
 
+/// Bytes of an ed25519 signature.
+const SIGNATURE_BYTES: usize = 64;
+
 /// Signatures that operators collect next to a bundle before it is accepted.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -36,4 +40,14 @@
             .retain(|other| other.signer != signature.signer);
         self.signatures.push(signature);
     }
+
+    /// Returns the first signer whose signature has the wrong form, as after a bad copy.
+    pub fn malformed_signer(&self) -> Option<&str> {
+        let is_malformed = |signature: &&BundleSignature| {
+            let bytes = BASE64_STANDARD.decode(&signature.signature);
+            bytes.map_or(true, |bytes| bytes.len() != SIGNATURE_BYTES)
+        };
+        let found = self.signatures.iter().find(is_malformed)?;
+        Some(&found.signer)
+    }
 }
--- a/crates/hawthornquay/tests/command/audit.rs
+++ b/crates/hawthornquay/tests/command/audit.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 
 use crate::{
+    relay::{Loss, start_relay},
     store::{TestPlatform, read_faults, unused_address},
     workplace::Workplace,
 };
@@ -97,6 +98,11 @@
         assert_eq!(ran.code, 3, "{name}: {ran:?}");
         platform.set_faults(PlatformFaults::default());
     }
+    for (loss, code) in [(Loss::Once, 0), (Loss::FromThenOn, 3)] {
+        let relay = start_relay(platform.address(), "GET /list", loss);
+        let ran = workplace.run(&format!("audit --platform {relay}"));
+        assert_eq!(ran.code, code, "{loss:?}: {ran:?}");
+    }
     for (address, message) in [
         (limited.address(), "the rate of the store is exceeded"),
         (unused_address(), "cannot be reached"),
--- a/crates/hawthornquay/tests/command/files.rs
+++ b/crates/hawthornquay/tests/command/files.rs
@@ -172,3 +172,41 @@
     assert_eq!(workplace.run("key new --signer chi --out chi.key").code, 2);
     assert_eq!(workplace.read("chi.key"), first);
 }
+
+/// Guards against help that leaves out a command, the order of work or the exit codes.
+#[test]
+fn command_help_leads_to_every_command() {
+    let workplace = Workplace::new("help");
+    let help = workplace.run("--help").stdout;
+    for text in [
+        "Exit codes: 0 done; 1",
+        "--text > next.ini",
+        "bundle accept --platform",
+    ] {
+        assert!(help.contains(text), "{help}");
+    }
+    for (command, subcommands) in [
+        (
+            "bundle",
+            ["check", "diff", "sign", "accept", "show"].as_slice(),
+        ),
+        ("key", &["new"]),
+        ("tls", &["new"]),
+        ("fleet", &[]),
+        ("explain", &[]),
+        ("audit", &[]),
+    ] {
+        assert!(help.contains(&format!("    {command} ")), "{help}");
+        let ran = workplace.run(&format!("{command} --help"));
+        assert_eq!(ran.code, 0, "{command}");
+        for subcommand in subcommands {
+            assert!(
+                ran.stdout.contains(&format!("    {subcommand} ")),
+                "{command}"
+            );
+            let ran = workplace.run(&format!("{command} {subcommand} --help"));
+            assert_eq!(ran.code, 0, "{command} {subcommand}");
+            assert!(ran.stdout.contains("--json"), "{command} {subcommand}");
+        }
+    }
+}
