Remove the unused choice of watchers and of instances to notify

Nothing called rollout_watchers, rollout_peers_to_notify or RolloutMember but their own test.

Ruled out: keeping the test.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -90,14 +90,12 @@
 mod retry_decision;
 mod retry_state;
 mod rollout;
-mod rollout_member;
 mod rollout_offer;
 mod rollout_peer_answer;
 mod rollout_start;
 mod rollout_step;
 mod rollout_store_answer;
 mod rollout_version;
-mod rollout_watchers;
 mod route_target;
 mod routing_candidate;
 mod routing_decision;
@@ -198,14 +196,12 @@
     retry_decision::RetryDecision,
     retry_state::RetryState,
     rollout::Rollout,
-    rollout_member::RolloutMember,
     rollout_offer::RolloutOffer,
     rollout_peer_answer::RolloutPeerAnswer,
     rollout_start::RolloutStart,
     rollout_step::RolloutStep,
     rollout_store_answer::RolloutStoreAnswer,
     rollout_version::RolloutVersion,
-    rollout_watchers::{rollout_peers_to_notify, rollout_watchers},
     route_target::RouteTarget,
     routing_decision::RoutingDecision,
     routing_grant::RoutingGrant,
--- a/crates/decisions/tests/rollout_steps.rs
+++ b/crates/decisions/tests/rollout_steps.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{
-    InstanceName, InstanceState, MonotonicTime, RegionName, Rollout, RolloutMember, RolloutOffer,
-    RolloutPeerAnswer, RolloutStart, RolloutStep, RolloutStoreAnswer, RolloutVersion,
-    rollout_peers_to_notify, rollout_watchers,
+    MonotonicTime, Rollout, RolloutOffer, RolloutPeerAnswer, RolloutStart, RolloutStep,
+    RolloutStoreAnswer, RolloutVersion,
 };
 
 fn version(version: u64) -> RolloutVersion {
@@ -246,36 +245,3 @@
         assert_eq!(found, expected, "{answer:?} {peers:?} {waited}");
     }
 }
-
-/// Guards against regions without a watcher, or watchers that skip instances.
-#[test]
-fn rollout_watchers_notify_their_region() {
-    let names = ["a-1", "a-2", "a-3", "a-4", "a-5", "b-1"].map(InstanceName::new);
-    let regions = ["a", "b"].map(RegionName::new);
-    let states = [
-        InstanceState::Leaving,
-        InstanceState::Live,
-        InstanceState::Gone,
-        InstanceState::Live,
-        InstanceState::Live,
-        InstanceState::Live,
-    ];
-    let members: Vec<_> = names
-        .iter()
-        .zip(states)
-        .rev()
-        .map(|(name, state)| RolloutMember {
-            name,
-            region: &regions[usize::from(name.as_str().starts_with('b'))],
-            state,
-        })
-        .collect();
-    assert_eq!(
-        rollout_watchers(&regions[0], &members),
-        [&names[1], &names[3]]
-    );
-    assert_eq!(rollout_watchers(&regions[1], &members), [&names[5]]);
-    let notified = rollout_peers_to_notify(&names[1], &regions[0], &members);
-    assert_eq!(notified, [&names[0], &names[3], &names[4]]);
-    assert!(rollout_peers_to_notify(&names[4], &regions[0], &members).is_empty());
-}
