Take over slots by name only at the same address

A restarted instance took back the slots of its earlier incarnation after a time, because that process must have ended before the address could be bound again. A replacement of the same name at another address proves no such end: the earlier process may be paused or cut off, and both would spend.

The slot record now holds the holder's address for other instances, and the takeover by name needs the same address. A record without an address, or an unspecified listen address, never matches. A holder adds its address to records of earlier builds. The simulated fleet starts replacements of the same name at another address beside the old process.

Open: the slots of a process that was replaced at another address stay idle until the list reports its name as gone.

--- a/crates/decisions/examples/limit_support/limit_platform.rs
+++ b/crates/decisions/examples/limit_support/limit_platform.rs
@@ -27,6 +27,7 @@
         let rules = SlotRules {
             instances: &instances,
             lag: Duration::from_micros(LAG),
+            address: ([127, 0, 0, 1], 1).into(),
             running_for: Duration::ZERO,
         };
         if let Some(value) = self.instances[index].table.plan_slots(&rules, now) {
--- a/crates/decisions/src/limit_table_slots.rs
+++ b/crates/decisions/src/limit_table_slots.rs
@@ -9,7 +9,8 @@
     /// Returns the value that this instance should write to its domain's entry, if any.
     ///
     /// The write must be a compare-and-swap against the entry in the last adopted snapshot. It
-    /// claims free slots, takes over those of ended holders and confirms the split in use.
+    /// claims free slots, takes over those of ended holders, confirms the split in use and adds the
+    /// address to records that lack it.
     pub fn plan_slots(&mut self, rules: &SlotRules<'_>, now: MonotonicTime) -> Option<SlotDomain> {
         if self.releasing || self.version == 0 {
             return None;
@@ -23,13 +24,15 @@
         let mut next = current.clone();
         for slot in rules.claims(&current, &self.instance) {
             if self.highest_split(slot) <= self.version {
-                next.slots.insert(slot, self.record());
+                next.slots.insert(slot, self.record(rules));
             }
         }
         let held: Vec<SlotIndex> = self.held.keys().copied().collect();
         for slot in held {
             if self.should_confirm(slot, now) {
-                next.slots.insert(slot, self.record());
+                next.slots.insert(slot, self.record(rules));
+            } else if let Some(record) = next.slots.get_mut(&slot) {
+                record.address = Some(rules.address);
             }
         }
         (next != current).then_some(next)
@@ -88,10 +91,11 @@
         confirmed < self.version && (behind || changed || unknown)
     }
 
-    fn record(&self) -> SlotRecord {
+    fn record(&self, rules: &SlotRules<'_>) -> SlotRecord {
         SlotRecord {
             holder: self.instance.clone(),
             split: self.version,
+            address: Some(rules.address),
         }
     }
 }
--- a/crates/decisions/src/slot_record.rs
+++ b/crates/decisions/src/slot_record.rs
@@ -1,5 +1,7 @@
 //! Holder of one slot.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::InstanceId;
@@ -11,4 +13,7 @@
     pub holder: InstanceId,
     /// Bundle version whose split the holder has adopted.
     pub split: u64,
+    /// Address of the holder for other instances; entries of earlier builds lack it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
 }
--- a/crates/decisions/src/slot_rules.rs
+++ b/crates/decisions/src/slot_rules.rs
@@ -1,9 +1,10 @@
 //! Rules by which slots change hands.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use crate::{
     InstanceId, InstanceName, InstanceRecord, InstanceState, LoanTerms, SlotDomain, SlotIndex,
+    SlotRecord,
 };
 
 /// What the platform says about the instances of one failure domain.
@@ -16,20 +17,26 @@
     pub instances: &'a [InstanceRecord],
     /// Time by which the list may lag.
     pub lag: Duration,
-    /// Time since this process started to listen, by which earlier processes of its name ended.
+    /// Address of this process for other instances.
+    pub address: SocketAddr,
+    /// Time since this process started to listen, by which earlier processes at its address ended.
     pub running_for: Duration,
 }
 
 impl SlotRules<'_> {
-    /// Returns whether `instance` may take the slot of `holder`.
+    /// Returns whether `instance` may take the slot of the holder in `record`.
     ///
     /// An instance that is absent from the list may still run, so only a listed end counts. A
-    /// restarted instance takes back the slots of its earlier incarnation, which must have ended
-    /// before the address could be bound again.
-    pub fn may_take_over(&self, holder: &InstanceId, instance: &InstanceId) -> bool {
+    /// restarted instance takes back the slots of its earlier incarnation at the same address, which
+    /// must have ended before the address could be bound again. A replacement of the same name at
+    /// another address may run beside a paused or cut-off process, so it waits for the listed end.
+    pub fn may_take_over(&self, record: &SlotRecord, instance: &InstanceId) -> bool {
         let wait = self.lag + LoanTerms::LONGEST;
+        let holder = &record.holder;
         if holder.name == instance.name {
-            return holder != instance && self.running_for > wait;
+            return holder != instance
+                && self.is_own_address(record.address)
+                && self.running_for > wait;
         }
         self.is_gone(&holder.name, wait)
     }
@@ -43,6 +50,13 @@
         })
     }
 
+    /// Returns whether binding the own address proves that a holder at `address` has ended.
+    ///
+    /// An unspecified address is bound on every host, so it identifies no process.
+    fn is_own_address(&self, address: Option<SocketAddr>) -> bool {
+        address == Some(self.address) && !self.address.ip().is_unspecified()
+    }
+
     fn is_gone(&self, name: &InstanceName, wait: Duration) -> bool {
         self.instances.iter().any(|entry| {
             entry.name == *name
@@ -68,7 +82,7 @@
         let mut free = Vec::new();
         for slot in SlotIndex::all() {
             match slots.slots.get(&slot) {
-                Some(record) if !self.may_take_over(&record.holder, instance) => {
+                Some(record) if !self.may_take_over(record, instance) => {
                     if let Some(count) = counts.get_mut(&record.holder.name) {
                         *count += 1;
                     }
--- a/crates/decisions/tests/limit_fixture/limit_fleet.rs
+++ b/crates/decisions/tests/limit_fixture/limit_fleet.rs
@@ -1,6 +1,6 @@
 //! Simulated fleet with faults, which records every admission.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hawthornquay_decisions::{
     Bundle, DomainName, InstanceId, InstanceRecord, InstanceState, LimitReservation, LimitShare,
@@ -25,6 +25,7 @@
     pub(super) table: LimitTable,
     pub(super) id: InstanceId,
     pub(super) domain: DomainName,
+    pub(super) address: SocketAddr,
     pub(super) alive: bool,
     pub(super) asleep_until: u64,
     pub(super) started: u64,
@@ -98,7 +99,13 @@
         fleet
     }
 
+    /// Starts a process at an address that no other one had.
     pub fn start(&mut self, name: &str, domain: &DomainName) {
+        let port = 1 + u16::try_from(self.incarnations).unwrap();
+        self.start_at(([127, 0, 0, 1], port).into(), name, domain);
+    }
+
+    fn start_at(&mut self, address: SocketAddr, name: &str, domain: &DomainName) {
         self.incarnations += 1;
         let id = InstanceId::new(name, self.incarnations);
         let drift = (self.incarnations as i64 % 3 - 1) * DRIFT_PPM;
@@ -106,6 +113,7 @@
             table: LimitTable::new(id.clone(), domain.clone()),
             id,
             domain: domain.clone(),
+            address,
             alive: true,
             asleep_until: 0,
             started: self.now,
@@ -218,12 +226,26 @@
         process.alive = false;
         process.open.clear();
         let (name, domain) = (process.id.name.to_string(), process.domain.clone());
-        if listed {
+        let address = process.address;
+        let id = process.id.clone();
+        // The platform lists a name as gone only when no process has it.
+        let last = !(self.processes.iter())
+            .any(|other| other.alive && other.id.name == id.name && other.id != id);
+        if listed && last {
             let states = self.states.entry(name).or_default();
             states.push((self.now, InstanceState::Gone));
             let fresh = format!("{domain}-n{}", self.incarnations);
             self.start(&fresh, &domain);
         } else {
+            self.start_at(address, &name, &domain);
+        }
+    }
+
+    /// Starts a process under the name of another one that goes on at its own address.
+    pub fn replace(&mut self, index: usize) {
+        let process = &self.processes[index % self.processes.len()];
+        let (name, domain) = (process.id.name.to_string(), process.domain.clone());
+        if process.alive {
             self.start(&name, &domain);
         }
     }
@@ -257,6 +279,7 @@
         let rules = SlotRules {
             instances: &instances,
             lag: Duration::from_millis(LAG_MS),
+            address: process.address,
             running_for: Duration::from_micros(now - process.started),
         };
         if let Some(value) = process.table.plan_slots(&rules, local) {
--- a/crates/decisions/tests/limit_fixture/mod.rs
+++ b/crates/decisions/tests/limit_fixture/mod.rs
@@ -70,6 +70,7 @@
         let record = SlotRecord {
             holder: (*holder).clone(),
             split: *split,
+            address: Some(([127, 0, 0, 1], 1).into()),
         };
         let slots = SlotIndex::all()
             .map(|slot| (slot, record.clone()))
--- a/crates/decisions/tests/limit_table.rs
+++ b/crates/decisions/tests/limit_table.rs
@@ -210,6 +210,7 @@
     let rules = SlotRules {
         instances: &[],
         lag: Duration::ZERO,
+        address: ([127, 0, 0, 1], 1).into(),
         running_for: Duration::ZERO,
     };
     assert_eq!(tables[1].plan_slots(&rules, millis(8_100)), None);
--- a/crates/decisions/tests/slot_rules.rs
+++ b/crates/decisions/tests/slot_rules.rs
@@ -2,7 +2,7 @@
 
 mod limit_fixture;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use hawthornquay_decisions::{
     DomainName, InstanceId, InstanceRecord, InstanceState, SlotDomain, SlotIndex, SlotRecord,
@@ -12,10 +12,23 @@
 
 const LAG_MS: u64 = 500;
 
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn held_by(holder: &InstanceId, address: Option<SocketAddr>) -> SlotRecord {
+    SlotRecord {
+        holder: holder.clone(),
+        split: 1,
+        address,
+    }
+}
+
 fn rules(instances: &[InstanceRecord], running_ms: u64) -> SlotRules<'_> {
     SlotRules {
         instances,
         lag: Duration::from_millis(LAG_MS),
+        address: address(1),
         running_for: Duration::from_millis(running_ms),
     }
 }
@@ -32,6 +45,7 @@
 #[test]
 fn takeover_needs_a_listed_end_and_the_longest_loan() {
     let (me, other) = (InstanceId::new("me", 1), InstanceId::new("other", 1));
+    let other = held_by(&other, Some(address(2)));
     let may = |instances: &[InstanceRecord]| rules(instances, 0).may_take_over(&other, &me);
     assert!(!may(&[]), "absent");
     assert!(!may(&listed(&[("other", InstanceState::Live, 9_000)])));
@@ -54,9 +68,31 @@
 fn takeover_of_the_earlier_incarnation_waits_for_its_loans() {
     let (old, new) = (InstanceId::new("me", 1), InstanceId::new("me", 2));
     let instances = listed(&[("me", InstanceState::Live, 9_000)]);
+    let (old, own) = (
+        held_by(&old, Some(address(1))),
+        held_by(&new, Some(address(1))),
+    );
     assert!(!rules(&instances, LAG_MS + 3_250).may_take_over(&old, &new));
     assert!(rules(&instances, LAG_MS + 3_251).may_take_over(&old, &new));
-    assert!(!rules(&instances, 9_000).may_take_over(&new, &new));
+    assert!(!rules(&instances, 9_000).may_take_over(&own, &new));
+}
+
+/// Guards against a replacement of the same name that takes the slots of a process which still
+/// runs at another address, paused or cut off, so that both spend.
+#[test]
+fn takeover_by_name_needs_the_same_address() {
+    let (old, new) = (InstanceId::new("me", 1), InstanceId::new("me", 2));
+    let instances = listed(&[("me", InstanceState::Live, 9_000)]);
+    let may = |address| rules(&instances, 9_000).may_take_over(&held_by(&old, address), &new);
+    assert!(may(Some(address(1))));
+    assert!(!may(Some(address(2))), "another address");
+    assert!(!may(None), "an entry without an address");
+    let everywhere = SocketAddr::from(([0, 0, 0, 0], 1));
+    let rules = SlotRules {
+        address: everywhere,
+        ..rules(&instances, 9_000)
+    };
+    assert!(!rules.may_take_over(&held_by(&old, Some(everywhere)), &new));
 }
 
 /// Guards against a claim by an instance that a lagging list may still report as gone.
@@ -77,7 +113,7 @@
     let mut slots = SlotDomain::default();
     for slot in SlotIndex::all().take(20) {
         let holder = InstanceId::new("a", 1);
-        slots.slots.insert(slot, SlotRecord { holder, split: 1 });
+        slots.slots.insert(slot, held_by(&holder, Some(address(2))));
     }
     let mut seen = 20;
     for (name, expected) in names.iter().zip([0, 11, 11, 11, 11]) {
@@ -94,12 +130,20 @@
 fn slot_record_and_hash_keep_their_form() {
     let holder = InstanceId::new("lagos-a-1", 7);
     let mut domain = SlotDomain::default();
-    domain
-        .slots
-        .insert(SlotIndex(3), SlotRecord { holder, split: 12 });
+    let address = Some(([10, 0, 0, 7], 7_000).into());
+    let split = 12;
+    let record = SlotRecord {
+        holder,
+        split,
+        address,
+    };
+    domain.slots.insert(SlotIndex(3), record);
     let text = serde_json::to_string(&domain).unwrap();
-    let form = r#"{"slots":{"3":{"holder":{"name":"lagos-a-1","incarnation":7},"split":12}}}"#;
+    let form = r#"{"slots":{"3":{"holder":{"name":"lagos-a-1","incarnation":7},"split":12,"address":"10.0.0.7:7000"}}}"#;
     assert_eq!(text, form);
     assert_eq!(serde_json::from_str::<SlotDomain>(&text).unwrap(), domain);
+    let earlier = text.replace(r#","address":"10.0.0.7:7000""#, "");
+    let earlier: SlotDomain = serde_json::from_str(&earlier).unwrap();
+    assert_eq!(earlier.slots[&SlotIndex(3)].address, None);
     assert_eq!(SlotIndex::of(&org("kolanut")), SlotIndex(58));
 }
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -183,6 +183,7 @@
     let rules = SlotRules {
         instances: &own,
         lag,
+        address: node.settings.instance.peers,
         running_for: running_for(node, now),
     };
     node.limits.lock().plan_slots(&rules, now)
