Bind the name in Hello to the certificate

Any holder of a certificate of the authority could claim any instance name. The certificate now names its instance in a URI of the subject alternative name, read with rustls-webpki, and both sides of a link check the claim. The caller gets LinkError::NameNotCertified; the accepting side ends the link before its own Hello and tells PeerService::link_refused. A URI is used since DNS names ignore case and exclude some valid instance names.

Certificates made before lack the URI and must be made again with `hawthornquay tls new`.

With the check taken out, the new test in faults.rs fails: the false caller gets a loan. The raw peer of the tests used the certificate of the other instance and now uses its own.

--- /dev/null
+++ b/crates/instances/src/certified_name.rs
@@ -0,0 +1,44 @@
+//! Instance name in a certificate.
+
+use hawthornquay_decisions::{InstanceId, InstanceName};
+use rustls_pki_types::CertificateDer;
+use webpki::EndEntityCert;
+
+use crate::LinkError;
+
+/// Start of the URI that names an instance.
+///
+/// A URI is compared exactly. DNS names ignore case, so two instances could share one.
+const URI_PREFIX: &str = "urn:hawthornquay:instance:";
+
+/// Returns the URI of the subject alternative name of an instance.
+pub(crate) fn instance_uri(name: &str) -> String {
+    format!("{URI_PREFIX}{name}")
+}
+
+/// Checks that the verified certificate of a peer names the instance that the peer claims to be.
+pub(crate) fn check_claim(
+    certificates: &[CertificateDer<'_>],
+    claimed: &InstanceId,
+) -> Result<(), LinkError> {
+    let names = certificates
+        .first()
+        .and_then(|certificate| EndEntityCert::try_from(certificate).ok())
+        .map(|certificate| names_of(&certificate))
+        .unwrap_or_default();
+    if names.contains(&claimed.name) {
+        return Ok(());
+    }
+    Err(LinkError::NameNotCertified {
+        claimed: claimed.name.clone(),
+        certified: names,
+    })
+}
+
+fn names_of(certificate: &EndEntityCert<'_>) -> Vec<InstanceName> {
+    certificate
+        .valid_uri_names()
+        .filter_map(|uri| uri.strip_prefix(URI_PREFIX))
+        .map(InstanceName::new)
+        .collect()
+}
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -9,6 +9,7 @@
 mod bundle_fetch;
 mod capacity_grant;
 mod capacity_request;
+mod certified_name;
 mod digest;
 mod digest_entry;
 mod envelope;
--- a/crates/instances/src/link.rs
+++ b/crates/instances/src/link.rs
@@ -1,9 +1,6 @@
 //! Link that this process opened.
 
-use std::{
-    io,
-    sync::{Arc, atomic::AtomicUsize},
-};
+use std::sync::{Arc, atomic::AtomicUsize};
 
 use hawthornquay_decisions::{InstanceId, Map};
 use parking_lot::Mutex;
@@ -17,7 +14,8 @@
 
 use crate::{
     Body, Envelope, ForwardStream, LinkCounters, LinkError, LocalInstance, PeerAddress, Ping,
-    framed::{EnvelopeReader, frame, receive_hello, send_hello},
+    certified_name::check_claim,
+    framed::{EnvelopeReader, EnvelopeWriter, frame, receive_hello, send_hello},
     metered_stream::{LastReceived, MeteredStream},
     outbox::Outbox,
     stream_inlet::StreamInlet,
@@ -48,16 +46,8 @@
         local: &LocalInstance,
         peer: &PeerAddress,
         closed: CancellationToken,
-    ) -> io::Result<Arc<Self>> {
-        let socket = TcpStream::connect(peer.address).await?;
-        socket.set_nodelay(true)?;
-        let socket = MeteredStream::new(socket, local.counters.clone());
-        let last_received = socket.last_received();
-        let name = ServerName::from(peer.address.ip());
-        let tls = local.tls.connector.connect(name, socket).await?;
-        let (mut reader, mut writer) = frame(tls, &local.counters);
-        send_hello(&mut writer, local.hello()).await?;
-        let found = receive_hello(&mut reader).await?;
+    ) -> Result<Arc<Self>, LinkError> {
+        let (found, reader, writer, last_received) = connect(local, peer).await?;
         LinkCounters::increment(&local.counters.opened);
         let (outbox, outgoing) = Outbox::new();
         let link = Arc::new(Self {
@@ -255,3 +245,39 @@
         }
     }
 }
+
+/// Connects and exchanges identities.
+async fn connect(
+    local: &LocalInstance,
+    peer: &PeerAddress,
+) -> Result<
+    (
+        InstanceId,
+        EnvelopeReader<Tls>,
+        EnvelopeWriter<Tls>,
+        LastReceived,
+    ),
+    LinkError,
+> {
+    let failed = |source| LinkError::connect(peer, source);
+    let socket = TcpStream::connect(peer.address).await.map_err(failed)?;
+    socket.set_nodelay(true).map_err(failed)?;
+    let socket = MeteredStream::new(socket, local.counters.clone());
+    let last_received = socket.last_received();
+    let name = ServerName::from(peer.address.ip());
+    let tls = local.tls.connector.connect(name, socket).await;
+    let tls = tls.map_err(failed)?;
+    let certificates = tls
+        .get_ref()
+        .1
+        .peer_certificates()
+        .unwrap_or_default()
+        .to_vec();
+    let (mut reader, mut writer) = frame(tls, &local.counters);
+    send_hello(&mut writer, local.hello())
+        .await
+        .map_err(failed)?;
+    let found = receive_hello(&mut reader).await.map_err(failed)?;
+    check_claim(&certificates, &found)?;
+    Ok((found, reader, writer, last_received))
+}
--- a/crates/instances/src/link_error.rs
+++ b/crates/instances/src/link_error.rs
@@ -4,6 +4,8 @@
 
 use hawthornquay_decisions::{Execution, InstanceId, InstanceName};
 
+use crate::PeerAddress;
+
 /// Failure of a link, a call or the set-up of TLS.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
@@ -39,6 +41,14 @@
         /// Error of the system or of TLS.
         source: io::Error,
     },
+    /// A link that another process opened did not finish its handshake.
+    #[error("accepting a link from {address}: {source}")]
+    Accept {
+        /// Address of the other end.
+        address: SocketAddr,
+        /// Error of the system or of TLS.
+        source: io::Error,
+    },
     /// Another instance or incarnation answers at the address.
     #[error("expected instance {expected} at {address}, found {found}")]
     WrongPeer {
@@ -49,6 +59,17 @@
         /// Instance that answered.
         found: InstanceId,
     },
+    /// The peer's certificate does not name the instance that the peer claims to be.
+    #[error(
+        "the peer claims to be instance {claimed}, but its certificate names {}",
+        names(certified)
+    )]
+    NameNotCertified {
+        /// Instance that the peer claims to be.
+        claimed: InstanceName,
+        /// Instances that the certificate names.
+        certified: Vec<InstanceName>,
+    },
     /// The message is larger than a frame may be.
     #[error("message of {len} bytes exceeds the frame limit of {limit} bytes")]
     TooLarge {
@@ -87,6 +108,14 @@
 }
 
 impl LinkError {
+    pub(crate) fn connect(peer: &PeerAddress, source: io::Error) -> Self {
+        Self::Connect {
+            name: peer.name.clone(),
+            address: peer.address,
+            source,
+        }
+    }
+
     /// Returns whether the failed call may have run at the peer.
     ///
     /// `NotRun` means that no byte of the call was handed to the socket.
@@ -98,3 +127,11 @@
         }
     }
 }
+
+fn names(certified: &[InstanceName]) -> String {
+    if certified.is_empty() {
+        return "none; generate a new one with `hawthornquay tls new`".to_owned();
+    }
+    let names: Vec<&str> = certified.iter().map(InstanceName::as_str).collect();
+    names.join(", ")
+}
--- a/crates/instances/src/link_pool.rs
+++ b/crates/instances/src/link_pool.rs
@@ -163,20 +163,14 @@
 
     async fn open(&self, peer: &PeerAddress) -> Result<Arc<Link>, LinkError> {
         let closed = self.closed.child_token();
-        let opened = match closed.is_cancelled() {
-            true => Err(io::Error::other("the pool is closed")),
-            false => {
-                let opening = Link::open(&self.local, peer, closed);
-                timeout(self.local.settings.connect, opening)
-                    .await
-                    .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
-            }
-        };
-        opened.map_err(|source| LinkError::Connect {
-            name: peer.name.clone(),
-            address: peer.address,
-            source,
-        })
+        if closed.is_cancelled() {
+            let source = io::Error::other("the pool is closed");
+            return Err(LinkError::connect(peer, source));
+        }
+        let opening = Link::open(&self.local, peer, closed);
+        timeout(self.local.settings.connect, opening)
+            .await
+            .unwrap_or_else(|_| Err(LinkError::connect(peer, io::ErrorKind::TimedOut.into())))
     }
 }
 
--- a/crates/instances/src/peer_connection.rs
+++ b/crates/instances/src/peer_connection.rs
@@ -1,6 +1,6 @@
 //! Link that another instance opened.
 
-use std::{io, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use hawthornquay_decisions::{Execution, InstanceId};
 use tokio::{
@@ -11,8 +11,9 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    Body, CALLS_PER_LINK, Envelope, Forward, ForwardRefused, ForwardSink, LinkCounters,
+    Body, CALLS_PER_LINK, Envelope, Forward, ForwardRefused, ForwardSink, LinkCounters, LinkError,
     LocalInstance, Notice, PeerService, Pong, STREAM_WINDOW,
+    certified_name::check_claim,
     forward_sink::{StreamControl, Streams},
     framed::{EnvelopeReader, EnvelopeWriter, frame, receive_hello, send_hello},
     metered_stream::{LastReceived, MeteredStream},
@@ -38,13 +39,21 @@
     /// Serves a socket until it ends, or until `shutdown` and the end of its calls.
     pub(crate) async fn serve(
         socket: TcpStream,
+        from: SocketAddr,
         local: LocalInstance,
         service: Arc<S>,
         shutdown: CancellationToken,
     ) {
-        let handshake = timeout(local.settings.connect, accept(socket, &local));
-        let Ok(Ok((peer, reader, writer, last_received))) = handshake.await else {
-            return;
+        let handshake = timeout(local.settings.connect, accept(socket, from, &local));
+        let accepted = handshake.await.unwrap_or_else(|_| {
+            Err(LinkError::Accept {
+                address: from,
+                source: io::ErrorKind::TimedOut.into(),
+            })
+        });
+        let (peer, reader, writer, last_received) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => return service.link_refused(&error),
         };
         LinkCounters::increment(&local.counters.opened);
         let (outbox, outgoing) = Outbox::new();
@@ -219,19 +228,36 @@
 
 async fn accept(
     socket: TcpStream,
+    from: SocketAddr,
     local: &LocalInstance,
-) -> io::Result<(
-    InstanceId,
-    EnvelopeReader<Tls>,
-    EnvelopeWriter<Tls>,
-    LastReceived,
-)> {
-    socket.set_nodelay(true)?;
+) -> Result<
+    (
+        InstanceId,
+        EnvelopeReader<Tls>,
+        EnvelopeWriter<Tls>,
+        LastReceived,
+    ),
+    LinkError,
+> {
+    let failed = |source| LinkError::Accept {
+        address: from,
+        source,
+    };
+    socket.set_nodelay(true).map_err(failed)?;
     let socket = MeteredStream::new(socket, local.counters.clone());
     let last_received = socket.last_received();
-    let tls = local.tls.acceptor.accept(socket).await?;
+    let tls = local.tls.acceptor.accept(socket).await.map_err(failed)?;
+    let certificates = tls
+        .get_ref()
+        .1
+        .peer_certificates()
+        .unwrap_or_default()
+        .to_vec();
     let (mut reader, mut writer) = frame(tls, &local.counters);
-    let peer = receive_hello(&mut reader).await?;
-    send_hello(&mut writer, local.hello()).await?;
+    let peer = receive_hello(&mut reader).await.map_err(failed)?;
+    check_claim(&certificates, &peer)?;
+    send_hello(&mut writer, local.hello())
+        .await
+        .map_err(failed)?;
     Ok((peer, reader, writer, last_received))
 }
--- a/crates/instances/src/peer_server.rs
+++ b/crates/instances/src/peer_server.rs
@@ -57,7 +57,7 @@
                 () = shutdown.cancelled() => break,
                 accepted = self.listener.accept() => accepted,
             };
-            let Ok((socket, _)) = accepted else {
+            let Ok((socket, from)) = accepted else {
                 // Out of file descriptors, most often: waits for connections to close.
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
@@ -68,7 +68,7 @@
             let (local, service) = (self.local.clone(), self.service.clone());
             let shutdown = shutdown.clone();
             links.spawn(async move {
-                PeerConnection::serve(socket, local, service, shutdown).await;
+                PeerConnection::serve(socket, from, local, service, shutdown).await;
                 drop(permit);
             });
         }
--- a/crates/instances/src/peer_service.rs
+++ b/crates/instances/src/peer_service.rs
@@ -5,8 +5,8 @@
 use hawthornquay_decisions::InstanceId;
 
 use crate::{
-    BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardSink, LoanGrant,
-    LoanRequest, Notice,
+    BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardSink, LinkError,
+    LoanGrant, LoanRequest, Notice,
 };
 
 /// Answers to the messages of other instances.
@@ -14,6 +14,11 @@
 /// Calls of one link run concurrently. A call goes on when its link ends, except that the sink of
 /// a forward reports the cancellation.
 pub trait PeerService: Send + Sync + 'static {
+    /// Is told of a link that was refused before the end of its handshake.
+    fn link_refused(&self, error: &LinkError) {
+        let _ = error;
+    }
+
     /// Takes a message without a reply.
     fn notice(&self, from: &InstanceId, notice: Notice) -> impl Future<Output = ()> + Send;
 
--- a/crates/instances/src/test_authority.rs
+++ b/crates/instances/src/test_authority.rs
@@ -7,7 +7,7 @@
     KeyUsagePurpose, SanType,
 };
 
-use crate::{LinkError, PemFiles, TlsIdentity};
+use crate::{LinkError, PemFiles, TlsIdentity, certified_name::instance_uri};
 
 /// New authority with one certificate for each instance, in the order of the request.
 pub struct TestAuthority {
@@ -37,7 +37,9 @@
     }
 }
 
-/// Makes an authority and one certificate for each instance name with its IP address.
+/// Makes an authority and one certificate for each instance with its IP address.
+///
+/// The certificate names the instance in a URI, which both sides of a link check.
 ///
 /// # Errors
 ///
@@ -68,7 +70,10 @@
     address: IpAddr,
 ) -> Result<PemFiles, LinkError> {
     let mut params = CertificateParams::new(Vec::new())?;
-    params.subject_alt_names = vec![SanType::IpAddress(address)];
+    params.subject_alt_names = vec![
+        SanType::IpAddress(address),
+        SanType::URI(instance_uri(name).try_into()?),
+    ];
     params.distinguished_name.push(DnType::CommonName, name);
     params.extended_key_usages = vec![
         ExtendedKeyUsagePurpose::ServerAuth,
--- a/crates/instances/tests/faults.rs
+++ b/crates/instances/tests/faults.rs
@@ -10,7 +10,7 @@
     STREAM_WINDOW,
 };
 use support::{
-    AMPLE, ANY_PORT, Pair, authority, loan, local,
+    AMPLE, ANY_PORT, Pair, authority, claiming, loan, local,
     raw_peer::RawPeer,
     relay::{Fault, Relay},
     serve,
@@ -106,6 +106,31 @@
     assert_eq!(pair.server.service.arrived.available_permits(), 0);
 }
 
+/// Guards against a holder of any certificate of the authority that calls, or answers, under the
+/// name of another instance.
+#[tokio::test]
+async fn link_with_a_name_that_is_not_certified_is_refused_by_both_sides() {
+    let pair = Pair::start().await;
+    let false_caller = LinkPool::new(claiming(&pair.authority, "a", "b", 7));
+    let refused = false_caller.call(&pair.peer(), loan("o", 1), AMPLE).await;
+    assert_eq!(refused.unwrap_err().execution(), Execution::NotRun);
+    let errors = pair.server.service.refused.lock().unwrap().clone();
+    let expected = "the peer claims to be instance b, but its certificate names a";
+    assert_eq!(errors, [expected]);
+    assert_eq!(pair.server.service.arrived.available_permits(), 0);
+
+    let false_server = serve(claiming(&pair.authority, "a", "b", 8)).await;
+    let peer = PeerAddress::new("b", false_server.address);
+    let error = pair.pool.call(&peer, loan("o", 1), AMPLE).await;
+    let error = error.unwrap_err();
+    assert_eq!(error.execution(), Execution::NotRun);
+    let LinkError::NameNotCertified { claimed, certified } = &error else {
+        panic!("{error}");
+    };
+    assert_eq!((claimed.as_str(), certified.len()), ("b", 1), "{error}");
+    assert_eq!(false_server.service.arrived.available_permits(), 0);
+}
+
 /// Guards against calls that go to the former process after another took over the address.
 #[tokio::test]
 async fn peer_replaced_at_the_address_gets_new_calls() {
--- a/crates/instances/tests/support/mod.rs
+++ b/crates/instances/tests/support/mod.rs
@@ -28,13 +28,27 @@
 }
 
 pub fn local(authority: &TestAuthority, name: &str, incarnation: u64) -> LocalInstance {
-    let index = usize::from(name == "b");
+    claiming(authority, name, name, incarnation)
+}
+
+/// Builds an instance that has the certificate of `name` and claims to be `claimed`.
+pub fn claiming(
+    authority: &TestAuthority,
+    name: &str,
+    claimed: &str,
+    incarnation: u64,
+) -> LocalInstance {
     LocalInstance::new(
-        InstanceId::new(name, incarnation),
-        authority.identity(index).unwrap(),
+        InstanceId::new(claimed, incarnation),
+        authority.identity(index_of(name)).unwrap(),
     )
 }
 
+/// Returns the place of an instance in [`authority`].
+pub fn index_of(name: &str) -> usize {
+    usize::from(name == "b")
+}
+
 pub struct TestServer {
     pub address: SocketAddr,
     pub local: LocalInstance,
--- a/crates/instances/tests/support/raw_peer.rs
+++ b/crates/instances/tests/support/raw_peer.rs
@@ -20,14 +20,14 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::ANY_PORT;
+use super::{ANY_PORT, index_of};
 
 pub struct RawPeer(Framed<TlsStream<TcpStream>, LengthDelimitedCodec>);
 
 impl RawPeer {
     pub async fn accept(listener: &TcpListener, authority: &TestAuthority, name: &str) -> Self {
         let (socket, _) = listener.accept().await.unwrap();
-        let stream = acceptor(authority).accept(socket).await.unwrap();
+        let stream = acceptor(authority, name).accept(socket).await.unwrap();
         let mut peer = Self::frame(stream.into());
         assert!(matches!(peer.receive().await.body, Some(Body::Hello(_))));
         peer.hello(name).await;
@@ -36,8 +36,11 @@
 
     pub async fn connect(address: std::net::SocketAddr, authority: &TestAuthority) -> Self {
         let socket = TcpStream::connect(address).await.unwrap();
-        let name = ServerName::from(ANY_PORT.ip());
-        let stream = connector(authority).connect(name, socket).await.unwrap();
+        let server = ServerName::from(ANY_PORT.ip());
+        let stream = connector(authority, "a")
+            .connect(server, socket)
+            .await
+            .unwrap();
         let mut peer = Self::frame(stream.into());
         peer.hello("a").await;
         assert!(matches!(peer.receive().await.body, Some(Body::Hello(_))));
@@ -97,18 +100,21 @@
     Arc::new(roots)
 }
 
-fn own(authority: &TestAuthority) -> (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>) {
-    let files = &authority.instances[1];
+fn own(
+    authority: &TestAuthority,
+    name: &str,
+) -> (Vec<CertificateDer<'static>>, PrivateKeyDer<'static>) {
+    let files = &authority.instances[index_of(name)];
     (
         vec![CertificateDer::from_pem_slice(files.certificate.as_bytes()).unwrap()],
         PrivateKeyDer::from_pem_slice(files.key.as_bytes()).unwrap(),
     )
 }
 
-fn acceptor(authority: &TestAuthority) -> TlsAcceptor {
+fn acceptor(authority: &TestAuthority, name: &str) -> TlsAcceptor {
     let provider = Arc::new(ring::default_provider());
     let verifier = WebPkiClientVerifier::builder_with_provider(roots(authority), provider.clone());
-    let (chain, key) = own(authority);
+    let (chain, key) = own(authority, name);
     let config = ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&TLS13])
         .unwrap()
@@ -118,8 +124,8 @@
     Arc::new(config).into()
 }
 
-fn connector(authority: &TestAuthority) -> TlsConnector {
-    let (chain, key) = own(authority);
+fn connector(authority: &TestAuthority, name: &str) -> TlsConnector {
+    let (chain, key) = own(authority, name);
     let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
         .with_protocol_versions(&[&TLS13])
         .unwrap()
--- a/crates/instances/tests/support/service.rs
+++ b/crates/instances/tests/support/service.rs
@@ -6,7 +6,8 @@
 use hawthornquay_decisions::{Execution, InstanceId};
 use hawthornquay_instances::{
     BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardData, ForwardEnd,
-    ForwardHead, ForwardRefused, ForwardSink, LoanGrant, LoanRequest, Notice, PeerService,
+    ForwardHead, ForwardRefused, ForwardSink, LinkError, LoanGrant, LoanRequest, Notice,
+    PeerService,
 };
 use tokio::sync::{Mutex, Notify, Semaphore};
 
@@ -23,6 +24,8 @@
     /// Forwards whose cancellation has been seen.
     pub cancelled: Semaphore,
     pub flood_sent: AtomicUsize,
+    /// Errors of refused links.
+    pub refused: std::sync::Mutex<Vec<String>>,
 }
 
 impl Default for TestService {
@@ -34,6 +37,7 @@
             release: Semaphore::new(0),
             cancelled: Semaphore::new(0),
             flood_sent: AtomicUsize::new(0),
+            refused: std::sync::Mutex::default(),
         }
     }
 }
@@ -60,6 +64,10 @@
 }
 
 impl PeerService for TestService {
+    fn link_refused(&self, error: &LinkError) {
+        self.refused.lock().unwrap().push(error.to_string());
+    }
+
     async fn notice(&self, from: &InstanceId, notice: Notice) {
         self.notices.lock().await.push((from.clone(), notice));
         self.noticed.notify_one();
