Count loan messages by cause in the measurement

An organisation whose callers are in one domain asks all other holders, for a quarter of a second of demand each time, and renews with each of them every 2 s.

--- a/crates/decisions/examples/limit_support/limit_run.rs
+++ b/crates/decisions/examples/limit_support/limit_run.rs
@@ -88,6 +88,12 @@
             LoanStep::Ready => self.try_admit(arrival, instance),
             LoanStep::Ask(calls) => {
                 self.wait(arrival, instance);
+                let count = calls.len() as u64;
+                let loans = &mut self.figures.loans;
+                match self.steady[organisation] {
+                    true => loans.asked_by_steady += count,
+                    false => loans.asked_by_overloaded += count,
+                }
                 self.send(instance, calls);
             }
             LoanStep::Wait => self.wait(arrival, instance),
@@ -204,9 +210,17 @@
     pub(crate) fn send(&mut self, from: usize, calls: Vec<LoanCall>) {
         for call in calls {
             self.instances[from].messages += 1;
-            if let Some(to) = self.by_id.get(&call.lender).copied()
-                && let Some(at) = self.delivery(from, to)
-            {
+            let Some(to) = self.by_id.get(&call.lender).copied() else {
+                continue;
+            };
+            let (a, b) = (self.instances[from].domain, self.instances[to].domain);
+            let distance = match () {
+                () if a == b => 0,
+                () if region_of(a) == region_of(b) => 1,
+                () => 2,
+            };
+            self.figures.loans.distance[distance] += 1;
+            if let Some(at) = self.delivery(from, to) {
                 self.push(at, Event::Request(from, to, call.request));
             }
         }
@@ -225,6 +239,12 @@
             .handle_loan_request(&borrower, &domain, req, now)
         {
             lender.messages += 1;
+            let loans = &mut self.figures.loans;
+            match grant.level {
+                _ if grant.share == LimitShare::default() => loans.empty_grants += 1,
+                level if level < req.level / 2 => loans.partial_grants += 1,
+                _ => loans.full_grants += 1,
+            }
             if let Some(at) = self.delivery(to, from) {
                 self.push(at, Event::Grant(to, from, grant));
             }
@@ -265,6 +285,7 @@
                 let calls = self.instances[index]
                     .table
                     .renew_loans(MonotonicTime(self.now));
+                self.figures.loans.renewals += calls.len() as u64;
                 self.send(index, calls);
                 if self.now.is_multiple_of(SLOT_TICK)
                     && self.now > 0
--- a/crates/decisions/examples/limit_support/limit_types.rs
+++ b/crates/decisions/examples/limit_support/limit_types.rs
@@ -73,6 +73,25 @@
     pub(crate) amount: u64,
 }
 
+/// Loan messages by cause.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct LoanFigures {
+    /// Requests for a caller of an organisation within its rate.
+    pub(crate) asked_by_steady: u64,
+    /// Requests for a caller of an organisation that sends twice its rate.
+    pub(crate) asked_by_overloaded: u64,
+    /// Renewals of loans in use.
+    pub(crate) renewals: u64,
+    /// Answers that brought nothing.
+    pub(crate) empty_grants: u64,
+    /// Answers that brought less than half of the level asked for.
+    pub(crate) partial_grants: u64,
+    /// Answers that brought half or more.
+    pub(crate) full_grants: u64,
+    /// Requests to the own domain, to the own region, and to other regions.
+    pub(crate) distance: [u64; 3],
+}
+
 #[derive(Default)]
 pub(crate) struct Figures {
     pub(crate) requests: u64,
@@ -81,6 +100,7 @@
     pub(crate) waited: u64,
     pub(crate) wrongly_by_steady: u64,
     pub(crate) requests_of_steady: u64,
+    pub(crate) loans: LoanFigures,
 }
 
 pub(crate) struct Instance {
--- a/crates/decisions/examples/limits_measurement.rs
+++ b/crates/decisions/examples/limits_measurement.rs
@@ -62,7 +62,30 @@
                     per_s(messages) / run.instances.len() as f64,
                     per_s(most.unwrap_or(0)),
                 );
+                if of == Scheme::Limits {
+                    print_loans(&run);
+                }
             }
         }
     }
 }
+
+/// Prints the loan messages of an instance each second by cause.
+fn print_loans(run: &Run) {
+    let loans = &run.figures.loans;
+    let rate = |count: u64| count as f64 * 1e6 / END as f64 / run.instances.len() as f64;
+    println!(
+        "  loans/s asked-by-steady {:.2} asked-by-overloaded {:.2} renewals {:.2} \
+         empty-grants {:.2} partial-grants {:.2} full-grants {:.2} \
+         to-own-domain {:.2} to-own-region {:.2} to-other-regions {:.2}",
+        rate(loans.asked_by_steady),
+        rate(loans.asked_by_overloaded),
+        rate(loans.renewals),
+        rate(loans.empty_grants),
+        rate(loans.partial_grants),
+        rate(loans.full_grants),
+        rate(loans.distance[0]),
+        rate(loans.distance[1]),
+        rate(loans.distance[2]),
+    );
+}
