Convert digests with the types of the link package

gossip.rs had its own copies of the conversions between digest messages and gossip entries, and its own count of an entry's size. No behaviour changes, so no test fails without it. The direct dependency on prost is no longer needed.

--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -4,10 +4,9 @@
 
 use futures_util::future::join_all;
 use hawthornquay_decisions::{
-    GossipEntry, GossipLoad, GossipPartners, GossipSettings, InstanceId, InstanceName,
+    GossipEntry, GossipPartners, GossipSettings, InstanceId, InstanceName,
 };
-use hawthornquay_instances::{BackendLoad, Digest, DigestEntry, Notice};
-use prost::Message;
+use hawthornquay_instances::{Digest, DigestEntry, Notice};
 use slog::{debug, info};
 
 use crate::{Node, clock, rollout_peers::fetch_from};
@@ -19,9 +18,6 @@
 /// All instances reading each second would make the platform's load grow with the fleet.
 const LIST_ROUNDS: u64 = 5;
 
-/// Bytes that an entry adds to an encoded digest beside its own length.
-const ENTRY_OVERHEAD: usize = 2;
-
 /// Reads the platform's list and exchanges digests for as long as the process runs.
 pub async fn run_membership(node: Arc<Node>) {
     let settings = GossipSettings::default();
@@ -61,7 +57,7 @@
 
 /// Takes a digest, and fetches the bundle of a sender that is ahead.
 pub async fn take_digest(node: &Arc<Node>, from: &InstanceId, digest: &Digest) {
-    let entries: Vec<GossipEntry> = digest.entries.iter().map(read_entry).collect();
+    let entries = Vec::<GossipEntry>::from(digest.clone());
     let sender_version = entries.first().map_or(0, |entry| entry.bundle_version);
     let known = {
         let mut members = node.members.lock();
@@ -98,19 +94,13 @@
         chosen
             .into_iter()
             .map(|name| {
-                let entries = members
-                    .digest(now, &name, entry_len)
-                    .iter()
-                    .map(write_entry)
-                    .collect();
-                (
-                    name,
-                    Digest {
-                        entries,
-                        head_version,
-                        head_age_ms,
-                    },
-                )
+                let entries = members.digest(now, &name, DigestEntry::len_in_digest);
+                let digest = Digest {
+                    head_version,
+                    head_age_ms,
+                    ..Digest::from(entries.as_slice())
+                };
+                (name, digest)
             })
             .collect()
     };
@@ -124,10 +114,6 @@
     }
 }
 
-fn entry_len(entry: &GossipEntry) -> usize {
-    write_entry(entry).encoded_len() + ENTRY_OVERHEAD
-}
-
 async fn send_digest(node: &Node, name: InstanceName, digest: Digest) -> Option<InstanceName> {
     let peer = node.peer_named(&name)?;
     match node.links.send(&peer, Notice::Digest(digest)).await {
@@ -148,46 +134,3 @@
             (seen.0, u64::try_from(age).unwrap_or(u64::MAX))
         })
 }
-
-fn read_entry(entry: &DigestEntry) -> GossipEntry {
-    GossipEntry {
-        id: InstanceId::new(&entry.name, entry.incarnation),
-        heartbeat: entry.heartbeat,
-        bundle_version: entry.bundle_version,
-        leaving: entry.leaving,
-        loads: entry.loads.iter().map(read_load).collect(),
-    }
-}
-
-fn read_load(load: &BackendLoad) -> GossipLoad {
-    GossipLoad {
-        backend: load.name.as_str().into(),
-        running: load.running,
-        waiting: load.waiting,
-        slots: load.slots,
-        sequence: load.sequence,
-        leaving: load.leaving,
-    }
-}
-
-fn write_entry(entry: &GossipEntry) -> DigestEntry {
-    DigestEntry {
-        name: entry.id.name.to_string(),
-        incarnation: entry.id.incarnation.0,
-        heartbeat: entry.heartbeat,
-        bundle_version: entry.bundle_version,
-        leaving: entry.leaving,
-        loads: entry.loads.iter().map(write_load).collect(),
-    }
-}
-
-fn write_load(load: &GossipLoad) -> BackendLoad {
-    BackendLoad {
-        name: load.backend.to_string(),
-        running: load.running,
-        waiting: load.waiting,
-        slots: load.slots,
-        sequence: load.sequence,
-        leaving: load.leaving,
-    }
-}
