Announce a leaving backend server to the whole domain at once

The instance that polls a server passes its report on in the digests of each second, which reach two other members of the domain. At 35 instances a domain the last one learned of a leaving server too late. The poller now sends its digest to every live member of its domain when a server's `leaving` changes; such changes are rare, so control traffic stays as it is otherwise.

--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use hawthornquay_decisions::{
-    GossipEntry, GossipPartners, GossipSettings, InstanceId, InstanceName,
+    GossipEntry, GossipPartners, GossipSettings, InstanceId, InstanceName, MemberState,
 };
 use hawthornquay_instances::{Digest, DigestEntry, Notice};
 use slog::{debug, info};
@@ -85,13 +85,42 @@
 }
 
 async fn send_digests(node: &Arc<Node>, partners: &mut GossipPartners) {
-    let now = clock::now();
+    let chosen = {
+        let mut members = node.members.lock();
+        members.beat();
+        partners.choose(clock::now(), &members, rand::random)
+    };
+    *node.partners.lock() = chosen.clone();
+    for failed in send_to(node, chosen).await {
+        partners.drop_partner(&failed);
+    }
+}
+
+/// Sends a digest to every live member of the own domain at once.
+///
+/// Work must stop going to a leaving backend server within seconds, in which the digests of each
+/// second do not reach all members of a large domain.
+pub async fn announce_to_domain(node: &Node) {
+    let names = {
+        let members = node.members.lock();
+        let now = clock::now();
+        members
+            .others()
+            .filter(|member| member.record.domain == node.place.domain)
+            .filter(|member| members.state_of(member, now) == MemberState::Live)
+            .map(|member| member.record.name.clone())
+            .collect()
+    };
+    send_to(node, names).await;
+}
+
+/// Sends a digest to each of the members; returns those that cannot be reached.
+async fn send_to(node: &Node, names: Vec<InstanceName>) -> Vec<InstanceName> {
     let (head_version, head_age_ms) = head_seen(node);
     let digests: Vec<(InstanceName, Digest)> = {
         let mut members = node.members.lock();
-        members.beat();
-        let chosen = partners.choose(now, &members, rand::random);
-        chosen
+        let now = clock::now();
+        names
             .into_iter()
             .map(|name| {
                 let entries = members.digest(now, &name, DigestEntry::len_in_digest);
@@ -104,14 +133,14 @@
             })
             .collect()
     };
-    *node.partners.lock() = digests.iter().map(|(name, _)| name.clone()).collect();
     let sends = digests
         .into_iter()
         .map(|(name, digest)| send_digest(node, name, digest));
-    for failed in join_all(sends).await.into_iter().flatten() {
-        partners.drop_partner(&failed);
-        node.members.lock().mark_unreachable(&failed);
+    let failed: Vec<InstanceName> = join_all(sends).await.into_iter().flatten().collect();
+    for name in &failed {
+        node.members.lock().mark_unreachable(name);
     }
+    failed
 }
 
 async fn send_digest(node: &Node, name: InstanceName, digest: Digest) -> Option<InstanceName> {
--- a/crates/hawthornquay/src/load_task.rs
+++ b/crates/hawthornquay/src/load_task.rs
@@ -9,7 +9,7 @@
 };
 use slog::debug;
 
-use crate::{Node, clock};
+use crate::{Node, clock, gossip::announce_to_domain};
 
 const INTERVAL: Duration = Duration::from_millis(500);
 
@@ -30,13 +30,19 @@
     let mut interval = tokio::time::interval(INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut relayed: Map<BackendName, u64> = Map::default();
+    let mut leaving: Map<BackendName, bool> = Map::default();
     let mut events: Map<BackendName, u64> = Map::default();
     loop {
         interval.tick().await;
         let servers = own_share(&node);
         let polls = servers.iter().map(|server| poll_load(&node, server));
         let loads: Vec<GossipLoad> = join_all(polls).await.into_iter().flatten().collect();
+        let leaving_changed = note_leaving(&mut leaving, &loads);
         node.members.lock().own_mut().loads = loads;
+        if leaving_changed {
+            let node = Arc::clone(&node);
+            tokio::spawn(async move { announce_to_domain(&node).await });
+        }
         for server in servers.iter().filter(|server| is_engine(server)) {
             poll_prefixes(&node, server, &mut events).await;
         }
@@ -46,6 +52,16 @@
     }
 }
 
+/// Notes which servers are leaving; returns whether one began or ceased to.
+fn note_leaving(known: &mut Map<BackendName, bool>, loads: &[GossipLoad]) -> bool {
+    let mut changed = false;
+    for load in loads {
+        let before = known.insert(load.backend.clone(), load.leaving);
+        changed |= before.unwrap_or_default() != load.leaving;
+    }
+    changed
+}
+
 fn own_share(node: &Node) -> Vec<BackendServer> {
     let Some(bundle) = node.bundle.active() else {
         return Vec::new();
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -65,6 +65,17 @@
         self
     }
 
+    /// Adds instances to a domain of Lagos.
+    pub fn more_instances(mut self, domain: &str, count: usize) -> Self {
+        let region = "lagos".to_owned();
+        for index in 0..count {
+            let name = format!("{domain}-more-{index:02}");
+            self.instances
+                .push((name, region.clone(), domain.to_owned()));
+        }
+        self
+    }
+
     pub fn limit(mut self, rate: u64, burst: u64) -> Self {
         (self.rate, self.burst) = (rate, burst);
         self
