--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -4,10 +4,9 @@
 
 use futures_util::future::join_all;
 use hawthornquay_decisions::{
-    GossipEntry, GossipLoad, GossipPartners, GossipSettings, InstanceId, InstanceName,
+    GossipEntry, GossipPartners, GossipSettings, InstanceId, InstanceName, MemberState,
 };
-use hawthornquay_instances::{BackendLoad, Digest, DigestEntry, Notice};
-use prost::Message;
+use hawthornquay_instances::{Digest, DigestEntry, Notice};
 use slog::{debug, info};
 
 use crate::{Node, clock, rollout_peers::fetch_from};
@@ -19,9 +18,6 @@
 /// All instances reading each second would make the platform's load grow with the fleet.
 const LIST_ROUNDS: u64 = 5;
 
-/// Bytes that an entry adds to an encoded digest beside its own length.
-const ENTRY_OVERHEAD: usize = 2;
-
 /// Reads the platform's list and exchanges digests for as long as the process runs.
 pub async fn run_membership(node: Arc<Node>) {
     let settings = GossipSettings::default();
@@ -61,7 +57,7 @@
 
 /// Takes a digest, and fetches the bundle of a sender that is ahead.
 pub async fn take_digest(node: &Arc<Node>, from: &InstanceId, digest: &Digest) {
-    let entries: Vec<GossipEntry> = digest.entries.iter().map(read_entry).collect();
+    let entries = Vec::<GossipEntry>::from(digest.clone());
     let sender_version = entries.first().map_or(0, |entry| entry.bundle_version);
     let known = {
         let mut members = node.members.lock();
@@ -89,43 +85,62 @@
 }
 
 async fn send_digests(node: &Arc<Node>, partners: &mut GossipPartners) {
-    let now = clock::now();
+    let chosen = {
+        let mut members = node.members.lock();
+        members.beat();
+        partners.choose(clock::now(), &members, rand::random)
+    };
+    *node.partners.lock() = chosen.clone();
+    for failed in send_to(node, chosen).await {
+        partners.drop_partner(&failed);
+    }
+}
+
+/// Sends a digest to every live member of the own domain at once.
+///
+/// Work must stop going to a leaving backend server within seconds, in which the digests of each
+/// second do not reach all members of a large domain.
+pub async fn announce_to_domain(node: &Node) {
+    let names = {
+        let members = node.members.lock();
+        let now = clock::now();
+        members
+            .others()
+            .filter(|member| member.record.domain == node.place.domain)
+            .filter(|member| members.state_of(member, now) == MemberState::Live)
+            .map(|member| member.record.name.clone())
+            .collect()
+    };
+    send_to(node, names).await;
+}
+
+/// Sends a digest to each of the members; returns those that cannot be reached.
+async fn send_to(node: &Node, names: Vec<InstanceName>) -> Vec<InstanceName> {
     let (head_version, head_age_ms) = head_seen(node);
     let digests: Vec<(InstanceName, Digest)> = {
         let mut members = node.members.lock();
-        members.beat();
-        let chosen = partners.choose(now, &members, rand::random);
-        chosen
+        let now = clock::now();
+        names
             .into_iter()
             .map(|name| {
-                let entries = members
-                    .digest(now, &name, entry_len)
-                    .iter()
-                    .map(write_entry)
-                    .collect();
-                (
-                    name,
-                    Digest {
-                        entries,
-                        head_version,
-                        head_age_ms,
-                    },
-                )
+                let entries = members.digest(now, &name, DigestEntry::len_in_digest);
+                let digest = Digest {
+                    head_version,
+                    head_age_ms,
+                    ..Digest::from(entries.as_slice())
+                };
+                (name, digest)
             })
             .collect()
     };
-    *node.partners.lock() = digests.iter().map(|(name, _)| name.clone()).collect();
     let sends = digests
         .into_iter()
         .map(|(name, digest)| send_digest(node, name, digest));
-    for failed in join_all(sends).await.into_iter().flatten() {
-        partners.drop_partner(&failed);
-        node.members.lock().mark_unreachable(&failed);
+    let failed: Vec<InstanceName> = join_all(sends).await.into_iter().flatten().collect();
+    for name in &failed {
+        node.members.lock().mark_unreachable(name);
     }
-}
-
-fn entry_len(entry: &GossipEntry) -> usize {
-    write_entry(entry).encoded_len() + ENTRY_OVERHEAD
+    failed
 }
 
 async fn send_digest(node: &Node, name: InstanceName, digest: Digest) -> Option<InstanceName> {
@@ -148,46 +163,3 @@
             (seen.0, u64::try_from(age).unwrap_or(u64::MAX))
         })
 }
-
-fn read_entry(entry: &DigestEntry) -> GossipEntry {
-    GossipEntry {
-        id: InstanceId::new(&entry.name, entry.incarnation),
-        heartbeat: entry.heartbeat,
-        bundle_version: entry.bundle_version,
-        leaving: entry.leaving,
-        loads: entry.loads.iter().map(read_load).collect(),
-    }
-}
-
-fn read_load(load: &BackendLoad) -> GossipLoad {
-    GossipLoad {
-        backend: load.name.as_str().into(),
-        running: load.running,
-        waiting: load.waiting,
-        slots: load.slots,
-        sequence: load.sequence,
-        leaving: load.leaving,
-    }
-}
-
-fn write_entry(entry: &GossipEntry) -> DigestEntry {
-    DigestEntry {
-        name: entry.id.name.to_string(),
-        incarnation: entry.id.incarnation.0,
-        heartbeat: entry.heartbeat,
-        bundle_version: entry.bundle_version,
-        leaving: entry.leaving,
-        loads: entry.loads.iter().map(write_load).collect(),
-    }
-}
-
-fn write_load(load: &GossipLoad) -> BackendLoad {
-    BackendLoad {
-        name: load.backend.to_string(),
-        running: load.running,
-        waiting: load.waiting,
-        slots: load.slots,
-        sequence: load.sequence,
-        leaving: load.leaving,
-    }
-}
