--- a/crates/hawthornquay/src/backend_attempt.rs
+++ b/crates/hawthornquay/src/backend_attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     AnswerFailure, AnswerStream, AttemptFailure, Decision, LoadGuard, Node, OutboundRequest,
-    RoutedAnswer,
+    RoutedAnswer, routed_answer::execution_of,
 };
 
 /// Calls a backend server and waits for the first part of its answer.
@@ -31,7 +31,7 @@
             Err(AttemptFailure::not_run(key))
         }
         Ok((status, headers, body)) => {
-            node.requests.set_execution(&req.id, Execution::Ran);
+            node.requests.set_execution(&req.id, execution_of(status));
             node.requests.record(
                 &req.id,
                 Decision::Answered {
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     AnswerFailure, AnswerStream, AttemptFailure, Decision, LoadGuard, Node, OutboundRequest,
-    RoutedAnswer,
+    RoutedAnswer, routed_answer::execution_of,
 };
 
 /// Longest time until a forwarded request is queued on a link.
@@ -51,7 +51,7 @@
     let load = LoadGuard::new(node, key.clone(), req.prompt_tokens);
     match exchange(node, bundle_version, req, &peer).await {
         Ok((status, headers, body)) => {
-            node.requests.set_execution(&req.id, Execution::Ran);
+            node.requests.set_execution(&req.id, execution_of(status));
             node.requests.record(
                 &req.id,
                 Decision::Answered {
--- a/crates/hawthornquay/src/routed_answer.rs
+++ b/crates/hawthornquay/src/routed_answer.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
+use hawthornquay_decisions::Execution;
 use http::{HeaderMap, StatusCode};
 
 use crate::{AnswerFailure, LoadGuard};
@@ -22,3 +23,13 @@
     /// Whether the answer crosses between regions.
     pub crosses_regions: bool,
 }
+
+/// Returns what an answer with this status says about the execution.
+///
+/// A server error may come before or after the run: a service that is leaving sends one as well.
+pub fn execution_of(status: StatusCode) -> Execution {
+    match status.is_server_error() {
+        true => Execution::Unknown,
+        false => Execution::Ran,
+    }
+}
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -14,6 +14,7 @@
 use crate::{
     Admission, AnswerEnd, Claim, LimitGuard, Node, OutboundRequest, Settlement, clock,
     dispatch::dispatch, metered_response, request_body::read_request_body,
+    routed_answer::execution_of,
 };
 
 /// Runs a plain service request of a caller.
@@ -58,7 +59,7 @@
         .await?;
         let result = run(&node, req, &admission, arrived, drain).await;
         let execution = match &result {
-            Ok(_) => Execution::Ran,
+            Ok(answer) => execution_of(answer.status()),
             Err(refusal) => refusal.execution,
         };
         claim.finish(&node, execution).await;
--- a/crates/hawthornquay/tests/support/fleet.rs
+++ b/crates/hawthornquay/tests/support/fleet.rs
@@ -1,12 +1,14 @@
 //! Running fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hawthornquay::{Daemon, Node};
 use hawthornquay_operators::{DaemonSettings, OperatorKey};
 use hawthornquay_platform::PlatformClient;
 use hawthornquay_standins::{ModelEngine, PlainService, Platform};
-use tokio::time::Instant;
+use tokio::{net::TcpSocket, time::Instant};
+
+use super::{LogBuffer, Relay};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -15,6 +17,16 @@
     pub platform: Platform,
     pub engines: Vec<ModelEngine>,
     pub service: PlainService,
+    /// Servers of the same service in other domains.
+    pub more_services: Vec<PlainService>,
+    /// Relays in front of the plain services, in their order; empty unless asked for.
+    pub service_relays: Vec<Relay>,
+    /// Relays in front of the instances' peers' addresses; empty unless asked for.
+    pub link_relays: Vec<Relay>,
+    /// Reserves the ports of the instances.
+    pub ports: Vec<TcpSocket>,
+    /// Where the log lines go, if not to the standard error.
+    pub logs: Option<LogBuffer>,
     pub signer: OperatorKey,
     pub text: String,
     pub client: PlatformClient,
@@ -33,6 +45,21 @@
         self.settings[index].instance.operators
     }
 
+    /// Returns the runs by request id of all plain services.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = self.service.runs();
+        for (id, count) in self.more_services.iter().flat_map(PlainService::runs) {
+            *runs.entry(id).or_default() += count;
+        }
+        runs
+    }
+
+    /// Returns the requests in flight at all running instances.
+    pub fn in_flight(&self) -> usize {
+        let running = self.daemons.iter().flatten();
+        running.map(|daemon| daemon.node().drain.in_flight()).sum()
+    }
+
     /// Returns the tables of a running instance.
     pub fn node(&self, index: usize) -> &Node {
         self.daemons[index]
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fs,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    io::Write,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     time::{Duration, SystemTime},
 };
 
@@ -18,7 +19,9 @@
     EngineSettings, ModelEngine, PlainService, Platform, PlatformSettings,
 };
 
-use super::{Fleet, wait_until};
+use tokio::net::TcpSocket;
+
+use super::{Fleet, LogBuffer, Relay, wait_until};
 
 const SALT: &str = "00112233445566778899aabbccddeeff";
 
@@ -31,6 +34,10 @@
     burst: u64,
     platform: PlatformSettings,
     idempotency_key: &'static str,
+    more_service_domains: Vec<String>,
+    relays: bool,
+    extra_sections: String,
+    logs: Option<LogBuffer>,
 }
 
 impl Default for FleetBuilder {
@@ -50,6 +57,10 @@
             burst: 1_000_000,
             platform: PlatformSettings::default(),
             idempotency_key: "optional",
+            more_service_domains: Vec::new(),
+            relays: false,
+            extra_sections: String::new(),
+            logs: None,
         }
     }
 }
@@ -75,6 +86,30 @@
         self
     }
 
+    /// Adds servers of the plain service in these domains.
+    pub fn more_services(mut self, domains: &[&str]) -> Self {
+        self.more_service_domains = domains.iter().map(|domain| (*domain).to_owned()).collect();
+        self
+    }
+
+    /// Puts relays in front of the plain services and of the instances' peers' addresses.
+    pub fn relays(mut self) -> Self {
+        self.relays = true;
+        self
+    }
+
+    /// Keeps the log lines of level info and above in memory.
+    pub fn logs(mut self, logs: &LogBuffer) -> Self {
+        self.logs = Some(logs.clone());
+        self
+    }
+
+    /// Adds sections to the bundle.
+    pub fn extra_sections(mut self, text: &str) -> Self {
+        self.extra_sections += text;
+        self
+    }
+
     /// Starts everything and waits until each instance has the bundle and every slot a holder.
     pub async fn start(self) -> Fleet {
         let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
@@ -93,13 +128,32 @@
             ));
         }
         let service = PlainService::start(any, "bookings-1").await.unwrap();
+        let mut services = vec![("lagos-a".to_owned(), service)];
+        for (index, domain) in self.more_service_domains.iter().enumerate() {
+            let name = format!("bookings-{}", index + 2);
+            let service = PlainService::start(any, &name).await.unwrap();
+            services.push((domain.clone(), service));
+        }
+        let mut service_relays = Vec::new();
+        if self.relays {
+            for (_, service) in &services {
+                service_relays.push(Relay::start(service.address()).await);
+            }
+        }
         let signer = OperatorKey::generate().unwrap();
-        let text = self.bundle_text(&engines, service.address(), &signer);
+        let text = self.bundle_text(&engines, &services, &service_relays, &signer);
+        let mut services = services.into_iter().map(|(_, service)| service);
+        let service = services.next().unwrap();
         let client = PlatformClient::new(platform.address(), CallLimits::default());
         let mut fleet = Fleet {
             platform,
             engines: engines.into_iter().map(|(_, _, engine)| engine).collect(),
             service,
+            more_services: services.collect(),
+            service_relays,
+            link_relays: Vec::new(),
+            ports: Vec::new(),
+            logs: self.logs.clone(),
             signer,
             text,
             client,
@@ -107,7 +161,14 @@
             settings: Vec::new(),
         };
         fleet.accept(1).await.unwrap();
-        fleet.settings = self.settings(&fleet);
+        fleet.ports = reserve_ports(3 * self.instances.len());
+        fleet.settings = self.settings(&fleet, &fleet.ports);
+        if self.relays {
+            for settings in &fleet.settings {
+                let relay = Relay::start(settings.instance.peers).await;
+                fleet.link_relays.push(relay);
+            }
+        }
         for index in 0..fleet.settings.len() {
             fleet.list_instance(index, InstanceState::Live);
             fleet.start_instance(index).await;
@@ -119,7 +180,8 @@
     fn bundle_text(
         &self,
         engines: &[(String, String, ModelEngine)],
-        service: SocketAddr,
+        services: &[(String, PlainService)],
+        service_relays: &[Relay],
         signer: &OperatorKey,
     ) -> String {
         let salt: Vec<u8> = (0..SALT.len() / 2)
@@ -138,9 +200,7 @@
              [route /v1/services/bookings]\nservice = bookings\nrepeatable = no\n\
              idempotency_key = {}\ncost = 1\n\
              [route /v1/services/lookups]\nservice = bookings\nrepeatable = yes\ncost = 1\n\
-             [route /v1/services/open]\nservice = bookings\nopen = yes\norganisation = kolanut\n\
-             [backend bookings-1]\nkind = plain-service\naddress = {service}\ndomain = lagos-a\n\
-             service = bookings\n",
+             [route /v1/services/open]\nservice = bookings\nopen = yes\norganisation = kolanut\n",
             signer.public_base64(),
             self.rate,
             self.burst,
@@ -150,6 +210,16 @@
             digest("key-homebound"),
             self.idempotency_key,
         );
+        for (index, (domain, service)) in services.iter().enumerate() {
+            let relay = service_relays.get(index);
+            let address = relay.map_or(service.address(), |relay| relay.address);
+            text += &format!(
+                "[backend bookings-{}]\nkind = plain-service\naddress = {address}\n\
+                 domain = {domain}\nservice = bookings\n",
+                index + 1,
+            );
+        }
+        text += &self.extra_sections;
         for (name, domain, engine) in engines {
             text += &format!(
                 "[backend {name}]\nkind = model-engine\naddress = {}\ndomain = {domain}\n\
@@ -160,7 +230,7 @@
         text
     }
 
-    fn settings(&self, fleet: &Fleet) -> Vec<DaemonSettings> {
+    fn settings(&self, fleet: &Fleet, ports: &[TcpSocket]) -> Vec<DaemonSettings> {
         let names: Vec<(&str, IpAddr)> = self
             .instances
             .iter()
@@ -175,20 +245,25 @@
             path.display().to_string()
         };
         let authority_path = write("authority.pem", &authority.authority);
-        let ports = free_ports(3 * self.instances.len());
         let mut settings = Vec::new();
         for (index, (name, region, domain)) in self.instances.iter().enumerate() {
             let files = &authority.instances[index];
             let certificate = write(&format!("{name}.pem"), &files.certificate);
             let key = write(&format!("{name}.key"), &files.key);
-            let [callers, peers, operators] = [0, 1, 2].map(|offset| ports[3 * index + offset]);
+            let [callers, peers, operators] =
+                [0, 1, 2].map(|offset| ports[3 * index + offset].local_addr().unwrap());
+            let log_level = if self.logs.is_some() {
+                "info"
+            } else {
+                "warning"
+            };
             let text = format!(
                 "[instance]\nname = {name}\nregion = {region}\ndomain = {domain}\n\
                  callers = {callers}\npeers = {peers}\noperators = {operators}\n\
                  [platform]\naddress = {}\n\
                  [tls]\ncertificate = {certificate}\nkey = {key}\nauthority = {authority_path}\n\
                  [trust]\nsignatures_needed = 1\nsigner.ada = {}\n\
-                 [log]\nformat = human\nlevel = warning\n",
+                 [log]\nformat = human\nlevel = {log_level}\n",
                 fleet.platform.address(),
                 fleet.signer.public_base64(),
             );
@@ -198,15 +273,18 @@
     }
 }
 
-/// Returns free loopback addresses; all are held until the last is found.
-fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap())
-        .collect();
-    listeners
-        .iter()
-        .map(|listener| listener.local_addr().unwrap())
-        .collect()
+/// Reserves free loopback ports.
+///
+/// The sockets stay bound without listening, so that no other socket of the machine is given the
+/// port, and an instance can still listen on it.
+fn reserve_ports(count: usize) -> Vec<TcpSocket> {
+    let reserve = |_| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+        socket
+    };
+    (0..count).map(reserve).collect()
 }
 
 impl Fleet {
@@ -241,7 +319,10 @@
             region: instance.region.clone(),
             domain: instance.domain.clone(),
             callers: instance.callers,
-            peers: instance.peers,
+            peers: self
+                .link_relays
+                .get(index)
+                .map_or(instance.peers, |relay| relay.address),
             operators: instance.operators,
             state,
             state_age_ms: 0,
@@ -251,7 +332,11 @@
     /// Starts an instance from its settings.
     pub async fn start_instance(&mut self, index: usize) {
         let settings = self.settings[index].clone();
-        let logs = Logs::new(&settings.log, Box::new(std::io::stderr()));
+        let output: Box<dyn Write + Send> = match &self.logs {
+            Some(logs) => Box::new(logs.clone()),
+            None => Box::new(std::io::stderr()),
+        };
+        let logs = Logs::new(&settings.log, output);
         let daemon = Daemon::start(settings, logs).await.unwrap();
         while self.daemons.len() <= index {
             self.daemons.push(None);
--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -1,13 +1,21 @@
 //! Fleet of instances and stand-ins in the process of a test.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod caller;
+mod fake_backend;
 mod fleet;
 mod fleet_builder;
+mod log_buffer;
+mod raw_caller;
+mod relay;
 
 pub use {
-    caller::Caller,
+    caller::{Answer, Caller, chat_body},
+    fake_backend::FakeBackend,
     fleet::{Fleet, wait_until},
     fleet_builder::FleetBuilder,
+    log_buffer::LogBuffer,
+    raw_caller::{RawAnswer, RawCaller, read_answer},
+    relay::{Relay, RelayFault},
 };
