Check the path of a forwarded request, end an answer that nobody reads

Faults found: - The receiver of a forwarded request took the path from the sender without a check, so a wrong or out-of-date sender reached any path of a server, such as an engine's /orders. The path must now belong to the target in the receiver's own bundle. - The receiver of a forwarded stream noticed that the sender had given up only when the next part came. With a silent engine the request, its slot and its load stayed for up to 60 s after the caller had left.

The receiver's own checks of hops and residency are backed by the same checks in the routing decision, and the list of allowed headers by the fact that only the content type is passed on: with one of the two taken out, the tests still pass.

--- a/crates/hawthornquay/src/peer_gateway.rs
+++ b/crates/hawthornquay/src/peer_gateway.rs
@@ -17,6 +17,7 @@
 use crate::{
     ActiveBundle, Decision, Node, OutboundRequest, RoutedAnswer, clock,
     dispatch::dispatch,
+    model_request::CHAT_PATH,
     peer_capacity::grant_capacity,
     peer_loans::lend,
     rollout_peers::{bundle_content, take_notice},
@@ -59,7 +60,13 @@
         match result {
             // The sender gave up; it knows that the outcome is unknown.
             None => {}
-            Some(Ok(answer)) => send_answer(&self.0, &id, answer, sink).await,
+            Some(Ok(answer)) => {
+                // A silent server would otherwise keep an answer open that nobody reads.
+                let status = answer.status.as_u16();
+                let sending = send_answer(answer, sink);
+                let _ = cancelled.run_until_cancelled(sending).await;
+                self.0.requests.close(&id, status);
+            }
             Some(Err(refusal)) => {
                 record_refusal(&self.0, &id, &refusal);
                 let _ = sink.refuse(wire_refusal(&refusal)).await;
@@ -107,7 +114,7 @@
     let target = target(&request)?;
     let method = Method::from_bytes(request.method.as_bytes())
         .map_err(|_| refuse(RefusalCode::BadRequest, "the forwarded method is not valid"))?;
-    let repeatable = request.repeatable && is_repeatable(bundle, &request);
+    let repeatable = may_repeat(bundle, &request, &method)?;
     let arrived = clock::now();
     let deadline =
         (request.deadline_ms > 0).then(|| arrived + Duration::from_millis(request.deadline_ms));
@@ -159,19 +166,29 @@
     }
 }
 
+/// Checks that the path belongs to the target, and returns whether a second run does no harm.
+///
 /// Model requests are repeatable; a service call only if this instance's bundle agrees.
-fn is_repeatable(bundle: &ActiveBundle, request: &Forward) -> bool {
-    if !request.model.is_empty() {
-        return true;
-    }
+fn may_repeat(bundle: &ActiveBundle, request: &Forward, method: &Method) -> Result<bool, Refusal> {
     let path = request.path.split('?').next().unwrap_or_default();
-    bundle
-        .bundle()
-        .route_for(path)
-        .is_some_and(|route| route.repeatable)
+    let repeatable = if request.model.is_empty() {
+        let route = bundle.bundle().route_for(path);
+        route
+            .filter(|route| route.service.as_str() == request.service)
+            .map(|route| request.repeatable && route.repeatable)
+    } else {
+        (path == CHAT_PATH && method == Method::POST).then_some(true)
+    };
+    // A sender with another bundle, or a faulty one, could otherwise reach any path of a server.
+    repeatable.ok_or_else(|| {
+        refuse(
+            RefusalCode::RouteUnknown,
+            "this instance's bundle does not serve the path with the forwarded target",
+        )
+    })
 }
 
-async fn send_answer(node: &Node, id: &RequestId, answer: RoutedAnswer, mut sink: ForwardSink) {
+async fn send_answer(answer: RoutedAnswer, mut sink: ForwardSink) {
     let RoutedAnswer {
         status,
         headers,
@@ -203,7 +220,6 @@
         }
     }
     load.finish(LoadOutcome::Answered);
-    node.requests.close(id, status.as_u16());
     let _ = sink.end(ForwardEnd::default()).await;
 }
 
