Bound the memory of all bodies, refuse every method in JSON

Faults found by tests/bad_input.rs: - 200 callers that leave 2.5 MB of a body unfinished took 467 MB, over the 256 MB of a process, because only each body was bounded. Ruled out: waiting for memory, because callers that never finish would then block the others for the 30 s of the body timeout. - A body whose stated length is over the limit was read up to the limit before it was refused, and never refused when it did not come.

Requests that hyper rejects before the router (431, 400 for broken framing) still have an empty body; the table states them as such.

--- a/crates/callers/src/router.rs
+++ b/crates/callers/src/router.rs
@@ -12,7 +12,7 @@
 };
 use hawthornquay_decisions::{Refusal, RefusalCode, RequestId};
 use hawthornquay_http::{Body, json_response};
-use http::{HeaderValue, Method, Response, StatusCode, Uri};
+use http::{HeaderValue, Method, Response, StatusCode, Uri, header};
 use serde::Serialize;
 
 use crate::{CallerService, RequestHead, refusal_response};
@@ -34,7 +34,9 @@
 
 /// Builds the router of the callers' interface over `service`.
 pub fn caller_router(service: Arc<dyn CallerService>) -> Router {
-    let middleware = StateMiddleware::new(Service(AssertUnwindSafe(service)));
+    let service = Service(AssertUnwindSafe(service));
+    let refuse = service.clone();
+    let middleware = StateMiddleware::new(service);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     let methods = [
         Method::GET,
@@ -46,9 +48,32 @@
     build_router(chain, pipelines, |route| {
         route.request(methods.to_vec(), "/").to(handle);
         route.request(methods.to_vec(), "/*").to(handle);
+        route.add_response_extender(
+            StatusCode::METHOD_NOT_ALLOWED,
+            move |_: &mut State, res: &mut Response<Body>| refuse_method(&refuse, res),
+        );
     })
 }
 
+/// Writes a refusal in place of gotham's answer to a method that no route takes, which is empty.
+fn refuse_method(service: &Service, res: &mut Response<Body>) {
+    // The answer of a plain service may have the same status, but this header is not passed on.
+    if !res.headers().contains_key(header::ALLOW) {
+        return;
+    }
+    let id = service.0.next_request_id();
+    let methods = "use GET, POST, PUT, PATCH or DELETE";
+    let refusal = Refusal::not_run(RefusalCode::BadRequest, methods);
+    *res = with_request_id(refusal_response(&refusal, &id), &id);
+}
+
+fn with_request_id(mut res: Response<Body>, id: &RequestId) -> Response<Body> {
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        res.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    res
+}
+
 /// Endpoints are matched here and not in the gotham tree, because its answers to an unknown path
 /// or method carry no JSON and service routes come from the bundle.
 fn handle(mut state: State) -> Pin<Box<HandlerFuture>> {
@@ -62,11 +87,8 @@
             }
             Err(refusal) => Err(refusal),
         };
-        let mut res = answer.unwrap_or_else(|refusal| refusal_response(&refusal, &id));
-        if let Ok(value) = HeaderValue::from_str(id.as_str()) {
-            res.headers_mut().insert(REQUEST_ID_HEADER, value);
-        }
-        Ok((state, res))
+        let res = answer.unwrap_or_else(|refusal| refusal_response(&refusal, &id));
+        Ok((state, with_request_id(res, &id)))
     })
 }
 
--- /dev/null
+++ b/crates/hawthornquay/tests/bad_input.rs
@@ -0,0 +1,348 @@
+//! Bad input on the callers' port.
+
+mod support;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use http::StatusCode;
+use support::{Caller, FleetBuilder, RawCaller, read_answer, wait_until};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+
+const CHAT: &str = "/v1/chat/completions";
+const KEY: &str = "authorization: Bearer key-kolanut\r\n";
+
+/// Connections that each leave a large body unfinished.
+const UNFINISHED_BODIES: usize = 200;
+
+/// Bytes that each of them sends; all together they exceed what the instance may hold.
+const UNFINISHED_BYTES: usize = 2_500_000;
+
+/// Most memory that the unfinished bodies may take, with the buffers of the process.
+const MEMORY_GROWTH: u64 = 160 << 20;
+
+struct Case {
+    name: &'static str,
+    bytes: Vec<u8>,
+    /// Whether the caller closes its half afterwards.
+    ends: bool,
+    /// Status, or 0 for a connection that is closed without an answer.
+    status: u16,
+    /// Code of the refusal; empty where HTTP itself is broken and the answer has no body.
+    code: &'static str,
+}
+
+fn request(method: &str, path: &str, headers: &str, body: &str) -> Vec<u8> {
+    let len = body.len();
+    format!("{method} {path} HTTP/1.1\r\nhost: h\r\n{headers}content-length: {len}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+fn case(name: &'static str, bytes: Vec<u8>, status: u16, code: &'static str) -> Case {
+    Case {
+        name,
+        bytes,
+        ends: false,
+        status,
+        code,
+    }
+}
+
+fn body_cases() -> Vec<Case> {
+    let chat = |name, body: &str| case(name, request("POST", CHAT, KEY, body), 400, "bad-request");
+    let message = r#"{"role":"user","content":"n"}"#;
+    let with = |field: &str| format!(r#"{{"model":"ledger-7b","messages":[{message}],{field}}}"#);
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let mut chunked = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: h\r\n{KEY}transfer-encoding: chunked\r\n\r\n400000\r\n"
+    )
+    .into_bytes();
+    chunked.resize(chunked.len() + (4 << 20), b' ');
+    let stated = format!("POST {CHAT} HTTP/1.1\r\nhost: h\r\n{KEY}content-length: 4000000\r\n\r\n");
+    let half = format!("POST {CHAT} HTTP/1.1\r\nhost: h\r\n{KEY}content-length: 100\r\n\r\n{{\"mo");
+    vec![
+        chat("wrong JSON", "{\"model\""),
+        chat("no body", ""),
+        chat("not an object", "[]"),
+        chat("wrong type", r#"{"model":1,"messages":[]}"#),
+        chat(
+            "messages of a wrong type",
+            r#"{"model":"ledger-7b","messages":"n"}"#,
+        ),
+        chat("no message", r#"{"model":"ledger-7b","messages":[]}"#),
+        chat("no tokens", &with(r#""max_tokens":0"#)),
+        chat("negative tokens", &with(r#""max_tokens":-1"#)),
+        chat(
+            "too many tokens",
+            &with(r#""max_tokens":18446744073709551615"#),
+        ),
+        chat(
+            "field sent twice",
+            &with(r#""max_tokens":1,"max_tokens":900000"#),
+        ),
+        chat("deep nesting", &deep),
+        case(
+            "oversized body, stated",
+            stated.into_bytes(),
+            413,
+            "body-too-large",
+        ),
+        case("oversized body, in chunks", chunked, 413, "body-too-large"),
+        Case {
+            ends: true,
+            ..case("half a body", half.into_bytes(), 400, "bad-request")
+        },
+    ]
+}
+
+fn header_cases() -> Vec<Case> {
+    let models = |name, headers: &str, status, code| {
+        case(
+            name,
+            request("GET", "/v1/models", headers, ""),
+            status,
+            code,
+        )
+    };
+    let with_key = |name, headers: &str| {
+        let headers = format!("{KEY}{headers}\r\n");
+        models(name, &headers, 400, "bad-request")
+    };
+    let long = "k".repeat(300);
+    vec![
+        models("no key", "", 401, "key-rejected"),
+        models(
+            "unknown key",
+            "authorization: Bearer x\r\n",
+            401,
+            "key-rejected",
+        ),
+        models(
+            "other scheme",
+            "authorization: Basic x\r\n",
+            400,
+            "bad-request",
+        ),
+        models(
+            "empty key",
+            "authorization: Bearer \r\n",
+            400,
+            "bad-request",
+        ),
+        models("key sent twice", &KEY.repeat(2), 400, "bad-request"),
+        models(
+            "key not in ASCII",
+            "authorization: Bearer \u{e9}\r\n",
+            400,
+            "bad-request",
+        ),
+        with_key("empty idempotency key", "idempotency-key: "),
+        with_key("long idempotency key", &format!("idempotency-key: {long}")),
+        with_key(
+            "idempotency key sent twice",
+            "idempotency-key: a\r\nidempotency-key: b",
+        ),
+        with_key("deadline not a number", "x-deadline-ms: soon"),
+        with_key("negative deadline", "x-deadline-ms: -1"),
+        with_key("unknown priority", "x-priority: urgent"),
+        with_key(
+            "content type sent twice",
+            "content-type: a/b\r\ncontent-type: c/d",
+        ),
+    ]
+}
+
+fn route_cases() -> Vec<Case> {
+    let mut cases = vec![
+        case(
+            "unknown path",
+            request("GET", "/nothing", KEY, ""),
+            404,
+            "route-unknown",
+        ),
+        case("root", request("GET", "/", KEY, ""), 404, "route-unknown"),
+        case(
+            "bad escape",
+            request("GET", "/%zz%ff", KEY, ""),
+            404,
+            "route-unknown",
+        ),
+        case(
+            "dots",
+            request("GET", "/v1/../admin", KEY, ""),
+            404,
+            "route-unknown",
+        ),
+        case(
+            "get on a post",
+            request("GET", CHAT, KEY, ""),
+            400,
+            "bad-request",
+        ),
+        case(
+            "post on a get",
+            request("POST", "/v1/models", KEY, "{}"),
+            400,
+            "bad-request",
+        ),
+    ];
+    for method in ["PUT", "PATCH", "DELETE", "OPTIONS", "TRACE", "BREW"] {
+        cases.push(case(
+            "other method",
+            request(method, CHAT, KEY, ""),
+            400,
+            "bad-request",
+        ));
+    }
+    cases
+}
+
+fn http_cases() -> Vec<Case> {
+    let huge = format!("{KEY}x-huge: {}\r\n", "h".repeat(32 << 10));
+    let many: String = (0..200).map(|index| format!("x-{index}: v\r\n")).collect();
+    let two_lengths = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: h\r\n{KEY}content-length: 1\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    let half = format!("POST {CHAT} HTTP/1.1\r\nhost: h\r\n{KEY}");
+    let ended = |case: Case| Case { ends: true, ..case };
+    vec![
+        case(
+            "huge head",
+            request("GET", "/v1/models", &huge, ""),
+            431,
+            "",
+        ),
+        case(
+            "many headers",
+            request("GET", "/v1/models", &many, ""),
+            431,
+            "",
+        ),
+        case("two lengths", two_lengths.into_bytes(), 400, ""),
+        case(
+            "bad header name",
+            request("GET", "/", "bad name: v\r\n", ""),
+            400,
+            "",
+        ),
+        case("garbage", b"\x00\x01\x02 garbage\r\n\r\n".to_vec(), 400, ""),
+        case(
+            "unknown version",
+            b"GET / HTTP/7.7\r\n\r\n".to_vec(),
+            400,
+            "",
+        ),
+        ended(case("half a head", half.into_bytes(), 0, "")),
+    ]
+}
+
+/// Guards against bad input that gets no clear answer, that runs, or that harms other callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_and_harms_no_other() {
+    let fleet = FleetBuilder::default().start().await;
+    let to = fleet.callers(0);
+    let stop = Arc::new(AtomicBool::new(false));
+    let other = tokio::spawn(call_well(to, Arc::clone(&stop)));
+    let cases = [body_cases(), header_cases(), route_cases(), http_cases()];
+    let mut wrong = Vec::new();
+    for case in cases.into_iter().flatten() {
+        let answer = RawCaller::exchange(to, &case.bytes, case.ends).await;
+        let execution = if case.code.is_empty() { "" } else { "not-run" };
+        let expected = (case.status, case.code.to_owned(), execution.to_owned());
+        let found = (answer.status, answer.code(), answer.execution());
+        if found != expected {
+            wrong.push(format!("{}: {found:?} in place of {expected:?}", case.name));
+        }
+    }
+    stop.store(true, Ordering::SeqCst);
+    let answered = other.await.unwrap();
+    assert!(answered > 0, "the other caller got no answer");
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    assert_eq!(fleet.in_flight(), 0);
+    assert!(fleet.runs().is_empty());
+}
+
+async fn call_well(to: SocketAddr, stop: Arc<AtomicBool>) -> usize {
+    let caller = Caller::new(Some("key-kolanut"));
+    let mut answered = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let answer = caller.chat(to, "other", 2, false).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        answered += 1;
+    }
+    answered
+}
+
+/// Guards against garbage after a request that reaches its answer, or a later request.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_garbage_ends_only_its_connection() {
+    let fleet = FleetBuilder::default().start().await;
+    let to = fleet.callers(0);
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let mut bytes = request("GET", "/v1/models", KEY, "");
+    bytes.extend(b"\x7fGARBAGE\r\n\r\n");
+    stream.write_all(&bytes).await.unwrap();
+    let first = read_answer(&mut stream).await;
+    assert_eq!(first.status, 200);
+    let second = read_answer(&mut stream).await;
+    assert!(matches!(second.status, 0 | 400), "{second:?}");
+    let models = Caller::new(Some("key-kolanut")).get(to, "/v1/models").await;
+    assert_eq!(models.status, StatusCode::OK);
+}
+
+/// Guards against callers that make the instance hold any amount of memory with bodies that they
+/// never finish.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_take_bounded_memory() {
+    let fleet = FleetBuilder::default().start().await;
+    let to = fleet.callers(0);
+    let caller = Caller::new(Some("key-kolanut"));
+    assert_eq!(caller.chat(to, "n", 2, false).await.status, StatusCode::OK);
+    let before = resident_bytes();
+    let body: &'static [u8] = vec![b' '; UNFINISHED_BYTES].leak();
+    let mut connections = Vec::new();
+    for _ in 0..UNFINISHED_BODIES {
+        connections.push(tokio::spawn(async move {
+            let mut stream = TcpStream::connect(to).await.unwrap();
+            let head =
+                format!("POST {CHAT} HTTP/1.1\r\nhost: h\r\n{KEY}content-length: 3000000\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            // The instance may refuse and close meanwhile.
+            let sent = stream.write_all(body).await;
+            (stream, sent.is_ok())
+        }));
+    }
+    let mut held = Vec::new();
+    for connection in connections {
+        held.push(connection.await.unwrap());
+    }
+    let growth = resident_bytes().saturating_sub(before);
+    eprintln!("{} MB for unfinished bodies", growth >> 20);
+    assert!(growth < MEMORY_GROWTH, "{growth} bytes");
+    drop(held);
+    wait_until(
+        Duration::from_secs(10),
+        "end of the unfinished requests",
+        || fleet.in_flight() == 0,
+    )
+    .await;
+    let after = caller.chat(to, "n", 2, false).await;
+    assert_eq!(after.status, StatusCode::OK, "{}", after.text());
+}
+
+fn resident_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap();
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS"))
+        .unwrap();
+    let kib: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+    kib << 10
+}
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -4,6 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use hyper::body::Body as _;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::{Body, ReadError};
 
@@ -18,7 +20,67 @@
         .map_err(|_| ReadError::Timeout)?
 }
 
-async fn read_all(mut body: Body, limit: usize) -> Result<Bytes, ReadError> {
+/// Reads a whole body as [`read_body`] does, and counts its bytes in `memory` until the last copy
+/// of the returned bytes is dropped.
+///
+/// # Errors
+///
+/// Returns an error if `memory` has too few permits left, or the body is too large, too slow or
+/// breaks off.
+pub async fn read_body_within(
+    body: Body,
+    limit: usize,
+    timeout: Duration,
+    memory: &'static Semaphore,
+) -> Result<Bytes, ReadError> {
+    let mut held = memory.try_acquire_many(0).map_err(|_| ReadError::Busy)?;
+    let data = tokio::time::timeout(timeout, read_counted(body, limit, memory, &mut held))
+        .await
+        .map_err(|_| ReadError::Timeout)??;
+    Ok(Bytes::from_owner(CountedBody { data, _held: held }))
+}
+
+/// Body with the permits for its memory.
+struct CountedBody {
+    data: BytesMut,
+    _held: SemaphorePermit<'static>,
+}
+
+impl AsRef<[u8]> for CountedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+async fn read_all(body: Body, limit: usize) -> Result<Bytes, ReadError> {
+    let buf = read_parts(body, limit, |_| Ok(())).await?;
+    Ok(buf.freeze())
+}
+
+async fn read_counted(
+    body: Body,
+    limit: usize,
+    memory: &'static Semaphore,
+    held: &mut SemaphorePermit<'static>,
+) -> Result<BytesMut, ReadError> {
+    let count = |len| {
+        let permits = u32::try_from(len).map_err(|_| ReadError::Busy)?;
+        let part = memory.try_acquire_many(permits);
+        held.merge(part.map_err(|_| ReadError::Busy)?);
+        Ok(())
+    };
+    read_parts(body, limit, count).await
+}
+
+async fn read_parts(
+    mut body: Body,
+    limit: usize,
+    mut count: impl FnMut(usize) -> Result<(), ReadError>,
+) -> Result<BytesMut, ReadError> {
+    // A stated length over the limit is refused before any of the body is let in.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(ReadError::TooLarge { limit });
+    }
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
@@ -27,7 +89,8 @@
         if buf.len() + data.len() > limit {
             return Err(ReadError::TooLarge { limit });
         }
+        count(data.len())?;
         buf.extend_from_slice(&data);
     }
-    Ok(buf.freeze())
+    Ok(buf)
 }
