--- a/crates/hawthornquay/tests/support/fleet.rs
+++ b/crates/hawthornquay/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! Running fleet.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 use hawthornquay::{Daemon, Node};
 use hawthornquay_operators::{DaemonSettings, OperatorKey};
@@ -32,6 +32,7 @@
     pub client: PlatformClient,
     pub daemons: Vec<Option<Daemon>>,
     pub settings: Vec<DaemonSettings>,
+    pub settings_files: Vec<PathBuf>,
 }
 
 impl Fleet {
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -112,6 +112,17 @@
 
     /// Starts everything and waits until each instance has the bundle and every slot a holder.
     pub async fn start(self) -> Fleet {
+        let mut fleet = self.prepare().await;
+        for index in 0..fleet.settings.len() {
+            fleet.list_instance(index, InstanceState::Live);
+            fleet.start_instance(index).await;
+        }
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Starts the stand-ins and accepts the bundle, without starting an instance.
+    pub async fn prepare(self) -> Fleet {
         let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
         let platform = Platform::start(any, self.platform.clone()).await.unwrap();
         let mut engines = Vec::new();
@@ -153,6 +164,7 @@
             service_relays,
             link_relays: Vec::new(),
             ports: Vec::new(),
+            settings_files: Vec::new(),
             logs: self.logs.clone(),
             signer,
             text,
@@ -162,18 +174,13 @@
         };
         fleet.accept(1).await.unwrap();
         fleet.ports = reserve_ports(3 * self.instances.len());
-        fleet.settings = self.settings(&fleet, &fleet.ports);
+        self.write_settings(&mut fleet);
         if self.relays {
             for settings in &fleet.settings {
                 let relay = Relay::start(settings.instance.peers).await;
                 fleet.link_relays.push(relay);
             }
         }
-        for index in 0..fleet.settings.len() {
-            fleet.list_instance(index, InstanceState::Live);
-            fleet.start_instance(index).await;
-        }
-        fleet.wait_ready().await;
         fleet
     }
 
@@ -230,7 +237,7 @@
         text
     }
 
-    fn settings(&self, fleet: &Fleet, ports: &[TcpSocket]) -> Vec<DaemonSettings> {
+    fn write_settings(&self, fleet: &mut Fleet) {
         let names: Vec<(&str, IpAddr)> = self
             .instances
             .iter()
@@ -245,13 +252,12 @@
             path.display().to_string()
         };
         let authority_path = write("authority.pem", &authority.authority);
-        let mut settings = Vec::new();
         for (index, (name, region, domain)) in self.instances.iter().enumerate() {
             let files = &authority.instances[index];
             let certificate = write(&format!("{name}.pem"), &files.certificate);
             let key = write(&format!("{name}.key"), &files.key);
             let [callers, peers, operators] =
-                [0, 1, 2].map(|offset| ports[3 * index + offset].local_addr().unwrap());
+                [0, 1, 2].map(|offset| fleet.ports[3 * index + offset].local_addr().unwrap());
             let log_level = if self.logs.is_some() {
                 "info"
             } else {
@@ -267,9 +273,12 @@
                 fleet.platform.address(),
                 fleet.signer.public_base64(),
             );
-            settings.push(DaemonSettings::read("settings", &text).unwrap());
+            fleet
+                .settings_files
+                .push(write(&format!("{name}.ini"), &text).into());
+            let settings = DaemonSettings::read("settings", &text).unwrap();
+            fleet.settings.push(settings);
         }
-        settings
     }
 }
 
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -78,10 +78,12 @@
     mut count: impl FnMut(usize) -> Result<(), ReadError>,
 ) -> Result<BytesMut, ReadError> {
     // A stated length over the limit is refused before any of the body is let in.
-    if body.size_hint().lower() > limit as u64 {
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > limit {
         return Err(ReadError::TooLarge { limit });
     }
-    let mut buf = BytesMut::new();
+    // Growing by doubling would take up to twice the bytes that are counted.
+    let mut buf = BytesMut::with_capacity(stated);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
             continue;
