--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -3,11 +3,19 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod caller;
+mod fake_backend;
 mod fleet;
 mod fleet_builder;
+mod log_buffer;
+mod raw_caller;
+mod relay;
 
 pub use {
-    caller::Caller,
+    caller::{Answer, Caller, chat_body},
+    fake_backend::FakeBackend,
     fleet::{Fleet, wait_until},
     fleet_builder::FleetBuilder,
+    log_buffer::LogBuffer,
+    raw_caller::{RawAnswer, RawCaller, read_answer},
+    relay::{Relay, RelayFault},
 };
