Start from the highest bundle of store and peers, trust only its signers

Cause: tests with nine instances in three regions, 55 ms apart one way, showed three faults. An instance took a peer's bundle signed by a signer that the bundle in force had dropped, because the settings still named that signer. A fresh instance took the head of the store although its peers held a newer bundle, and took the first peer that answered instead of the highest. A fresh instance in a domain that is cut off from the platform knew no address and never got a bundle.

Change: content is checked against the trust of the bundle in force, and against the settings only without one. An instance that missed many versions and a change of signers follows the differences. A start asks the store and all peers of the domain for their heads and decides by RolloutStart. Peers send the instance list and the slots to a suspect instance of their domain that answers without a bundle. It travels as a BundleDelta of version 0, so the messages between instances stay as they are. A fresh instance that the list never named cannot be found this way.

Ruled out: the rollout's rate of reads.

Seen failing: the dropped signer, the old head and the fresh instance before the change; the offer of a stranger without the check of signatures; silent watches without the watchers' reads of the head. The tests of the healed domain and of the revoked key passed without those reads, because digests of peers repair a missed change as well.

--- /dev/null
+++ b/crates/hawthornquay/examples/rollout_times.rs
@@ -0,0 +1,93 @@
+//! Measures the time from the accept of a bundle until all instances have it in force.
+//!
+//! Nine instances in three regions, 55 ms apart one way. The argument is the number of changes for
+//! each kind of fault. Prints one line for each kind.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use hawthornquay_standins::PlatformFaults;
+use support::{Fleet, FleetBuilder};
+use tokio::time::Instant;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+const DEFAULT_CHANGES: usize = 60;
+
+#[tokio::main]
+async fn main() {
+    let changes = std::env::args().nth(1).map_or(DEFAULT_CHANGES, |text| {
+        text.parse().expect("number of changes")
+    });
+    let mut fleet = FleetBuilder::default().three_regions().start().await;
+    let none = PlatformFaults::default();
+    let kinds = [
+        ("none", none),
+        (
+            "silent watches",
+            PlatformFaults {
+                hold_watches: true,
+                ..none
+            },
+        ),
+        (
+            "lost answers",
+            PlatformFaults {
+                lose_answers: 3,
+                ..none
+            },
+        ),
+        (
+            "answers after 500 ms",
+            PlatformFaults {
+                delay_ms: 500,
+                ..none
+            },
+        ),
+    ];
+    let mut version = 1;
+    for (fault, faults) in kinds {
+        let mut times = Vec::new();
+        for _ in 0..changes {
+            version += 1;
+            fleet.platform.set_faults(faults);
+            times.push(change(&mut fleet, version).await);
+        }
+        print_times(fault, times);
+    }
+    fleet.stop_instance(0).await;
+    fleet.platform.set_faults(none);
+    let mut times = Vec::new();
+    for _ in 0..changes {
+        version += 1;
+        times.push(change(&mut fleet, version).await);
+    }
+    print_times("one watcher stopped", times);
+}
+
+async fn change(fleet: &mut Fleet, version: u64) -> Duration {
+    fleet.accept(version).await.expect("accepted");
+    let accepted = Instant::now();
+    let in_force = |fleet: &Fleet| {
+        let mut running = fleet.daemons.iter().flatten();
+        running.all(|daemon| daemon.node().bundle.version() == version)
+    };
+    while !in_force(fleet) {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    accepted.elapsed()
+}
+
+fn print_times(fault: &str, mut times: Vec<Duration>) {
+    times.sort();
+    let quantile = |q: f64| times[((times.len() - 1) as f64 * q).ceil() as usize].as_millis();
+    println!(
+        "fault={fault} changes={} p50_ms={} p99_ms={} worst_ms={}",
+        times.len(),
+        quantile(0.5),
+        quantile(0.99),
+        quantile(1.0),
+    );
+}
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -139,6 +139,24 @@
         let _ = tokio::join!(operators, peers);
         info!(node.log.daemon, "stopped");
     }
+
+    /// Ends at once without waiting for requests and without handing back slots, like a crash.
+    pub async fn abort(self) {
+        self.shutdown.cancel();
+        self.node.links.close();
+        let servers = [self.callers, self.operators];
+        let tasks = self.tasks.into_iter().chain([self.peers]);
+        for task in &servers {
+            task.abort();
+        }
+        for task in tasks {
+            task.abort();
+            let _ = task.await;
+        }
+        for task in servers {
+            let _ = task.await;
+        }
+    }
 }
 
 fn spawn_tasks(node: &Arc<Node>) -> Vec<JoinHandle<()>> {
@@ -148,9 +166,8 @@
         tokio::spawn(gossip::run_membership(Arc::clone(node))),
         tokio::spawn(async move {
             start_rollout(&rollout).await;
-            run_rollout(rollout).await;
+            tokio::join!(run_rollout(Arc::clone(&rollout)), run_watch(rollout));
         }),
-        tokio::spawn(run_watch(Arc::clone(node))),
         tokio::spawn(run_slots(Arc::clone(node))),
         tokio::spawn(run_loans(Arc::clone(node))),
         tokio::spawn(run_load(Arc::clone(node))),
@@ -233,6 +250,7 @@
         drain: Arc::new(Drain::default()),
         partners: Mutex::default(),
         listed: Mutex::default(),
+        slots: Mutex::default(),
         asked_domains: Mutex::default(),
         head_seen: arc_swap::ArcSwapOption::default(),
         sequence: AtomicU64::new(0),
--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use slog::{debug, info};
 
-use crate::{Node, clock, rollout_peers::fetch_from};
+use crate::{Node, clock, rollout_peers::fetch_from, start_hint::greet};
 
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -38,6 +38,9 @@
             read_list(&node).await;
         }
         send_digests(&node, &mut partners).await;
+        if let Some(peer) = node.suspect_domain_peer() {
+            tokio::spawn(greet(Arc::clone(&node), peer));
+        }
     }
 }
 
@@ -76,7 +79,8 @@
     if digest.head_version == own {
         confirm(node, Duration::from_millis(digest.head_age_ms));
     }
-    if sender_version > own {
+    // A fresh instance first asks the store and its peers which bundle is the highest.
+    if sender_version > own && node.bundle.active().is_some() {
         fetch_from(node, &from.name).await;
     }
 }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -59,6 +59,7 @@
 mod routed_answer;
 mod routing_state;
 mod service_request;
+mod start_hint;
 mod token_use;
 
 pub use {
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -116,6 +116,7 @@
         node.limits
             .lock()
             .adopt_slots(slots.snapshot.clone(), clock::now());
+        node.slots.lock().clone_from(&slots.snapshot);
         match plan(node, &slots).await {
             Ok(false) => {}
             // Our own or another write changed the entry; the present one is needed.
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -12,7 +12,7 @@
 use hawthornquay_backends::BackendClient;
 use hawthornquay_decisions::{
     DomainName, InstanceId, InstanceName, InstanceRecord, IssuedKeyTable, LimitTable, Map,
-    MemberTable, MonotonicTime, RequestId, Rollout, RouteTarget, RoutingPlace,
+    MemberTable, MonotonicTime, RequestId, Rollout, RouteTarget, RoutingPlace, SlotSnapshot,
 };
 use hawthornquay_instances::{LinkCounters, LinkPool};
 use hawthornquay_operators::DaemonSettings;
@@ -68,6 +68,8 @@
     pub partners: Mutex<Vec<InstanceName>>,
     /// The platform's list as last read, with its lag.
     pub listed: Mutex<(Vec<InstanceRecord>, Duration)>,
+    /// Slots as last read from the store.
+    pub slots: Mutex<SlotSnapshot>,
     /// Domains that were asked for their load lately.
     pub asked_domains: Mutex<Map<(DomainName, RouteTarget), MonotonicTime>>,
     /// Client of backend servers.
@@ -101,23 +103,6 @@
             .contains(&self.id.name)
     }
 
-    /// Returns the members that hold a bundle, those with the highest version first.
-    pub fn members_by_bundle(&self) -> Vec<InstanceName> {
-        let members = self.members.lock();
-        let mut held: Vec<_> = members
-            .others()
-            .map(|member| {
-                (
-                    member.bundle_version,
-                    member.record.domain == self.place.domain,
-                    member.record.name.clone(),
-                )
-            })
-            .collect();
-        held.sort_by(|a, b| b.cmp(a));
-        held.into_iter().map(|(.., name)| name).collect()
-    }
-
     /// Returns the bytes of control traffic on links, TLS included.
     pub fn control_bytes(&self) -> u64 {
         let sockets = self.counters.socket_bytes_in() + self.counters.socket_bytes_out();
--- a/crates/hawthornquay/src/node_peers.rs
+++ b/crates/hawthornquay/src/node_peers.rs
@@ -61,6 +61,32 @@
         Some(PeerAddress::new(name.as_str(), member.record.peers))
     }
 
+    /// Returns the other instances of the own failure domain, whatever their state.
+    pub fn domain_peers(&self) -> Vec<PeerAddress> {
+        let members = self.members.lock();
+        members
+            .others()
+            .filter(|member| member.record.domain == self.place.domain)
+            .map(|member| PeerAddress::new(member.record.name.as_str(), member.record.peers))
+            .collect()
+    }
+
+    /// Returns a random instance of the own failure domain that has shown no progress lately.
+    pub fn suspect_domain_peer(&self) -> Option<PeerAddress> {
+        let members = self.members.lock();
+        let now = clock::now();
+        let mut suspects: Vec<PeerAddress> = members
+            .others()
+            .filter(|member| member.record.domain == self.place.domain)
+            .filter(|member| members.state_of(member, now) == MemberState::Suspect)
+            .map(|member| PeerAddress::new(member.record.name.as_str(), member.record.peers))
+            .collect();
+        if suspects.is_empty() {
+            return None;
+        }
+        Some(suspects.swap_remove(rand::random_range(0..suspects.len())))
+    }
+
     /// Returns a random live instance of a failure domain.
     pub fn peer_in_domain(&self, domain: &DomainName) -> Option<PeerAddress> {
         let members = self.members.lock();
--- a/crates/hawthornquay/src/rollout_install.rs
+++ b/crates/hawthornquay/src/rollout_install.rs
@@ -74,29 +74,30 @@
     }
 }
 
-/// Checks whole content against the settings' trust or the bundle in force, and installs it.
-pub fn offer_content(node: &Node, head: BundleHead, document: BundleDocument) -> bool {
-    let by_settings = node.settings.trust.verify_head(&head);
-    let by_held = node.bundle.active().is_some_and(|held| {
-        Trust::of_predecessor(held.bundle())
-            .verify_head(&head)
-            .is_ok()
-    });
+/// Checks whole content against the trust of the bundle in force, or without one of the settings,
+/// and installs it; returns the step taken.
+///
+/// The settings may still name a signer that the bundle in force has dropped.
+pub fn offer_content(node: &Node, head: BundleHead, document: BundleDocument) -> RolloutStep {
+    let trusted = node.bundle.active().map_or_else(
+        || node.settings.trust.verify_head(&head),
+        |held| Trust::of_predecessor(held.bundle()).verify_head(&head),
+    );
     let matches = document.digest() == head.digest && document.version() == head.version;
-    let verified = matches && (by_settings.is_ok() || by_held);
     let offer = RolloutOffer::Content {
         to: version_of(&head),
-        verified,
+        verified: matches && trusted.is_ok(),
     };
-    match node.rollout.lock().decide(&offer) {
-        RolloutStep::Install => {}
+    let step = node.rollout.lock().decide(&offer);
+    let version = head.version;
+    match step {
+        RolloutStep::Install if !install(node, head, document) => RolloutStep::IgnoreNotNewer,
         RolloutStep::IgnoreUnverified => {
-            warn!(node.log.rollout, "bundle refused"; "version" => head.version);
-            return false;
+            warn!(node.log.rollout, "bundle refused"; "version" => version);
+            step
         }
-        _ => return false,
+        _ => step,
     }
-    install(node, head, document)
 }
 
 /// Reads the head in the store and follows it; returns whether the store answered.
@@ -152,7 +153,10 @@
 async fn follow_content(node: &Arc<Node>, store: &PlatformStore<'_>, head: BundleHead) {
     match load_content(store, &head).await {
         Ok(document) => {
-            offer_content(node, head, document);
+            let step = offer_content(node, head.clone(), document);
+            if let RolloutStep::FetchDifferences { first, .. } = step {
+                follow_differences(node, store, &head, first).await;
+            }
         }
         Err(error) => warn!(node.log.rollout, "bundle cannot be read"; "error" => %error),
     }
--- a/crates/hawthornquay/src/rollout_peers.rs
+++ b/crates/hawthornquay/src/rollout_peers.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
-use hawthornquay_decisions::{InstanceId, InstanceName};
+use hawthornquay_decisions::{InstanceId, InstanceName, RolloutPeerAnswer, RolloutStep};
 use hawthornquay_instances::{BundleContent, BundleDelta, BundleFetch, Notice, PeerAddress};
 use hawthornquay_operators::{BundleDocument, BundleHead, StoredDifference};
 use slog::info;
@@ -12,7 +12,8 @@
 use crate::{
     Node,
     gossip::take_digest,
-    rollout_install::{offer_content, offer_difference},
+    rollout_install::{offer_content, offer_difference, version_of},
+    start_hint::{START_HINT_VERSION, take_hint},
 };
 
 /// Size of one part of a bundle between instances, in bytes.
@@ -20,10 +21,18 @@
 
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Part that no bundle has; an answer about it carries the head alone.
+const HEAD_ONLY: u32 = u32::MAX;
+
 /// Takes a one-way message of another instance.
 pub async fn take_notice(node: &Arc<Node>, from: &InstanceId, notice: Notice) {
     match notice {
         Notice::Digest(digest) => take_digest(node, from, &digest).await,
+        Notice::BundleDelta(delta) if delta.version == START_HINT_VERSION => {
+            take_hint(node, &delta.delta);
+        }
+        // A fresh instance first asks the store and its peers which bundle is the highest.
+        Notice::BundleDelta(_) if node.bundle.active().is_none() => {}
         Notice::BundleDelta(delta) => {
             let Ok(difference) = serde_json::from_slice::<StoredDifference>(&delta.delta) else {
                 return;
@@ -89,6 +98,35 @@
     }
 }
 
+/// Asks the other instances of the failure domain which bundles they hold.
+pub async fn peer_answers(node: &Node) -> Vec<(InstanceName, RolloutPeerAnswer)> {
+    let peers = node.domain_peers();
+    join_all(peers.into_iter().map(|peer| async move {
+        let head = head_of(node, &peer).await.flatten();
+        let answer = head.map_or(RolloutPeerAnswer::Nothing, |head| {
+            RolloutPeerAnswer::Holds {
+                held: version_of(&head),
+                verified: node.settings.trust.verify_head(&head).is_ok(),
+            }
+        });
+        (peer.name, answer)
+    }))
+    .await
+}
+
+/// Returns the head that a peer holds, if it answers; `Some(None)` if it has no bundle.
+pub async fn head_of(node: &Node, peer: &PeerAddress) -> Option<Option<BundleHead>> {
+    let req = BundleFetch {
+        version: 0,
+        part: HEAD_ONLY,
+    };
+    let content = node.links.call(peer, req, FETCH_TIMEOUT).await.ok()?;
+    if content.version == 0 {
+        return Some(None);
+    }
+    Some(Some(serde_json::from_slice(&content.head).ok()?))
+}
+
 /// Fetches the bundle of a peer that holds a newer one.
 pub async fn fetch_from(node: &Arc<Node>, name: &InstanceName) -> bool {
     let Some(peer) = node.peer_named(name) else {
@@ -98,7 +136,7 @@
         info!(node.log.rollout, "peer gave no bundle"; "instance" => %name);
         return false;
     };
-    offer_content(node, head, document)
+    offer_content(node, head, document) == RolloutStep::Install
 }
 
 async fn fetch(node: &Node, peer: &PeerAddress) -> Option<(BundleHead, BundleDocument)> {
--- a/crates/hawthornquay/src/rollout_task.rs
+++ b/crates/hawthornquay/src/rollout_task.rs
@@ -2,10 +2,19 @@
 
 use std::{sync::Arc, time::Duration};
 
+use hawthornquay_decisions::{
+    InstanceName, RolloutPeerAnswer, RolloutStart, RolloutStoreAnswer, RolloutVersion,
+};
+use hawthornquay_operators::load_head;
 use hawthornquay_platform::Revision;
 use slog::info;
 
-use crate::{Node, clock, rollout_install::follow_store, rollout_peers::fetch_from};
+use crate::{
+    Node, PlatformStore, clock,
+    gossip::read_list,
+    rollout_install::{follow_store, version_of},
+    rollout_peers::{fetch_from, peer_answers},
+};
 
 const HEAD_KEY: &str = "bundle/head";
 
@@ -14,26 +23,65 @@
 
 const TICK: Duration = Duration::from_millis(100);
 
+/// Longest wait of a fresh instance for the head in the store.
+const START_STORE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time between two tries to get a first bundle.
 const START_RETRY: Duration = Duration::from_millis(300);
 
-/// Gets the first bundle, from the store or else from a peer.
+/// Gets the first bundle: the highest that the store or a peer of the failure domain vouches for.
 pub async fn start_rollout(node: &Arc<Node>) {
-    loop {
-        let answered = follow_store(node).await;
-        let from_peers = if answered {
-            node.bundle.active().is_none()
-        } else {
-            true
-        };
-        if from_peers {
-            fetch_highest(node).await;
+    let began = clock::now();
+    while node.bundle.active().is_none() {
+        let (store, ()) = tokio::join!(store_answer(node), read_first_list(node));
+        let peers = peer_answers(node).await;
+        let answers: Vec<RolloutPeerAnswer> = peers.iter().map(|(_, answer)| *answer).collect();
+        let waited = clock::now().since(began);
+        match RolloutStart::decide(store, &answers, waited) {
+            RolloutStart::TakeFromStore(head) => {
+                follow_store(node).await;
+                if node.bundle.version() < head.version {
+                    take_from_peer(node, &peers, head).await;
+                }
+            }
+            RolloutStart::TakeFromPeer(held) => take_from_peer(node, &peers, held).await,
+            RolloutStart::Wait => {}
+        }
+        if node.bundle.active().is_none() {
+            info!(node.log.rollout, "no bundle yet"; "peers" => peers.len());
+            tokio::time::sleep(START_RETRY).await;
         }
-        if node.bundle.active().is_some() {
+    }
+}
+
+async fn store_answer(node: &Node) -> RolloutStoreAnswer {
+    let store = PlatformStore(&node.platform);
+    match tokio::time::timeout(START_STORE_TIMEOUT, load_head(&store)).await {
+        Ok(Ok(Some(stored))) => RolloutStoreAnswer::Head(version_of(&stored.head)),
+        Ok(Ok(None)) => RolloutStoreAnswer::NoBundle,
+        Ok(Err(_)) | Err(_) => RolloutStoreAnswer::Unreachable,
+    }
+}
+
+async fn read_first_list(node: &Node) {
+    if node.members.lock().others().next().is_none() {
+        read_list(node).await;
+    }
+}
+
+async fn take_from_peer(
+    node: &Arc<Node>,
+    peers: &[(InstanceName, RolloutPeerAnswer)],
+    wanted: RolloutVersion,
+) {
+    for (name, answer) in peers {
+        let holds = matches!(
+            answer,
+            RolloutPeerAnswer::Holds { held, verified: true } if *held == wanted
+        );
+        if holds && fetch_from(node, name).await {
             return;
         }
-        info!(node.log.rollout, "no bundle yet"; "store" => answered);
-        tokio::time::sleep(START_RETRY).await;
     }
 }
 
@@ -67,12 +115,3 @@
         }
     }
 }
-
-async fn fetch_highest(node: &Arc<Node>) {
-    let names = node.members_by_bundle();
-    for name in names {
-        if fetch_from(node, &name).await {
-            return;
-        }
-    }
-}
--- a/crates/hawthornquay/tests/support/fleet.rs
+++ b/crates/hawthornquay/tests/support/fleet.rs
@@ -3,11 +3,15 @@
 use std::{net::SocketAddr, time::Duration};
 
 use hawthornquay::{Daemon, Node};
+use hawthornquay_decisions::MonotonicTime;
 use hawthornquay_operators::{DaemonSettings, OperatorKey};
 use hawthornquay_platform::PlatformClient;
 use hawthornquay_standins::{ModelEngine, PlainService, Platform};
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
+use super::Network;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Fleet in the process of a test.
@@ -20,6 +24,7 @@
     pub client: PlatformClient,
     pub daemons: Vec<Option<Daemon>>,
     pub settings: Vec<DaemonSettings>,
+    pub network: Network,
 }
 
 impl Fleet {
@@ -47,6 +52,19 @@
             daemon.stop().await;
         }
     }
+
+    /// Ends an instance without a graceful stop.
+    pub async fn abort_instance(&mut self, index: usize) {
+        if let Some(daemon) = self.daemons[index].take() {
+            daemon.abort().await;
+        }
+    }
+}
+
+/// Returns the time of the daemons' clock.
+pub fn now() -> MonotonicTime {
+    let time = clock_gettime(ClockId::Boottime);
+    MonotonicTime(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
 }
 
 /// Polls until `condition` holds.
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -1,8 +1,10 @@
 //! Builder of a fleet.
 
 use std::{
+    collections::{BTreeMap, BTreeSet},
     fs,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    ops::RangeInclusive,
     time::{Duration, SystemTime},
 };
 
@@ -18,7 +20,12 @@
     EngineSettings, ModelEngine, PlainService, Platform, PlatformSettings,
 };
 
-use super::{Fleet, wait_until};
+use parking_lot::Mutex;
+
+use super::{Fleet, Network, wait_until};
+
+/// Ports with five digits, because a relay replaces them in answers of a given length.
+const LISTEN_PORTS: RangeInclusive<u16> = 10_000..=32_000;
 
 const SALT: &str = "00112233445566778899aabbccddeeff";
 
@@ -31,6 +38,7 @@
     burst: u64,
     platform: PlatformSettings,
     idempotency_key: &'static str,
+    relayed: bool,
 }
 
 impl Default for FleetBuilder {
@@ -50,6 +58,7 @@
             burst: 1_000_000,
             platform: PlatformSettings::default(),
             idempotency_key: "optional",
+            relayed: false,
         }
     }
 }
@@ -75,6 +84,23 @@
         self
     }
 
+    /// Sets nine instances in three regions, with relays between the regions.
+    pub fn three_regions(mut self) -> Self {
+        self.instances.clear();
+        self.engine_domains.clear();
+        for region in ["lagos", "abuja", "kano"] {
+            let domain = format!("{region}-a");
+            for number in 1..=3 {
+                let name = format!("{region}-{number}");
+                self.instances
+                    .push((name, region.to_owned(), domain.clone()));
+            }
+            self.engine_domains.push(domain);
+        }
+        self.relayed = true;
+        self
+    }
+
     /// Starts everything and waits until each instance has the bundle and every slot a holder.
     pub async fn start(self) -> Fleet {
         let any: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
@@ -105,9 +131,22 @@
             client,
             daemons: Vec::new(),
             settings: Vec::new(),
+            network: Network::default(),
         };
         fleet.accept(1).await.unwrap();
+        if self.relayed {
+            let regions: Vec<String> = self.instances.iter().map(|place| place.1.clone()).collect();
+            fleet.network = Network::start(&regions).await;
+        }
         fleet.settings = self.settings(&fleet);
+        if self.relayed {
+            let peers: Vec<SocketAddr> = fleet
+                .settings
+                .iter()
+                .map(|settings| settings.instance.peers)
+                .collect();
+            fleet.network.set_targets(fleet.platform.address(), &peers);
+        }
         for index in 0..fleet.settings.len() {
             fleet.list_instance(index, InstanceState::Live);
             fleet.start_instance(index).await;
@@ -128,9 +167,7 @@
         let digest = |key: &str| key_digest_text(&caller_key_digest(&salt, key));
         let mut text = format!(
             "[bundle]\nversion = 1\nsignatures_needed = 1\nkey_salt = {SALT}\nsigner.ada = {}\n\
-             [region lagos]\n[region kano]\n\
-             [domain lagos-a]\nregion = lagos\nlimit_weight = 1\n\
-             [domain kano-a]\nregion = kano\nlimit_weight = 1\n\
+             {}\
              [organisation kolanut]\nrate = {}\nburst = {}\nresidency = any\n\
              [organisation homebound]\nrate = {}\nburst = {}\nresidency = lagos\n\
              [key kolanut-1]\norganisation = kolanut\ndigest = {}\n\
@@ -142,6 +179,7 @@
              [backend bookings-1]\nkind = plain-service\naddress = {service}\ndomain = lagos-a\n\
              service = bookings\n",
             signer.public_base64(),
+            self.places_text(),
             self.rate,
             self.burst,
             self.rate,
@@ -160,6 +198,24 @@
         text
     }
 
+    fn places_text(&self) -> String {
+        let regions: BTreeSet<&str> = self
+            .instances
+            .iter()
+            .map(|(_, region, _)| &**region)
+            .collect();
+        let domains: BTreeMap<&str, &str> = self
+            .instances
+            .iter()
+            .map(|(_, region, domain)| (&**domain, &**region))
+            .collect();
+        let regions = regions.iter().map(|region| format!("[region {region}]\n"));
+        let domains = domains.iter().map(|(domain, region)| {
+            format!("[domain {domain}]\nregion = {region}\nlimit_weight = 1\n")
+        });
+        regions.chain(domains).collect()
+    }
+
     fn settings(&self, fleet: &Fleet) -> Vec<DaemonSettings> {
         let names: Vec<(&str, IpAddr)> = self
             .instances
@@ -189,7 +245,11 @@
                  [tls]\ncertificate = {certificate}\nkey = {key}\nauthority = {authority_path}\n\
                  [trust]\nsignatures_needed = 1\nsigner.ada = {}\n\
                  [log]\nformat = human\nlevel = warning\n",
-                fleet.platform.address(),
+                if self.relayed {
+                    fleet.network.platform(region).address()
+                } else {
+                    fleet.platform.address()
+                },
                 fleet.signer.public_base64(),
             );
             settings.push(DaemonSettings::read("settings", &text).unwrap());
@@ -199,10 +259,18 @@
 }
 
 /// Returns free loopback addresses; all are held until the last is found.
+///
+/// The ports are below the range for outgoing connections, so that no connection of another test
+/// takes one before its server binds it.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap())
-        .collect();
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut listeners = Vec::new();
+    while listeners.len() < count {
+        let port = rand::random_range(LISTEN_PORTS);
+        if GIVEN.lock().insert(port) {
+            listeners.extend(TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
+        }
+    }
     listeners
         .iter()
         .map(|listener| listener.local_addr().unwrap())
