--- a/crates/hawthornquay/tests/support/fleet.rs
+++ b/crates/hawthornquay/tests/support/fleet.rs
@@ -3,12 +3,14 @@
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 use hawthornquay::{Daemon, Node};
+use hawthornquay_decisions::MonotonicTime;
 use hawthornquay_operators::{DaemonSettings, OperatorKey};
 use hawthornquay_platform::PlatformClient;
 use hawthornquay_standins::{ModelEngine, PlainService, Platform};
+use rustix::time::{ClockId, clock_gettime};
 use tokio::{net::TcpSocket, time::Instant};
 
-use super::{LogBuffer, Relay};
+use super::{LogBuffer, Network, Relay};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -33,6 +35,7 @@
     pub daemons: Vec<Option<Daemon>>,
     pub settings: Vec<DaemonSettings>,
     pub settings_files: Vec<PathBuf>,
+    pub network: Network,
 }
 
 impl Fleet {
@@ -75,6 +78,19 @@
             daemon.stop().await;
         }
     }
+
+    /// Ends an instance without a graceful stop.
+    pub async fn abort_instance(&mut self, index: usize) {
+        if let Some(daemon) = self.daemons[index].take() {
+            daemon.abort().await;
+        }
+    }
+}
+
+/// Returns the time of the daemons' clock.
+pub fn now() -> MonotonicTime {
+    let time = clock_gettime(ClockId::Boottime);
+    MonotonicTime(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
 }
 
 /// Polls until `condition` holds.
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -1,9 +1,11 @@
 //! Builder of a fleet.
 
 use std::{
+    collections::{BTreeMap, BTreeSet},
     fs,
     io::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    ops::RangeInclusive,
     time::{Duration, SystemTime},
 };
 
@@ -19,9 +21,13 @@
     EngineSettings, ModelEngine, PlainService, Platform, PlatformSettings,
 };
 
+use parking_lot::Mutex;
 use tokio::net::TcpSocket;
 
-use super::{Fleet, LogBuffer, Relay, wait_until};
+use super::{Fleet, LogBuffer, Network, Relay, wait_until};
+
+/// Ports with five digits, because a relay replaces them in answers of a given length.
+const LISTEN_PORTS: RangeInclusive<u16> = 10_000..=32_000;
 
 const SALT: &str = "00112233445566778899aabbccddeeff";
 
@@ -38,6 +44,7 @@
     relays: bool,
     extra_sections: String,
     logs: Option<LogBuffer>,
+    relayed: bool,
 }
 
 impl Default for FleetBuilder {
@@ -61,6 +68,7 @@
             relays: false,
             extra_sections: String::new(),
             logs: None,
+            relayed: false,
         }
     }
 }
@@ -121,6 +129,23 @@
         self
     }
 
+    /// Sets nine instances in three regions, with relays between the regions.
+    pub fn three_regions(mut self) -> Self {
+        self.instances.clear();
+        self.engine_domains.clear();
+        for region in ["lagos", "abuja", "kano"] {
+            let domain = format!("{region}-a");
+            for number in 1..=3 {
+                let name = format!("{region}-{number}");
+                self.instances
+                    .push((name, region.to_owned(), domain.clone()));
+            }
+            self.engine_domains.push(domain);
+        }
+        self.relayed = true;
+        self
+    }
+
     /// Starts everything and waits until each instance has the bundle and every slot a holder.
     pub async fn start(self) -> Fleet {
         let mut fleet = self.prepare().await;
@@ -182,10 +207,23 @@
             client,
             daemons: Vec::new(),
             settings: Vec::new(),
+            network: Network::default(),
         };
         fleet.accept(1).await.unwrap();
+        if self.relayed {
+            let regions: Vec<String> = self.instances.iter().map(|place| place.1.clone()).collect();
+            fleet.network = Network::start(&regions).await;
+        }
         fleet.ports = reserve_ports(3 * self.instances.len());
         self.write_settings(&mut fleet);
+        if self.relayed {
+            let peers: Vec<SocketAddr> = fleet
+                .settings
+                .iter()
+                .map(|settings| settings.instance.peers)
+                .collect();
+            fleet.network.set_targets(fleet.platform.address(), &peers);
+        }
         if self.relays {
             for settings in &fleet.settings {
                 let relay = Relay::start(settings.instance.peers).await;
@@ -208,9 +246,7 @@
         let digest = |key: &str| key_digest_text(&caller_key_digest(&salt, key));
         let mut text = format!(
             "[bundle]\nversion = 1\nsignatures_needed = 1\nkey_salt = {SALT}\nsigner.ada = {}\n\
-             [region lagos]\n[region kano]\n\
-             [domain lagos-a]\nregion = lagos\nlimit_weight = 1\n\
-             [domain kano-a]\nregion = kano\nlimit_weight = 1\n\
+             {}\
              [organisation kolanut]\nrate = {}\nburst = {}\nresidency = any\n\
              [organisation homebound]\nrate = {}\nburst = {}\nresidency = lagos\n\
              [key kolanut-1]\norganisation = kolanut\ndigest = {}\n\
@@ -220,6 +256,7 @@
              [route /v1/services/lookups]\nservice = bookings\nrepeatable = yes\ncost = 1\n\
              [route /v1/services/open]\nservice = bookings\nopen = yes\norganisation = kolanut\n",
             signer.public_base64(),
+            self.places_text(),
             self.rate,
             self.burst,
             self.rate,
@@ -248,6 +285,24 @@
         text
     }
 
+    fn places_text(&self) -> String {
+        let regions: BTreeSet<&str> = self
+            .instances
+            .iter()
+            .map(|(_, region, _)| &**region)
+            .collect();
+        let domains: BTreeMap<&str, &str> = self
+            .instances
+            .iter()
+            .map(|(_, region, domain)| (&**domain, &**region))
+            .collect();
+        let regions = regions.iter().map(|region| format!("[region {region}]\n"));
+        let domains = domains.iter().map(|(domain, region)| {
+            format!("[domain {domain}]\nregion = {region}\nlimit_weight = 1\n")
+        });
+        regions.chain(domains).collect()
+    }
+
     fn write_settings(&self, fleet: &mut Fleet) {
         let names: Vec<(&str, IpAddr)> = self
             .instances
@@ -281,7 +336,11 @@
                  [tls]\ncertificate = {certificate}\nkey = {key}\nauthority = {authority_path}\n\
                  [trust]\nsignatures_needed = 1\nsigner.ada = {}\n\
                  [log]\nformat = human\nlevel = {log_level}\n",
-                fleet.platform.address(),
+                if self.relayed {
+                    fleet.network.platform(region).address()
+                } else {
+                    fleet.platform.address()
+                },
                 fleet.signer.public_base64(),
             );
             fleet
@@ -296,15 +355,23 @@
 /// Reserves free loopback ports.
 ///
 /// The sockets stay bound without listening, so that no other socket of the machine is given the
-/// port, and an instance can still listen on it.
+/// port, and an instance can still listen on it. The ports are below the range for outgoing
+/// connections, so that no connection of another test takes one.
 fn reserve_ports(count: usize) -> Vec<TcpSocket> {
-    let reserve = |_| {
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    let mut sockets = Vec::new();
+    while sockets.len() < count {
+        let port = rand::random_range(LISTEN_PORTS);
+        if !GIVEN.lock().insert(port) {
+            continue;
+        }
         let socket = TcpSocket::new_v4().unwrap();
         socket.set_reuseaddr(true).unwrap();
-        socket.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
-        socket
-    };
-    (0..count).map(reserve).collect()
+        if socket.bind((Ipv4Addr::LOCALHOST, port).into()).is_ok() {
+            sockets.push(socket);
+        }
+    }
+    sockets
 }
 
 impl Fleet {
--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -3,19 +3,23 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod caller;
+mod delay_relay;
 mod fake_backend;
 mod fleet;
 mod fleet_builder;
 mod log_buffer;
+mod network;
 mod raw_caller;
 mod relay;
 
 pub use {
     caller::{Answer, Caller, chat_body},
+    delay_relay::{DelayRelay, Direction},
     fake_backend::FakeBackend,
-    fleet::{Fleet, wait_until},
+    fleet::{Fleet, now, wait_until},
     fleet_builder::FleetBuilder,
     log_buffer::LogBuffer,
+    network::{Network, REGION_ONE_WAY},
     raw_caller::{RawAnswer, RawCaller, read_answer},
     relay::{Relay, RelayFault},
 };
