Record bundle changes, orders and orderers in the audit trail

Cause: an audit record told who accepted which version, but not whether keys, organisations or signers changed, and orders to engines and changes of the orderer left no record at all.

An accepted bundle's record now holds the numbers of sections added, changed and removed by kind, from the difference to the predecessor. Each lease of an orderer and each order that an engine may have received leaves a record under `audit/<fence>-<n>`. The fencing number is the store revision of the lease key, so `hawthornquay audit` sorts the records among those of the bundles. They are written in the background, in order, again until the store takes them; an order never waits for one.

Ruled out: writing a record before its order, which would make orders depend on the store; a record for each order that could not be sent, which would grow the trail while an engine is down; counts by section name, since these name organisations.

Records without the new fields are still read. Unknown fields are still refused.

Seen failing with the protection taken out: without the counts, accept_audit_counts_the_changes_by_kind; with another tag than `what`, accept_old_audit_record_is_read; without the second try, order_audit_is_written_after_an_outage; without the records of the order task, run_orders_leaves_audit_records; without the number in the sort key, audit_shows_orders_among_bundles. All pass with it.

In 7 runs of whole_path, run_directory_region_entry_lists_all failed twice with `Address already in use` at Daemon::start: the fleet builder releases the free ports that it finds before the daemon binds them. The builder is unchanged here. All other tests of both packages passed.

--- a/crates/hawthornquay/src/command_options.rs
+++ b/crates/hawthornquay/src/command_options.rs
@@ -53,7 +53,7 @@
         #[bpaf(positional("ID"))]
         id: String,
     },
-    /// Show who put which bundle in force and when, the oldest first
+    /// Show who changed the bundle, which orders engines got, and when, the oldest first
     #[bpaf(command("audit"))]
     Audit {
         /// Write JSON
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -50,6 +50,7 @@
 mod node;
 mod node_peers;
 mod operator_router;
+mod order_audit;
 mod order_task;
 mod outbound_request;
 mod part_logs;
@@ -104,6 +105,7 @@
     metrics::{Metrics, MetricsError},
     node::Node,
     operator_router::operator_router,
+    order_audit::OrderAudit,
     outbound_request::OutboundRequest,
     part_logs::PartLogs,
     peer_gateway::PeerGateway,
--- a/crates/hawthornquay/src/order_task.rs
+++ b/crates/hawthornquay/src/order_task.rs
@@ -4,13 +4,14 @@
 
 use hawthornquay_backends::OrderAnswer;
 use hawthornquay_decisions::{
-    BackendKind, BackendServer, MemberState, MonotonicTime, OrderKind, OrderLease, OrderPlan,
-    OrderRequest, OrderStep,
+    BackendKind, BackendServer, Execution, MemberState, MonotonicTime, OrderKind, OrderLease,
+    OrderPlan, OrderRequest, OrderStep,
 };
+use hawthornquay_operators::AuditAction;
 use hawthornquay_platform::{LeaseId, PlatformError, Revision};
 use slog::{info, warn};
 
-use crate::{Node, clock};
+use crate::{Node, OrderAudit, clock};
 
 /// Time between two looks at the engines' models when the bundle does not change.
 const CHECK_INTERVAL: Duration = Duration::from_secs(60);
@@ -37,10 +38,20 @@
     lease: OrderLease,
     id: LeaseId,
     renew_at: MonotonicTime,
+    /// Audit records written under this lease.
+    recorded: u64,
+}
+
+impl Orderer {
+    fn record(&mut self, audit: &OrderAudit, action: AuditAction) {
+        audit.record(self.lease.fence(), self.recorded, action);
+        self.recorded += 1;
+    }
 }
 
 /// Orders what the bundle names and engines lack, for as long as the process runs.
 pub async fn run_orders(node: Arc<Node>) {
+    let audit = OrderAudit::start(&node);
     let mut checked: Option<(u64, MonotonicTime)> = None;
     loop {
         tokio::time::sleep(TICK).await;
@@ -52,7 +63,7 @@
             continue;
         }
         let engines = engines_in_need(&node).await;
-        if engines.is_empty() || order(&node, engines).await {
+        if engines.is_empty() || order(&node, &audit, engines).await {
             checked = Some((version, now));
         } else {
             tokio::time::sleep(RETRY_DELAY).await;
@@ -105,7 +116,7 @@
 }
 
 /// Takes the lease and orders until everything is settled; returns whether it is.
-async fn order(node: &Node, engines: Vec<Engine>) -> bool {
+async fn order(node: &Node, audit: &OrderAudit, engines: Vec<Engine>) -> bool {
     let mut orderer = match take_lease(node).await {
         Ok(orderer) => orderer,
         Err(error) => {
@@ -114,9 +125,15 @@
         }
     };
     info!(node.log.orders, "lease taken"; "fence" => orderer.lease.fence());
+    let action = AuditAction::OrdererChanged {
+        domain: node.place.domain.clone(),
+        instance: node.id.name.clone(),
+        fence: orderer.lease.fence(),
+    };
+    orderer.record(audit, action);
     let mut settled = true;
     for engine in engines {
-        settled &= settle(node, &mut orderer, engine).await;
+        settled &= settle(node, audit, &mut orderer, engine).await;
     }
     let _ = node.platform.end_lease(orderer.id).await;
     settled
@@ -137,6 +154,7 @@
             lease: OrderLease::new(revision.0, LEASE_TTL, asked_at, clock::now()),
             id,
             renew_at: asked_at + RENEW_INTERVAL,
+            recorded: 0,
         }),
         Err(error) => {
             let _ = node.platform.end_lease(id).await;
@@ -145,7 +163,12 @@
     }
 }
 
-async fn settle(node: &Node, orderer: &mut Orderer, mut engine: Engine) -> bool {
+async fn settle(
+    node: &Node,
+    audit: &OrderAudit,
+    orderer: &mut Orderer,
+    mut engine: Engine,
+) -> bool {
     loop {
         renew(node, orderer).await;
         match engine.plan.next_step(&orderer.lease, clock::now()) {
@@ -166,7 +189,17 @@
                     Err(_) => tokio::time::sleep(RETRY_DELAY).await,
                 }
             }
-            OrderStep::Send(order) => send(node, &mut engine, order).await,
+            OrderStep::Send(order) => {
+                let action = AuditAction::OrderSent {
+                    server: engine.server.name.clone(),
+                    kind: order.kind,
+                    model: order.model.clone(),
+                    fence: order.fence,
+                };
+                if send(node, &mut engine, order).await {
+                    orderer.record(audit, action);
+                }
+            }
         }
     }
 }
@@ -177,9 +210,14 @@
         .is_some_and(|active| active.bundle().backends.get(&server.name) == Some(server))
 }
 
-async fn send(node: &Node, engine: &mut Engine, order: OrderRequest) {
+/// Sends an order and returns whether the engine may have received it.
+async fn send(node: &Node, engine: &mut Engine, order: OrderRequest) -> bool {
     let answer = node.backends.order(engine.server.address, &order).await;
     let server = &engine.server.name;
+    let may_have_arrived = match &answer {
+        Ok(_) => true,
+        Err(error) => error.execution() != Execution::NotRun,
+    };
     match answer {
         Ok(OrderAnswer::Accepted) => {
             info!(node.log.orders, "order sent"; "server" => %server, "model" => &order.model);
@@ -192,6 +230,7 @@
         }
     }
     engine.plan.sent(order, clock::now());
+    may_have_arrived
 }
 
 async fn renew(node: &Node, orderer: &mut Orderer) {
--- a/crates/hawthornquay/tests/command/audit.rs
+++ b/crates/hawthornquay/tests/command/audit.rs
@@ -13,9 +13,11 @@
 fn record(version: u64, who: &str) -> String {
     let record = AuditRecord {
         who: who.to_owned(),
-        what: AuditAction::BundleAccepted,
-        version,
-        digest: BundleDigest([7; 32]),
+        action: AuditAction::BundleAccepted {
+            version,
+            digest: BundleDigest([7; 32]),
+            changes: None,
+        },
         when_ms: 1_796_365_804_250,
     };
     json!(record).to_string()
@@ -51,6 +53,61 @@
     );
 }
 
+/// Guards against orders that are hidden, or shown apart from the bundles around them, and against
+/// records of older versions that are refused.
+#[test]
+fn audit_shows_orders_among_bundles() {
+    let workplace = Workplace::new("audit-orders");
+    let platform = TestPlatform::start();
+    let order = |model: &str| {
+        json!({"who": "lagos-1#7", "what": "order-sent", "server": "engine-1",
+            "kind": "load-model", "model": model, "fence": 9, "when_ms": 2})
+    };
+    platform.write("audit/9-10", &order("last").to_string());
+    platform.write("audit/9-2", &order("second").to_string());
+    let orderer = json!({"who": "lagos-1#7", "what": "orderer-changed", "domain": "lagos-a",
+        "instance": "lagos-1", "fence": 9, "when_ms": 1});
+    platform.write("audit/9-0", &orderer.to_string());
+    let digest = "07".repeat(32);
+    let accepted = json!({"who": "ada", "what": "bundle-accepted", "version": 2, "digest": digest,
+        "changes": {"key": {"added": 1, "changed": 0, "removed": 2}}, "when_ms": 3});
+    platform.write("audit/100", &accepted.to_string());
+    // Written before the records held changes.
+    let old = json!({"who": "ada", "what": "bundle-accepted", "version": 1, "digest": digest,
+        "when_ms": 0});
+    platform.write("audit/8", &old.to_string());
+
+    let ran = workplace.run(&format!("audit --platform {}", platform.address()));
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let rows: Vec<&str> = ran.stdout.lines().skip(1).collect();
+    for (row, parts) in rows.iter().zip([
+        ["8 ", "bundle-accepted", "1 "],
+        [
+            "9-0 ",
+            "orderer-changed",
+            "lagos-1 orders in lagos-a, fence 9",
+        ],
+        [
+            "9-2 ",
+            "order-sent",
+            "load-model second at engine-1, fence 9",
+        ],
+        [
+            "9-10 ",
+            "order-sent",
+            "load-model last at engine-1, fence 9",
+        ],
+        ["100 ", "bundle-accepted", "key +1 -2"],
+    ]) {
+        assert!(row.starts_with(parts[0]), "{row}");
+        assert!(parts.iter().all(|part| row.contains(part)), "{row}");
+    }
+    assert_eq!(rows.len(), 5, "{}", ran.stdout);
+    let ran = workplace.run(&format!("audit --json --platform {}", platform.address()));
+    assert_eq!(ran.json()[2]["model"], "second");
+    assert_eq!(ran.json()[4]["changes"]["key"]["removed"], 2);
+}
+
 /// Guards against one malformed record that hides the others, or passes unnoticed.
 #[test]
 fn audit_reports_malformed_records() {
@@ -64,9 +121,15 @@
         &record(3, "ada").replace("1796365804250", "18446744073709551615"),
     );
     platform.write("audit/5", &record(3, "ada").replace("who", "whom"));
+    let unknown = record(3, "ada").replacen('{', "{\"why\":1,", 1);
+    platform.write("audit/6", &unknown);
     let command = format!("audit --platform {}", platform.address());
     let ran = workplace.run(&command);
     assert_eq!(ran.code, 1, "{ran:?}");
+    assert!(
+        ran.stderr.contains("audit/6: the record is malformed"),
+        "{ran:?}"
+    );
     assert!(
         ran.stderr.contains("audit/2: the record is malformed"),
         "{ran:?}"
--- a/crates/hawthornquay/tests/engine_orders.rs
+++ b/crates/hawthornquay/tests/engine_orders.rs
@@ -4,9 +4,12 @@
 
 use std::time::Duration;
 
-use hawthornquay_standins::EngineSettings;
+use hawthornquay::OrderAudit;
+use hawthornquay_decisions::OrderKind;
+use hawthornquay_operators::{AuditAction, AuditRecord};
+use hawthornquay_standins::{EngineSettings, PlatformFaults};
 use http::StatusCode;
-use support::{Caller, FleetBuilder};
+use support::{Caller, Fleet, FleetBuilder};
 use tokio::time::Instant;
 
 /// Guards against an engine that is named for a model in the bundle and never told to load it.
@@ -34,3 +37,117 @@
     let answer = caller.chat(fleet.callers(0), "loaded", 4, false).await;
     assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
 }
+
+async fn audit_of(fleet: &Fleet, is_wanted: impl Fn(&str) -> bool) -> Vec<(String, AuditRecord)> {
+    let listing = fleet.client.list("audit/").await.unwrap();
+    let entries = listing.entries.into_iter();
+    entries
+        .filter(|entry| is_wanted(&entry.key))
+        .map(|entry| (entry.key, serde_json::from_slice(&entry.value).unwrap()))
+        .collect()
+}
+
+/// Guards against orders and changes of the orderer that the audit trail does not show.
+#[tokio::test(flavor = "multi_thread")]
+async fn run_orders_leaves_audit_records() {
+    let engine = EngineSettings {
+        models: Vec::new(),
+        ..EngineSettings::default()
+    };
+    let fleet = FleetBuilder::default().engine(engine).start().await;
+    let end = Instant::now() + Duration::from_secs(20);
+    for (domain, orderer, engine) in [
+        ("lagos-a", "lagos-1", "engine-1"),
+        ("kano-a", "kano-1", "engine-2"),
+    ] {
+        let who = fleet.daemons.iter().flatten().map(|daemon| daemon.node());
+        let who = who.map(|node| &node.id);
+        let mut who = who.filter(|id| id.name.as_str() == orderer);
+        let who = who.next().unwrap().to_string();
+        let (fence, sent) = loop {
+            let records = audit_of(&fleet, |key| key.contains('-')).await;
+            let own = |record: &&(String, AuditRecord)| record.1.who == who;
+            let changed =
+                records
+                    .iter()
+                    .filter(own)
+                    .find_map(|(key, record)| match &record.action {
+                        AuditAction::OrdererChanged {
+                            domain: of,
+                            instance,
+                            fence,
+                        } if of.as_str() == domain && instance.as_str() == orderer => {
+                            assert_eq!(*key, format!("audit/{fence}-0"));
+                            Some(*fence)
+                        }
+                        _ => None,
+                    });
+            let sent = records.iter().filter(own).find(|(_, record)| {
+                matches!(&record.action, AuditAction::OrderSent { server, .. }
+                    if server.as_str() == engine)
+            });
+            if let (Some(fence), Some(sent)) = (changed, sent) {
+                break (fence, sent.clone());
+            }
+            assert!(Instant::now() < end, "no records of {domain} within 20 s");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        };
+        let expected = AuditAction::OrderSent {
+            server: engine.into(),
+            kind: OrderKind::LoadModel,
+            model: "ledger-7b".to_owned(),
+            fence,
+        };
+        assert_eq!(
+            sent,
+            (
+                format!("audit/{fence}-1"),
+                AuditRecord {
+                    action: expected,
+                    ..sent.1.clone()
+                }
+            )
+        );
+    }
+}
+
+/// Guards against records that are lost in an outage, and against orders that wait for the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_audit_is_written_after_an_outage() {
+    let fleet = FleetBuilder::default().start().await;
+    let daemon = fleet.daemons[0].as_ref().unwrap();
+    let audit = OrderAudit::start(daemon.node());
+    let order = |model: &str| AuditAction::OrderSent {
+        server: "engine-1".into(),
+        kind: OrderKind::LoadModel,
+        model: model.to_owned(),
+        fence: 77_777,
+    };
+    fleet.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let started = Instant::now();
+    audit.record(77_777, 0, order("first"));
+    audit.record(77_777, 1, order("second"));
+    assert!(started.elapsed() < Duration::from_millis(100));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.platform.set_faults(PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    });
+    let end = Instant::now() + Duration::from_secs(20);
+    let records = loop {
+        let records = audit_of(&fleet, |key| key.starts_with("audit/77777-")).await;
+        if records.len() == 2 {
+            break records;
+        }
+        assert!(Instant::now() < end, "no records within 20 s: {records:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    for (index, model) in ["first", "second"].iter().enumerate() {
+        assert_eq!(records[index].0, format!("audit/77777-{index}"));
+        assert_eq!(records[index].1.action, order(model));
+        assert_eq!(records[index].1.who, daemon.node().id.to_string());
+    }
+}
--- a/crates/operators/src/accept_bundle.rs
+++ b/crates/operators/src/accept_bundle.rs
@@ -3,10 +3,10 @@
 use serde::Serialize;
 
 use crate::{
-    AcceptError, AcceptRequest, AcceptedBundle, AuditAction, AuditRecord, BundleDifference,
-    BundleDocument, BundleHead, BundleStore, LostRace, StoreError, StoredDifference, StoredHead,
-    Trust,
-    load_bundle::read,
+    AcceptError, AcceptRequest, AcceptedBundle, AuditAction, AuditRecord, BundleChanges,
+    BundleDifference, BundleDocument, BundleHead, BundleStore, LostRace, StoreError,
+    StoredDifference, StoredHead, Trust,
+    load_bundle::{load_by_digest, read},
     load_content, load_differences, load_head,
     store_keys::{AUDIT_PREFIX, HEAD_KEY, content_key, difference_key},
 };
@@ -34,13 +34,15 @@
     let predecessor = load_head(store).await?;
     if let Some(current) = &predecessor {
         if current.head.digest == document.digest() {
-            return finish(store, request, current.clone(), true).await;
+            let changes = changes_in_force(store, request, &current.head).await?;
+            return finish(store, request, current.clone(), true, changes).await;
         }
         if current.head.version >= document.version() {
             return Err(lost_race(store, current, document).await);
         }
     }
-    let head = prepare(store, request, predecessor.as_ref()).await?;
+    let (head, changes) = prepare(store, request, predecessor.as_ref()).await?;
+    let changes = Some(changes);
     let value = to_json(&head);
     let mut may_have_written = false;
     for _ in 0..WRITE_ATTEMPTS {
@@ -55,7 +57,7 @@
         match written {
             Ok(revision) => {
                 let current = StoredHead { head, revision };
-                return finish(store, request, current, false).await;
+                return finish(store, request, current, false, changes).await;
             }
             Err(StoreError::Unreachable) if !may_have_written => {
                 return Err(AcceptError::Store(StoreError::Unreachable));
@@ -70,10 +72,10 @@
             continue;
         };
         if current.head == head {
-            return finish(store, request, current, false).await;
+            return finish(store, request, current, false, changes).await;
         }
         if predecessor.as_ref() != Some(&current) {
-            return resolve_replaced(store, request, &head, &current).await;
+            return resolve_replaced(store, request, &head, &current, changes).await;
         }
     }
     Err(AcceptError::OutcomeUnknown {
@@ -87,7 +89,7 @@
     store: &S,
     request: &AcceptRequest<'_>,
     predecessor: Option<&StoredHead>,
-) -> Result<BundleHead, AcceptError> {
+) -> Result<(BundleHead, BundleChanges), AcceptError> {
     let document = request.document;
     let parts: Vec<&[u8]> = document.canonical().as_bytes().chunks(PART_BYTES).collect();
     let head = BundleHead {
@@ -97,11 +99,11 @@
         parts: u32::try_from(parts.len()).unwrap_or(u32::MAX),
         signatures: request.signatures.to_vec(),
     };
-    let difference = match predecessor {
+    let (difference, changes) = match predecessor {
         None => {
             let own = Trust::of_predecessor(document.bundle());
             request.first_trust.unwrap_or(&own).verify_head(&head)?;
-            None
+            (None, BundleChanges::between(None, document))
         }
         Some(current) => {
             if current.head.version.checked_add(1) != Some(head.version) {
@@ -112,10 +114,12 @@
             }
             let old = load_content(store, &current.head).await?;
             Trust::of_predecessor(old.bundle()).verify_head(&head)?;
-            Some(StoredDifference {
+            let difference = StoredDifference {
                 head: head.clone(),
                 difference: document.difference_from(&old).to_string(),
-            })
+            };
+            let changes = BundleChanges::between(Some(&old), document);
+            (Some(difference), changes)
         }
     };
     for (part, value) in (0..).zip(parts) {
@@ -130,7 +134,26 @@
             .await
             .map_err(AcceptError::Store)?;
     }
-    Ok(head)
+    Ok((head, changes))
+}
+
+/// Counts the changes of a bundle that is in force already.
+///
+/// A damaged predecessor leaves them unknown, so that the record can still be written.
+async fn changes_in_force<S: BundleStore>(
+    store: &S,
+    request: &AcceptRequest<'_>,
+    head: &BundleHead,
+) -> Result<Option<BundleChanges>, AcceptError> {
+    let Some(previous) = &head.previous else {
+        return Ok(Some(BundleChanges::between(None, request.document)));
+    };
+    let old = load_by_digest(store, previous).await;
+    let old = old.map_err(|source| AcceptError::AuditMissing {
+        version: head.version,
+        source,
+    })?;
+    Ok(old.map(|old| BundleChanges::between(Some(&old), request.document)))
 }
 
 /// Decides after a failed write whether ours was accepted before `current`.
@@ -139,9 +162,10 @@
     request: &AcceptRequest<'_>,
     head: &BundleHead,
     current: &StoredHead,
+    changes: Option<BundleChanges>,
 ) -> Result<AcceptedBundle, AcceptError> {
     if current.head.digest == head.digest {
-        return finish(store, request, current.clone(), true).await;
+        return finish(store, request, current.clone(), true, changes).await;
     }
     if current.head.version > head.version {
         // Our write may have taken effect and been followed by others.
@@ -155,6 +179,7 @@
                 store,
                 request,
                 &format!("{AUDIT_PREFIX}version-{}", head.version),
+                changes,
             )
             .await?;
             return Ok(AcceptedBundle {
@@ -172,11 +197,13 @@
     request: &AcceptRequest<'_>,
     current: StoredHead,
     was_in_force: bool,
+    changes: Option<BundleChanges>,
 ) -> Result<AcceptedBundle, AcceptError> {
     write_audit(
         store,
         request,
         &format!("{AUDIT_PREFIX}{}", current.revision),
+        changes,
     )
     .await?;
     Ok(AcceptedBundle {
@@ -191,13 +218,16 @@
     store: &S,
     request: &AcceptRequest<'_>,
     key: &str,
+    changes: Option<BundleChanges>,
 ) -> Result<(), AcceptError> {
     let version = request.document.version();
     let value = to_json(&AuditRecord {
         who: request.who.to_owned(),
-        what: AuditAction::BundleAccepted,
-        version,
-        digest: request.document.digest(),
+        action: AuditAction::BundleAccepted {
+            version,
+            digest: request.document.digest(),
+            changes,
+        },
         when_ms: request.when_ms,
     });
     let mut source = StoreError::AnswerLost;
--- a/crates/operators/src/audit_record.rs
+++ b/crates/operators/src/audit_record.rs
@@ -1,24 +1,20 @@
-//! Audit record of an operator's action.
+//! Audit record of an action.
 
 use serde::{Deserialize, Serialize};
 
-use crate::{AuditAction, BundleDigest};
+use crate::AuditAction;
 
-/// Record kept in the store under `audit/<revision>`.
+/// Record kept in the store under `audit/`.
 ///
 /// It names no organisation, because the store may be in a region that a residency does not
 /// allow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct AuditRecord {
-    /// Operator who acted.
+    /// Operator, or identity of the instance, that acted.
     pub who: String,
     /// What was done.
-    pub what: AuditAction,
-    /// Version of the bundle.
-    pub version: u64,
-    /// Digest of the bundle.
-    pub digest: BundleDigest,
-    /// Unix time in milliseconds, on the operator's clock.
+    #[serde(flatten)]
+    pub action: AuditAction,
+    /// Unix time in milliseconds, on the clock of the one who acted.
     pub when_ms: u64,
 }
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -6,6 +6,7 @@
 mod accepted_bundle;
 mod audit_action;
 mod audit_record;
+mod bundle_changes;
 mod bundle_checks;
 mod bundle_difference;
 mod bundle_digest;
@@ -16,6 +17,7 @@
 mod bundle_signature;
 mod bundle_store;
 mod caller_key;
+mod change_counts;
 mod daemon_settings;
 mod difference_error;
 mod fault;
@@ -36,6 +38,7 @@
 mod part;
 mod random_bytes;
 mod section_change;
+mod section_kind;
 mod section_reader;
 mod settings_reader;
 mod signature_error;
@@ -55,6 +58,7 @@
     accepted_bundle::AcceptedBundle,
     audit_action::AuditAction,
     audit_record::AuditRecord,
+    bundle_changes::BundleChanges,
     bundle_difference::BundleDifference,
     bundle_digest::{BundleDigest, InvalidDigest},
     bundle_document::BundleDocument,
@@ -62,6 +66,7 @@
     bundle_signature::BundleSignature,
     bundle_store::BundleStore,
     caller_key::{caller_key_digest, generate_caller_key, key_digest_text},
+    change_counts::ChangeCounts,
     daemon_settings::DaemonSettings,
     difference_error::DifferenceError,
     fault::Fault,
@@ -76,6 +81,7 @@
     operator_key::OperatorKey,
     part::Part,
     section_change::SectionChange,
+    section_kind::SectionKind,
     signature_error::SignatureError,
     store_entry::StoreEntry,
     store_error::StoreError,
--- a/crates/operators/src/load_bundle.rs
+++ b/crates/operators/src/load_bundle.rs
@@ -3,8 +3,8 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    BundleDocument, BundleHead, BundleStore, LoadError, StoreEntry, StoreError, StoredDifference,
-    StoredHead,
+    BundleDigest, BundleDocument, BundleHead, BundleStore, LoadError, StoreEntry, StoreError,
+    StoredDifference, StoredHead,
     store_keys::{HEAD_KEY, content_key, difference_key},
 };
 
@@ -50,6 +50,28 @@
     head.read_content(&text)
 }
 
+/// Loads the content with `digest`, whose number of parts is not known; `None` if it is missing or
+/// damaged.
+///
+/// # Errors
+///
+/// Returns an error if the store fails.
+pub(crate) async fn load_by_digest<S: BundleStore>(
+    store: &S,
+    digest: &BundleDigest,
+) -> Result<Option<BundleDocument>, StoreError> {
+    let mut content = Vec::new();
+    for part in 0.. {
+        match read(store, &content_key(digest, part)).await? {
+            Some(entry) => content.extend(entry.value),
+            None => break,
+        }
+    }
+    let text = String::from_utf8(content).unwrap_or_default();
+    let document = BundleDocument::read("bundle", &text).ok();
+    Ok(document.filter(|document| document.digest() == *digest))
+}
+
 /// Loads the differences after version `after` up to `head`, the oldest first.
 ///
 /// They are found from the head backwards, because only the digests that the heads name tell an
--- a/crates/operators/tests/accept.rs
+++ b/crates/operators/tests/accept.rs
@@ -10,9 +10,9 @@
     key,
 };
 use hawthornquay_operators::{
-    AcceptError, AcceptRequest, AcceptedBundle, AuditRecord, BundleDocument, BundleHead,
-    BundleSignature, HEAD_KEY, LoadError, SignatureError, StoreError, accept_bundle, load_content,
-    load_differences, load_head,
+    AcceptError, AcceptRequest, AcceptedBundle, AuditAction, AuditRecord, BundleDocument,
+    BundleHead, BundleSignature, HEAD_KEY, LoadError, OperatorKey, SignatureError, StoreError,
+    accept_bundle, load_content, load_differences, load_head,
 };
 use proptest::prelude::*;
 
@@ -76,12 +76,62 @@
     assert_eq!(applied.digest(), new.digest());
     let audit = store.value(&format!("audit/{}", head.revision)).unwrap();
     let audit: AuditRecord = serde_json::from_slice(&audit).unwrap();
+    let AuditAction::BundleAccepted { version, .. } = audit.action else {
+        panic!("{audit:?}");
+    };
     assert_eq!(
-        (audit.who.as_str(), audit.version, audit.when_ms),
+        (audit.who.as_str(), version, audit.when_ms),
         ("ada", 8, 1_000)
     );
 }
 
+fn changes(store: &FakeStore, revision: u64) -> serde_json::Value {
+    let audit = store.value(&format!("audit/{revision}")).unwrap();
+    let audit: serde_json::Value = serde_json::from_slice(&audit).unwrap();
+    audit["changes"].clone()
+}
+
+/// Guards against an audit trail that hides what a bundle changed, or names an organisation.
+#[test]
+fn accept_audit_counts_the_changes_by_kind() {
+    let store = store_with(&document(7));
+    let first = run(load_head(&store)).unwrap().unwrap().revision;
+    assert_eq!(changes(&store, first)["signer"]["added"], 2);
+    let signer = OperatorKey::generate().unwrap().public_base64();
+    let text = bundle_text(8, 1)
+        .replace("rate = 2000", "rate = 5")
+        .replace("[key yard-1]", "[key yard-2]")
+        .replace("key_salt", &format!("signer.new = {signer}\nkey_salt"));
+    let new = BundleDocument::read("bundle.ini", &text).unwrap();
+    let accepted = run(accept(&store, &new, "ada")).unwrap();
+    let revision = accepted.revision.unwrap();
+    let expected = serde_json::json!({
+        "key": {"added": 1, "changed": 0, "removed": 1},
+        "organisation": {"added": 0, "changed": 1, "removed": 0},
+        "signer": {"added": 1, "changed": 0, "removed": 0},
+    });
+    assert_eq!(changes(&store, revision), expected);
+    let audit = store.value(&format!("audit/{revision}")).unwrap();
+    assert!(!String::from_utf8(audit).unwrap().contains("yard"));
+
+    // A record that a second run writes holds the same.
+    store.remove(&format!("audit/{revision}"));
+    assert!(run(accept(&store, &new, "bola")).unwrap().was_in_force);
+    assert_eq!(changes(&store, revision), expected);
+}
+
+/// Guards against trails that older versions wrote and this one refuses.
+#[test]
+fn accept_old_audit_record_is_read() {
+    let old = serde_json::json!({"who": "ada", "what": "bundle-accepted", "version": 7,
+        "digest": "07".repeat(32), "when_ms": 1});
+    let record: AuditRecord = serde_json::from_value(old).unwrap();
+    let AuditAction::BundleAccepted { changes, .. } = record.action else {
+        panic!("{record:?}");
+    };
+    assert_eq!(changes, None);
+}
+
 /// Guards against a bundle in force that its predecessor's signers did not sign.
 #[test]
 fn accept_unsigned_changes_nothing() {
