Write what libraries log from the daemon

Cause: Logs::capture_libraries was never called, so errors that gotham reports through the `log` crate, such as a panic of a handler, were lost.

The daemon now takes its logs from `start_logs`, which captures the lines of libraries before anything is served. A process that has another logger gets a warning and serves.

Ruled out: a test through the daemon's process. gotham is the only library here that writes to `log`, and it writes above debug only for a handler that fails or panics and for queries and paths that its extractors refuse; no request makes this daemon do either.

--- a/crates/hawthornquay/src/bin/hawthornquayd.rs
+++ b/crates/hawthornquay/src/bin/hawthornquayd.rs
@@ -3,8 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use hawthornquay::{Daemon, DaemonExit, read_settings};
-use hawthornquay_operators::Logs;
+use hawthornquay::{Daemon, DaemonExit, read_settings, start_logs};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Entry instance of hawthornquay.
@@ -33,7 +32,7 @@
         println!("{}: settings are valid", options.settings.display());
         return Ok(());
     }
-    let logs = Logs::new(&settings.log, Box::new(std::io::stderr()));
+    let logs = start_logs(&settings.log, Box::new(std::io::stderr()));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let daemon = Daemon::start(settings, logs).await?;
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -34,6 +34,7 @@
 mod command_tls;
 mod daemon;
 mod daemon_exit;
+mod daemon_logs;
 mod decision;
 mod directory_task;
 mod dispatch;
@@ -96,6 +97,7 @@
     command_signature_file::SignatureFile,
     daemon::{Daemon, DaemonError},
     daemon_exit::{DaemonExit, read_settings},
+    daemon_logs::start_logs,
     decision::Decision,
     drain::{Drain, DrainGuard},
     fleet_report::{FleetMember, FleetReport},
