Keep the authority's key and sign for further instances

Cause: `tls new` dropped the key of the authority, so adding one instance meant new certificates for the whole fleet.

The key is compared with the authority's certificate first, since no instance would accept what another key signs. Nothing is written if a file exists or a name is taken. A directory without the key gets a message with the remedy.

The certificates are made in command_authority.rs in place of generate_test_authority, which does not give out the key and is left to the tests. Ruled out: rebuilding the issuer from fixed parameters, which would sign wrongly with an authority of another name; rcgen reads it from the certificate, with its feature `x509-parser`, whose package is used for the comparison too.

Seen failing with the protection taken out: with a key file that all may read, tls_new_files_fit_each_other; without the check for an existing authority, tls_new_replaces_no_file; without the comparison of the keys, tls_add_refuses_without_writing; with a new authority in `tls add`, tls_add_links_to_the_instances_before_it.

--- /dev/null
+++ b/crates/hawthornquay/src/command_authority.rs
@@ -0,0 +1,90 @@
+//! Authority that signs the certificates of instances.
+
+use hawthornquay_instances::PemFiles;
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose, PublicKeyData, SanType,
+};
+use x509_parser::pem::Pem;
+
+use crate::InstanceAddress;
+
+/// Reason why an authority cannot be made, read or used.
+#[derive(Debug, thiserror::Error)]
+pub enum AuthorityError {
+    /// The authority's certificate cannot be read.
+    #[error("the certificate cannot be read")]
+    Certificate,
+    /// A key or certificate cannot be made or read.
+    #[error(transparent)]
+    Generate(#[from] rcgen::Error),
+    /// The key is not the one of the certificate.
+    #[error("the key is not the one of the certificate")]
+    OtherKey,
+}
+
+/// Authority with its key.
+pub(crate) struct Authority {
+    /// Certificate, as PEM text.
+    pub(crate) certificate: String,
+    /// Private key, as PEM text.
+    pub(crate) key: String,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    /// Makes an authority with a new key.
+    pub(crate) fn generate() -> Result<Self, AuthorityError> {
+        let mut params = CertificateParams::new(Vec::new())?;
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        params
+            .distinguished_name
+            .push(DnType::CommonName, "hawthornquay authority");
+        let key = KeyPair::generate()?;
+        Ok(Self {
+            certificate: params.self_signed(&key)?.pem(),
+            key: key.serialize_pem(),
+            issuer: Issuer::new(params, key),
+        })
+    }
+
+    /// Reads an authority from PEM text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text cannot be read, or if the key is not the one of the certificate:
+    /// no instance would accept what it signs.
+    pub(crate) fn from_pem(certificate: &str, key: &str) -> Result<Self, AuthorityError> {
+        let pair = KeyPair::from_pem(key)?;
+        let (pem, _) = Pem::read(std::io::Cursor::new(certificate))
+            .map_err(|_| AuthorityError::Certificate)?;
+        let parsed = pem.parse_x509().map_err(|_| AuthorityError::Certificate)?;
+        if parsed.public_key().raw != pair.subject_public_key_info() {
+            return Err(AuthorityError::OtherKey);
+        }
+        Ok(Self {
+            certificate: certificate.to_owned(),
+            key: key.to_owned(),
+            issuer: Issuer::from_ca_cert_pem(certificate, pair)?,
+        })
+    }
+
+    /// Makes the key and the certificate of an instance.
+    pub(crate) fn sign(&self, instance: &InstanceAddress) -> Result<PemFiles, AuthorityError> {
+        let mut params = CertificateParams::new(Vec::new())?;
+        params.subject_alt_names = vec![SanType::IpAddress(instance.ip)];
+        params
+            .distinguished_name
+            .push(DnType::CommonName, instance.name.as_str());
+        params.extended_key_usages = vec![
+            ExtendedKeyUsagePurpose::ServerAuth,
+            ExtendedKeyUsagePurpose::ClientAuth,
+        ];
+        let key = KeyPair::generate()?;
+        Ok(PemFiles {
+            certificate: params.signed_by(&key, &self.issuer)?.pem(),
+            key: key.serialize_pem(),
+        })
+    }
+}
--- a/crates/hawthornquay/src/command_error.rs
+++ b/crates/hawthornquay/src/command_error.rs
@@ -2,12 +2,14 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use hawthornquay_instances::LinkError;
 use hawthornquay_operators::{AcceptError, Faults, LoadError, LostRace, SignatureError};
 use miette::{Diagnostic, GraphicalReportHandler, GraphicalTheme};
 use serde_json::{Value, json};
 
-use crate::{CommandExit, CommandOutput, InstanceError, RequestName, command_output::changes_json};
+use crate::{
+    AuthorityError, CommandExit, CommandOutput, InstanceError, RequestName,
+    command_output::changes_json,
+};
 
 /// Reason why a command did not do what was asked.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -20,9 +22,16 @@
         source: AcceptError,
     },
     /// Certificates cannot be made.
-    #[error(transparent)]
-    #[diagnostic(help("check the names of the instances"))]
-    Certificates(#[from] LinkError),
+    #[error("cannot make certificates with the authority in {}: {source}", directory.display())]
+    #[diagnostic(help(
+        "pass a directory in which `authority.pem` and `authority.key` are as `tls new` wrote them"
+    ))]
+    Authority {
+        /// Directory of the authority.
+        directory: PathBuf,
+        /// Reason.
+        source: AuthorityError,
+    },
     /// Two instances have the same name, or one has the name of the authority's file.
     #[error("the name `{name}` is taken by another certificate")]
     #[diagnostic(help("give each instance a name of its own, and none the name `authority`"))]
@@ -41,6 +50,16 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Faults(#[from] Box<Faults>),
+    /// The authority's key is not where its certificate is.
+    #[error("{} does not exist, so the authority cannot sign", path.display())]
+    #[diagnostic(help(
+        "put the key that `tls new` wrote there; if it is lost, make new certificates for all \
+         instances with `hawthornquay tls new`"
+    ))]
+    NoAuthorityKey {
+        /// Path of the key.
+        path: PathBuf,
+    },
     /// The system gives no random bytes.
     #[error("the system gives no random bytes: {0}")]
     #[diagnostic(help("try again, or use another machine"))]
--- a/crates/hawthornquay/src/command_options.rs
+++ b/crates/hawthornquay/src/command_options.rs
@@ -172,11 +172,27 @@
 /// Commands about certificates
 #[derive(Clone, Debug, Bpaf)]
 pub enum TlsCommand {
+    /// Make a certificate and key for each further instance
+    ///
+    ///
+    /// Signs with authority.key of the directory, which `tls new` wrote, and writes NAME.pem and
+    /// NAME.key for each instance. The instances that run need no change.
+    #[bpaf(command("add"))]
+    Add {
+        /// Write JSON
+        json: bool,
+        /// Directory with authority.pem and authority.key
+        #[bpaf(argument("DIR"))]
+        dir: PathBuf,
+        /// Name of an instance and the IP address that others reach it at
+        #[bpaf(positional("NAME=IP"), some("name at least one instance, as NAME=IP"))]
+        instances: Vec<InstanceAddress>,
+    },
     /// Make an authority, and a certificate and key for each instance
     ///
     ///
-    /// Writes authority.pem, and NAME.pem and NAME.key for each instance. The key of the authority
-    /// is not kept: to add an instance, make new certificates for all.
+    /// Writes authority.pem and authority.key, and NAME.pem and NAME.key for each instance. Only
+    /// `tls add` needs authority.key: keep it away from the instances.
     #[bpaf(command("new"))]
     New {
         /// Write JSON
--- a/crates/hawthornquay/src/command_run.rs
+++ b/crates/hawthornquay/src/command_run.rs
@@ -18,6 +18,11 @@
         CommandOptions::Key(KeyCommand::New { json, new_key }) => {
             (*json, command_key::new_key(*json, new_key))
         }
+        CommandOptions::Tls(TlsCommand::Add {
+            json,
+            dir,
+            instances,
+        }) => (*json, command_tls::add_certificates(*json, dir, instances)),
         CommandOptions::Tls(TlsCommand::New {
             json,
             out,
--- a/crates/hawthornquay/src/command_tls.rs
+++ b/crates/hawthornquay/src/command_tls.rs
@@ -6,18 +6,49 @@
 };
 
 use hawthornquay_decisions::Set;
-use hawthornquay_instances::generate_test_authority;
-use serde_json::json;
+use hawthornquay_instances::PemFiles;
+use serde_json::{Value, json};
 
 use crate::{
-    CommandError, CommandExit, CommandOutput, InstanceAddress,
-    command_files::{create_public_file, create_secret_file, write_error},
+    AuthorityError, CommandError, CommandExit, CommandOutput, InstanceAddress,
+    command_authority::Authority,
+    command_files::{create_public_file, create_secret_file, read_text, write_error},
     command_key::check_name,
 };
 
-/// Name of the authority's file without its extension.
+/// Name of the authority's files without their extension.
 const AUTHORITY: &str = "authority";
 
+/// Paths of a certificate and its key.
+struct Paths {
+    certificate: PathBuf,
+    key: PathBuf,
+}
+
+impl Paths {
+    fn of(directory: &Path, name: &str) -> Self {
+        Self {
+            certificate: directory.join(format!("{name}.pem")),
+            key: directory.join(format!("{name}.key")),
+        }
+    }
+
+    /// Returns an error if one of the files exists; a dangling link counts as a file too.
+    fn check_absent(&self) -> Result<(), CommandError> {
+        for path in [&self.certificate, &self.key] {
+            if path.symlink_metadata().is_ok() {
+                return Err(CommandError::FileExists { path: path.clone() });
+            }
+        }
+        Ok(())
+    }
+
+    fn create(&self, pem: &PemFiles) -> Result<(), CommandError> {
+        create_public_file(&self.certificate, &pem.certificate)?;
+        create_secret_file(&self.key, &pem.key)
+    }
+}
+
 /// Makes an authority with a certificate and a key for each instance.
 pub(crate) fn new_certificates(
     as_json: bool,
@@ -25,55 +56,104 @@
     instances: &[InstanceAddress],
 ) -> Result<CommandOutput, CommandError> {
     check_names(instances)?;
-    let authority = out.join(format!("{AUTHORITY}.pem"));
-    let paths: Vec<(PathBuf, PathBuf)> = instances
-        .iter()
-        .map(|instance| instance_paths(out, &instance.name))
-        .collect();
-    let instance_files = paths
-        .iter()
-        .flat_map(|(certificate, key)| [certificate, key]);
-    for path in instance_files.chain([&authority]) {
-        // A dangling link counts as a file too.
-        if path.symlink_metadata().is_ok() {
-            return Err(CommandError::FileExists {
-                path: path.to_owned(),
-            });
-        }
-    }
-    let request: Vec<_> = instances
-        .iter()
-        .map(|instance| (instance.name.as_str(), instance.ip))
-        .collect();
-    let made = generate_test_authority(&request)?;
+    let own = Paths::of(out, AUTHORITY);
+    let paths = absent_paths(out, instances)?;
+    own.check_absent()?;
+    let authority = Authority::generate().map_err(|source| authority_error(out, source))?;
+    let made = sign_all(out, &authority, instances)?;
 
     fs::create_dir_all(out).map_err(|source| write_error(out, source))?;
-    for ((certificate, key), pem) in paths.iter().zip(&made.instances) {
-        create_public_file(certificate, &pem.certificate)?;
-        create_secret_file(key, &pem.key)?;
+    for (paths, pem) in paths.iter().zip(&made) {
+        paths.create(pem)?;
+    }
+    // The authority's certificate comes last, so that a directory with it is complete.
+    create_secret_file(&own.key, &authority.key)?;
+    create_public_file(&own.certificate, &authority.certificate)?;
+
+    let (text, listed) = report(instances, &paths);
+    let text = format!(
+        "{}, {}: certificate and key of the authority; no instance needs the key\n{text}",
+        own.certificate.display(),
+        own.key.display()
+    );
+    let json = json!({
+        "authority": own.certificate.display().to_string(),
+        "authority_key": own.key.display().to_string(),
+        "instances": listed,
+    });
+    Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
+}
+
+/// Signs certificates for further instances with the authority in `directory`.
+pub(crate) fn add_certificates(
+    as_json: bool,
+    directory: &Path,
+    instances: &[InstanceAddress],
+) -> Result<CommandOutput, CommandError> {
+    check_names(instances)?;
+    let own = Paths::of(directory, AUTHORITY);
+    let certificate = read_text(&own.certificate)?;
+    if !own.key.exists() {
+        return Err(CommandError::NoAuthorityKey { path: own.key });
+    }
+    let authority = Authority::from_pem(&certificate, &read_text(&own.key)?)
+        .map_err(|source| authority_error(directory, source))?;
+    let paths = absent_paths(directory, instances)?;
+    let made = sign_all(directory, &authority, instances)?;
+    for (paths, pem) in paths.iter().zip(&made) {
+        paths.create(pem)?;
+    }
+    let (text, listed) = report(instances, &paths);
+    let json = json!({
+        "authority": own.certificate.display().to_string(),
+        "instances": listed,
+    });
+    Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
+}
+
+fn absent_paths(
+    directory: &Path,
+    instances: &[InstanceAddress],
+) -> Result<Vec<Paths>, CommandError> {
+    let mut all = Vec::new();
+    for instance in instances {
+        let paths = Paths::of(directory, &instance.name);
+        paths.check_absent()?;
+        all.push(paths);
     }
-    // The authority comes last, so that a directory with an authority is complete.
-    create_public_file(&authority, &made.authority)?;
+    Ok(all)
+}
 
-    let mut text = format!("{}: certificate of the authority\n", authority.display());
+fn sign_all(
+    directory: &Path,
+    authority: &Authority,
+    instances: &[InstanceAddress],
+) -> Result<Vec<PemFiles>, CommandError> {
+    let signed = instances.iter().map(|instance| authority.sign(instance));
+    signed
+        .collect::<Result<_, _>>()
+        .map_err(|source| authority_error(directory, source))
+}
+
+fn report(instances: &[InstanceAddress], paths: &[Paths]) -> (String, Vec<Value>) {
+    let mut text = String::new();
     let mut listed = Vec::new();
-    for (instance, (certificate, key)) in instances.iter().zip(&paths) {
+    for (instance, paths) in instances.iter().zip(paths) {
         text += &format!(
             "{}, {}: certificate and key of {} at {}\n",
-            certificate.display(),
-            key.display(),
+            paths.certificate.display(),
+            paths.key.display(),
             instance.name,
             instance.ip
         );
         listed.push(json!({
             "name": instance.name,
             "ip": instance.ip.to_string(),
-            "certificate": certificate.display().to_string(),
-            "key": key.display().to_string(),
+            "certificate": paths.certificate.display().to_string(),
+            "key": paths.key.display().to_string(),
         }));
     }
-    let json = json!({"authority": authority.display().to_string(), "instances": listed});
-    Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
+    (text, listed)
 }
 
 fn check_names(instances: &[InstanceAddress]) -> Result<(), CommandError> {
@@ -90,9 +170,9 @@
     Ok(())
 }
 
-fn instance_paths(out: &Path, name: &str) -> (PathBuf, PathBuf) {
-    (
-        out.join(format!("{name}.pem")),
-        out.join(format!("{name}.key")),
-    )
+fn authority_error(directory: &Path, source: AuthorityError) -> CommandError {
+    CommandError::Authority {
+        directory: directory.to_owned(),
+        source,
+    }
 }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -14,6 +14,7 @@
 mod clock;
 mod command_accept;
 mod command_audit;
+mod command_authority;
 mod command_bundle;
 mod command_error;
 mod command_exit;
@@ -83,6 +84,7 @@
     claim::Claim,
     claim_key::ClaimKey,
     claim_leases::ClaimLeases,
+    command_authority::AuthorityError,
     command_error::CommandError,
     command_exit::CommandExit,
     command_instance::InstanceError,
