Tell an exceeded rate of the store from an outage

Cause: the store's refusal by rate was mapped to `StoreError::Unreachable`, so `bundle accept` said that the store cannot be reached.

`StoreError::RateExceeded` names it. It is as certain as `Unreachable`: nothing was written, so an accept ends unless an earlier write may have taken effect. The exit code stays 3. The command's message now says that the platform refused the call or gave no answer. Ruled out: trying again within the command, since it cannot know when the rate allows it.

Seen failing with the protection taken out: with the old mapping, accept_unreachable_is_not_accepted; with the refusal taken for a lost answer, accept_without_the_store_is_refused. Both pass with it, and so does the property test of races, which now draws refusals by rate too.

--- a/crates/hawthornquay/src/command_error.rs
+++ b/crates/hawthornquay/src/command_error.rs
@@ -102,8 +102,11 @@
          your bundle to the one in force"
     ))]
     LostRace(Box<LostRace>),
-    /// The platform gave no answer before anything was accepted.
-    #[error("the bundle was not accepted; the platform at {address} gave no answer: {source}")]
+    /// The platform refused a call or gave no answer before anything was accepted.
+    #[error(
+        "the bundle was not accepted; the platform at {address} refused the call or gave no \
+         answer: {source}"
+    )]
     #[diagnostic(help(
         "check the address; if the platform has an outage or is over its rate, run the command \
          again later"
--- a/crates/hawthornquay/src/platform_store.rs
+++ b/crates/hawthornquay/src/platform_store.rs
@@ -46,9 +46,9 @@
     match error {
         PlatformError::Conflict { .. } => StoreError::Conflict,
         PlatformError::LostAnswer(_) => StoreError::AnswerLost,
+        PlatformError::RateExceeded => StoreError::RateExceeded,
         PlatformError::NotFound
         | PlatformError::Outage
-        | PlatformError::RateExceeded
         | PlatformError::TooLarge
         | PlatformError::Unreachable(_) => StoreError::Unreachable,
     }
--- a/crates/hawthornquay/tests/command/accept.rs
+++ b/crates/hawthornquay/tests/command/accept.rs
@@ -83,10 +83,20 @@
         writes_per_s: 0,
         ..PlatformSettings::default()
     });
-    for address in [limited.address(), unused_address()] {
+    let no_reads = TestPlatform::with(PlatformSettings {
+        reads_per_s: 0,
+        ..PlatformSettings::default()
+    });
+    for (address, message) in [
+        (limited.address(), "the rate of the store is exceeded"),
+        (no_reads.address(), "the rate of the store is exceeded"),
+        (unused_address(), "the store cannot be reached"),
+    ] {
         let ran = accept(&workplace, address, "first.ini");
         assert_eq!(ran.code, 3, "{ran:?}");
         assert_eq!(ran.json()["error"]["accepted"], false);
+        let said = ran.json()["error"]["message"].to_string();
+        assert!(said.contains(message), "{said}");
     }
     assert!(head(&limited).is_none());
 }
--- a/crates/operators/src/accept_bundle.rs
+++ b/crates/operators/src/accept_bundle.rs
@@ -59,10 +59,10 @@
                 let current = StoredHead { head, revision };
                 return finish(store, request, current, false, changes).await;
             }
-            Err(StoreError::Unreachable) if !may_have_written => {
-                return Err(AcceptError::Store(StoreError::Unreachable));
+            Err(error) if error.is_refused() && !may_have_written => {
+                return Err(AcceptError::Store(error));
             }
-            Err(StoreError::Unreachable) => continue,
+            Err(StoreError::RateExceeded | StoreError::Unreachable) => continue,
             Err(StoreError::AnswerLost) => may_have_written = true,
             Err(StoreError::Conflict) => {}
         }
@@ -260,7 +260,7 @@
     for _ in 0..WRITE_ATTEMPTS {
         match store.create_if_absent(key, value).await {
             Ok(_) => return Ok(()),
-            Err(StoreError::Unreachable) => return Err(StoreError::Unreachable),
+            Err(error) if error.is_refused() => return Err(error),
             Err(error) => last = error,
         }
         match read(store, key).await? {
--- a/crates/operators/src/store_error.rs
+++ b/crates/operators/src/store_error.rs
@@ -9,7 +9,20 @@
     /// The key exists, or has another revision than expected; nothing was written.
     #[error("another write came first")]
     Conflict,
-    /// The store could not be reached, or refused the call; nothing was written.
+    /// The store refused the call because of its rate; nothing was written.
+    #[error("the rate of the store is exceeded")]
+    RateExceeded,
+    /// The store could not be reached, or refused the call for another reason; nothing was written.
     #[error("the store cannot be reached")]
     Unreachable,
 }
+
+impl StoreError {
+    /// Returns whether the call was refused or not sent, so that nothing was written.
+    pub(crate) const fn is_refused(self) -> bool {
+        match self {
+            Self::RateExceeded | Self::Unreachable => true,
+            Self::AnswerLost | Self::Conflict => false,
+        }
+    }
+}
--- a/crates/operators/tests/accept.rs
+++ b/crates/operators/tests/accept.rs
@@ -271,27 +271,34 @@
     assert_eq!(store.keys("audit/").len(), 3);
 }
 
-/// Guards against an outage reported as acceptance, or a half-written bundle in force.
+/// Guards against an outage or refusal reported as acceptance, an exceeded rate reported as an
+/// outage, or a half-written bundle in force.
 #[test]
 fn accept_without_the_store_is_refused() {
-    for call in 0..8 {
-        let store = store_with(&document(7));
-        let mut script = vec![CallFault::None; call];
-        script.extend([CallFault::Unreachable; 20]);
-        store.script(script);
-        let result = run(accept(&store, &with_rate(8, 5), "ada"));
-        store.settle();
-        match result {
-            Err(error) if heads(&store).len() == 1 => assert!(error.is_unreachable(), "{error}"),
-            Err(AcceptError::AuditMissing {
-                source: StoreError::Unreachable,
-                ..
-            }) => {
-                run(accept(&store, &with_rate(8, 5), "ada")).unwrap();
-                assert_eq!(store.keys("audit/").len(), 2);
+    let cases = [
+        (CallFault::Unreachable, StoreError::Unreachable),
+        (CallFault::RateExceeded, StoreError::RateExceeded),
+    ];
+    for (fault, expected) in cases {
+        for call in 0..8 {
+            let store = store_with(&document(7));
+            let mut script = vec![CallFault::None; call];
+            script.extend([fault; 20]);
+            store.script(script);
+            let result = run(accept(&store, &with_rate(8, 5), "ada"));
+            store.settle();
+            match result {
+                Err(error) if heads(&store).len() == 1 => {
+                    assert!(error.is_unreachable(), "{error}");
+                    assert!(error.to_string().contains(&expected.to_string()), "{error}");
+                }
+                Err(AcceptError::AuditMissing { source, .. }) if source == expected => {
+                    run(accept(&store, &with_rate(8, 5), "ada")).unwrap();
+                    assert_eq!(store.keys("audit/").len(), 2);
+                }
+                Ok(_) => assert_eq!(heads(&store).len(), 2),
+                other => panic!("{fault:?} at call {call}: {other:?}"),
             }
-            Ok(_) => assert_eq!(heads(&store).len(), 2),
-            other => panic!("call {call}: {other:?}"),
         }
     }
 }
@@ -374,6 +381,7 @@
         1 => Just(CallFault::LostBefore),
         1 => Just(CallFault::LostAfter),
         1 => Just(CallFault::Delayed),
+        1 => Just(CallFault::RateExceeded),
         1 => Just(CallFault::Unreachable),
     ]
 }
--- a/crates/operators/tests/common/fake_store.rs
+++ b/crates/operators/tests/common/fake_store.rs
@@ -20,6 +20,7 @@
     LostAfter,
     /// The answer is late, and the call takes effect only after some later calls.
     Delayed,
+    RateExceeded,
     Unreachable,
 }
 
@@ -84,6 +85,7 @@
                 self.delayed.push_back((3, write));
                 Err(StoreError::AnswerLost)
             }
+            CallFault::RateExceeded => Err(StoreError::RateExceeded),
             CallFault::Unreachable => Err(StoreError::Unreachable),
         }
     }
@@ -152,6 +154,7 @@
         let mut state = self.0.lock().unwrap();
         match state.next_fault() {
             CallFault::None => Ok(state.entries.get(key).cloned()),
+            CallFault::RateExceeded => Err(StoreError::RateExceeded),
             CallFault::Unreachable => Err(StoreError::Unreachable),
             _ => Err(StoreError::AnswerLost),
         }
