--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -14,6 +14,7 @@
 mod clock;
 mod command_accept;
 mod command_audit;
+mod command_authority;
 mod command_bundle;
 mod command_error;
 mod command_exit;
@@ -34,6 +35,7 @@
 mod command_tls;
 mod daemon;
 mod daemon_exit;
+mod daemon_logs;
 mod decision;
 mod directory_task;
 mod dispatch;
@@ -50,6 +52,7 @@
 mod node;
 mod node_peers;
 mod operator_router;
+mod order_audit;
 mod order_task;
 mod outbound_request;
 mod part_logs;
@@ -82,6 +85,7 @@
     claim::Claim,
     claim_key::ClaimKey,
     claim_leases::ClaimLeases,
+    command_authority::AuthorityError,
     command_error::CommandError,
     command_exit::CommandExit,
     command_instance::InstanceError,
@@ -96,6 +100,7 @@
     command_signature_file::SignatureFile,
     daemon::{Daemon, DaemonError},
     daemon_exit::{DaemonExit, read_settings},
+    daemon_logs::start_logs,
     decision::Decision,
     drain::{Drain, DrainGuard},
     fleet_report::{FleetMember, FleetReport},
@@ -105,6 +110,7 @@
     metrics::{Metrics, MetricsError},
     node::Node,
     operator_router::operator_router,
+    order_audit::OrderAudit,
     outbound_request::OutboundRequest,
     part_logs::PartLogs,
     peer_gateway::PeerGateway,
