Refuse a request over the burst without Retry-After

Cause: a request that needs more tokens than its organisation's burst was told to wait, although no wait admits it, and instances asked each other for loans on its behalf first.

It is now refused with `limit-exceeded`, `not-run` and no `Retry-After` before any reservation; the message gives the tokens needed, the burst and the remedy. For a service call the remedy is the route's `cost`; a bundle lets such a call happen only on an open route, with the key of another organisation than the route names.

Ruled out: a check of service calls before their claim, which is sooner, but would answer `not-run` to a resend whose first call ran before the cost rose.

Seen failing with the protection taken out: complete_over_the_burst_is_refused_for_good and call_service_over_the_burst_is_refused_for_good. Both pass with it. In the run of the package's tests, whole_path failed once with `Address already in use` in the fleet builder, in outcome_own_request_is_explained; the others passed.

--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt_failure;
 mod backend_attempt;
 mod bundle_table;
+mod burst_check;
 mod caller_gateway;
 mod chat_body;
 mod claim;
--- a/crates/hawthornquay/src/model_request.rs
+++ b/crates/hawthornquay/src/model_request.rs
@@ -8,8 +8,9 @@
 use http::{Method, Response};
 
 use crate::{
-    Admission, AnswerEnd, ChatBody, LimitGuard, Node, OutboundRequest, Settlement, clock,
-    dispatch::dispatch, metered_response, request_body::read_request_body,
+    Admission, AnswerEnd, ChatBody, LimitGuard, Node, OutboundRequest, Settlement,
+    burst_check::check_burst, clock, dispatch::dispatch, metered_response,
+    request_body::read_request_body,
 };
 
 /// Path of model requests at engines.
@@ -30,6 +31,7 @@
     let admission = Admission::by_key(node, &head.id, head.key.as_ref())?;
     let chat = ChatBody::parse(read_request_body(body).await?)?;
     let tokens = chat.prompt_tokens + chat.output_tokens;
+    check_burst(&admission.organisation, tokens, "lower `max_tokens`")?;
     let organisation = admission.organisation.id.clone();
     let mut limit = LimitGuard::reserve(node, &head.id, &organisation, tokens).await?;
     let prompt_tokens = chat.prompt_tokens;
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -12,8 +12,9 @@
 use http::Response;
 
 use crate::{
-    Admission, AnswerEnd, Claim, LimitGuard, Node, OutboundRequest, Settlement, clock,
-    dispatch::dispatch, metered_response, request_body::read_request_body,
+    Admission, AnswerEnd, Claim, LimitGuard, Node, OutboundRequest, Settlement,
+    burst_check::check_burst, clock, dispatch::dispatch, metered_response,
+    request_body::read_request_body,
 };
 
 /// Runs a plain service request of a caller.
@@ -76,6 +77,8 @@
 ) -> Result<Response<Body>, Refusal> {
     let organisation = admission.organisation.id.clone();
     let id = req.id.clone();
+    let remedy = "lower the route's `cost`";
+    check_burst(&admission.organisation, req.cost, remedy)?;
     let limit = LimitGuard::reserve(node, &id, &organisation, req.cost).await?;
     match dispatch(node, &admission.bundle, req).await {
         Ok(answer) => {
