--- a/crates/hawthornquay/tests/examples.rs
+++ b/crates/hawthornquay/tests/examples.rs
@@ -1,6 +1,6 @@
 //! Guards against examples that a daemon or an operator cannot use.
 
-use std::{collections::BTreeSet, path::PathBuf};
+use std::{collections::BTreeSet, path::PathBuf, process::Command};
 
 use hawthornquay_decisions::{BackendKind, Residency};
 use hawthornquay_operators::{BundleDocument, DaemonSettings, Trust, caller_key_digest};
@@ -96,3 +96,50 @@
         }
     }
 }
+
+/// Returns the commands of the page that need no platform.
+fn page_commands() -> Vec<String> {
+    let page = std::fs::read_to_string(directory("README.md")).unwrap();
+    let commands = page.lines().filter_map(|line| line.strip_prefix("    "));
+    commands
+        .filter(|line| line.starts_with("hawthornquay ") || line.starts_with("hawthornquayd "))
+        .filter(|line| !line.contains("--platform") && !line.ends_with('&'))
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Guards against a page whose commands fail, or leave out files that the settings name.
+#[test]
+fn examples_page_prepares_a_daemon() {
+    let place = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("examples-page");
+    let _ = std::fs::remove_dir_all(&place);
+    std::fs::create_dir_all(&place).unwrap();
+    for entry in std::fs::read_dir(directory("kolanut")).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_file() && path.extension().is_none_or(|end| end != "signatures") {
+            std::fs::copy(&path, place.join(path.file_name().unwrap())).unwrap();
+        }
+    }
+    for command in page_commands() {
+        let mut words = command.split(' ');
+        let program = match words.next() {
+            Some("hawthornquayd") => env!("CARGO_BIN_EXE_hawthornquayd"),
+            _ => env!("CARGO_BIN_EXE_hawthornquay"),
+        };
+        let output = Command::new(program)
+            .args(words)
+            .current_dir(&place)
+            .output()
+            .unwrap();
+        assert!(output.status.success(), "{command}: {output:?}");
+    }
+    assert!(place.join("bundle.ini.signatures").exists());
+    for daemon in settings("kolanut") {
+        if ["lagos-a-1", "lagos-a-2"].contains(&daemon.instance.name.as_str()) {
+            let tls = &daemon.tls;
+            for path in [&tls.certificate, &tls.key, &tls.authority] {
+                assert!(place.join(path).exists(), "{path:?}");
+            }
+        }
+    }
+}
