--- a/crates/hawthornquay/src/command_authority.rs
+++ b/crates/hawthornquay/src/command_authority.rs
@@ -1,6 +1,6 @@
 //! Authority that signs the certificates of instances.
 
-use hawthornquay_instances::PemFiles;
+use hawthornquay_instances::{PemFiles, instance_uri};
 use rcgen::{
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
     KeyUsagePurpose, PublicKeyData, SanType,
@@ -73,7 +73,10 @@
     /// Makes the key and the certificate of an instance.
     pub(crate) fn sign(&self, instance: &InstanceAddress) -> Result<PemFiles, AuthorityError> {
         let mut params = CertificateParams::new(Vec::new())?;
-        params.subject_alt_names = vec![SanType::IpAddress(instance.ip)];
+        params.subject_alt_names = vec![
+            SanType::IpAddress(instance.ip),
+            SanType::URI(instance_uri(instance.name.as_str()).try_into()?),
+        ];
         params
             .distinguished_name
             .push(DnType::CommonName, instance.name.as_str());
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -9,6 +9,12 @@
 
 use crate::{Body, ReadError};
 
+/// Longest time for which the rest of a body that is too large is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bytes of such a rest that are read at most.
+const DISCARD_BYTES: usize = 32 << 20;
+
 /// Reads a whole body of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
@@ -80,6 +86,7 @@
     // A stated length over the limit is refused before any of the body is let in.
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated > limit {
+        tokio::spawn(discard(body));
         return Err(ReadError::TooLarge { limit });
     }
     // Growing by doubling would take up to twice the bytes that are counted.
@@ -89,6 +96,7 @@
             continue;
         };
         if buf.len() + data.len() > limit {
+            tokio::spawn(discard(body));
             return Err(ReadError::TooLarge { limit });
         }
         count(data.len())?;
@@ -96,3 +104,21 @@
     }
     Ok(buf)
 }
+
+/// Reads on for a while without keeping anything.
+///
+/// A connection that is closed while the sender still writes is reset, and the sender may then
+/// never see the refusal.
+async fn discard(mut body: Body) {
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, async {
+        let mut left = DISCARD_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            if len > left {
+                return;
+            }
+            left -= len;
+        }
+    })
+    .await;
+}
--- a/crates/instances/src/certified_name.rs
+++ b/crates/instances/src/certified_name.rs
@@ -12,7 +12,7 @@
 const URI_PREFIX: &str = "urn:hawthornquay:instance:";
 
 /// Returns the URI of the subject alternative name of an instance.
-pub(crate) fn instance_uri(name: &str) -> String {
+pub fn instance_uri(name: &str) -> String {
     format!("{URI_PREFIX}{name}")
 }
 
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -60,6 +60,7 @@
     bundle_fetch::BundleFetch,
     capacity_grant::CapacityGrant,
     capacity_request::CapacityRequest,
+    certified_name::instance_uri,
     digest::Digest,
     digest_entry::DigestEntry,
     envelope::Envelope,
