Refuse late requests until the drain has ended; test stops, cuts and limits

Cause: a graceful stop closed the callers' listener while requests were still in flight. A connection that waited to be accepted was reset, so its caller saw neither a not-run refusal nor a refused connection. LoadView::set_instances and RoutingGrantor::arrived were never called.

Change: the listener stays open and refuses with not-run until nothing is in flight, and refusals are not counted as requests in flight. The load task sets the number of live instances of the domain. A forward from another region uses up its grant; one without a grant here is served too, because another instance of the domain may have granted it.

Ruled out: a drain that ends early. The listener can still reset a connection that arrives in the moment of its end; the test stops sending before that.

--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -124,11 +124,13 @@
         info!(node.log.daemon, "stopping"; "in_flight" => node.drain.in_flight());
         node.drain.close();
         node.members.lock().own_mut().leaving = true;
-        callers_shutdown.cancel();
         let drained = tokio::time::timeout(DRAIN_TIMEOUT, node.drain.wait_idle()).await;
         if drained.is_err() {
             warn!(node.log.daemon, "requests still in flight"; "in_flight" => node.drain.in_flight());
         }
+        // Refuses new requests until here. A listener that closes resets the connections that it has
+        // not accepted yet, and their callers cannot tell whether their requests ran.
+        callers_shutdown.cancel();
         let _ = callers.await;
         release_slots(&node).await;
         shutdown.cancel();
--- a/crates/hawthornquay/src/drain.rs
+++ b/crates/hawthornquay/src/drain.rs
@@ -23,16 +23,17 @@
     ///
     /// Returns a refusal during shutdown.
     pub fn enter(self: &Arc<Self>) -> Result<DrainGuard, Refusal> {
+        // Refusals are not counted, so that callers who go on sending do not delay the shutdown.
+        if self.is_closing() {
+            return Err(shutting_down());
+        }
         // Counts first: a request that passes the check below is seen by `wait_idle`.
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         let guard = DrainGuard {
             drain: Arc::clone(self),
         };
-        if self.closing.load(Ordering::SeqCst) {
-            return Err(Refusal::not_run(
-                RefusalCode::ShuttingDown,
-                "this instance is shutting down; use another instance",
-            ));
+        if self.is_closing() {
+            return Err(shutting_down());
         }
         Ok(guard)
     }
@@ -64,6 +65,13 @@
     }
 }
 
+fn shutting_down() -> Refusal {
+    Refusal::not_run(
+        RefusalCode::ShuttingDown,
+        "this instance is shutting down; use another instance",
+    )
+}
+
 /// Counts one request until it is dropped.
 pub struct DrainGuard {
     drain: Arc<Drain>,
--- a/crates/hawthornquay/src/load_task.rs
+++ b/crates/hawthornquay/src/load_task.rs
@@ -33,7 +33,9 @@
     let mut events: Map<BackendName, u64> = Map::default();
     loop {
         interval.tick().await;
-        let servers = own_share(&node);
+        let instances = domain_instances(&node);
+        node.routing.lock().view.set_instances(instances.len());
+        let servers = own_share(&node, &instances);
         let polls = servers.iter().map(|server| poll_load(&node, server));
         let loads: Vec<GossipLoad> = join_all(polls).await.into_iter().flatten().collect();
         node.members.lock().own_mut().loads = loads;
@@ -46,18 +48,17 @@
     }
 }
 
-fn own_share(node: &Node) -> Vec<BackendServer> {
+fn own_share(node: &Node, instances: &[InstanceName]) -> Vec<BackendServer> {
     let Some(bundle) = node.bundle.active() else {
         return Vec::new();
     };
-    let instances = domain_instances(node);
     let own = &node.id.name;
     bundle
         .bundle()
         .backends
         .values()
         .filter(|server| server.domain == node.place.domain)
-        .filter(|server| polling_instance(&server.name, &instances) == Some(own))
+        .filter(|server| polling_instance(&server.name, instances) == Some(own))
         .cloned()
         .collect()
 }
--- a/crates/hawthornquay/src/peer_gateway.rs
+++ b/crates/hawthornquay/src/peer_gateway.rs
@@ -75,6 +75,7 @@
 ) -> Result<RoutedAnswer, Refusal> {
     let bundle = node.bundle.required()?;
     let req = check_forward(node, &bundle, request)?;
+    note_arrival(node, from, &req.target);
     node.requests.open(&req.id, Some(&req.organisation.id));
     node.requests.record(
         &req.id,
@@ -85,6 +86,21 @@
     dispatch(node, &bundle, req).await
 }
 
+/// Moves a grant that another region uses from promised to arrived.
+///
+/// A request without a grant here is served too: it may use one of another instance of this domain.
+fn note_arrival(node: &Node, from: &InstanceId, target: &RouteTarget) {
+    let region = node
+        .members
+        .lock()
+        .get(&from.name)
+        .map(|member| member.record.region.clone());
+    if region.is_some_and(|region| region != node.place.region) {
+        let mut routing = node.routing.lock();
+        routing.grantor.arrived(from, target, clock::now());
+    }
+}
+
 /// Checks a forwarded request against this instance's own bundle, whatever the sender believes.
 fn check_forward(
     node: &Node,
--- a/crates/hawthornquay/tests/support/fleet.rs
+++ b/crates/hawthornquay/tests/support/fleet.rs
@@ -1,16 +1,24 @@
 //! Running fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
 
+use bytes::Bytes;
 use hawthornquay::{Daemon, Node};
-use hawthornquay_decisions::MonotonicTime;
+use hawthornquay_decisions::{DomainName, InstanceId, MonotonicTime, SlotDomain};
 use hawthornquay_operators::{DaemonSettings, OperatorKey};
 use hawthornquay_platform::PlatformClient;
 use hawthornquay_standins::{ModelEngine, PlainService, Platform};
+use http::{Method, StatusCode};
 use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
-use super::Network;
+use super::{Caller, DaemonProcess, Network};
+
+const SLOTS: usize = 64;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -25,6 +33,8 @@
     pub daemons: Vec<Option<Daemon>>,
     pub settings: Vec<DaemonSettings>,
     pub network: Network,
+    pub settings_files: Vec<PathBuf>,
+    pub processes: Vec<Option<DaemonProcess>>,
 }
 
 impl Fleet {
@@ -61,6 +71,55 @@
     }
 }
 
+impl Fleet {
+    /// Starts an instance as a process and waits until it is ready.
+    pub async fn start_process(&mut self, program: &Path, index: usize) {
+        let process = DaemonProcess::start(program, &self.settings_files[index]);
+        while self.processes.len() <= index {
+            self.processes.push(None);
+        }
+        self.processes[index] = Some(process);
+    }
+
+    /// Waits until all started processes are ready and all slots are held.
+    pub async fn wait_processes(&self, limit: Duration) {
+        let end = Instant::now() + limit;
+        for (index, process) in self.processes.iter().enumerate() {
+            while process.is_some() && !is_ready(self.operators(index)).await {
+                assert!(Instant::now() < end, "instance {index} is not ready");
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+        for settings in &self.settings {
+            let domain = &settings.instance.domain;
+            while self.slots(domain).await.len() < SLOTS {
+                assert!(Instant::now() < end, "free slots in {domain}");
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Returns the holder of each slot of a domain, as the store has them.
+    pub async fn slots(&self, domain: &DomainName) -> Vec<InstanceId> {
+        let key = format!("limits/{domain}");
+        let Ok(entry) = self.client.get(&key).await else {
+            return Vec::new();
+        };
+        let domain: SlotDomain = serde_json::from_slice(&entry.value).unwrap();
+        domain
+            .slots
+            .into_values()
+            .map(|record| record.holder)
+            .collect()
+    }
+}
+
+async fn is_ready(operators: SocketAddr) -> bool {
+    let caller = Caller::new(None);
+    let get = caller.send(operators, Method::GET, "/ready", &[], Bytes::new());
+    get.await.is_ok_and(|res| res.status() == StatusCode::OK)
+}
+
 /// Returns the time of the daemons' clock.
 pub fn now() -> MonotonicTime {
     let time = clock_gettime(ClockId::Boottime);
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -5,6 +5,7 @@
     fs,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     ops::RangeInclusive,
+    path::PathBuf,
     time::{Duration, SystemTime},
 };
 
@@ -39,6 +40,8 @@
     platform: PlatformSettings,
     idempotency_key: &'static str,
     relayed: bool,
+    program: Option<PathBuf>,
+    service_domain: &'static str,
 }
 
 impl Default for FleetBuilder {
@@ -59,6 +62,8 @@
             platform: PlatformSettings::default(),
             idempotency_key: "optional",
             relayed: false,
+            program: None,
+            service_domain: "lagos-a",
         }
     }
 }
@@ -79,6 +84,32 @@
         self
     }
 
+    /// Runs each instance as a process of its own.
+    pub fn processes(mut self, program: impl Into<PathBuf>) -> Self {
+        self.program = Some(program.into());
+        self
+    }
+
+    /// Sets `per_domain` instances in one failure domain of each of three regions.
+    pub fn sized(mut self, per_domain: usize) -> Self {
+        self = self.three_regions();
+        self.relayed = false;
+        self.instances.clear();
+        for region in ["lagos", "abuja", "kano"] {
+            for number in 1..=per_domain {
+                let name = format!("{region}-{number}");
+                let domain = format!("{region}-a");
+                self.instances.push((name, region.to_owned(), domain));
+            }
+        }
+        self
+    }
+
+    pub fn service_domain(mut self, domain: &'static str) -> Self {
+        self.service_domain = domain;
+        self
+    }
+
     pub fn require_idempotency_key(mut self) -> Self {
         self.idempotency_key = "required";
         self
@@ -132,13 +163,15 @@
             daemons: Vec::new(),
             settings: Vec::new(),
             network: Network::default(),
+            settings_files: Vec::new(),
+            processes: Vec::new(),
         };
         fleet.accept(1).await.unwrap();
         if self.relayed {
             let regions: Vec<String> = self.instances.iter().map(|place| place.1.clone()).collect();
             fleet.network = Network::start(&regions).await;
         }
-        fleet.settings = self.settings(&fleet);
+        (fleet.settings, fleet.settings_files) = self.settings(&fleet);
         if self.relayed {
             let peers: Vec<SocketAddr> = fleet
                 .settings
@@ -149,9 +182,15 @@
         }
         for index in 0..fleet.settings.len() {
             fleet.list_instance(index, InstanceState::Live);
-            fleet.start_instance(index).await;
+            match &self.program {
+                Some(program) => fleet.start_process(program, index).await,
+                None => fleet.start_instance(index).await,
+            }
+        }
+        match &self.program {
+            Some(_) => fleet.wait_processes(Duration::from_secs(60)).await,
+            None => fleet.wait_ready().await,
         }
-        fleet.wait_ready().await;
         fleet
     }
 
@@ -176,7 +215,7 @@
              idempotency_key = {}\ncost = 1\n\
              [route /v1/services/lookups]\nservice = bookings\nrepeatable = yes\ncost = 1\n\
              [route /v1/services/open]\nservice = bookings\nopen = yes\norganisation = kolanut\n\
-             [backend bookings-1]\nkind = plain-service\naddress = {service}\ndomain = lagos-a\n\
+             [backend bookings-1]\nkind = plain-service\naddress = {service}\ndomain = {}\n\
              service = bookings\n",
             signer.public_base64(),
             self.places_text(),
@@ -187,6 +226,7 @@
             digest("key-kolanut"),
             digest("key-homebound"),
             self.idempotency_key,
+            self.service_domain,
         );
         for (name, domain, engine) in engines {
             text += &format!(
@@ -216,7 +256,7 @@
         regions.chain(domains).collect()
     }
 
-    fn settings(&self, fleet: &Fleet) -> Vec<DaemonSettings> {
+    fn settings(&self, fleet: &Fleet) -> (Vec<DaemonSettings>, Vec<PathBuf>) {
         let names: Vec<(&str, IpAddr)> = self
             .instances
             .iter()
@@ -233,6 +273,7 @@
         let authority_path = write("authority.pem", &authority.authority);
         let ports = free_ports(3 * self.instances.len());
         let mut settings = Vec::new();
+        let mut paths = Vec::new();
         for (index, (name, region, domain)) in self.instances.iter().enumerate() {
             let files = &authority.instances[index];
             let certificate = write(&format!("{name}.pem"), &files.certificate);
@@ -253,8 +294,9 @@
                 fleet.signer.public_base64(),
             );
             settings.push(DaemonSettings::read("settings", &text).unwrap());
+            paths.push(write(&format!("{name}.ini"), &text).into());
         }
-        settings
+        (settings, paths)
     }
 }
 
