--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -6,6 +6,7 @@
     io::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     ops::RangeInclusive,
+    path::PathBuf,
     time::{Duration, SystemTime},
 };
 
@@ -45,6 +46,8 @@
     extra_sections: String,
     logs: Option<LogBuffer>,
     relayed: bool,
+    program: Option<PathBuf>,
+    service_domain: &'static str,
 }
 
 impl Default for FleetBuilder {
@@ -69,6 +72,8 @@
             extra_sections: String::new(),
             logs: None,
             relayed: false,
+            program: None,
+            service_domain: "lagos-a",
         }
     }
 }
@@ -100,6 +105,32 @@
         self
     }
 
+    /// Runs each instance as a process of its own.
+    pub fn processes(mut self, program: impl Into<PathBuf>) -> Self {
+        self.program = Some(program.into());
+        self
+    }
+
+    /// Sets `per_domain` instances in one failure domain of each of three regions.
+    pub fn sized(mut self, per_domain: usize) -> Self {
+        self = self.three_regions();
+        self.relayed = false;
+        self.instances.clear();
+        for region in ["lagos", "abuja", "kano"] {
+            for number in 1..=per_domain {
+                let name = format!("{region}-{number}");
+                let domain = format!("{region}-a");
+                self.instances.push((name, region.to_owned(), domain));
+            }
+        }
+        self
+    }
+
+    pub fn service_domain(mut self, domain: &'static str) -> Self {
+        self.service_domain = domain;
+        self
+    }
+
     pub fn require_idempotency_key(mut self) -> Self {
         self.idempotency_key = "required";
         self
@@ -148,12 +179,19 @@
 
     /// Starts everything and waits until each instance has the bundle and every slot a holder.
     pub async fn start(self) -> Fleet {
+        let program = self.program.clone();
         let mut fleet = self.prepare().await;
         for index in 0..fleet.settings.len() {
             fleet.list_instance(index, InstanceState::Live);
-            fleet.start_instance(index).await;
+            match &program {
+                Some(program) => fleet.start_process(program, index).await,
+                None => fleet.start_instance(index).await,
+            }
+        }
+        match program {
+            Some(_) => fleet.wait_processes(Duration::from_secs(60)).await,
+            None => fleet.wait_ready().await,
         }
-        fleet.wait_ready().await;
         fleet
     }
 
@@ -175,7 +213,7 @@
             ));
         }
         let service = PlainService::start(any, "bookings-1").await.unwrap();
-        let mut services = vec![("lagos-a".to_owned(), service)];
+        let mut services = vec![(self.service_domain.to_owned(), service)];
         for (index, domain) in self.more_service_domains.iter().enumerate() {
             let name = format!("bookings-{}", index + 2);
             let service = PlainService::start(any, &name).await.unwrap();
@@ -208,6 +246,7 @@
             daemons: Vec::new(),
             settings: Vec::new(),
             network: Network::default(),
+            processes: Vec::new(),
         };
         fleet.accept(1).await.unwrap();
         if self.relayed {
--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
 mod caller;
+mod daemon_process;
 mod delay_relay;
 mod fake_backend;
 mod fleet;
@@ -14,6 +15,7 @@
 
 pub use {
     caller::{Answer, Caller, chat_body},
+    daemon_process::DaemonProcess,
     delay_relay::{DelayRelay, Direction},
     fake_backend::FakeBackend,
     fleet::{Fleet, now, wait_until},
