--- a/crates/decisions/src/limit_table_loans.rs
+++ b/crates/decisions/src/limit_table_loans.rs
@@ -80,12 +80,19 @@
                 (0, 0, LoanTerms::SINGLE)
             } else {
                 let rate = wanted.saturating_sub(state.held().rate);
-                let spare = wanted.saturating_mul(SPARE_MS) / 1_000;
-                let spare = spare.saturating_mul(NANOTOKENS_PER_MILLITOKEN);
+                let spare = wanted.saturating_mul(NANOTOKENS_PER_MILLITOKEN) / 4;
                 (rate, spare, LoanTerms::DURATION)
             };
             let level = missing.saturating_add(spare);
-            let count = lenders_needed(state, &group, level, lenders);
+            let count = lenders_needed(
+                state,
+                &group,
+                LimitShare {
+                    rate,
+                    capacity: level,
+                },
+                lenders,
+            );
             let (rate, level) = (rate.div_ceil(count), level.div_ceil(count));
             // Borrowers begin at different lenders, so that none is asked by all.
             let first = self.instance.incarnation.0 as usize % group.len();
@@ -124,7 +131,7 @@
 
     /// Returns the requests that keep the loans in use; to be called several times a second.
     ///
-    /// Loans that the demand no longer needs, or that cover little of it, are left to end.
+    /// Loans that the demand no longer needs are left to end.
     pub fn renew_loans(&mut self, now: MonotonicTime) -> Vec<LoanCall> {
         let mut calls = Vec::new();
         for (organisation, state) in &mut self.organisations {
@@ -137,7 +144,7 @@
             let lenders: Vec<InstanceId> = state.loans.keys().cloned().collect();
             for lender in lenders {
                 let due = state.loans[&lender].end <= now + LoanTerms::RENEW_BEFORE;
-                if !due || state.is_asking(&lender, now) {
+                if !due || state.is_asking(&lender, now) || state.asked_lately(&lender, now) {
                     continue;
                 }
                 let had = loan_share(state, &lender);
@@ -154,7 +161,7 @@
                     .records(state.slot)
                     .find(|(_, record)| record.holder == lender)
                     .map(|(domain, _)| domain.clone());
-                let (Some(domain), true) = (domain, rate > wanted / LEAST_RENEWED_PART) else {
+                let (Some(domain), true) = (domain, rate > 0) else {
                     continue;
                 };
                 let share = LimitShare {
@@ -220,9 +227,12 @@
         let end = attempt.end;
         let refused = grant.share == LimitShare::default();
         attempt.retry = if !refused && grant.level >= attempt.level {
-            LoanTerms::RETRY
+            // A lender that gave all that was asked for may have more.
+            Duration::ZERO
+        } else if grant.level >= attempt.level / 2 && !refused {
+            LoanTerms::SHORTEST_RETRY
         } else {
-            LoanTerms::RETRY_AFTER_SHORTAGE
+            (attempt.retry * 2).clamp(LoanTerms::SHORTEST_RETRY, LoanTerms::DURATION)
         };
         if refused || end <= now {
             return false;
@@ -256,20 +266,19 @@
 /// Seconds of a loan, by which a steady demand is told from a single request.
 const LOAN_SECONDS: u64 = LoanTerms::DURATION.as_secs();
 
-/// Milliseconds of demand that a loan brings beside the missing tokens.
-const SPARE_MS: u64 = 1_500;
-
-/// Part of the demand, as a divisor, below which a loan is not worth the messages of a renewal.
-const LEAST_RENEWED_PART: u64 = 12;
-
-/// Returns how many lenders of the group to ask at once for `level` nanotokens.
+/// Returns how many lenders of the group can be expected to cover `missing` with half their share.
 ///
-/// A lender is expected to hold twice an equal share, since most traffic of an organisation is in
-/// one domain and the buckets of the others are full. The other lenders are asked only if these
-/// lend too little, which saves messages.
-fn lenders_needed(state: &LimitOrganisation, group: &[Lender], level: u64, lenders: u64) -> u64 {
-    let expected = (state.whole.capacity / (lenders + 1)).saturating_mul(2);
-    level.div_ceil(expected.max(1)).clamp(1, group.len() as u64)
+/// The others are asked only if these lend too little, which saves messages.
+fn lenders_needed(
+    state: &LimitOrganisation,
+    group: &[Lender],
+    missing: LimitShare,
+    lenders: u64,
+) -> u64 {
+    let one = |whole: u64| (whole / (2 * (lenders + 1))).max(1);
+    let rate = missing.rate.div_ceil(one(state.whole.rate));
+    let level = missing.capacity.div_ceil(one(state.whole.capacity));
+    rate.max(level).clamp(1, group.len() as u64)
 }
 
 /// Returns the rate that covers the demand with a quarter to spare.
@@ -314,13 +323,17 @@
         let lowered = loan.bucket.share().lower(share);
         loan.bucket.set_share(lowered);
     }
+    let retry = state
+        .attempts
+        .get(&lender)
+        .map_or(LoanTerms::SHORTEST_RETRY, |attempt| attempt.retry);
     let attempt = LoanAttempt {
         sequence,
         sent: now,
         level,
         end: now + duration,
         answered: false,
-        retry: LoanTerms::RETRY,
+        retry,
     };
     state.attempts.insert(lender.clone(), attempt);
     LoanCall {
--- a/crates/decisions/src/loan_terms.rs
+++ b/crates/decisions/src/loan_terms.rs
@@ -19,17 +19,9 @@
     /// Longest time for which a loan can bind a lender after it was granted.
     pub const LONGEST: Duration = Self::DURATION.saturating_add(Self::MARGIN);
     /// Time before its end at which a loan in use is renewed.
-    ///
-    /// It covers the interval of [`crate::LimitTable::renew_loans`] and an answer from another
-    /// region. A longer one costs messages for each loan.
-    pub const RENEW_BEFORE: Duration = Duration::from_millis(400);
+    pub const RENEW_BEFORE: Duration = Duration::from_millis(1_000);
     /// Time after which an unanswered request counts as lost.
     pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-    /// Time after which a lender that gave all that was asked for is asked again.
-    pub const RETRY: Duration = Duration::from_millis(1_000);
-    /// Time after which a lender that gave less is asked again.
-    ///
-    /// Its bucket was emptied. Asking for what accrued since costs two messages each time and
-    /// brings few tokens.
-    pub const RETRY_AFTER_SHORTAGE: Duration = Duration::from_secs(10);
+    /// Shortest time between two requests to one lender for one organisation.
+    pub const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 }
