--- a/crates/decisions/src/limit_table_loans.rs
+++ b/crates/decisions/src/limit_table_loans.rs
@@ -80,7 +80,7 @@
                 (0, 0, LoanTerms::SINGLE)
             } else {
                 let rate = wanted.saturating_sub(state.held().rate);
-                let spare = wanted.saturating_mul(NANOTOKENS_PER_MILLITOKEN);
+                let spare = wanted.saturating_mul(NANOTOKENS_PER_MILLITOKEN) / 4;
                 (rate, spare, LoanTerms::DURATION)
             };
             let level = missing.saturating_add(spare);
@@ -229,8 +229,10 @@
         attempt.retry = if !refused && grant.level >= attempt.level {
             // A lender that gave all that was asked for may have more.
             Duration::ZERO
+        } else if grant.level >= attempt.level / 2 && !refused {
+            LoanTerms::SHORTEST_RETRY
         } else {
-            (attempt.retry * 2).clamp(LoanTerms::RETRY_AFTER_SHORTAGE, LoanTerms::DURATION)
+            (attempt.retry * 2).clamp(LoanTerms::SHORTEST_RETRY, LoanTerms::DURATION)
         };
         if refused || end <= now {
             return false;
--- a/crates/decisions/src/loan_terms.rs
+++ b/crates/decisions/src/loan_terms.rs
@@ -22,10 +22,6 @@
     pub const RENEW_BEFORE: Duration = Duration::from_millis(1_000);
     /// Time after which an unanswered request counts as lost.
     pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-    /// Shortest time after which a lender that gave less than it was asked for is asked again.
-    ///
-    /// Its bucket was emptied, and what accrues sooner is not worth the two messages.
-    pub const RETRY_AFTER_SHORTAGE: Duration = Duration::from_millis(1_000);
     /// Shortest time between two requests to one lender for one organisation.
     pub const SHORTEST_RETRY: Duration = Duration::from_millis(200);
 }
