Count the watches that a changed rate begins again

The reads after a changed rate grew by 2 for each daemon, and so did those after a change that alters no rate, so the reads alone do not show what the watches on limits/ cost.

--- a/crates/hawthornquay/examples/capacity_support/predictions.rs
+++ b/crates/hawthornquay/examples/capacity_support/predictions.rs
@@ -73,6 +73,8 @@
     let token_us = slope_of("request.processor_us_with_tokens", &[16, 64, 256]);
     let request_us = of("request.processor_us_at_rate.200") + (tokens - 16.0) * token_us;
     let started = (of("daemons.start_writes.16") - ACCEPT_WRITES) / 2.0;
+    // The fleets of processes have two domains.
+    let change_watches = slope_of("change.rate_watches", &[4, 8, 16]) / 2.0;
     vec![
         ("links_bytes_per_s", links),
         ("loan_bytes_per_s", loans),
@@ -108,11 +110,8 @@
         ),
         ("list_reads_per_s", INSTANCES / LIST_INTERVAL_S + WATCHERS),
         ("change_writes", ACCEPT_WRITES + DOMAINS),
-        ("change_watch_calls", DOMAINS * INSTANCES),
-        (
-            "change_reads_per_instance_and_domain",
-            slope_of("change.rate_reads", &[4, 8, 16]) / 2.0,
-        ),
+        ("change_watch_calls", change_watches * DOMAINS * INSTANCES),
+        ("change_watches_per_instance_and_domain", change_watches),
         (
             "start_writes_of_all",
             started / 64.0 * (INSTANCES / DOMAINS).powi(2) * DOMAINS,
--- a/crates/hawthornquay/examples/capacity_support/program_sections.rs
+++ b/crates/hawthornquay/examples/capacity_support/program_sections.rs
@@ -148,7 +148,7 @@
     for count in [4, 8, 16] {
         let mut fleet = FleetPrograms::start(count, 2, 100);
         let calls = |fleet: &FleetPrograms| {
-            ["reads", "writes", "list_reads"].map(|name| fleet.counter(name))
+            ["reads", "writes", "list_reads", "watches"].map(|name| fleet.counter(name))
         };
         let start_writes = fleet.counter("writes");
         figure("daemons.start_writes", count, start_writes);
@@ -176,6 +176,8 @@
             let after = calls(&fleet);
             let extra = after[0] - before[0] - reads * AFTER_CHANGE;
             figure(&format!("change.{name}_reads"), count, extra);
+            let watches = after[3] - before[3] - per_s(3) * AFTER_CHANGE;
+            figure(&format!("change.{name}_watches"), count, watches);
             figure(
                 &format!("change.{name}_writes"),
                 count,
