--- a/crates/hawthornquay/examples/capacity_support/table_sections.rs
+++ b/crates/hawthornquay/examples/capacity_support/table_sections.rs
@@ -1,6 +1,10 @@
 //! Bundles and decision tables of growing size.
 
-use std::{fmt::Write, net::SocketAddr, time::Duration};
+use std::{
+    fmt::Write,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use hawthornquay_decisions::{
     BackendKind, FairQueue, GossipSettings, Incarnation, InstanceId, InstanceRecord, InstanceState,
@@ -223,7 +227,13 @@
                 u64::MAX / (index as u64 + 1)
             };
             let holder = InstanceId::new(&format!("entry-{index:03}"), incarnation);
-            entry.slots.insert(slot, SlotRecord { holder, split: 1 });
+            let address = Some((Ipv4Addr::LOCALHOST, 7_000).into());
+            let record = SlotRecord {
+                holder,
+                split: 1,
+                address,
+            };
+            entry.slots.insert(slot, record);
         }
         snapshot
             .domains
