--- a/crates/hawthornquay/src/load_guard.rs
+++ b/crates/hawthornquay/src/load_guard.rs
@@ -20,6 +20,7 @@
             .lock()
             .view
             .sent(key, prefill_tokens, clock::now());
+        node.queue.signal_sent();
         Self {
             node: Arc::clone(node),
             ticket: Some(ticket),
--- a/crates/hawthornquay/src/request_queue.rs
+++ b/crates/hawthornquay/src/request_queue.rs
@@ -1,6 +1,12 @@
 //! Waiting for a free backend server.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use hawthornquay_decisions::{
     FairQueue, LoadKey, Map, MonotonicTime, QueueEntry, Refusal, RouteTarget,
@@ -42,9 +48,26 @@
 #[derive(Default)]
 pub struct RequestQueue {
     targets: Mutex<Map<RouteTarget, TargetQueue>>,
+    waiting: AtomicUsize,
     freed: Notify,
 }
 
+/// Counts a waiting request until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 struct TargetQueue {
     queue: FairQueue<Waiter>,
     turns: f64,
@@ -96,9 +119,21 @@
                 .push(entry, weight)
                 .map_err(|(refusal, _)| refusal)?;
         }
+        let _waiting = Waiting::new(&self.waiting);
         rx.await.unwrap_or(Ok(()))
     }
 
+    /// Signals that a request was sent, so that the next one can be decided with it counted.
+    ///
+    /// Each wake gives one turn, because the request that got it counts as load only once it is
+    /// sent. Without this signal a queue would drain by one request for each answer that ends, and
+    /// stay for as long as requests come although servers are free.
+    pub fn signal_sent(&self) {
+        if self.waiting.load(Ordering::Relaxed) > 0 {
+            self.freed.notify_one();
+        }
+    }
+
     /// Signals that a backend server may be free.
     pub fn signal_free(&self) {
         self.freed.notify_one();
--- a/crates/hawthornquay/tests/backend_servers.rs
+++ b/crates/hawthornquay/tests/backend_servers.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -210,6 +210,57 @@
     assert!(taken < Duration::from_secs(4), "90 requests took {taken:?}");
 }
 
+/// Guards against a queue that never drains although servers are free, because each answer that
+/// ends lets one waiting request go and each new request joins the queue.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_returns_queue_drains() {
+    const CALLERS: usize = 48;
+    let engine = EngineSettings {
+        decode_ms: 20,
+        ..quick_engine(32)
+    };
+    let fleet = FleetBuilder::default()
+        .engine(engine)
+        .engine_domains(&["lagos-a", "lagos-a"])
+        .start()
+        .await;
+    let leaving = |leaving| EngineFaults {
+        leaving,
+        ..EngineFaults::default()
+    };
+    fleet.engines[0].set_faults(leaving(true));
+    chat_until(&fleet, Instant::now() + LEAVING_BOUND).await;
+    let to = fleet.callers(0);
+    let stop = Arc::new(AtomicBool::new(false));
+    let tasks: Vec<_> = (0..CALLERS)
+        .map(|task| {
+            let stop = Arc::clone(&stop);
+            tokio::spawn(async move {
+                let caller = Caller::new(Some("key-kolanut"));
+                while !stop.load(Ordering::SeqCst) {
+                    let answer = caller.chat(to, &format!("q{task}"), 10, false).await;
+                    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+                }
+            })
+        })
+        .collect();
+    let running = || -> usize {
+        fleet
+            .engines
+            .iter()
+            .map(|engine| engine.load().running)
+            .sum()
+    };
+    let limit = Duration::from_secs(5);
+    wait_until(limit, "a full engine", || running() >= 32).await;
+    fleet.engines[0].set_faults(leaving(false));
+    wait_until(limit, "all requests running", || running() >= CALLERS - 4).await;
+    stop.store(true, Ordering::SeqCst);
+    for task in tasks {
+        task.await.unwrap();
+    }
+}
+
 /// Guards against an engine that is called although it is known to fail, for each new request.
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_silent_others_serve() {
