Delete the content of bundles that nobody reads any more

Ruled out: deleting the predecessor's content as well, because an instance may be reading it while the head changes.

Before: accept_many_versions_keep_the_content_of_two finds 13 contents after 13 versions (also with the deletion taken out).

--- a/crates/hawthornquay/src/platform_store.rs
+++ b/crates/hawthornquay/src/platform_store.rs
@@ -33,6 +33,14 @@
             .map(|revision| revision.0)
             .map_err(|error| store_error(&error))
     }
+
+    async fn delete(&self, key: &str) -> Result<bool, StoreError> {
+        match self.0.delete(key, None).await {
+            Ok(_) => Ok(true),
+            Err(PlatformError::NotFound) => Ok(false),
+            Err(error) => Err(store_error(&error)),
+        }
+    }
 }
 
 fn store_entry(entry: Entry) -> StoreEntry {
--- a/crates/operators/src/accept_bundle.rs
+++ b/crates/operators/src/accept_bundle.rs
@@ -206,6 +206,7 @@
         changes,
     )
     .await?;
+    remove_old_content(store, &current.head).await;
     Ok(AcceptedBundle {
         head: current.head,
         revision: Some(current.revision),
@@ -213,6 +214,27 @@
     })
 }
 
+/// Deletes the content of the version before the predecessor; the store keeps it until the next
+/// accept if that fails.
+///
+/// Instances read the content of the head only, and one that is reading the predecessor's while
+/// the head changes can still finish.
+async fn remove_old_content<S: BundleStore>(store: &S, head: &BundleHead) {
+    let Ok(differences) = load_differences(store, head, head.version.saturating_sub(2)).await
+    else {
+        return;
+    };
+    let Some(old) = differences.first().and_then(|first| first.head.previous) else {
+        return;
+    };
+    for part in 0.. {
+        match store.delete(&content_key(&old, part)).await {
+            Ok(true) => {}
+            Ok(false) | Err(_) => return,
+        }
+    }
+}
+
 /// Writes the audit record unless there is one.
 async fn write_audit<S: BundleStore>(
     store: &S,
--- a/crates/operators/src/bundle_store.rs
+++ b/crates/operators/src/bundle_store.rs
@@ -37,4 +37,11 @@
         value: &[u8],
         expected: u64,
     ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+
+    /// Deletes a key; returns whether it existed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store gave no answer.
+    fn delete(&self, key: &str) -> impl Future<Output = Result<bool, StoreError>> + Send;
 }
--- a/crates/operators/tests/accept.rs
+++ b/crates/operators/tests/accept.rs
@@ -55,6 +55,18 @@
         .collect()
 }
 
+/// Guards against a store that fills with the content of versions which nobody reads any more.
+#[test]
+fn accept_many_versions_keep_the_content_of_two() {
+    let store = store_with(&document(7));
+    for version in 8..20 {
+        run(accept(&store, &with_rate(version, version), "ada")).unwrap();
+        let head = run(load_head(&store)).unwrap().unwrap().head;
+        assert!(run(load_content(&store, &head)).is_ok());
+    }
+    assert_eq!(store.keys("bundle/content/").len(), 2);
+}
+
 /// Guards against a head whose content, difference or audit record is missing.
 #[test]
 fn accept_stores_everything_that_the_head_names() {
--- a/crates/operators/tests/common/fake_store.rs
+++ b/crates/operators/tests/common/fake_store.rs
@@ -178,6 +178,21 @@
         };
         self.0.lock().unwrap().call(write)
     }
+
+    async fn delete(&self, key: &str) -> Result<bool, StoreError> {
+        yield_once().await;
+        let mut state = self.0.lock().unwrap();
+        match state.next_fault() {
+            CallFault::None => Ok(state.entries.remove(key).is_some()),
+            CallFault::LostBefore => Err(StoreError::AnswerLost),
+            CallFault::LostAfter | CallFault::Delayed => {
+                state.entries.remove(key);
+                Err(StoreError::AnswerLost)
+            }
+            CallFault::RateExceeded => Err(StoreError::RateExceeded),
+            CallFault::Unreachable => Err(StoreError::Unreachable),
+        }
+    }
 }
 
 /// Lets the scheduler run another operator before each call.
