Keep unknown in the request log, refuse a second head, wait no longer than the caller

Cause, found by reading: between two attempts the request log could say not-run although an earlier attempt may have run; a second head in a forwarded stream ended the answer as if it were whole; waiting for loans ignored the caller's deadline. Refused links were not logged.

Ruled out: taking the execution from the retry state, which is read only at the end.

Result: the tests of the package pass; the three cases have no tests of their own yet.

--- a/crates/hawthornquay/src/answer_failure.rs
+++ b/crates/hawthornquay/src/answer_failure.rs
@@ -12,6 +12,9 @@
     /// The link to the instance that runs the request failed.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// The instance that runs the request began the answer a second time.
+    #[error("the remote instance began the answer a second time")]
+    SecondHead,
     /// The instance that runs the request reported a failure.
     #[error("the remote instance reported a failure: {0}")]
     Remote(String),
--- a/crates/hawthornquay/src/dispatch.rs
+++ b/crates/hawthornquay/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use hawthornquay_decisions::{
-    BackendName, DomainName, LoadKey, Refusal, RefusalCode, RetryDecision, RetryState,
+    BackendName, DomainName, Execution, LoadKey, Refusal, RefusalCode, RetryDecision, RetryState,
     RoutingDecision, RoutingHop,
 };
 
@@ -29,6 +29,7 @@
     let req = &Arc::new(req);
     let mut retry = RetryState::new(req.repeatable);
     let mut has_turn = false;
+    let mut known = Execution::NotRun;
     loop {
         let queue_wait = match has_turn {
             true => Duration::ZERO,
@@ -56,7 +57,8 @@
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
-        record_failure(node, req, &failure);
+        known = after(known, failure.execution);
+        record_failure(node, req, &failure, known);
         if let Some(refusal) = failure.refusal.filter(|refusal| is_final(refusal.code)) {
             return Err(retry.refusal(refusal));
         }
@@ -155,8 +157,18 @@
     )
 }
 
-fn record_failure(node: &Node, req: &OutboundRequest, failure: &AttemptFailure) {
-    node.requests.set_execution(&req.id, failure.execution);
+/// Returns what is known after one more failed attempt.
+///
+/// A later attempt that did not run does not prove that an earlier one did not either.
+const fn after(known: Execution, attempt: Execution) -> Execution {
+    match known {
+        Execution::NotRun => attempt,
+        Execution::Unknown | Execution::Ran => known,
+    }
+}
+
+fn record_failure(node: &Node, req: &OutboundRequest, failure: &AttemptFailure, known: Execution) {
+    node.requests.set_execution(&req.id, known);
     node.requests.record(
         &req.id,
         Decision::AttemptFailed {
--- a/crates/hawthornquay/src/limit_guard.rs
+++ b/crates/hawthornquay/src/limit_guard.rs
@@ -4,8 +4,8 @@
 
 use futures_util::future::join_all;
 use hawthornquay_decisions::{
-    LimitReservation, LoanCall, LoanStep, LoanTerms, OrganisationId, Refusal, RefusalCode,
-    RequestId,
+    LimitReservation, LoanCall, LoanStep, LoanTerms, MonotonicTime, OrganisationId, Refusal,
+    RefusalCode, RequestId,
 };
 
 use crate::{Decision, Node, clock, peer_loans::ask_for_loan};
@@ -32,8 +32,10 @@
         id: &RequestId,
         organisation: &OrganisationId,
         tokens: u64,
+        deadline: Option<MonotonicTime>,
     ) -> Result<Self, Refusal> {
-        let give_up = clock::now() + LOAN_WAIT;
+        let longest = clock::now() + LOAN_WAIT;
+        let give_up = deadline.map_or(longest, |deadline| deadline.min(longest));
         loop {
             let answered = node.loans.notified();
             let step = {
--- a/crates/hawthornquay/src/model_request.rs
+++ b/crates/hawthornquay/src/model_request.rs
@@ -33,7 +33,8 @@
     let tokens = chat.prompt_tokens + chat.output_tokens;
     check_burst(&admission.organisation, tokens, "lower `max_tokens`")?;
     let organisation = admission.organisation.id.clone();
-    let mut limit = LimitGuard::reserve(node, &head.id, &organisation, tokens).await?;
+    let deadline = head.deadline.map(|left| arrived + left);
+    let mut limit = LimitGuard::reserve(node, &head.id, &organisation, tokens, deadline).await?;
     let prompt_tokens = chat.prompt_tokens;
     // A caller that leaves before the answer has used the prefill.
     limit.note_use(prompt_tokens);
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -140,7 +140,8 @@
         let item = match stream.next().await? {
             Ok(ForwardEvent::Data(data)) => Ok(data),
             Ok(ForwardEvent::Refused(refused)) => Err(AnswerFailure::Remote(refused.message)),
-            Ok(ForwardEvent::Head(_) | ForwardEvent::End(_)) => return None,
+            Ok(ForwardEvent::End(_)) => return None,
+            Ok(ForwardEvent::Head(_)) => Err(AnswerFailure::SecondHead),
             Err(error) => Err(AnswerFailure::Link(error)),
         };
         let next = item.is_ok().then_some(stream);
--- a/crates/hawthornquay/src/peer_gateway.rs
+++ b/crates/hawthornquay/src/peer_gateway.rs
@@ -10,9 +10,10 @@
 };
 use hawthornquay_instances::{
     BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardEnd, ForwardHead,
-    ForwardRefused, ForwardSink, Header, LoanGrant, LoanRequest, Notice, PeerService,
+    ForwardRefused, ForwardSink, Header, LinkError, LoanGrant, LoanRequest, Notice, PeerService,
 };
 use http::{HeaderMap, Method};
+use slog::warn;
 
 use crate::{
     ActiveBundle, Decision, Node, OutboundRequest, RoutedAnswer, clock,
@@ -27,6 +28,10 @@
 pub struct PeerGateway(pub Arc<Node>);
 
 impl PeerService for PeerGateway {
+    fn link_refused(&self, error: &LinkError) {
+        warn!(self.0.log.links, "link refused"; "error" => %error);
+    }
+
     async fn notice(&self, from: &InstanceId, notice: Notice) {
         take_notice(&self.0, from, notice).await;
     }
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -79,7 +79,7 @@
     let id = req.id.clone();
     let remedy = "lower the route's `cost`";
     check_burst(&admission.organisation, req.cost, remedy)?;
-    let limit = LimitGuard::reserve(node, &id, &organisation, req.cost).await?;
+    let limit = LimitGuard::reserve(node, &id, &organisation, req.cost, req.deadline).await?;
     match dispatch(node, &admission.bundle, req).await {
         Ok(answer) => {
             let end = AnswerEnd {
