Read the platform's list less often in a large fleet, pause before watching slots again

Cause: at 350 instances the list took 12,610 B/s of each daemon's control traffic, 62% of it, and one changed rate made all watches of the slots begin again at once, 3,500 calls against 2,000 a second.

Ruled out: a list that returns only changes, which the platform does not offer.

Change: the time between two reads is 5 s or a fifth of a second for each member, whichever is longer, a fifth of that for watchers; a watch of the slots begins 300 to 700 ms after a change.

--- a/crates/hawthornquay/examples/capacity_support/predictions.rs
+++ b/crates/hawthornquay/examples/capacity_support/predictions.rs
@@ -14,8 +14,15 @@
 const STORE_WRITES_PER_S: f64 = 400.0;
 const CONNECTIONS: f64 = 10_000.0;
 
-/// Seconds between two reads of the platform's list by an instance that is not a watcher.
-const LIST_INTERVAL_S: f64 = 5.0;
+/// Seconds between two reads of the platform's list by an instance that is not a watcher: a fifth of
+/// a second for each member.
+const LIST_INTERVAL_S: f64 = INSTANCES / 5.0;
+/// Seconds between two reads by a watcher.
+const WATCHER_LIST_INTERVAL_S: f64 = LIST_INTERVAL_S / 5.0;
+/// Mean time between a change of the slots and the next watch in seconds.
+const REWATCH_S: f64 = 0.5;
+/// Contents of bundles that the store keeps.
+const KEPT_CONTENTS: f64 = 2.0;
 /// Longest wait of a watch in seconds.
 const WATCH_WAIT_S: f64 = 20.0;
 /// Polls of a backend server each second.
@@ -91,8 +98,8 @@
             changes_per_s * of("bundle.bytes.1100"),
         ),
         (
-            "content_bytes_per_day",
-            CHANGES_PER_DAY * of("bundle.bytes.1100"),
+            "content_bytes_kept",
+            KEPT_CONTENTS * of("bundle.bytes.1100"),
         ),
         ("idle_core_percent", idle_us / 1e4),
         ("token_us", token_us),
@@ -108,9 +115,13 @@
             "idle_watch_calls_per_s",
             (INSTANCES + WATCHERS) / WATCH_WAIT_S,
         ),
-        ("list_reads_per_s", INSTANCES / LIST_INTERVAL_S + WATCHERS),
+        (
+            "list_reads_per_s",
+            INSTANCES / LIST_INTERVAL_S + WATCHERS / WATCHER_LIST_INTERVAL_S,
+        ),
         ("change_writes", ACCEPT_WRITES + DOMAINS),
         ("change_watch_calls", change_watches * DOMAINS * INSTANCES),
+        ("change_watch_calls_per_s", INSTANCES / REWATCH_S),
         ("change_watches_per_instance_and_domain", change_watches),
         (
             "start_writes_of_all",
--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -8,15 +8,22 @@
 };
 use hawthornquay_instances::{Digest, DigestEntry, Notice};
 use slog::{debug, info};
+use tokio::time::Instant;
 
 use crate::{Node, clock, rollout_peers::fetch_from, start_hint::greet};
 
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// Rounds between two reads of the platform's list by an instance that is not a watcher.
+/// Shortest time between two reads of the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Addition to the time between two reads for each member.
 ///
-/// All instances reading each second would make the platform's load grow with the fleet.
-const LIST_ROUNDS: u64 = 5;
+/// The list's size and the number of its readers both grow with the fleet.
+const LIST_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(200);
+
+/// Part of the time between two reads after which a watcher reads again.
+const WATCHER_SHARE: u32 = 5;
 
 /// Reads the platform's list and exchanges digests for as long as the process runs.
 pub async fn run_membership(node: Arc<Node>) {
@@ -24,14 +31,12 @@
     let mut partners = GossipPartners::new(settings, clock::now());
     let mut interval = tokio::time::interval(INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let offset: u64 = rand::random_range(0..LIST_ROUNDS);
-    for round in offset.. {
+    let mut read_at = None;
+    loop {
         interval.tick().await;
-        if round % LIST_ROUNDS == 0
-            || node.is_watcher()
-            || node.members.lock().others().next().is_none()
-        {
-            read_list(&node).await;
+        let wait = list_interval(&node).mul_f64(rand::random_range(0.8..1.2));
+        if read_at.is_none_or(|at: Instant| at.elapsed() >= wait) && read_list(&node).await {
+            read_at = Some(Instant::now());
         }
         send_digests(&node, &mut partners).await;
         if let Some(peer) = node.suspect_domain_peer() {
@@ -40,6 +45,17 @@
     }
 }
 
+fn list_interval(node: &Node) -> Duration {
+    let members = node.members.lock().others().count();
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    let interval = LIST_INTERVAL.max(LIST_INTERVAL_PER_MEMBER.saturating_mul(members));
+    if node.is_watcher() || members == 0 {
+        interval / WATCHER_SHARE
+    } else {
+        interval
+    }
+}
+
 /// Reads the platform's list into the member table; returns whether the platform answered.
 pub async fn read_list(node: &Node) -> bool {
     match node.platform.instances().await {
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -16,6 +16,12 @@
 /// Longest wait of one watch of the slots.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
+/// Least time between a change and the next watch.
+const REWATCH_DELAY: Duration = Duration::from_millis(300);
+
+/// Span over which the watches of all instances begin.
+const REWATCH_JITTER: Duration = Duration::from_millis(400);
+
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 
 const RENEW_INTERVAL: Duration = Duration::from_millis(200);
@@ -112,6 +118,7 @@
 
 /// Plans on each change and at intervals, until the store must be read again.
 async fn follow(node: &Arc<Node>, mut slots: Slots) {
+    let mut is_first = true;
     loop {
         node.limits
             .lock()
@@ -126,6 +133,13 @@
                 return;
             }
         }
+        if !is_first {
+            // All instances watch, and each change ends all watches; without the wait a row of
+            // changes would make them all call the store at once, each time.
+            let jitter = REWATCH_JITTER.mul_f64(rand::random());
+            tokio::time::sleep(REWATCH_DELAY + jitter).await;
+        }
+        is_first = false;
         let after = Revision(slots.snapshot.revision);
         let watch = node.platform.watch(PREFIX, after, WATCH_WAIT);
         tokio::pin!(watch);
