Count short requests once in the load estimate; an idle engine reports as well

Sends within the bound of a report's lag (1 s) were counted on top of the report, although most reports are younger; with set_instances wired each counted 1.5 times. An engine of 32 slots with 48 callers waiting ran 24 requests at first and 8 to 19 after a second. Then the stand-in's idle engine repeated its report's number, looked silent for 5 s, and began again at a tenth of its slots.

Change: the report is taken to contain the mean of the own requests in flight over the time of which it may tell, and only the change since counts on top.

--- a/crates/decisions/src/load_entry.rs
+++ b/crates/decisions/src/load_entry.rs
@@ -14,6 +14,8 @@
 /// Share of the slots from which a new request is likely to wait. Arrivals are random and reports
 /// lag, so a server that seems to have one slot left often has none.
 const BUSY_SHARE: f64 = 0.7;
+/// Longest lag of a report for which ended sends are kept.
+const LONGEST_LAG: Duration = Duration::from_secs(3);
 const ASSUMED_PROMPT_TOKENS: f64 = 512.0;
 const ASSUMED_OUTPUT_TOKENS: f64 = 128.0;
 const ASSUMED_SERVICE_SECONDS: f64 = 0.1;
@@ -23,8 +25,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoadEntry {
     report: Option<LoadReport>,
-    /// Time up to which the report contains this instance's sends.
+    /// Earliest time whose state the report may show.
     covers_until: MonotonicTime,
+    /// Own requests in flight that the report is taken to contain.
+    reported_own: f64,
     sends: Vec<Send>,
     service_seconds: Option<f64>,
     failures: u32,
@@ -59,12 +63,36 @@
         } else if self.leaving_since.is_some_and(|since| covers_until > since) {
             self.leaving_since = None;
         }
+        self.reported_own = self.mean_in_flight(covers_until, now);
         self.covers_until = covers_until;
         self.report = Some(report);
         self.sends
             .retain(|send| send.ended.is_none_or(|ended| ended > covers_until));
     }
 
+    /// Returns the mean number of own requests in flight between two times.
+    ///
+    /// The report shows the state at an unknown time between them. Counting every send since the
+    /// earlier one on top of the report would count most short requests twice.
+    fn mean_in_flight(&self, from: MonotonicTime, to: MonotonicTime) -> f64 {
+        let span = to.since(from).as_secs_f64();
+        if span <= 0.0 {
+            return self.in_flight();
+        }
+        let overlap = |send: &Send| {
+            let end = send.ended.unwrap_or(to).min(to);
+            end.since(send.at.max(from)).as_secs_f64()
+        };
+        self.sends.iter().map(overlap).sum::<f64>() / span
+    }
+
+    fn in_flight(&self) -> f64 {
+        self.sends
+            .iter()
+            .filter(|send| send.ended.is_none())
+            .count() as f64
+    }
+
     pub(crate) fn sent(&mut self, number: u64, prefill_tokens: u64, now: MonotonicTime) {
         self.sends.push(Send {
             number,
@@ -80,9 +108,11 @@
         };
         send.ended = Some(now);
         let taken = now.since(send.at).as_secs_f64();
-        // A send that began and ended since the report is in neither count.
-        self.sends
-            .retain(|send| send.ended.is_none() || send.at <= self.covers_until);
+        // Ended sends are kept for the next report, whose lag may reach back to them.
+        self.sends.retain(|send| {
+            send.ended
+                .is_none_or(|ended| now.since(ended) <= LONGEST_LAG)
+        });
         match outcome {
             LoadOutcome::Answered => self.answered(taken, now),
             LoadOutcome::Cancelled => {}
@@ -129,11 +159,7 @@
     /// Estimates the load of a server without a recent report from own sends alone.
     pub(crate) fn estimate_unreported(&self, assumed: &LoadReport) -> LoadEstimate {
         let mut estimate = self.estimate(assumed, 1.0, MonotonicTime::default());
-        estimate.occupied = self
-            .sends
-            .iter()
-            .filter(|send| send.ended.is_none())
-            .count() as f64;
+        estimate.occupied = self.in_flight();
         estimate
     }
 
@@ -148,21 +174,23 @@
         })
     }
 
-    /// Estimates the load now, counting each own send since the report `senders` times.
+    /// Estimates the load now; `senders` is the number of instances that are taken to send alike.
     fn estimate(&self, report: &LoadReport, senders: f64, now: MonotonicTime) -> LoadEstimate {
         let unseen = || {
             self.sends
                 .iter()
                 .filter(|send| send.at > self.covers_until && send.ended.is_none())
         };
-        let ended = self
-            .sends
-            .iter()
-            .filter(|send| send.ended.is_some())
-            .count() as f64;
         let reported = f64::from(report.running) + f64::from(report.waiting);
+        let change = self.in_flight() - self.reported_own;
+        // The others' sends since the report are unknown; they are taken to grow as the own do.
+        let change = if change > 0.0 {
+            senders * change
+        } else {
+            change
+        };
         let unseen_sends = unseen().count() as f64;
-        let occupied = (reported + senders * (unseen_sends - ended)).max(unseen_sends);
+        let occupied = (reported + change).max(unseen_sends);
         let slots = (f64::from(report.slots) * self.ramp(now)).max(1.0);
         let unseen_tokens = unseen().map(|send| send.prefill_tokens).sum::<u64>() as f64;
         let excess = (occupied + 1.0 - slots * BUSY_SHARE).max(0.0);
--- a/crates/decisions/tests/routing_choice.rs
+++ b/crates/decisions/tests/routing_choice.rs
@@ -139,6 +139,33 @@
     assert_eq!(occupied(&fleet), 4.0);
 }
 
+/// Guards against short requests that count twice, in the report and as sends since its lag, so
+/// that a server with free slots looks full.
+#[test]
+fn view_short_requests_count_once() {
+    let mut fleet = Fleet::new();
+    fleet.view.set_instances(2);
+    let mut now = NOW;
+    let mut running = std::collections::VecDeque::new();
+    for _ in 0..200 {
+        now = now + Duration::from_millis(20);
+        running.push_back(fleet.view.sent(key("a1-e1"), 0, now));
+        if running.len() > 10 {
+            let ticket = running.pop_front().unwrap();
+            fleet.view.ended(ticket, LoadOutcome::Answered, now);
+        }
+    }
+    let mut fresh = report(10);
+    fresh.sequence = 1_000;
+    fleet
+        .view
+        .report(key("a1-e1"), fresh, Duration::from_secs(1), now);
+    let LoadState::Available(estimate) = fleet.view.state(&key("a1-e1"), now) else {
+        panic!("the server has a report");
+    };
+    assert!((9.0..=12.0).contains(&estimate.occupied), "{estimate:?}");
+}
+
 /// Guards against a domain that stops serving when its reports fail.
 #[test]
 fn choice_without_reports_calls_own_domain() {
--- a/crates/standins/src/engine_state.rs
+++ b/crates/standins/src/engine_state.rs
@@ -28,6 +28,7 @@
     load: LoadReport,
     prefill_free_at: Instant,
     queue_limit: usize,
+    reports: u64,
     waiting: BTreeMap<QueueKey, oneshot::Sender<()>>,
 }
 
@@ -54,6 +55,7 @@
             load,
             prefill_free_at: now,
             queue_limit: settings.queue_limit,
+            reports: 0,
             waiting: BTreeMap::new(),
         }
     }
@@ -138,11 +140,19 @@
         }
     }
 
+    /// Returns the lagged load as a new report; an idle engine reports as well.
+    pub(crate) fn next_report(&mut self, now: Instant) -> LoadReport {
+        self.reports += 1;
+        LoadReport {
+            sequence: self.reports,
+            ..self.history.lagged(now)
+        }
+    }
+
     fn record_load(&mut self, now: Instant) {
         self.load.waiting = self.waiting.len();
         self.load.kv_used = self.cache.used_tokens();
         self.load.leaving = self.faults.leaving;
-        self.load.sequence += 1;
         self.history.record(now, self.load.clone());
     }
 }
