Let a retry budget have terms of its own

The budget of a fleet is split over its instances, so earned share and size differ by deployment. The defaults stay as they were. No measurement: nothing uses other terms yet.

--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -7,18 +7,36 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     retries: f64,
+    earned_per_request: f64,
+    most: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { retries: MOST }
+        Self::new(EARNED_PER_REQUEST, MOST)
     }
 }
 
 impl RetryBudget {
+    /// Builds a full budget that holds up to `most` retries and earns a part of one with each
+    /// request.
+    pub const fn new(earned_per_request: f64, most: f64) -> Self {
+        Self {
+            retries: most,
+            earned_per_request,
+            most,
+        }
+    }
+
+    /// Changes how many retries the budget holds at most.
+    pub fn set_most(&mut self, most: f64) {
+        self.most = most;
+        self.retries = self.retries.min(most);
+    }
+
     /// Earns part of a retry with each new request.
     pub fn earn(&mut self) {
-        self.retries = (self.retries + EARNED_PER_REQUEST).min(MOST);
+        self.retries = (self.retries + self.earned_per_request).min(self.most);
     }
 
     /// Spends one retry; returns whether the budget allowed that.
