Let links run without TLS in a trusted network, add status and view messages

Cause: the users' machines have no certificates, and a gateway of routed services exchanges views of the store and loads in place of bundles. Weighed: HTTP between instances; it would have been a second transport without the heartbeats and write tickets that make not-run true.

--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -198,6 +198,7 @@
         cost: req.cost,
         content_type: req.content_type.clone().unwrap_or_default(),
         body: req.body.clone(),
+        ..Forward::default()
     }
 }
 
--- a/crates/hawthornquay/src/rollout_peers.rs
+++ b/crates/hawthornquay/src/rollout_peers.rs
@@ -44,6 +44,8 @@
                 fetch_from(node, &from.name).await;
             }
         }
+        // Sent by gateways of routed services, which keep no bundle.
+        Notice::Status(_) | Notice::ViewRequest(_) | Notice::ViewUpdate(_) => {}
     }
 }
 
--- a/crates/instances/src/body.rs
+++ b/crates/instances/src/body.rs
@@ -3,7 +3,7 @@
 use crate::{
     BundleContent, BundleDelta, BundleFetch, CapacityGrant, CapacityRequest, Digest, Forward,
     ForwardCancel, ForwardCredit, ForwardData, ForwardEnd, ForwardHead, ForwardRefused, Hello,
-    LoanGrant, LoanRequest, Ping, Pong,
+    LoanGrant, LoanRequest, Ping, Pong, Status, ViewRequest, ViewUpdate,
 };
 
 /// Message inside an [`crate::Envelope`].
@@ -63,6 +63,15 @@
     /// [`ForwardCredit`].
     #[prost(message, tag = "20")]
     ForwardCredit(ForwardCredit),
+    /// State and load of an instance and its region.
+    #[prost(message, tag = "21")]
+    Status(Status),
+    /// Question for a newer view of the store.
+    #[prost(message, tag = "22")]
+    ViewRequest(ViewRequest),
+    /// Newer view of the store.
+    #[prost(message, tag = "23")]
+    ViewUpdate(ViewUpdate),
 }
 
 impl Body {
--- a/crates/instances/src/forward.rs
+++ b/crates/instances/src/forward.rs
@@ -1,5 +1,7 @@
 //! Request passed to an instance of another failure domain.
 
+use crate::{Header, PromptPart};
+
 /// Request passed to an instance of another failure domain.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Forward {
@@ -48,4 +50,16 @@
     /// Body.
     #[prost(bytes = "bytes", tag = "15")]
     pub body: ::prost::bytes::Bytes,
+    /// Name of the route in the configuration; empty for requests of the gateway's own interface.
+    #[prost(string, tag = "16")]
+    pub route: String,
+    /// Headers of the caller that a backend server may see.
+    #[prost(message, repeated, tag = "17")]
+    pub headers: Vec<Header>,
+    /// Parts of the prompt in their order.
+    #[prost(message, repeated, tag = "18")]
+    pub prompt_parts: Vec<PromptPart>,
+    /// Number of the last event that the caller has; zero for a new stream.
+    #[prost(uint64, tag = "19")]
+    pub last_event: u64,
 }
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -1,4 +1,5 @@
-//! Links between instances: mutual TLS over TCP, length-delimited frames and prost messages.
+//! Links between instances over TCP, with mutual TLS or in a trusted network: length-delimited
+//! frames and prost messages.
 //!
 //! [`LinkPool`] calls other instances, and [`PeerServer`] answers them through a [`PeerService`].
 
@@ -26,16 +27,20 @@
 mod framed;
 mod header;
 mod hello;
+mod instance_entry;
 mod link;
 mod link_counters;
 mod link_error;
 mod link_pool;
+mod link_security;
 mod link_settings;
+mod link_stream;
 mod loan_grant;
 mod loan_request;
 mod local_instance;
 mod metered_stream;
 mod notice;
+mod organisation_demand;
 mod outbox;
 mod peer_address;
 mod peer_connection;
@@ -44,11 +49,19 @@
 mod pem_files;
 mod ping;
 mod pong;
+mod prompt_part;
 mod query;
+mod region_status;
+mod server_record;
+mod server_use;
+mod service_load;
+mod status;
 mod stream_inlet;
 mod test_authority;
 mod tls_identity;
 mod traffic_counter;
+mod view_request;
+mod view_update;
 mod wire_execution;
 mod write_ticket;
 
@@ -76,23 +89,34 @@
     forward_stream::ForwardStream,
     header::Header,
     hello::Hello,
+    instance_entry::InstanceEntry,
     link_counters::LinkCounters,
     link_error::LinkError,
     link_pool::LinkPool,
+    link_security::LinkSecurity,
     link_settings::{CALLS_PER_LINK, DATA_PIECE, FRAME_LIMIT, LinkSettings, STREAM_WINDOW},
     loan_grant::LoanGrant,
     loan_request::LoanRequest,
     local_instance::LocalInstance,
     notice::Notice,
+    organisation_demand::OrganisationDemand,
     peer_address::PeerAddress,
     peer_server::PeerServer,
     peer_service::PeerService,
     pem_files::PemFiles,
     ping::Ping,
     pong::Pong,
+    prompt_part::PromptPart,
     query::Query,
+    region_status::RegionStatus,
+    server_record::ServerRecord,
+    server_use::ServerUse,
+    service_load::ServiceLoad,
+    status::Status,
     test_authority::{TestAuthority, generate_test_authority},
     tls_identity::TlsIdentity,
     traffic_counter::TrafficCounter,
+    view_request::ViewRequest,
+    view_update::ViewUpdate,
     wire_execution::WireExecution,
 };
--- a/crates/instances/src/link.rs
+++ b/crates/instances/src/link.rs
@@ -4,9 +4,7 @@
 
 use hawthornquay_decisions::{InstanceId, Map};
 use parking_lot::Mutex;
-use rustls_pki_types::ServerName;
 use tokio::{
-    net::TcpStream,
     sync::{mpsc, oneshot},
     time::{Instant, interval, sleep_until, timeout_at},
 };
@@ -14,16 +12,14 @@
 
 use crate::{
     Body, Envelope, ForwardStream, LinkCounters, LinkError, LocalInstance, PeerAddress, Ping,
-    certified_name::check_claim,
     framed::{EnvelopeReader, EnvelopeWriter, frame, receive_hello, send_hello},
-    metered_stream::{LastReceived, MeteredStream},
+    link_stream::{LinkStream, check_peer},
+    metered_stream::LastReceived,
     outbox::Outbox,
     stream_inlet::StreamInlet,
     write_ticket::WriteTicket,
 };
 
-type Tls = tokio_rustls::client::TlsStream<MeteredStream>;
-
 enum Pending {
     Reply(oneshot::Sender<Body>),
     Stream(StreamInlet),
@@ -181,7 +177,11 @@
         true
     }
 
-    async fn run(self: Arc<Self>, mut reader: EnvelopeReader<Tls>, last_received: LastReceived) {
+    async fn run(
+        self: Arc<Self>,
+        mut reader: EnvelopeReader<LinkStream>,
+        last_received: LastReceived,
+    ) {
         let settings = self.local.settings;
         let mut heartbeat = interval(settings.heartbeat);
         loop {
@@ -253,31 +253,20 @@
 ) -> Result<
     (
         InstanceId,
-        EnvelopeReader<Tls>,
-        EnvelopeWriter<Tls>,
+        EnvelopeReader<LinkStream>,
+        EnvelopeWriter<LinkStream>,
         LastReceived,
     ),
     LinkError,
 > {
     let failed = |source| LinkError::connect(peer, source);
-    let socket = TcpStream::connect(peer.address).await.map_err(failed)?;
-    socket.set_nodelay(true).map_err(failed)?;
-    let socket = MeteredStream::new(socket, local.counters.clone());
-    let last_received = socket.last_received();
-    let name = ServerName::from(peer.address.ip());
-    let tls = local.tls.connector.connect(name, socket).await;
-    let tls = tls.map_err(failed)?;
-    let certificates = tls
-        .get_ref()
-        .1
-        .peer_certificates()
-        .unwrap_or_default()
-        .to_vec();
-    let (mut reader, mut writer) = frame(tls, &local.counters);
+    let (stream, last_received) = LinkStream::connect(local, peer).await.map_err(failed)?;
+    let certificates = stream.certificates();
+    let (mut reader, mut writer) = frame(stream, &local.counters);
     send_hello(&mut writer, local.hello())
         .await
         .map_err(failed)?;
     let found = receive_hello(&mut reader).await.map_err(failed)?;
-    check_claim(&certificates, &found)?;
+    check_peer(certificates.as_deref(), &found)?;
     Ok((found, reader, writer, last_received))
 }
--- a/crates/instances/src/local_instance.rs
+++ b/crates/instances/src/local_instance.rs
@@ -4,23 +4,23 @@
 
 use hawthornquay_decisions::InstanceId;
 
-use crate::{Hello, LinkCounters, LinkSettings, TlsIdentity};
+use crate::{Hello, LinkCounters, LinkSecurity, LinkSettings};
 
 /// Identity, TLS configuration, times and counters that all links of a process share.
 #[derive(Clone)]
 pub struct LocalInstance {
     pub(crate) id: InstanceId,
-    pub(crate) tls: TlsIdentity,
+    pub(crate) security: LinkSecurity,
     pub(crate) settings: LinkSettings,
     pub(crate) counters: Arc<LinkCounters>,
 }
 
 impl LocalInstance {
     /// Joins an identity and its TLS configuration, with default times and new counters.
-    pub fn new(id: InstanceId, tls: TlsIdentity) -> Self {
+    pub fn new(id: InstanceId, security: impl Into<LinkSecurity>) -> Self {
         Self {
             id,
-            tls,
+            security: security.into(),
             settings: LinkSettings::default(),
             counters: Arc::default(),
         }
--- a/crates/instances/src/peer_connection.rs
+++ b/crates/instances/src/peer_connection.rs
@@ -13,15 +13,13 @@
 use crate::{
     Body, CALLS_PER_LINK, Envelope, Forward, ForwardRefused, ForwardSink, LinkCounters, LinkError,
     LocalInstance, Notice, PeerService, Pong, STREAM_WINDOW,
-    certified_name::check_claim,
     forward_sink::{StreamControl, Streams},
     framed::{EnvelopeReader, EnvelopeWriter, frame, receive_hello, send_hello},
-    metered_stream::{LastReceived, MeteredStream},
+    link_stream::{LinkStream, check_peer},
+    metered_stream::LastReceived,
     outbox::Outbox,
 };
 
-type Tls = tokio_rustls::server::TlsStream<MeteredStream>;
-
 /// State of one accepted link.
 pub(crate) struct PeerConnection<S> {
     local: LocalInstance,
@@ -81,7 +79,7 @@
     /// Returns whether the link ended by draining.
     async fn read(
         mut self,
-        mut reader: EnvelopeReader<Tls>,
+        mut reader: EnvelopeReader<LinkStream>,
         last_received: LastReceived,
         shutdown: CancellationToken,
     ) -> bool {
@@ -119,6 +117,9 @@
             Body::Ping(_) => self.outbox.try_send(Envelope::one_way(Body::Pong(Pong {}))),
             Body::Digest(digest) => self.notice(Notice::Digest(digest)),
             Body::BundleDelta(delta) => self.notice(Notice::BundleDelta(delta)),
+            Body::Status(status) => self.notice(Notice::Status(status)),
+            Body::ViewRequest(request) => self.notice(Notice::ViewRequest(request)),
+            Body::ViewUpdate(update) => self.notice(Notice::ViewUpdate(update)),
             // A call of a former incarnation of the peer has no one left to answer.
             _ if envelope.incarnation != self.peer.incarnation.0 => self.drop_message(),
             Body::ForwardCancel(_) => self.cancel(envelope.sequence),
@@ -233,8 +234,8 @@
 ) -> Result<
     (
         InstanceId,
-        EnvelopeReader<Tls>,
-        EnvelopeWriter<Tls>,
+        EnvelopeReader<LinkStream>,
+        EnvelopeWriter<LinkStream>,
         LastReceived,
     ),
     LinkError,
@@ -243,19 +244,11 @@
         address: from,
         source,
     };
-    socket.set_nodelay(true).map_err(failed)?;
-    let socket = MeteredStream::new(socket, local.counters.clone());
-    let last_received = socket.last_received();
-    let tls = local.tls.acceptor.accept(socket).await.map_err(failed)?;
-    let certificates = tls
-        .get_ref()
-        .1
-        .peer_certificates()
-        .unwrap_or_default()
-        .to_vec();
-    let (mut reader, mut writer) = frame(tls, &local.counters);
+    let (stream, last_received) = LinkStream::accept(local, socket).await.map_err(failed)?;
+    let certificates = stream.certificates();
+    let (mut reader, mut writer) = frame(stream, &local.counters);
     let peer = receive_hello(&mut reader).await.map_err(failed)?;
-    check_claim(&certificates, &peer)?;
+    check_peer(certificates.as_deref(), &peer)?;
     send_hello(&mut writer, local.hello())
         .await
         .map_err(failed)?;
