Pass all headers to backend servers, serve any gotham handler

Cause: routed services get the caller's headers unchanged, and the gateway answers all hosts and paths from one handler. Connections to backend servers are reset when dropped and have a user time-out, so that a request behind a partition does not run after it was given up. A pool of size zero no longer panics.

--- a/crates/backends/src/backend_request.rs
+++ b/crates/backends/src/backend_request.rs
@@ -65,6 +65,14 @@
         self
     }
 
+    /// Takes all of `headers`, `Host` included, for servers that have an interface of their own.
+    ///
+    /// The caller has to leave out the key and what concerns one connection only.
+    pub fn headers(mut self, headers: HeaderMap) -> Self {
+        self.headers = headers;
+        self
+    }
+
     /// Sets `X-Request-Id`.
     pub fn request_id(mut self, id: &RequestId) -> Self {
         self.request_id = Some(id.clone());
@@ -87,10 +95,10 @@
         self,
         address: SocketAddr,
     ) -> Result<Request<Full<Bytes>>, BackendError> {
-        let mut req = Request::builder()
-            .method(self.method)
-            .uri(self.path)
-            .header(header::HOST, address.to_string());
+        let mut req = Request::builder().method(self.method).uri(self.path);
+        if !self.headers.contains_key(header::HOST) {
+            req = req.header(header::HOST, address.to_string());
+        }
         if let Some(id) = &self.request_id {
             req = req.header(REQUEST_ID, id.as_str());
         }
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -1,15 +1,20 @@
 //! Connection on which no request is outstanding.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{Answer, AnswerBody, BackendError, BackendRequest, connection_pool::ConnectionPool};
 
+/// Longest time for which sent bytes may stay unacknowledged; several times the retransmissions of
+/// a lossy path within a region.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Open connection, ready to send one request.
 ///
 /// Dropping it, or the future of [`Connection::send`], closes it.
@@ -89,6 +94,11 @@
         let connect_error = |source| BackendError::Connect { address, source };
         let stream = TcpStream::connect(address).await.map_err(connect_error)?;
         stream.set_nodelay(true).map_err(connect_error)?;
+        // A request that is given up must not reach the server later, from behind a partition.
+        stream.set_zero_linger().map_err(connect_error)?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+            .map_err(connect_error)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|source| BackendError::Http { address, source })?;
--- a/crates/backends/src/connection_pool.rs
+++ b/crates/backends/src/connection_pool.rs
@@ -35,7 +35,7 @@
     }
 
     pub(crate) fn put(&self, address: SocketAddr, connection: OpenConnection) {
-        if connection.is_closed() {
+        if connection.is_closed() || self.limits.idle_connections == 0 {
             return;
         }
         let mut idle = self.idle.lock();
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -1,8 +1,14 @@
 //! Accept loop that serves a gotham router.
 
-use std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    panic::{AssertUnwindSafe, UnwindSafe},
+    sync::Arc,
+    time::Duration,
+};
 
-use gotham::{router::Router, service::call_handler, state::State};
+use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
 use hyper::{Request, body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -10,7 +16,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Semaphore, watch},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -18,33 +24,39 @@
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves a gotham router and drains it on shutdown.
+/// Serves a gotham router, or another gotham handler, and drains it on shutdown.
 ///
-/// `gotham::bind_server` offers no graceful shutdown, so the router runs under hyper-util here.
-pub struct HttpServer {
+/// `gotham::bind_server` offers no graceful shutdown, so the handler runs under hyper-util here.
+pub struct HttpServer<H = Router> {
     listener: TcpListener,
-    router: Router,
-    limits: ServerLimits,
+    handler: H,
+    limits: watch::Receiver<ServerLimits>,
 }
 
-impl HttpServer {
+impl<H> HttpServer<H>
+where
+    H: NewHandler + Clone + UnwindSafe + 'static,
+{
     /// Binds `address`; port 0 takes a free port.
     ///
     /// # Errors
     ///
     /// Returns the error of the system if the address cannot be bound.
-    pub async fn bind(
-        address: SocketAddr,
-        router: Router,
-        limits: ServerLimits,
-    ) -> io::Result<Self> {
+    pub async fn bind(address: SocketAddr, handler: H, limits: ServerLimits) -> io::Result<Self> {
         Ok(Self {
             listener: TcpListener::bind(address).await?,
-            router,
-            limits,
+            handler,
+            limits: watch::channel(limits).1,
         })
     }
 
+    /// Applies the newest of `limits` to each connection that is accepted from now on.
+    #[must_use]
+    pub fn follow(mut self, limits: watch::Receiver<ServerLimits>) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Returns the address that the server listens on.
     ///
     /// # Errors
@@ -59,7 +71,7 @@
     /// Returns whether all of them ended within the drain timeout.
     pub async fn serve(self, shutdown: CancellationToken) -> bool {
         let graceful = GracefulShutdown::new();
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let permits = Arc::new(Semaphore::new(self.limits.borrow().connections));
         loop {
             let accepted = tokio::select! {
                 () = shutdown.cancelled() => break,
@@ -80,7 +92,8 @@
             }
         }
         drop(self.listener);
-        tokio::time::timeout(self.limits.drain_timeout, graceful.shutdown())
+        let drain_timeout = self.limits.borrow().drain_timeout;
+        tokio::time::timeout(drain_timeout, graceful.shutdown())
             .await
             .is_ok()
     }
@@ -93,22 +106,23 @@
         Error = Box<dyn std::error::Error + Send + Sync>,
     > + Send
     + 'static {
-        let router = self.router.clone();
+        let handler = self.handler.clone();
+        let limits = *self.limits.borrow();
         let service = service_fn(move |req: Request<Incoming>| {
-            let router = router.clone();
+            let handler = handler.clone();
             let state = State::from_request(req, address);
-            async move { call_handler(router, AssertUnwindSafe(state)).await }
+            async move { call_handler(handler, AssertUnwindSafe(state)).await }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
             .http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.header_timeout)
-            .max_buf_size(self.limits.buffer_bytes);
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(limits.buffer_bytes);
         builder
             .http2()
             .timer(TokioTimer::new())
-            .max_header_list_size(u32::try_from(self.limits.buffer_bytes).unwrap_or(u32::MAX));
+            .max_header_list_size(u32::try_from(limits.buffer_bytes).unwrap_or(u32::MAX));
         builder
             .serve_connection(TokioIo::new(stream), service)
             .into_owned()
