Read the settings of a gateway of routed services

Same readers and fault reports as the daemon's settings; the shared functions are now visible to both. Known section names are checked against a list given by the caller.

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -23,6 +23,8 @@
 mod fault;
 mod fault_collector;
 mod faults;
+mod gateway_settings;
+mod gateway_settings_reader;
 mod hex;
 mod ini_field;
 mod ini_section;
@@ -71,6 +73,7 @@
     difference_error::DifferenceError,
     fault::Fault,
     faults::Faults,
+    gateway_settings::GatewaySettings,
     instance_settings::InstanceSettings,
     load_bundle::{load_content, load_differences, load_head},
     load_error::LoadError,
--- a/crates/operators/src/section_reader.rs
+++ b/crates/operators/src/section_reader.rs
@@ -99,6 +99,28 @@
         }
     }
 
+    /// Returns a required decimal number from 0 to 1.
+    pub(crate) fn fraction(
+        &mut self,
+        name: &'static str,
+        faults: &mut FaultCollector,
+    ) -> Option<f64> {
+        let field = self.required(name, faults)?;
+        let value = field
+            .value
+            .parse()
+            .ok()
+            .filter(|value| (0.0..=1.0).contains(value));
+        if value.is_none() {
+            faults.add(
+                field.line,
+                format!("`{name}` is `{}`, not a number from 0 to 1", field.value),
+                format!("write `{name}` as a number such as 0.2"),
+            );
+        }
+        value
+    }
+
     /// Returns an optional whole number, which may be zero.
     pub(crate) fn number_or(
         &mut self,
--- a/crates/operators/src/settings_reader.rs
+++ b/crates/operators/src/settings_reader.rs
@@ -16,25 +16,7 @@
 
 /// Reads the sections and records every fault.
 pub(crate) fn read_settings(text: &IniText, faults: &mut FaultCollector) -> Option<DaemonSettings> {
-    let mut first: Map<&str, &IniSection> = Map::default();
-    for section in &text.sections {
-        let header = section.header.as_str();
-        if !SECTIONS.contains(&header) {
-            faults.add(
-                section.line,
-                format!("there is no section [{header}]"),
-                format!("remove it or use one of: {}", SECTIONS.join(", ")),
-            );
-        } else if let Some(other) = first.get(header) {
-            faults.add(
-                section.line,
-                format!("[{header}] was already given on line {}", other.line),
-                "join the two sections",
-            );
-        } else {
-            first.insert(header, section);
-        }
-    }
+    let first = find_sections(text, &SECTIONS, faults);
     let mut required = |name: &'static str| {
         let section = first.get(name).copied();
         if section.is_none() {
@@ -73,7 +55,35 @@
     })
 }
 
-fn read_section<'a, T>(
+/// Returns the sections by name; unknown and repeated ones are faults.
+pub(crate) fn find_sections<'a>(
+    text: &'a IniText,
+    known: &[&str],
+    faults: &mut FaultCollector,
+) -> Map<&'a str, &'a IniSection> {
+    let mut first: Map<&str, &IniSection> = Map::default();
+    for section in &text.sections {
+        let header = section.header.as_str();
+        if !known.contains(&header) {
+            faults.add(
+                section.line,
+                format!("there is no section [{header}]"),
+                format!("remove it or use one of: {}", known.join(", ")),
+            );
+        } else if let Some(other) = first.get(header) {
+            faults.add(
+                section.line,
+                format!("[{header}] was already given on line {}", other.line),
+                "join the two sections",
+            );
+        } else {
+            first.insert(header, section);
+        }
+    }
+    first
+}
+
+pub(crate) fn read_section<'a, T>(
     section: &'a IniSection,
     faults: &mut FaultCollector,
     read: impl FnOnce(&mut SectionReader<'a>, &mut FaultCollector) -> Option<T>,
@@ -86,9 +96,9 @@
 
 fn read_instance(section: &IniSection, faults: &mut FaultCollector) -> Option<InstanceSettings> {
     read_section(section, faults, |reader, faults| {
-        let name = name(reader, "name", faults);
-        let region = self::name(reader, "region", faults);
-        let domain = self::name(reader, "domain", faults);
+        let name = read_name(reader, "name", faults);
+        let region = read_name(reader, "region", faults);
+        let domain = read_name(reader, "domain", faults);
         let mut seen = Set::default();
         let mut listen = |field: &'static str| {
             let address = listen_address(reader, field, faults)?;
@@ -113,7 +123,7 @@
     })
 }
 
-fn name<'a>(
+pub(crate) fn read_name<'a>(
     reader: &mut SectionReader<'a>,
     field: &'static str,
     faults: &mut FaultCollector,
@@ -131,7 +141,7 @@
     Some(&field.value)
 }
 
-fn listen_address(
+pub(crate) fn listen_address(
     reader: &mut SectionReader<'_>,
     name: &'static str,
     faults: &mut FaultCollector,
@@ -150,7 +160,7 @@
     Some(address)
 }
 
-fn server_address(
+pub(crate) fn server_address(
     reader: &mut SectionReader<'_>,
     name: &'static str,
     faults: &mut FaultCollector,
@@ -181,7 +191,10 @@
     })
 }
 
-fn read_log(reader: &mut SectionReader<'_>, faults: &mut FaultCollector) -> Option<LogSettings> {
+pub(crate) fn read_log(
+    reader: &mut SectionReader<'_>,
+    faults: &mut FaultCollector,
+) -> Option<LogSettings> {
     let format = match reader.optional("format", faults) {
         None => Some(LogFormat::default()),
         Some(field) => read_format(field, faults),
