--- /dev/null
+++ b/crates/traffic/src/demand_history.rs
@@ -0,0 +1,60 @@
+//! Demand of one organisation at this instance.
+
+use std::{collections::VecDeque, time::Duration};
+
+use hawthornquay_decisions::MonotonicTime;
+
+/// Time over which demand is smoothed; a peak has to be seen within about a second.
+const SMOOTHING: Duration = Duration::from_millis(1_000);
+
+/// Time that a published demand needs to reach every instance: two status intervals within a
+/// region, one between regions and the path.
+const PROPAGATION: Duration = Duration::from_millis(1_500);
+
+/// Demand of one organisation at this instance, and what of it the others know.
+#[derive(Clone, Debug, Default)]
+pub struct DemandHistory {
+    rate: f64,
+    updated: MonotonicTime,
+    published: VecDeque<(MonotonicTime, f64)>,
+}
+
+impl DemandHistory {
+    /// Counts the tokens that a caller asks for, whether or not they are admitted.
+    pub fn record(&mut self, now: MonotonicTime, tokens: f64) {
+        self.decay(now);
+        self.rate += tokens / SMOOTHING.as_secs_f64();
+    }
+
+    /// Returns the demand in tokens a second and remembers it as published.
+    pub fn publish(&mut self, now: MonotonicTime) -> f64 {
+        self.decay(now);
+        self.published.push_back((now, self.rate));
+        while self
+            .published
+            .get(1)
+            .is_some_and(|(at, _)| now.since(*at) >= PROPAGATION)
+        {
+            self.published.pop_front();
+        }
+        self.rate
+    }
+
+    /// Returns the demand that every instance has heard of by now.
+    ///
+    /// It is the least that was published during the propagation time, so that a rise counts only
+    /// once the others take it into account, and a fall counts at once.
+    pub fn agreed(&self) -> f64 {
+        self.published
+            .iter()
+            .map(|(_, rate)| *rate)
+            .reduce(f64::min)
+            .unwrap_or(0.0)
+    }
+
+    fn decay(&mut self, now: MonotonicTime) {
+        let passed = now.since(self.updated).as_secs_f64() / SMOOTHING.as_secs_f64();
+        self.rate *= (-passed).exp();
+        self.updated = self.updated.max(now);
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/instance_list.rs
@@ -0,0 +1,158 @@
+//! Instances of the fleet.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hawthornquay_decisions::{DomainName, InstanceName, Map, MonotonicTime, RegionName, Set};
+
+use crate::{RoutedInstance, stable_hash};
+
+/// Silence of an instance of the own region after which callers are not sent to it.
+const SILENT_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Most addresses in one answer to callers.
+const MOST_ADDRESSES: usize = 64;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Contact {
+    heard: Option<MonotonicTime>,
+    leaving: bool,
+    incarnation: u64,
+}
+
+/// Instances of the fleet, from the store's list and their own messages.
+#[derive(Clone, Debug, Default)]
+pub struct InstanceList {
+    revision: u64,
+    listed: Vec<RoutedInstance>,
+    contacts: Map<InstanceName, Contact>,
+}
+
+impl InstanceList {
+    /// Returns the revision of the list in use; zero before the first.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes over a list of the store; returns whether its members changed.
+    pub fn take(&mut self, revision: u64, mut listed: Vec<RoutedInstance>) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        listed.sort_by(|a, b| a.id.cmp(&b.id));
+        let changed = listed != self.listed;
+        self.listed = listed;
+        changed
+    }
+
+    /// Notes a message of an instance.
+    pub fn hear(
+        &mut self,
+        now: MonotonicTime,
+        name: &InstanceName,
+        incarnation: u64,
+        leaving: bool,
+    ) {
+        let contact = self.contacts.entry(name.clone()).or_default();
+        *contact = Contact {
+            heard: Some(now),
+            // An instance that leaves does not return, but for a new process of its name.
+            leaving: leaving || (contact.leaving && contact.incarnation == incarnation),
+            incarnation,
+        };
+    }
+
+    /// Returns the instances of the list.
+    pub fn all(&self) -> &[RoutedInstance] {
+        &self.listed
+    }
+
+    /// Returns the instance with this name.
+    pub fn get(&self, name: &InstanceName) -> Option<&RoutedInstance> {
+        self.listed
+            .iter()
+            .find(|instance| instance.id.name == *name)
+    }
+
+    /// Returns the names of the instances of a region that are not leaving.
+    pub fn names_in(&self, region: &RegionName) -> Vec<InstanceName> {
+        self.staying_in(region)
+            .map(|instance| instance.id.name.clone())
+            .collect()
+    }
+
+    /// Returns the instances of a region that are not leaving.
+    pub fn staying_in(&self, region: &RegionName) -> impl Iterator<Item = &RoutedInstance> {
+        self.listed
+            .iter()
+            .filter(move |instance| instance.region == *region && !self.is_leaving(instance))
+    }
+
+    /// Returns the regions that have instances.
+    pub fn regions(&self) -> Set<RegionName> {
+        self.listed
+            .iter()
+            .map(|instance| instance.region.clone())
+            .collect()
+    }
+
+    /// Returns whether nothing was heard of an instance for long, though it was heard before.
+    pub fn is_silent(&self, now: MonotonicTime, name: &InstanceName) -> bool {
+        let heard = self.contacts.get(name).and_then(|contact| contact.heard);
+        heard.is_some_and(|at| now.since(at) > SILENT_AFTER)
+    }
+
+    /// Returns the instance of `region` that takes what `sender` passes there.
+    ///
+    /// Senders spread over the instances of the region, and each keeps to one, so that its link
+    /// stays open. `avoid` names instances that failed the request.
+    pub fn receiver_in(
+        &self,
+        region: &RegionName,
+        sender: &InstanceName,
+        avoid: &[InstanceName],
+    ) -> Option<&RoutedInstance> {
+        self.staying_in(region)
+            .filter(|instance| !avoid.contains(&instance.id.name))
+            .max_by_key(|instance| stable_hash(&[sender.as_str(), instance.id.name.as_str()]))
+    }
+
+    /// Returns where callers of a place may connect: instances of their failure domain, or else
+    /// of their region, or else of any.
+    pub fn addresses_for(
+        &self,
+        now: MonotonicTime,
+        own: &InstanceName,
+        region: &RegionName,
+        domain: &DomainName,
+    ) -> Vec<SocketAddr> {
+        let usable: Vec<&RoutedInstance> = self
+            .listed
+            .iter()
+            .filter(|instance| !self.is_leaving(instance))
+            .filter(|instance| instance.id.name == *own || !self.is_silent(now, &instance.id.name))
+            .collect();
+        let near: [&dyn Fn(&RoutedInstance) -> bool; 3] = [
+            &|instance| instance.region == *region && instance.domain == *domain,
+            &|instance| instance.region == *region,
+            &|_| true,
+        ];
+        near.iter()
+            .map(|is_near| {
+                usable
+                    .iter()
+                    .filter(|instance| is_near(instance))
+                    .take(MOST_ADDRESSES)
+                    .map(|instance| instance.callers)
+                    .collect::<Vec<_>>()
+            })
+            .find(|found| !found.is_empty())
+            .unwrap_or_default()
+    }
+
+    fn is_leaving(&self, instance: &RoutedInstance) -> bool {
+        self.contacts.get(&instance.id.name).is_some_and(|contact| {
+            contact.leaving && contact.incarnation == instance.id.incarnation.0
+        })
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/organisation_limits.rs
@@ -0,0 +1,183 @@
+//! Shares of the organisations' rates that this instance admits.
+//!
+//! Each instance admits the part of an organisation's rate that its share of the demand makes up.
+//! The parts of all instances add up to at most the whole: an instance counts its own demand only
+//! once the others know it, and the whole demand at its highest of the propagation time. While a
+//! region is unheard of, no share grows.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use hawthornquay_decisions::{Map, MonotonicTime, OrganisationId};
+
+use crate::{Configuration, DemandHistory, FleetDemand, OrganisationTerms, TokenBucket};
+
+/// Part of an even share that an instance keeps without demand, so that the first requests of an
+/// organisation pass before its demand is known.
+const IDLE_SHARE: f64 = 0.25;
+
+/// Part of its burst with which a new process begins; the rest may have been spent by the process
+/// before it.
+const INITIAL_LEVEL: f64 = 0.3;
+
+/// Time during which the highest known demand counts; equals the propagation time of demands.
+const TOTAL_MEMORY: Duration = Duration::from_millis(1_500);
+
+/// Refusal of a request that exceeds its organisation's share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitRefusal {
+    /// Time after which the share would allow the request.
+    pub retry_after: Duration,
+}
+
+struct Account {
+    terms: Arc<OrganisationTerms>,
+    bucket: TokenBucket,
+    demand: DemandHistory,
+    totals: VecDeque<(MonotonicTime, f64)>,
+    share: f64,
+}
+
+/// Admission of requests within the rates of their organisations.
+#[derive(Default)]
+pub struct OrganisationLimits {
+    accounts: Map<OrganisationId, Account>,
+    instances: usize,
+}
+
+impl OrganisationLimits {
+    /// Takes over the rates of a configuration.
+    pub fn configure(&mut self, now: MonotonicTime, configuration: &Configuration) {
+        self.accounts
+            .retain(|id, _| configuration.organisations.contains_key(id));
+        let even = 1.0 / self.instances.max(1) as f64;
+        for (id, terms) in &configuration.organisations {
+            match self.accounts.get_mut(id) {
+                Some(account) => {
+                    account.terms = terms.clone();
+                    account.apply_share(now);
+                }
+                None => {
+                    let account = Account::new(now, terms.clone(), even);
+                    self.accounts.insert(id.clone(), account);
+                }
+            }
+        }
+    }
+
+    /// Returns this instance's share of the rate of an organisation, from 0 to 1.
+    pub fn share(&self, id: &OrganisationId) -> Option<f64> {
+        self.accounts.get(id).map(|account| account.share)
+    }
+
+    /// Admits a request of `tokens`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LimitRefusal`] if the share does not allow it now.
+    pub fn admit(
+        &mut self,
+        now: MonotonicTime,
+        id: &OrganisationId,
+        tokens: u64,
+    ) -> Result<(), LimitRefusal> {
+        let Some(account) = self.accounts.get_mut(id) else {
+            return Ok(());
+        };
+        account.demand.record(now, tokens as f64);
+        if account.terms.rate == 0 {
+            return Ok(());
+        }
+        account
+            .bucket
+            .spend(now, tokens as f64)
+            .map_err(|retry_after| LimitRefusal { retry_after })
+    }
+
+    /// Gives back the tokens of a request that was not run.
+    pub fn refund(&mut self, id: &OrganisationId, tokens: u64) {
+        if let Some(account) = self.accounts.get_mut(id) {
+            account.bucket.refund(tokens as f64);
+        }
+    }
+
+    /// Returns the demand at this instance in tokens a second, to be told to the others.
+    pub fn publish(&mut self, now: MonotonicTime) -> Vec<(OrganisationId, f64)> {
+        self.accounts
+            .iter_mut()
+            .map(|(id, account)| (id.clone(), account.demand.publish(now)))
+            .filter(|(_, rate)| *rate >= 1.0)
+            .collect()
+    }
+
+    /// Adapts the shares to the demand over the fleet.
+    pub fn adapt(&mut self, now: MonotonicTime, fleet: &FleetDemand) {
+        let first = self.instances == 0;
+        self.instances = fleet.instances.max(1);
+        for (id, account) in &mut self.accounts {
+            let total = fleet.totals.get(id).copied().unwrap_or(0.0);
+            account.adapt(now, total, self.instances, fleet.complete, first);
+        }
+    }
+}
+
+impl Account {
+    fn new(now: MonotonicTime, terms: Arc<OrganisationTerms>, share: f64) -> Self {
+        let capacity = terms.burst.max(1) as f64 * share;
+        let bucket = TokenBucket::new(
+            now,
+            terms.rate as f64 * share,
+            capacity,
+            capacity * INITIAL_LEVEL,
+        );
+        Self {
+            terms,
+            bucket,
+            demand: DemandHistory::default(),
+            totals: VecDeque::new(),
+            share,
+        }
+    }
+
+    fn adapt(
+        &mut self,
+        now: MonotonicTime,
+        total: f64,
+        instances: usize,
+        complete: bool,
+        first: bool,
+    ) {
+        self.totals.push_back((now, total));
+        while self
+            .totals
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > TOTAL_MEMORY)
+        {
+            self.totals.pop_front();
+        }
+        let highest = self
+            .totals
+            .iter()
+            .map(|(_, total)| *total)
+            .fold(0.0, f64::max);
+        let idle = IDLE_SHARE * self.terms.rate as f64 / instances as f64;
+        let own = self.demand.agreed();
+        let whole = highest.max(own) + idle * instances as f64;
+        if whole <= 0.0 {
+            return;
+        }
+        let share = (own + idle) / whole;
+        // Shares that others hold are unknown while a region is silent.
+        self.share = if complete || first {
+            share
+        } else {
+            share.min(self.share)
+        };
+        self.apply_share(now);
+    }
+
+    fn apply_share(&mut self, now: MonotonicTime) {
+        let burst = self.terms.burst.max(1) as f64;
+        self.bucket
+            .set_terms(now, self.terms.rate as f64 * self.share, burst * self.share);
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/placement.rs
@@ -0,0 +1,116 @@
+//! Choice between the own region and the others.
+//!
+//! The regions' peaks are offset, and none can carry its own. A request stays at home while it is
+//! expected on time there, and otherwise goes where the first part of its answer comes soonest,
+//! the path included. One that cannot be answered before its deadline is refused at once.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{MonotonicTime, RegionName};
+
+use crate::{
+    Choice, PREFILL_TOKENS_PER_MS, PlacementRequest, RegionBoard, ServerPick, ServerTable,
+};
+
+/// Part of the expected time to the answer within which the own region is not left.
+const AT_HOME: f64 = 0.5;
+
+/// Part of the time left that a predicted answer may take; later ones are refused.
+const LATEST: f64 = 0.95;
+
+/// Terms of the choice between regions.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementTerms<'a> {
+    /// Own region.
+    pub home: &'a RegionName,
+    /// Regions that may run and carry the request, the own one perhaps among them.
+    pub allowed: &'a [RegionName],
+    /// Whether the request may go to another region.
+    pub may_leave: bool,
+    /// Time to another region and back.
+    pub round_trip: Duration,
+    /// Gain that a request must have in another region.
+    pub margin: Duration,
+}
+
+/// Chooses where a request goes.
+pub fn place(
+    now: MonotonicTime,
+    req: &PlacementRequest<'_>,
+    terms: &PlacementTerms<'_>,
+    servers: &mut ServerTable,
+    board: &RegionBoard,
+) -> Choice {
+    let local = if terms.allowed.contains(terms.home) {
+        servers.pick(now, req)
+    } else {
+        None
+    };
+    if let Some(pick) = &local
+        && pick.expected <= req.target.mul_f64(AT_HOME)
+    {
+        return Choice::Server(pick.clone());
+    }
+    let remote = if terms.may_leave {
+        best_region(now, req, terms, board)
+    } else {
+        None
+    };
+    choose(req, terms, local, remote)
+}
+
+fn choose(
+    req: &PlacementRequest<'_>,
+    terms: &PlacementTerms<'_>,
+    local: Option<ServerPick>,
+    remote: Option<(RegionName, Duration)>,
+) -> Choice {
+    let choice = match (local, remote) {
+        (None, None) => return Choice::Unavailable,
+        (Some(pick), None) => Choice::Server(pick),
+        (None, Some((name, expected))) => Choice::Region { name, expected },
+        (Some(pick), Some((name, expected))) => {
+            if expected + terms.margin < pick.expected {
+                Choice::Region { name, expected }
+            } else {
+                Choice::Server(pick)
+            }
+        }
+    };
+    let expected = match &choice {
+        Choice::Server(pick) => pick.expected,
+        Choice::Region { expected, .. } => *expected,
+        Choice::Unavailable | Choice::Overloaded { .. } => return choice,
+    };
+    if expected > req.time_left.mul_f64(LATEST) {
+        return Choice::Overloaded { expected };
+    }
+    choice
+}
+
+fn best_region(
+    now: MonotonicTime,
+    req: &PlacementRequest<'_>,
+    terms: &PlacementTerms<'_>,
+    board: &RegionBoard,
+) -> Option<(RegionName, Duration)> {
+    let engine = req
+        .configuration
+        .service(req.service)
+        .is_some_and(|service| service.engine.is_some());
+    let reading = if engine {
+        let ms = req.work.prompt_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        Duration::from_secs_f64(ms / 1_000.0)
+    } else {
+        Duration::ZERO
+    };
+    terms
+        .allowed
+        .iter()
+        .filter(|name| *name != terms.home)
+        .filter_map(|name| {
+            let report = board.offer(now, name, req.service)?;
+            Some((name.clone(), report.wait + reading + terms.round_trip))
+        })
+        .min_by_key(|(_, expected)| *expected)
+}
--- /dev/null
+++ b/crates/traffic/src/region_board.rs
@@ -0,0 +1,109 @@
+//! What is known of other regions.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{Map, MonotonicTime, RegionName, ServiceName, Set};
+
+use crate::{FleetDemand, PREFILL_TOKENS_PER_MS, RegionReport, ServiceReport};
+
+/// Age up to which a region's load report is used to send requests there.
+const LOAD_LIFE: Duration = Duration::from_millis(2_500);
+
+/// Age up to which a region's demand counts as known.
+const DEMAND_LIFE: Duration = Duration::from_millis(2_000);
+
+/// Pause after a request could not be passed to a region.
+const FAILURE_PAUSE: Duration = Duration::from_millis(1_000);
+
+#[derive(Default)]
+struct Region {
+    report: RegionReport,
+    reported_at: MonotonicTime,
+    sent_tokens: Map<ServiceName, u64>,
+    paused_until: MonotonicTime,
+}
+
+/// Reports of all regions, corrected by what was sent there since.
+#[derive(Default)]
+pub struct RegionBoard {
+    regions: Map<RegionName, Region>,
+}
+
+impl RegionBoard {
+    /// Takes a report that was made at `reported_at`; an older one than the last is ignored.
+    pub fn take(&mut self, name: &RegionName, reported_at: MonotonicTime, report: RegionReport) {
+        let region = self.regions.entry(name.clone()).or_default();
+        if reported_at <= region.reported_at && region.reported_at != MonotonicTime(0) {
+            return;
+        }
+        region.report = report;
+        region.reported_at = reported_at;
+        region.sent_tokens.clear();
+    }
+
+    /// Returns the last report of each region with its time.
+    pub fn reports(&self) -> impl Iterator<Item = (&RegionName, MonotonicTime, &RegionReport)> {
+        self.regions
+            .iter()
+            .map(|(name, region)| (name, region.reported_at, &region.report))
+    }
+
+    /// Counts a request that is passed to a region.
+    pub fn send(&mut self, name: &RegionName, service: &ServiceName, tokens: u64) {
+        if let Some(region) = self.regions.get_mut(name) {
+            *region.sent_tokens.entry(service.clone()).or_default() += tokens;
+        }
+    }
+
+    /// Notes that a request could not be passed to a region.
+    pub fn fail(&mut self, now: MonotonicTime, name: &RegionName) {
+        let region = self.regions.entry(name.clone()).or_default();
+        region.paused_until = now + FAILURE_PAUSE;
+    }
+
+    /// Returns the load of a service in a region, if it is recent and takes requests.
+    pub fn offer(
+        &self,
+        now: MonotonicTime,
+        name: &RegionName,
+        service: &ServiceName,
+    ) -> Option<ServiceReport> {
+        let region = self.regions.get(name)?;
+        if now.since(region.reported_at) > LOAD_LIFE || now < region.paused_until {
+            return None;
+        }
+        let mut report = *region.report.services.get(service)?;
+        if report.servers == 0 {
+            return None;
+        }
+        let sent = region.sent_tokens.get(service).copied().unwrap_or(0) as f64;
+        let ms = sent / (PREFILL_TOKENS_PER_MS * f64::from(report.servers));
+        report.wait += Duration::from_secs_f64(ms / 1_000.0);
+        Some(report)
+    }
+
+    /// Adds up the demand over `regions`, those that have instances.
+    pub fn fleet_demand(
+        &self,
+        now: MonotonicTime,
+        regions: &Set<RegionName>,
+        instances: usize,
+    ) -> FleetDemand {
+        let mut fleet = FleetDemand {
+            instances,
+            complete: true,
+            ..FleetDemand::default()
+        };
+        for name in regions {
+            let Some(region) = self.regions.get(name) else {
+                fleet.complete = false;
+                continue;
+            };
+            fleet.complete &= now.since(region.reported_at) <= DEMAND_LIFE;
+            for (id, rate) in &region.report.demands {
+                *fleet.totals.entry(id.clone()).or_default() += rate;
+            }
+        }
+        fleet
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/routed_instance.rs
@@ -0,0 +1,20 @@
+//! Instance in the store's list.
+
+use std::net::SocketAddr;
+
+use hawthornquay_decisions::{DomainName, InstanceId, RegionName};
+
+/// Instance in the store's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutedInstance {
+    /// Name and incarnation.
+    pub id: InstanceId,
+    /// Region.
+    pub region: RegionName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for other instances.
+    pub peers: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+}
--- /dev/null
+++ b/crates/traffic/src/server_pick.rs
@@ -0,0 +1,22 @@
+//! Choice of a backend server.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hawthornquay_decisions::BackendName;
+
+/// Backend server chosen for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerPick {
+    /// Identifier.
+    pub id: BackendName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Predicted time to the first part of the answer.
+    pub expected: Duration,
+    /// Predicted time without the server's correction, in milliseconds.
+    pub uncorrected_ms: f64,
+    /// Prompt tokens that the server is expected to read.
+    pub tokens: u64,
+    /// Whether the server is cold.
+    pub cold: bool,
+}
