--- /dev/null
+++ b/crates/gateway/src/caller_handler.rs
@@ -0,0 +1,367 @@
+//! Requests of callers.
+
+use std::{
+    panic::AssertUnwindSafe,
+    pin::Pin,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::stream;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    state::{FromState, State},
+};
+use hawthornquay_callers::refusal_response;
+use hawthornquay_decisions::{
+    Execution, MonotonicTime, OrganisationId, Refusal, RefusalCode, RequestId,
+};
+use hawthornquay_http::{Body, ReadError, read_body_within};
+use hawthornquay_traffic::{Configuration, OrganisationTerms, Route, Work};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
+};
+use http_body_util::{BodyExt, Full, StreamBody};
+use tokio::sync::Semaphore;
+
+use crate::{
+    Call, CallerHead, ControlPlane, Dialect, Exchange, Gateway, Started, WholeAnswer,
+    allowed_regions, gateway::now,
+};
+
+/// Bytes that the bodies of all requests of a process may take; a fifth of its memory.
+const BODY_MEMORY_BYTES: usize = 48 << 20;
+
+static BODY_MEMORY: Semaphore = Semaphore::const_new(BODY_MEMORY_BYTES);
+
+/// Longest time for a body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time after which callers may return to an instance that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// Handler of all requests on the callers' address.
+pub struct CallerHandler<C, D>(AssertUnwindSafe<Arc<Gateway<C, D>>>);
+
+impl<C, D> CallerHandler<C, D> {
+    /// Builds the handler.
+    pub const fn new(gateway: Arc<Gateway<C, D>>) -> Self {
+        Self(AssertUnwindSafe(gateway))
+    }
+}
+
+impl<C, D> Clone for CallerHandler<C, D> {
+    fn clone(&self) -> Self {
+        Self(AssertUnwindSafe(Arc::clone(&self.0)))
+    }
+}
+
+impl<C: ControlPlane, D: Dialect> NewHandler for CallerHandler<C, D> {
+    type Instance = Self;
+
+    fn new_handler(&self) -> anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl<C: ControlPlane, D: Dialect> Handler for CallerHandler<C, D> {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        let gateway = Arc::clone(&self.0);
+        Box::pin(async move {
+            let arrived = now();
+            let body = Body::take_from(&mut state);
+            let parts = request_parts(&mut state);
+            let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
+            gateway.in_flight.fetch_add(1, Ordering::Relaxed);
+            let mut res = answer(&gateway, arrived, parts, body).await;
+            gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
+            // hyper drops a length that follows a chunked encoding, so what comes after such a
+            // request on its connection cannot be trusted to be a request.
+            if chunked || gateway.is_leaving() {
+                res.headers_mut()
+                    .insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok((state, res))
+        })
+    }
+}
+
+fn request_parts(state: &mut State) -> Parts {
+    let (mut parts, ()) = Request::new(()).into_parts();
+    parts.method = Method::take_from(state);
+    parts.uri = Uri::take_from(state);
+    parts.headers = HeaderMap::take_from(state);
+    parts
+}
+
+async fn answer<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    arrived: MonotonicTime,
+    parts: Parts,
+    body: Body,
+) -> Response<Body> {
+    let head = match gateway.dialect.read_caller(&parts) {
+        Ok(head) => head,
+        Err(error) => {
+            let refusal = Refusal::not_run(RefusalCode::BadRequest, &error.to_string());
+            return refuse(gateway, arrived, &RequestId::new(""), "-", &refusal);
+        }
+    };
+    let id = head.id.clone();
+    match admit(gateway, arrived, &parts, head, body).await {
+        Ok(call) => run(gateway, call).await,
+        Err(refusal) => refuse(gateway, arrived, &id, parts.uri.path(), &refusal),
+    }
+}
+
+/// Checks a request and reads its body.
+async fn admit<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    arrived: MonotonicTime,
+    parts: &Parts,
+    head: CallerHead,
+    body: Body,
+) -> Result<Call, Refusal> {
+    check_framing(&parts.headers)?;
+    let configuration = gateway.operators.lock().configuration().cloned();
+    let Some(configuration) = configuration else {
+        return Err(Refusal::not_run(
+            RefusalCode::NotReady,
+            "the instance has not read the configuration yet",
+        )
+        .with_retry_after(NOT_READY_RETRY));
+    };
+    let Some(route) = configuration
+        .lookup
+        .find(&head.host, parts.uri.path())
+        .cloned()
+    else {
+        return Err(Refusal::not_run(
+            RefusalCode::RouteUnknown,
+            "no route leads to this host and path",
+        ));
+    };
+    let organisation = organisation_of(&configuration, &route, head.key.as_deref())?;
+    let Some(service) = route.service_for(head.id.as_str()).cloned() else {
+        return Err(
+            Refusal::not_run(RefusalCode::NoCapacity, "the route leads to no service")
+                .with_retry_after(NOT_READY_RETRY),
+        );
+    };
+    let wait = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let limit = configuration.limits.body_bytes;
+    let body = read_body_within(body, limit, BODY_TIMEOUT.min(wait), &BODY_MEMORY)
+        .await
+        .map_err(|error| body_refusal(&error))?;
+    let terms = organisation
+        .as_ref()
+        .and_then(|id| configuration.organisations.get(id))
+        .cloned();
+    let work = head.work.clone().unwrap_or_default();
+    charge(gateway, organisation.as_ref(), terms.as_deref(), &head)?;
+    let homes = terms.as_deref().map_or(&[][..], |terms| &terms.homes);
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Ok(Call {
+        id: head.id,
+        allowed: allowed_regions(&gateway.regions, &route.homes, homes),
+        priority: terms
+            .as_deref()
+            .and_then(|terms| terms.priority)
+            .unwrap_or(route.priority),
+        organisation,
+        route,
+        service,
+        configuration,
+        method: parts.method.clone(),
+        path: path.to_owned(),
+        headers: head.headers,
+        body,
+        work,
+        last_event: head.last_event,
+        arrived,
+        deadline: arrived + wait,
+        forwarded: false,
+    })
+}
+
+/// Refuses a request whose length is stated twice.
+fn check_framing(headers: &HeaderMap) -> Result<(), Refusal> {
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    let chunked = headers.contains_key(header::TRANSFER_ENCODING);
+    if lengths > 1 || (chunked && lengths > 0) {
+        return Err(Refusal::not_run(
+            RefusalCode::BadRequest,
+            "the length of the body is stated more than once",
+        ));
+    }
+    Ok(())
+}
+
+fn organisation_of(
+    configuration: &Configuration,
+    route: &Route,
+    key: Option<&str>,
+) -> Result<Option<OrganisationId>, Refusal> {
+    if route.open || configuration.organisations.is_empty() {
+        return Ok(None);
+    }
+    let holder = key.and_then(|key| configuration.keys.get(key));
+    holder.cloned().map(Some).ok_or_else(|| {
+        Refusal::not_run(
+            RefusalCode::KeyRejected,
+            "the key is missing, unknown or withdrawn",
+        )
+    })
+}
+
+fn charge<C, D>(
+    gateway: &Gateway<C, D>,
+    organisation: Option<&OrganisationId>,
+    terms: Option<&OrganisationTerms>,
+    head: &CallerHead,
+) -> Result<(), Refusal> {
+    let (Some(id), Some(terms)) = (organisation, terms) else {
+        return Ok(());
+    };
+    let tokens = charged_tokens(terms, head.work.as_ref());
+    let admitted = gateway.limits.lock().admit(now(), id, tokens);
+    admitted.map_err(|refusal| {
+        Refusal::not_run(
+            RefusalCode::LimitExceeded,
+            "the organisation has used up its rate and burst",
+        )
+        .with_retry_after(refusal.retry_after)
+    })
+}
+
+/// Returns the tokens that a request counts as.
+fn charged_tokens(terms: &OrganisationTerms, work: Option<&Work>) -> u64 {
+    work.map_or(terms.plain_tokens, |work| {
+        work.prompt_tokens + work.output_tokens
+    })
+}
+
+fn body_refusal(error: &ReadError) -> Refusal {
+    let code = match error {
+        ReadError::Broken(_) => RefusalCode::BadRequest,
+        ReadError::Busy => RefusalCode::NoCapacity,
+        ReadError::Timeout => RefusalCode::BodyTimeout,
+        ReadError::TooLarge { .. } => RefusalCode::BodyTooLarge,
+    };
+    Refusal::not_run(code, &error.to_string())
+}
+
+async fn run<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    call: Call,
+) -> Response<Body> {
+    let mut exchange = Exchange::new(gateway.clone(), call);
+    let started = exchange.start().await;
+    let arrived = exchange.call().arrived;
+    gateway.metrics.observe_first_part(now().since(arrived));
+    match started {
+        Ok(Started::Whole(answer)) => whole_response(answer),
+        Ok(Started::Stream {
+            status,
+            headers,
+            first,
+        }) => stream_response(exchange, status, headers, first),
+        Err(refusal) => {
+            if let Some(answer) = exchange.take_error_answer() {
+                exchange.finish("error-answer");
+                return whole_response(answer);
+            }
+            exchange.finish(refusal.code.as_str());
+            if exchange.execution() == Execution::NotRun {
+                refund(gateway, exchange.call());
+            }
+            refusal_with_retry(gateway, &refusal, &exchange.call().id)
+        }
+    }
+}
+
+fn refund<C, D>(gateway: &Gateway<C, D>, call: &Call) {
+    let Some(id) = &call.organisation else {
+        return;
+    };
+    let Some(terms) = call.configuration.organisations.get(id) else {
+        return;
+    };
+    let declared = call.work != Work::default();
+    let tokens = charged_tokens(terms, declared.then_some(&call.work));
+    gateway.limits.lock().refund(id, tokens);
+}
+
+fn whole_response(answer: WholeAnswer) -> Response<Body> {
+    let body = Full::new(answer.body).map_err(|never| match never {});
+    let mut res = Response::new(Body::new(body));
+    *res.status_mut() = answer.status;
+    *res.headers_mut() = answer.headers;
+    res
+}
+
+fn stream_response<C: ControlPlane, D: Dialect>(
+    exchange: Exchange<C, D>,
+    status: StatusCode,
+    headers: HeaderMap,
+    first: Bytes,
+) -> Response<Body> {
+    let events = stream::unfold(
+        (exchange, Some(first).filter(|first| !first.is_empty())),
+        |(mut exchange, first)| async move {
+            let data = match first {
+                Some(first) => Ok(first),
+                None => exchange.next().await?,
+            };
+            Some((data.map(hyper::body::Frame::data), (exchange, None)))
+        },
+    );
+    let mut res = Response::new(Body::new(StreamBody::new(events)));
+    *res.status_mut() = status;
+    *res.headers_mut() = headers;
+    res
+}
+
+fn refusal_with_retry<C, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    refusal: &Refusal,
+    id: &RequestId,
+) -> Response<Body> {
+    let mut res = refusal_response(refusal, id);
+    if let Some(after) = refusal.retry_after {
+        let value = gateway.dialect.retry_after(after);
+        res.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    res
+}
+
+/// Refuses a request that was not admitted, with its line in the log.
+fn refuse<C, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    arrived: MonotonicTime,
+    id: &RequestId,
+    path: &str,
+    refusal: &Refusal,
+) -> Response<Body> {
+    let time = now();
+    gateway
+        .metrics
+        .count_request(refusal.code.as_str(), time.since(arrived));
+    if let Some(suppressed) = gateway.log.request_lines.take(time) {
+        let operators = gateway.operators.lock();
+        let (version, age) = (operators.version(), operators.age(time));
+        drop(operators);
+        slog::info!(gateway.log.requests, "request refused";
+            "id" => id.as_str(),
+            "outcome" => refusal.code.as_str(),
+            "execution" => refusal.execution.as_str(),
+            "path" => path,
+            "configuration" => version,
+            "configuration_age_ms" => age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            "retry_after_ms" => refusal.retry_after.map(|after| u64::try_from(after.as_millis()).unwrap_or(u64::MAX)),
+            "suppressed" => suppressed,
+        );
+    }
+    refusal_with_retry(gateway, refusal, id)
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,158 @@
+//! Process of a gateway.
+
+use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
+
+use gotham::{
+    handler::NewHandler,
+    prelude::{DefineSingleRoute, DrawRoutes},
+    router::{Router, build_simple_router},
+    state::State,
+};
+use hawthornquay_http::{Body, HttpServer, ServerLimits, empty_response};
+use hawthornquay_instances::PeerServer;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    CallerHandler, ControlPlane, Dialect, Gateway, GatewayError, peer_gateway::PeerGateway,
+    status_notices::send_leaving, tasks::spawn_tasks,
+};
+
+/// Time for which a stopping instance still takes requests: callers learn the others' addresses
+/// within it.
+const FAREWELL: Duration = Duration::from_millis(3_200);
+
+/// Time before the end of the grace period at which the process ends by itself.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// Routers of the addresses at which the platform and callers ask about this instance.
+pub struct StatusRouters {
+    /// Readiness check.
+    pub readiness: Router,
+    /// Answers to callers that ask where to connect.
+    pub directory: Router,
+}
+
+/// Runs a gateway until it is told to stop.
+///
+/// `reload` is called when the settings may have changed.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be listened on.
+pub async fn run_gateway<C: ControlPlane, D: Dialect>(
+    gateway: Arc<Gateway<C, D>>,
+    routers: StatusRouters,
+    mut reload: impl FnMut() + Send,
+) -> Result<(), GatewayError> {
+    let settings = &gateway.settings;
+    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(GatewayError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
+    let (stop_callers, stop_peers) = (CancellationToken::new(), CancellationToken::new());
+    let status = CancellationToken::new();
+
+    let peers = PeerServer::bind(
+        settings.peers,
+        gateway.local.clone(),
+        Arc::new(PeerGateway(gateway.clone())),
+    )
+    .await?;
+    let peers = tokio::spawn(peers.serve(stop_peers.clone()));
+    let callers = listen(
+        settings.callers,
+        CallerHandler::new(gateway.clone()),
+        "callers",
+    )
+    .await?
+    .follow(gateway.caller_limits.subscribe());
+    let callers = tokio::spawn(callers.serve(stop_callers.clone()));
+    let side_servers = [
+        (settings.readiness, routers.readiness, "the readiness check"),
+        (settings.directory, routers.directory, "the directory"),
+        (settings.metrics, metrics_router(gateway.clone()), "metrics"),
+    ];
+    for (address, router, purpose) in side_servers {
+        let server = listen(address, router, purpose).await?;
+        tokio::spawn(server.serve(status.clone()));
+    }
+    let tasks = spawn_tasks(&gateway);
+    slog::info!(gateway.log.daemon, "started";
+        "instance" => %gateway.id, "region" => settings.region.as_str(),
+        "domain" => settings.domain.as_str(), "callers" => %settings.callers,
+        "peers" => %settings.peers, "store" => %settings.store);
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(),
+        }
+    }
+    let deadline = tokio::time::Instant::now() + settings.grace.saturating_sub(MARGIN);
+    slog::info!(gateway.log.daemon, "stopping";
+        "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
+    gateway.leaving.store(true, Ordering::Relaxed);
+    send_leaving(&gateway).await;
+    sleep(FAREWELL.min(settings.grace / 2)).await;
+    stop_callers.cancel();
+    stop_peers.cancel();
+    let drained = timeout(
+        deadline.saturating_duration_since(tokio::time::Instant::now()),
+        async { tokio::join!(callers, peers) },
+    )
+    .await;
+    for task in tasks {
+        task.abort();
+    }
+    gateway.links.close();
+    slog::info!(gateway.log.daemon, "stopped"; "drained" => drained.is_ok());
+    Ok(())
+}
+
+async fn listen<H>(
+    address: SocketAddr,
+    handler: H,
+    purpose: &'static str,
+) -> Result<HttpServer<H>, GatewayError>
+where
+    H: NewHandler + Clone + std::panic::UnwindSafe + 'static,
+{
+    HttpServer::bind(address, handler, ServerLimits::default())
+        .await
+        .map_err(|source: io::Error| GatewayError::Listen {
+            address,
+            purpose,
+            source,
+        })
+}
+
+fn metrics_router<C: ControlPlane, D: Dialect>(gateway: Arc<Gateway<C, D>>) -> Router {
+    let gateway = std::panic::AssertUnwindSafe(gateway);
+    build_simple_router(|route| {
+        route.get("/metrics").to_new_handler(move || {
+            let gateway = Arc::clone(&gateway);
+            Ok(move |state: State| {
+                let res = metrics_response(&gateway);
+                (state, res)
+            })
+        });
+    })
+}
+
+fn metrics_response<C, D>(gateway: &Gateway<C, D>) -> Response<Body> {
+    match gateway.metrics.encode() {
+        Ok(text) => Response::new(Body::new(
+            Full::new(text.into()).map_err(|never| match never {}),
+        )),
+        Err(error) => {
+            slog::error!(gateway.log.daemon, "metrics not written"; "error" => %error);
+            empty_response(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,201 @@
+//! State of one gateway process.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use hawthornquay_backends::{BackendClient, ClientLimits};
+use hawthornquay_decisions::{
+    DomainName, Incarnation, InstanceId, InstanceName, Map, MonotonicTime, RegionName, RetryBudget,
+    ServiceName,
+};
+use hawthornquay_http::ServerLimits;
+use hawthornquay_instances::{LinkPool, LinkSecurity, LocalInstance};
+use hawthornquay_operators::{GatewaySettings, Logs};
+use hawthornquay_traffic::{
+    InstanceList, OperatorView, OrganisationLimits, RegionBoard, RoutedInstance, ServerTable,
+};
+use parking_lot::Mutex;
+use tokio::sync::{Notify, watch};
+
+use crate::{
+    GatewayError, GatewayLogs, GatewayMetrics, MemberReport, link_settings::gateway_link_settings,
+};
+
+/// Part of the fleet's allowed retries that the instances use; the rest covers differing views of
+/// how many instances there are.
+const RETRY_PART: f64 = 0.7;
+
+/// Time to open a connection to a backend server of the own region, in milliseconds: a few round
+/// trips, and one retransmission would take longer.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+
+/// State of one gateway process.
+///
+/// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`, `board`,
+/// `limits`, `members`. None is held across an `await`.
+pub struct Gateway<C, D> {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Name and incarnation.
+    pub id: InstanceId,
+    /// Platform's store.
+    pub control: C,
+    /// Headers of the platform.
+    pub dialect: D,
+    /// Regions of the deployment.
+    pub regions: Vec<RegionName>,
+    pub(crate) operators: Mutex<OperatorView>,
+    pub(crate) document: Mutex<Option<Bytes>>,
+    pub(crate) servers: Mutex<ServerTable>,
+    pub(crate) instances: Mutex<InstanceList>,
+    pub(crate) board: Mutex<RegionBoard>,
+    pub(crate) limits: Mutex<OrganisationLimits>,
+    pub(crate) members: Mutex<Map<InstanceName, MemberReport>>,
+    pub(crate) retries: Mutex<Map<ServiceName, RetryBudget>>,
+    pub(crate) links: LinkPool,
+    pub(crate) local: LocalInstance,
+    pub(crate) backends: BackendClient,
+    pub(crate) log: GatewayLogs,
+    pub(crate) metrics: GatewayMetrics,
+    pub(crate) leaving: AtomicBool,
+    pub(crate) in_flight: AtomicU64,
+    pub(crate) view_changed: Notify,
+    pub(crate) caller_limits: watch::Sender<ServerLimits>,
+}
+
+impl<C, D> Gateway<C, D> {
+    /// Builds the state of a process that has just started.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the metrics cannot be set up.
+    pub fn new(
+        settings: GatewaySettings,
+        control: C,
+        dialect: D,
+        logs: Logs,
+    ) -> Result<Arc<Self>, GatewayError> {
+        let id = InstanceId {
+            name: settings.name.clone(),
+            incarnation: Incarnation(rand::random()),
+        };
+        let local = LocalInstance::new(id.clone(), LinkSecurity::TrustedNetwork)
+            .with_settings(gateway_link_settings());
+        let limits = ClientLimits {
+            connect_timeout: std::time::Duration::from_millis(CONNECT_TIMEOUT_MS),
+            // A connection that served a request may deliver late bytes of it, and may have gone
+            // silent; each request gets a new one.
+            idle_connections: 0,
+            ..ClientLimits::default()
+        };
+        Ok(Arc::new(Self {
+            regions: settings.region_names(),
+            operators: Mutex::default(),
+            document: Mutex::default(),
+            servers: Mutex::default(),
+            instances: Mutex::default(),
+            board: Mutex::default(),
+            limits: Mutex::default(),
+            members: Mutex::default(),
+            retries: Mutex::default(),
+            links: LinkPool::new(local.clone()),
+            local,
+            backends: BackendClient::new(limits),
+            log: GatewayLogs::new(logs),
+            metrics: GatewayMetrics::new()?,
+            leaving: AtomicBool::new(false),
+            in_flight: AtomicU64::new(0),
+            view_changed: Notify::new(),
+            caller_limits: watch::channel(ServerLimits::default()).0,
+            settings,
+            id,
+            control,
+            dialect,
+        }))
+    }
+
+    /// Returns whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving()
+            && self.operators.lock().configuration().is_some()
+            && self.servers.lock().revision() > 0
+    }
+
+    /// Returns whether the process is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Returns where callers of a place may connect.
+    pub fn caller_addresses(&self, region: &RegionName, domain: &DomainName) -> Vec<SocketAddr> {
+        let now = hawthornquay_clock::now();
+        let instances = self.instances.lock();
+        let mut found = instances.addresses_for(now, &self.id.name, region, domain);
+        if self.is_leaving() {
+            found.retain(|address| *address != self.settings.callers);
+        } else if found.is_empty() && self.is_ready() {
+            found.push(self.settings.callers);
+        }
+        found
+    }
+
+    /// Returns this instance as the others see it.
+    pub fn routed(&self) -> RoutedInstance {
+        RoutedInstance {
+            id: self.id.clone(),
+            region: self.settings.region.clone(),
+            domain: self.settings.domain.clone(),
+            peers: self.settings.peers,
+            callers: self.settings.callers,
+        }
+    }
+
+    /// Returns whether a failure domain is in the own region.
+    pub(crate) fn is_local(&self, domain: &DomainName) -> bool {
+        match self.settings.regions.get(domain) {
+            Some(region) => *region == self.settings.region,
+            None => *domain == self.settings.domain,
+        }
+    }
+
+    /// Spends a retry of the fleet's budget for a service; returns whether it allowed that.
+    pub(crate) fn spend_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, RetryBudget::spend)
+    }
+
+    /// Earns part of a retry with a request that is sent to a backend server.
+    pub(crate) fn earn_retry(&self, service: &ServiceName) {
+        self.with_budget(service, RetryBudget::earn);
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let instances = self.instances.lock().all().len().max(1) as f64;
+        let most = (f64::from(self.settings.retry_slack) * RETRY_PART / instances).max(1.0);
+        let mut budgets = self.retries.lock();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(self.settings.retry_ratio * RETRY_PART, most));
+        budget.set_most(most);
+        f(budget)
+    }
+
+    /// Returns the instances of the own region, this one included.
+    pub(crate) fn region_instances(&self) -> Vec<InstanceName> {
+        let mut names = self.instances.lock().names_in(&self.settings.region);
+        if !names.contains(&self.id.name) {
+            names.push(self.id.name.clone());
+        }
+        names
+    }
+}
+
+/// Reads the clock.
+pub(crate) fn now() -> MonotonicTime {
+    hawthornquay_clock::now()
+}
--- /dev/null
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -0,0 +1,140 @@
+//! Metrics of a gateway in the Prometheus text format.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Bounds of the latency histograms, in seconds: fractions and multiples of the usual targets.
+const SECONDS_BUCKETS: [f64; 12] = [
+    0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// Metrics of one gateway; no label names an organisation, since metrics may leave its homes.
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    attempts: IntCounterVec,
+    store_calls: IntCounterVec,
+    first_part: Histogram,
+    duration: Histogram,
+    configuration_version: IntGauge,
+    backend_servers: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Builds the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric is registered twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new_custom(Some("hawthornquay".to_owned()), None)?;
+        Ok(Self {
+            requests: counters(
+                &registry,
+                "requests_total",
+                "Requests by outcome",
+                "outcome",
+            )?,
+            attempts: counters(
+                &registry,
+                "attempts_total",
+                "Attempts to run a request by outcome",
+                "outcome",
+            )?,
+            store_calls: counters(
+                &registry,
+                "store_calls_total",
+                "Calls to the platform's store by outcome",
+                "outcome",
+            )?,
+            first_part: histogram(
+                &registry,
+                "first_part_seconds",
+                "Time to the first part of an answer",
+            )?,
+            duration: histogram(&registry, "request_seconds", "Time to the end of an answer")?,
+            configuration_version: gauge(
+                &registry,
+                "configuration_version",
+                "Version of the configuration in force",
+            )?,
+            backend_servers: gauge(
+                &registry,
+                "backend_servers",
+                "Backend servers in the list in use",
+            )?,
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a metric cannot be written.
+    pub fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+
+    /// Counts a request by its outcome.
+    pub fn count_request(&self, outcome: &str, took: Duration) {
+        self.requests.with_label_values(&[outcome]).inc();
+        self.duration.observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt by its outcome.
+    pub fn count_attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts a call to the store by its outcome.
+    pub fn count_store_call(&self, outcome: &str) {
+        self.store_calls.with_label_values(&[outcome]).inc();
+    }
+
+    /// Records the time to the first part of an answer.
+    pub fn observe_first_part(&self, took: Duration) {
+        self.first_part.observe(took.as_secs_f64());
+    }
+
+    /// Sets the version of the configuration in force.
+    pub fn set_configuration_version(&self, version: u64) {
+        self.configuration_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of backend servers in the list.
+    pub fn set_backend_servers(&self, servers: usize) {
+        self.backend_servers
+            .set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> Result<IntCounterVec, prometheus::Error> {
+    let metric = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+    let opts = HistogramOpts::new(name, help).buckets(SECONDS_BUCKETS.to_vec());
+    let metric = Histogram::with_opts(opts)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let metric = IntGauge::new(name, help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- /dev/null
+++ b/crates/gateway/src/peer_attempt.rs
@@ -0,0 +1,225 @@
+//! Attempt to run a request through an instance of another region.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use hawthornquay_decisions::{Execution, InstanceName, RefusalCode, RegionName};
+use hawthornquay_instances::{
+    Forward, ForwardEvent, ForwardHead, ForwardRefused, ForwardStream, Header, LinkError,
+    PeerAddress, PromptPart,
+};
+use hawthornquay_traffic::RoutedInstance;
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use tokio::time::timeout;
+
+use crate::{
+    AttemptCause, AttemptFailure, Call, ControlPlane, Dialect, Gateway, WholeAnswer, gateway::now,
+    server_attempt::AttemptHead,
+};
+
+/// Longest time to queue a request on a link, which may have to be opened: two round trips
+/// between regions and some loss.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Running attempt through an instance of another region.
+///
+/// Dropping it tells the instance to end the request.
+pub(crate) struct PeerAttempt {
+    /// Instance that runs the request.
+    pub(crate) peer: InstanceName,
+    stream: ForwardStream,
+}
+
+impl PeerAttempt {
+    /// Passes a request on and waits for the head of its answer for at most `patience`.
+    pub(crate) async fn open<C: ControlPlane, D: Dialect>(
+        gateway: &Arc<Gateway<C, D>>,
+        call: &Call,
+        region: &RegionName,
+        receiver: &RoutedInstance,
+        last_event: Option<u64>,
+        patience: Duration,
+    ) -> Result<(AttemptHead, Self), AttemptFailure> {
+        let address = PeerAddress {
+            name: receiver.id.name.clone(),
+            address: receiver.peers,
+            incarnation: Some(receiver.id.incarnation),
+        };
+        gateway
+            .board
+            .lock()
+            .send(region, &call.service, call.work.prompt_tokens);
+        let req = wire_request(call, last_event);
+        let stream = gateway.links.forward(&address, req, QUEUE_TIMEOUT).await;
+        let opened = match stream {
+            Ok(stream) => {
+                let mut attempt = Self {
+                    peer: receiver.id.name.clone(),
+                    stream,
+                };
+                match attempt.head(patience).await {
+                    Ok(head) => Ok((head, attempt)),
+                    Err(failure) => Err(failure),
+                }
+            }
+            Err(error) => Err(link_failure(&error)),
+        };
+        if let Err(AttemptFailure {
+            cause:
+                AttemptCause::Silent
+                | AttemptCause::Peer {
+                    code: RefusalCode::PeerUnreachable,
+                    ..
+                },
+            ..
+        }) = &opened
+        {
+            gateway.board.lock().fail(now(), region);
+        }
+        opened
+    }
+
+    /// Returns the next part of the body, within `patience`; `None` at its end.
+    pub(crate) async fn chunk(
+        &mut self,
+        patience: Duration,
+    ) -> Option<Result<Bytes, AttemptFailure>> {
+        match timeout(patience, self.stream.next()).await {
+            Ok(None | Some(Ok(ForwardEvent::End(_)))) => None,
+            Ok(Some(Ok(ForwardEvent::Data(data)))) => Some(Ok(data)),
+            Ok(Some(Ok(ForwardEvent::Refused(_) | ForwardEvent::Head(_)))) => {
+                Some(Err(AttemptFailure::unknown(AttemptCause::Broken)))
+            }
+            Ok(Some(Err(error))) => Some(Err(link_failure(&error))),
+            Err(_) => Some(Err(AttemptFailure::unknown(AttemptCause::Silent))),
+        }
+    }
+
+    async fn head(&mut self, patience: Duration) -> Result<AttemptHead, AttemptFailure> {
+        let event = match timeout(patience, self.stream.next()).await {
+            Ok(Some(Ok(event))) => event,
+            Ok(Some(Err(error))) => return Err(link_failure(&error)),
+            Ok(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
+            Err(_) => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
+        };
+        match event {
+            ForwardEvent::Head(head) => self.answer_head(head, patience).await,
+            ForwardEvent::Refused(refused) => Err(refused_failure(&refused)),
+            ForwardEvent::Data(_) | ForwardEvent::End(_) => {
+                Err(AttemptFailure::unknown(AttemptCause::Broken))
+            }
+        }
+    }
+
+    async fn answer_head(
+        &mut self,
+        head: ForwardHead,
+        patience: Duration,
+    ) -> Result<AttemptHead, AttemptFailure> {
+        let status = u16::try_from(head.status)
+            .ok()
+            .and_then(|status| StatusCode::from_u16(status).ok());
+        let Some(status) = status else {
+            return Err(AttemptFailure::unknown(AttemptCause::Garbled));
+        };
+        let headers = read_headers(&head.headers);
+        if status.is_success() {
+            return Ok(AttemptHead { status, headers });
+        }
+        let mut body = BytesMut::new();
+        while let Some(part) = self.chunk(patience).await {
+            body.extend_from_slice(&part?);
+        }
+        let answer = WholeAnswer {
+            status,
+            headers,
+            body: body.freeze(),
+        };
+        Err(AttemptFailure {
+            cause: AttemptCause::Error(Box::new(answer)),
+            execution: Execution::Ran,
+            arrived: true,
+        })
+    }
+}
+
+fn wire_request(call: &Call, last_event: Option<u64>) -> Forward {
+    let now = now();
+    Forward {
+        request_id: call.id.to_string(),
+        organisation: call
+            .organisation
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        method: call.method.to_string(),
+        path: call.path.clone(),
+        hop_count: 1,
+        bundle_version: call.configuration.version,
+        deadline_ms: u64::try_from(call.time_left(now).as_millis()).unwrap_or(u64::MAX),
+        repeatable: call.route.rule.is_repeatable(),
+        service: call.service.to_string(),
+        prompt_tokens: call.work.prompt_tokens,
+        cost: call.work.output_tokens,
+        body: call.body.clone(),
+        route: call.route.name.clone(),
+        headers: wire_headers(&call.headers),
+        prompt_parts: call
+            .work
+            .parts
+            .iter()
+            .map(|part| PromptPart {
+                id: part.id,
+                tokens: part.tokens,
+            })
+            .collect(),
+        // Events are numbered from one, so zero stands for none.
+        last_event: last_event.unwrap_or(0),
+        ..Forward::default()
+    }
+}
+
+/// Writes headers for another instance.
+pub(crate) fn wire_headers(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+/// Reads headers of another instance; one that is no HTTP header is left out.
+pub(crate) fn read_headers(headers: &[Header]) -> HeaderMap {
+    headers
+        .iter()
+        .filter_map(|header| {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            Some((name, HeaderValue::from_bytes(&header.value).ok()?))
+        })
+        .collect()
+}
+
+fn link_failure(error: &LinkError) -> AttemptFailure {
+    AttemptFailure {
+        cause: AttemptCause::Peer {
+            code: RefusalCode::PeerUnreachable,
+            retry_after: None,
+        },
+        execution: error.execution(),
+        arrived: false,
+    }
+}
+
+fn refused_failure(refused: &ForwardRefused) -> AttemptFailure {
+    let after = refused.retry_after_ms;
+    AttemptFailure {
+        cause: AttemptCause::Peer {
+            code: RefusalCode::parse(&refused.code).unwrap_or(RefusalCode::BackendFailed),
+            retry_after: (after > 0).then(|| Duration::from_millis(after)),
+        },
+        execution: refused.confirmed_execution(),
+        arrived: false,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_gateway.rs
@@ -0,0 +1,225 @@
+//! What a gateway does for the others.
+
+use std::sync::Arc;
+
+use hawthornquay_decisions::{
+    Execution, InstanceId, MonotonicTime, OrganisationId, Refusal, RefusalCode, RequestId,
+};
+use hawthornquay_instances::{
+    BundleContent, BundleFetch, CapacityGrant, CapacityRequest, Forward, ForwardEnd, ForwardHead,
+    ForwardRefused, ForwardSink, LinkError, LoanGrant, LoanRequest, Notice, PeerService,
+};
+use hawthornquay_traffic::{PromptPart, Work};
+use http::{HeaderMap, Method, StatusCode};
+
+use crate::{
+    Call, ControlPlane, Dialect, Exchange, Gateway, Started, WholeAnswer, allowed_regions,
+    gateway::now,
+    peer_attempt::{read_headers, wire_headers},
+    status_notices, view_notices,
+};
+
+/// Service of a gateway for the others.
+pub(crate) struct PeerGateway<C, D>(pub(crate) Arc<Gateway<C, D>>);
+
+impl<C: ControlPlane, D: Dialect> PeerService for PeerGateway<C, D> {
+    fn link_refused(&self, error: &LinkError) {
+        slog::warn!(self.0.log.links, "link refused"; "error" => %error);
+    }
+
+    async fn notice(&self, from: &InstanceId, notice: Notice) {
+        match notice {
+            Notice::Status(status) => status_notices::take_status(&self.0, from, status).await,
+            Notice::ViewRequest(request) => {
+                view_notices::answer_request(&self.0, from, &request).await;
+            }
+            Notice::ViewUpdate(update) => view_notices::take_update(&self.0, from, &update).await,
+            // Sent by instances of the gateway's own interface, which have bundles.
+            Notice::Digest(_) | Notice::BundleDelta(_) => {}
+        }
+    }
+
+    async fn fetch_bundle(&self, _: &InstanceId, _: BundleFetch) -> BundleContent {
+        BundleContent::default()
+    }
+
+    async fn lend(&self, _: &InstanceId, _: LoanRequest) -> LoanGrant {
+        LoanGrant::default()
+    }
+
+    async fn grant_capacity(&self, _: &InstanceId, _: CapacityRequest) -> CapacityGrant {
+        CapacityGrant::default()
+    }
+
+    async fn forward(&self, from: &InstanceId, request: Forward, sink: ForwardSink) {
+        let call = match read_call(&self.0, now(), request) {
+            Ok(call) => call,
+            Err(refusal) => {
+                slog::warn!(self.0.log.requests, "forwarded request refused";
+                    "from" => %from, "outcome" => refusal.code.as_str(),
+                    "reason" => &refusal.message);
+                return refuse(sink, &refusal).await;
+            }
+        };
+        let cancelled = sink.cancelled();
+        let exchange = Exchange::new(self.0.clone(), call);
+        // Dropping the exchange ends the request at the backend server.
+        let _ = cancelled.run_until_cancelled(relay(exchange, sink)).await;
+    }
+}
+
+/// Reads a forwarded request and checks it against the own configuration.
+fn read_call<C, D>(
+    gateway: &Gateway<C, D>,
+    arrived: MonotonicTime,
+    request: Forward,
+) -> Result<Call, Refusal> {
+    let refuse = |code, reason: &str| Refusal::not_run(code, reason);
+    if request.hop_count != 1 {
+        return Err(refuse(
+            RefusalCode::HopRefused,
+            "the request was passed on before",
+        ));
+    }
+    if gateway.is_leaving() {
+        return Err(refuse(
+            RefusalCode::ShuttingDown,
+            "the instance is stopping",
+        ));
+    }
+    let configuration = gateway.operators.lock().configuration().cloned();
+    let Some(configuration) = configuration else {
+        return Err(refuse(RefusalCode::NotReady, "no configuration is known"));
+    };
+    let Some(route) = configuration.routes.get(&request.route).cloned() else {
+        return Err(refuse(RefusalCode::StaleBundle, "the route is not known"));
+    };
+    let organisation =
+        (!request.organisation.is_empty()).then(|| OrganisationId::new(&request.organisation));
+    let terms = organisation
+        .as_ref()
+        .and_then(|id| configuration.organisations.get(id));
+    if organisation.is_some() && terms.is_none() {
+        return Err(refuse(
+            RefusalCode::StaleBundle,
+            "the organisation is not known",
+        ));
+    }
+    let homes = terms.map_or(&[][..], |terms| &terms.homes);
+    let allowed = allowed_regions(&gateway.regions, &route.homes, homes);
+    if !allowed.contains(&gateway.settings.region) {
+        return Err(refuse(
+            RefusalCode::ResidencyRefused,
+            "the request may not run in this region",
+        ));
+    }
+    let Ok(method) = request.method.parse::<Method>() else {
+        return Err(refuse(RefusalCode::BadRequest, "the method is malformed"));
+    };
+    let priority = terms
+        .and_then(|terms| terms.priority)
+        .unwrap_or(route.priority);
+    Ok(Call {
+        id: RequestId::new(&request.request_id),
+        organisation,
+        service: request.service.as_str().into(),
+        allowed,
+        method,
+        path: request.path,
+        headers: read_headers(&request.headers),
+        body: request.body,
+        work: Work {
+            prompt_tokens: request.prompt_tokens,
+            output_tokens: request.cost,
+            parts: request
+                .prompt_parts
+                .iter()
+                .map(|part| PromptPart {
+                    id: part.id,
+                    tokens: part.tokens,
+                })
+                .collect(),
+        },
+        priority,
+        last_event: (request.last_event > 0).then_some(request.last_event),
+        arrived,
+        deadline: arrived + std::time::Duration::from_millis(request.deadline_ms),
+        forwarded: true,
+        route,
+        configuration,
+    })
+}
+
+/// Runs a forwarded request and sends its answer.
+///
+/// The link tells the sender when the sink is dropped before the end of the answer.
+async fn relay<C: ControlPlane, D: Dialect>(mut exchange: Exchange<C, D>, sink: ForwardSink) {
+    let started = exchange.start().await;
+    let sent = match started {
+        Ok(Started::Whole(answer)) => send_whole(sink, answer).await,
+        Ok(Started::Stream {
+            status,
+            headers,
+            first,
+        }) => send_stream(exchange, sink, status, &headers, first).await,
+        Err(refusal) => {
+            if let Some(answer) = exchange.take_error_answer() {
+                exchange.finish("error-answer");
+                send_whole(sink, answer).await
+            } else {
+                exchange.finish(refusal.code.as_str());
+                refuse(sink, &refusal).await;
+                Ok(())
+            }
+        }
+    };
+    // A link that ended has nobody left to tell; its other end knows.
+    let _ = sent;
+}
+
+async fn send_whole(mut sink: ForwardSink, answer: WholeAnswer) -> Result<(), LinkError> {
+    sink.head(wire_head(answer.status, &answer.headers)).await?;
+    sink.data(answer.body).await?;
+    sink.end(ForwardEnd::default()).await
+}
+
+async fn send_stream<C: ControlPlane, D: Dialect>(
+    mut exchange: Exchange<C, D>,
+    mut sink: ForwardSink,
+    status: StatusCode,
+    headers: &HeaderMap,
+    first: bytes::Bytes,
+) -> Result<(), LinkError> {
+    sink.head(wire_head(status, headers)).await?;
+    sink.data(first).await?;
+    while let Some(part) = exchange.next().await {
+        let Ok(data) = part else {
+            let refused = ForwardRefused::new(
+                RefusalCode::BackendFailed.as_str(),
+                "the stream broke off",
+                Execution::Unknown,
+            );
+            return sink.refuse(refused).await;
+        };
+        sink.data(data).await?;
+    }
+    sink.end(ForwardEnd::default()).await
+}
+
+fn wire_head(status: StatusCode, headers: &HeaderMap) -> ForwardHead {
+    ForwardHead {
+        status: status.as_u16().into(),
+        headers: wire_headers(headers),
+        backend: String::new(),
+    }
+}
+
+async fn refuse(sink: ForwardSink, refusal: &Refusal) {
+    let mut refused =
+        ForwardRefused::new(refusal.code.as_str(), &refusal.message, refusal.execution);
+    refused.retry_after_ms = refusal.retry_after.map_or(0, |after| {
+        u64::try_from(after.as_millis()).unwrap_or(u64::MAX)
+    });
+    // A link that ended has nobody left to tell; its other end knows.
+    let _ = sink.refuse(refused).await;
+}
--- /dev/null
+++ b/crates/gateway/src/status_notices.rs
@@ -0,0 +1,389 @@
+//! States and loads that instances tell each other.
+//!
+//! The first instance of each region that is heard of leads: the others tell it their load, and it
+//! tells them the sums, and the leaders of other regions those of its own. No instance talks to
+//! all others.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use hawthornquay_decisions::{
+    InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName,
+};
+use hawthornquay_instances::{
+    Notice, OrganisationDemand, RegionStatus, ServerUse, ServiceLoad, Status, ViewRequest,
+};
+use hawthornquay_traffic::{RegionReport, RoutedInstance, ServerUseRow, ServiceReport};
+
+use crate::{
+    ControlPlane, Dialect, Gateway, MemberReport,
+    gateway::now,
+    view_notices::send,
+    wire_views::{millis, server_use, time_before, use_row},
+};
+
+/// Age up to which the report of an instance counts in the sums of its region.
+const REPORT_LIFE_MS: u64 = 2_500;
+
+/// Returns the leader of a region: the first by name of those that are not silent.
+pub(crate) fn leader_of<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+    region: &RegionName,
+) -> Option<RoutedInstance> {
+    let instances = gateway.instances.lock();
+    instances
+        .staying_in(region)
+        .filter(|instance| {
+            instance.id.name == gateway.id.name || !instances.is_silent(time, &instance.id.name)
+        })
+        .min_by(|a, b| a.id.name.cmp(&b.id.name))
+        .cloned()
+}
+
+/// Returns whether this instance leads its region.
+pub(crate) fn leads<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+) -> bool {
+    leader_of(gateway, time, &gateway.settings.region)
+        .is_none_or(|leader| leader.id.name == gateway.id.name)
+}
+
+/// Tells the own state to those who need it.
+pub(crate) async fn send_status<C: ControlPlane, D: Dialect>(gateway: &Arc<Gateway<C, D>>) {
+    let time = now();
+    let own = own_status(gateway, time);
+    if !leads(gateway, time) {
+        if let Some(leader) = leader_of(gateway, time, &gateway.settings.region) {
+            send(gateway, &leader, Notice::Status(own)).await;
+        }
+        return;
+    }
+    let region = own_region(gateway, time, &own);
+    let wire_region = wire_region(&gateway.settings.region, 0, &region);
+    gateway
+        .board
+        .lock()
+        .take(&gateway.settings.region, time, region);
+    let region_uses = region_uses(gateway, time, &own.uses);
+    let to_members = Status {
+        regions: all_regions(gateway, time),
+        region_uses,
+        ..own.clone()
+    };
+    let to_leaders = Status {
+        regions: vec![wire_region],
+        uses: Vec::new(),
+        ..own
+    };
+    for (receiver, status) in receivers(gateway, time, &to_members, &to_leaders) {
+        let gateway = gateway.clone();
+        // One that cannot be reached must not delay the others.
+        tokio::spawn(async move { send(&gateway, &receiver, Notice::Status(status)).await });
+    }
+}
+
+/// Tells all instances that this one is stopping.
+pub(crate) async fn send_leaving<C: ControlPlane, D: Dialect>(gateway: &Arc<Gateway<C, D>>) {
+    let status = own_status(gateway, now());
+    let receivers: Vec<RoutedInstance> = gateway.instances.lock().all().to_vec();
+    let own = &gateway.id.name;
+    for receiver in receivers.into_iter().filter(|one| one.id.name != *own) {
+        let (gateway, status) = (gateway.clone(), status.clone());
+        tokio::spawn(async move { send(&gateway, &receiver, Notice::Status(status)).await });
+    }
+}
+
+/// Takes the state of another instance.
+pub(crate) async fn take_status<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    from: &InstanceId,
+    status: Status,
+) {
+    let time = now();
+    gateway
+        .instances
+        .lock()
+        .hear(time, &from.name, from.incarnation.0, status.leaving);
+    if status.region == gateway.settings.region.as_str() && status.regions.is_empty() {
+        gateway
+            .members
+            .lock()
+            .insert(from.name.clone(), member_report(time, &status));
+    }
+    for region in &status.regions {
+        let name = RegionName::new(&region.region);
+        let own = name == gateway.settings.region && leads(gateway, time);
+        if !own {
+            let reported_at = time_before(time, region.age_ms);
+            let report = region_report(region);
+            gateway.board.lock().take(&name, reported_at, report);
+        }
+    }
+    if !status.region_uses.is_empty() {
+        share_uses(gateway, time, &status.region_uses);
+    }
+    compare_views(gateway, from, time, &status).await;
+}
+
+/// Confirms the own view by that of another instance, or asks for its newer one.
+async fn compare_views<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    from: &InstanceId,
+    time: MonotonicTime,
+    status: &Status,
+) {
+    let mut behind = false;
+    {
+        let mut operators = gateway.operators.lock();
+        let same_version = status.configuration_version == operators.version();
+        if same_version && status.operator_revision == operators.revision() {
+            let read_at = time_before(time, status.operator_age_ms);
+            operators.confirm(status.operator_revision, read_at);
+        } else if status.configuration_version > operators.version()
+            || status.operator_revision > operators.revision()
+        {
+            behind = true;
+        }
+    }
+    {
+        let mut servers = gateway.servers.lock();
+        if status.servers_revision == servers.revision() {
+            servers.confirm(time_before(time, status.servers_age_ms));
+        } else if status.servers_revision > servers.revision() {
+            behind = true;
+        }
+    }
+    if !behind {
+        return;
+    }
+    let receiver = gateway.instances.lock().get(&from.name).cloned();
+    if let Some(receiver) = receiver {
+        let request = view_request(gateway);
+        send(gateway, &receiver, Notice::ViewRequest(request)).await;
+    }
+}
+
+/// Returns a question for a view that is newer than the own.
+pub(crate) fn view_request<C: ControlPlane, D: Dialect>(gateway: &Gateway<C, D>) -> ViewRequest {
+    let (configuration_version, operator_revision) = {
+        let operators = gateway.operators.lock();
+        (operators.version(), operators.revision())
+    };
+    ViewRequest {
+        configuration_version,
+        operator_revision,
+        servers_revision: gateway.servers.lock().revision(),
+    }
+}
+
+fn own_status<C: ControlPlane, D: Dialect>(gateway: &Gateway<C, D>, time: MonotonicTime) -> Status {
+    let request = view_request(gateway);
+    let demands = gateway.limits.lock().publish(time);
+    Status {
+        region: gateway.settings.region.to_string(),
+        domain: gateway.settings.domain.to_string(),
+        leaving: gateway.leaving.load(Ordering::Relaxed),
+        configuration_version: request.configuration_version,
+        operator_revision: request.operator_revision,
+        operator_age_ms: gateway.operators.lock().age(time).map_or(u64::MAX, millis),
+        servers_revision: request.servers_revision,
+        servers_age_ms: gateway.servers.lock().age(time).map_or(u64::MAX, millis),
+        demands: wire_demands(demands.iter().map(|(id, rate)| (id, *rate))),
+        uses: gateway
+            .servers
+            .lock()
+            .own_uses()
+            .iter()
+            .map(server_use)
+            .collect(),
+        ..Status::default()
+    }
+}
+
+/// Adds up the reports of the own region.
+fn own_region<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+    own: &Status,
+) -> RegionReport {
+    let mut demands = demand_map(&own.demands);
+    for report in current_members(gateway, time).values() {
+        for (id, rate) in &report.demands {
+            *demands.entry(id.clone()).or_default() += rate;
+        }
+    }
+    let services = gateway
+        .servers
+        .lock()
+        .service_reports(time, |domain| gateway.is_local(domain));
+    RegionReport { demands, services }
+}
+
+/// Adds up the work of all instances of the region at each server, and takes over that of the
+/// others.
+fn region_uses<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+    own: &[ServerUse],
+) -> Vec<ServerUse> {
+    let mut sums: Map<String, ServerUseRow> = Map::default();
+    for report in current_members(gateway, time).values() {
+        report.uses.iter().for_each(|row| add_use(&mut sums, row));
+    }
+    let others: Vec<ServerUseRow> = sums.values().cloned().collect();
+    gateway.servers.lock().share_uses(time, &others);
+    for row in own.iter().map(use_row) {
+        add_use(&mut sums, &row);
+    }
+    sums.values().map(server_use).collect()
+}
+
+fn add_use(sums: &mut Map<String, ServerUseRow>, row: &ServerUseRow) {
+    let sum = sums
+        .entry(row.id.to_string())
+        .or_insert_with(|| ServerUseRow {
+            requests: 0,
+            pending_tokens: 0,
+            ..row.clone()
+        });
+    sum.requests += row.requests;
+    sum.pending_tokens += row.pending_tokens;
+}
+
+/// Takes over the sums of the region, less the own work in them.
+fn share_uses<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+    sums: &[ServerUse],
+) {
+    let mut servers = gateway.servers.lock();
+    let own: Map<String, ServerUseRow> = servers
+        .own_uses()
+        .into_iter()
+        .map(|row| (row.id.to_string(), row))
+        .collect();
+    let others: Vec<ServerUseRow> = sums
+        .iter()
+        .map(|sum| {
+            let mut row = use_row(sum);
+            if let Some(own) = own.get(&sum.server) {
+                row.requests = row.requests.saturating_sub(own.requests);
+                row.pending_tokens = row.pending_tokens.saturating_sub(own.pending_tokens);
+            }
+            row
+        })
+        .collect();
+    servers.share_uses(time, &others);
+}
+
+fn current_members<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+) -> Map<InstanceName, MemberReport> {
+    let mut members = gateway.members.lock();
+    members.retain(|_, report| millis(time.since(report.at)) <= REPORT_LIFE_MS);
+    members.clone()
+}
+
+fn receivers<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+    to_members: &Status,
+    to_leaders: &Status,
+) -> Vec<(RoutedInstance, Status)> {
+    let own = &gateway.id.name;
+    let mut receivers: Vec<(RoutedInstance, Status)> = {
+        let instances = gateway.instances.lock();
+        instances
+            .staying_in(&gateway.settings.region)
+            .filter(|instance| instance.id.name != *own)
+            .map(|instance| (instance.clone(), to_members.clone()))
+            .collect()
+    };
+    for region in &gateway.regions {
+        if *region == gateway.settings.region {
+            continue;
+        }
+        if let Some(leader) = leader_of(gateway, time, region) {
+            receivers.push((leader, to_leaders.clone()));
+        }
+    }
+    receivers
+}
+
+fn all_regions<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    time: MonotonicTime,
+) -> Vec<RegionStatus> {
+    let board = gateway.board.lock();
+    board
+        .reports()
+        .map(|(name, at, report)| wire_region(name, millis(time.since(at)), report))
+        .collect()
+}
+
+fn member_report(time: MonotonicTime, status: &Status) -> MemberReport {
+    MemberReport {
+        at: time,
+        demands: demand_map(&status.demands),
+        uses: status.uses.iter().map(use_row).collect(),
+    }
+}
+
+fn wire_region(name: &RegionName, age_ms: u64, report: &RegionReport) -> RegionStatus {
+    RegionStatus {
+        region: name.to_string(),
+        age_ms,
+        demands: wire_demands(report.demands.iter().map(|(id, rate)| (id, *rate))),
+        services: report
+            .services
+            .iter()
+            .map(|(service, report)| ServiceLoad {
+                service: service.to_string(),
+                servers: report.servers,
+                free_slots: report.free_slots,
+                wait_ms: u32::try_from(report.wait.as_millis()).unwrap_or(u32::MAX),
+            })
+            .collect(),
+    }
+}
+
+fn region_report(region: &RegionStatus) -> RegionReport {
+    RegionReport {
+        demands: demand_map(&region.demands),
+        services: region
+            .services
+            .iter()
+            .map(|load| {
+                let report = ServiceReport {
+                    servers: load.servers,
+                    free_slots: load.free_slots,
+                    wait: std::time::Duration::from_millis(load.wait_ms.into()),
+                };
+                (load.service.as_str().into(), report)
+            })
+            .collect(),
+    }
+}
+
+fn wire_demands<'a>(
+    demands: impl Iterator<Item = (&'a OrganisationId, f64)>,
+) -> Vec<OrganisationDemand> {
+    demands
+        .map(|(id, rate)| OrganisationDemand {
+            organisation: id.to_string(),
+            tokens_per_s: rate.round() as u64,
+        })
+        .collect()
+}
+
+fn demand_map(demands: &[OrganisationDemand]) -> Map<OrganisationId, f64> {
+    demands
+        .iter()
+        .map(|demand| {
+            let id = OrganisationId::new(&demand.organisation);
+            (id, demand.tokens_per_s as f64)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/view_notices.rs
@@ -0,0 +1,126 @@
+//! Views of the store that instances tell each other.
+
+use std::sync::Arc;
+
+use hawthornquay_decisions::{DomainName, InstanceId};
+use hawthornquay_instances::{Notice, PeerAddress, ViewRequest, ViewUpdate};
+use hawthornquay_traffic::{RoutedInstance, ServerListing};
+
+use crate::{
+    ControlPlane, Dialect, Gateway, InstanceListing,
+    gateway::now,
+    wire_views::{
+        backend_entry, instance_entry, millis, routed_instance, server_record, time_before,
+    },
+};
+
+/// Returns the parts of the own view that are newer than what `request` says the other has.
+pub(crate) fn newer_view<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    request: &ViewRequest,
+) -> ViewUpdate {
+    let time = now();
+    let mut update = ViewUpdate::default();
+    {
+        let operators = gateway.operators.lock();
+        if operators.revision() > request.operator_revision {
+            update.operator_revision = operators.revision();
+            update.operator_age_ms = operators.age(time).map_or(u64::MAX, millis);
+            update.evacuated = operators
+                .evacuated()
+                .iter()
+                .map(ToString::to_string)
+                .collect();
+        }
+        update.configuration_version = operators.version();
+    }
+    if update.configuration_version > request.configuration_version {
+        update.configuration = gateway.document.lock().clone().unwrap_or_default();
+    }
+    {
+        let servers = gateway.servers.lock();
+        if servers.revision() > request.servers_revision {
+            let listing = servers.listing(time);
+            update.servers_revision = listing.revision;
+            update.servers_age_ms = servers.age(time).map_or(u64::MAX, millis);
+            update.servers = listing.servers.iter().map(server_record).collect();
+        }
+    }
+    let instances = gateway.instances.lock();
+    update.instances_revision = instances.revision();
+    update.instances = instances.all().iter().map(instance_entry).collect();
+    update
+}
+
+/// Answers a question for a newer view.
+pub(crate) async fn answer_request<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    from: &InstanceId,
+    request: &ViewRequest,
+) {
+    let receiver = gateway.instances.lock().get(&from.name).cloned();
+    if let Some(receiver) = receiver {
+        let update = newer_view(gateway, request);
+        send(gateway, &receiver, Notice::ViewUpdate(update)).await;
+    }
+}
+
+/// Takes over a view of another instance.
+pub(crate) async fn take_update<C: ControlPlane, D: Dialect>(
+    gateway: &Arc<Gateway<C, D>>,
+    from: &InstanceId,
+    update: &ViewUpdate,
+) {
+    let time = now();
+    let source = from.name.as_str();
+    if !update.configuration.is_empty() {
+        gateway.take_configuration(update.configuration.clone(), source);
+    }
+    if update.operator_revision > 0 {
+        let evacuated = update.evacuated.iter().map(|name| DomainName::new(name));
+        gateway.take_evacuated(update.operator_revision, evacuated.collect(), source);
+        // The orders are known up to the revision only together with the configuration.
+        if gateway.operators.lock().version() >= update.configuration_version {
+            let read_at = time_before(time, update.operator_age_ms);
+            gateway
+                .operators
+                .lock()
+                .confirm(update.operator_revision, read_at);
+        }
+    }
+    if update.servers_revision > 0 {
+        let listing = ServerListing {
+            revision: update.servers_revision,
+            servers: update.servers.iter().filter_map(backend_entry).collect(),
+        };
+        gateway.take_servers(time_before(time, update.servers_age_ms), &listing, source);
+    }
+    if update.instances_revision > 0 {
+        let listing = InstanceListing {
+            revision: update.instances_revision,
+            instances: update
+                .instances
+                .iter()
+                .filter_map(routed_instance)
+                .collect(),
+        };
+        gateway.take_instances(listing, source);
+    }
+}
+
+/// Sends a notice, with a line in the log if the instance cannot be reached.
+pub(crate) async fn send<C: ControlPlane, D: Dialect>(
+    gateway: &Gateway<C, D>,
+    receiver: &RoutedInstance,
+    notice: Notice,
+) {
+    let address = PeerAddress {
+        name: receiver.id.name.clone(),
+        address: receiver.peers,
+        incarnation: None,
+    };
+    if let Err(error) = gateway.links.send(&address, notice).await {
+        slog::debug!(gateway.log.links, "notice not sent";
+            "to" => receiver.id.name.as_str(), "error" => %error);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/views.rs
@@ -0,0 +1,147 @@
+//! Changes of what the process believes about the store.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hawthornquay_decisions::{DomainName, MonotonicTime};
+use hawthornquay_http::ServerLimits;
+use hawthornquay_traffic::{Configuration, RoutedInstance, ServerListing};
+
+use crate::{
+    ControlPlane, Dialect, Gateway, InstanceListing, OperatorOrders, OrderChanges, gateway::now,
+};
+
+/// Room beside the largest head that callers may send: the request line.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
+
+impl<C: ControlPlane, D: Dialect> Gateway<C, D> {
+    /// Takes over all orders of the operators, read at `read_at`; `source` is for the log.
+    pub(crate) fn take_orders(&self, read_at: MonotonicTime, orders: OperatorOrders, source: &str) {
+        if let Some(document) = orders.configuration {
+            self.take_configuration(document, source);
+        }
+        self.take_evacuated(orders.revision, orders.evacuated, source);
+        self.operators.lock().confirm(orders.revision, read_at);
+    }
+
+    /// Takes over changes of the operators' orders that were read at `read_at`.
+    pub(crate) fn take_changes(&self, read_at: MonotonicTime, changes: OrderChanges) {
+        if let Some(document) = changes.configuration {
+            self.take_configuration(document, "store");
+        }
+        let mut evacuated: Vec<DomainName> = self.operators.lock().evacuated().to_vec();
+        for (domain, begins) in changes.evacuations {
+            evacuated.retain(|name| *name != domain);
+            if begins {
+                evacuated.push(domain);
+            }
+        }
+        self.take_evacuated(changes.revision, evacuated, "store");
+        self.operators.lock().confirm(changes.revision, read_at);
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is.
+    pub(crate) fn take_configuration(&self, document: Bytes, source: &str) {
+        let configuration = match self.control.read_configuration(&document) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                slog::error!(self.log.rollout, "configuration not understood, the last one stays";
+                    "source" => source, "error" => %error);
+                return;
+            }
+        };
+        let (version, routes) = (configuration.version, configuration.routes.len());
+        let before = {
+            let mut operators = self.operators.lock();
+            let before = operators.version();
+            if !operators.install(configuration) {
+                return;
+            }
+            before
+        };
+        *self.document.lock() = Some(document);
+        if let Some(configuration) = self.configuration() {
+            self.apply_configuration(&configuration);
+        }
+        slog::info!(self.log.rollout, "configuration in force";
+            "version" => version, "before" => before, "routes" => routes, "source" => source);
+        self.metrics.set_configuration_version(version);
+        self.view_changed.notify_one();
+    }
+
+    /// Takes over the list of backend servers that was read at `read_at`.
+    pub(crate) fn take_servers(
+        &self,
+        read_at: MonotonicTime,
+        listing: &ServerListing,
+        source: &str,
+    ) {
+        let configuration = self.configuration();
+        let (changes, count) = {
+            let mut servers = self.servers.lock();
+            let changes = servers.take_listing(now(), read_at, listing, configuration.as_deref());
+            (changes, servers.len())
+        };
+        if changes.is_empty() {
+            return;
+        }
+        slog::info!(self.log.routing, "backend servers changed";
+            "changes" => changes.join(", "), "revision" => listing.revision, "source" => source);
+        self.metrics.set_backend_servers(count);
+        self.view_changed.notify_one();
+    }
+
+    /// Takes over the list of instances.
+    pub(crate) fn take_instances(&self, listing: InstanceListing, source: &str) {
+        let names: Vec<String> = names(&listing.instances);
+        let revision = listing.revision;
+        let changed = self.instances.lock().take(revision, listing.instances);
+        if !changed {
+            return;
+        }
+        slog::info!(self.log.membership, "instances changed";
+            "instances" => names.join(", "), "revision" => revision, "source" => source);
+        self.view_changed.notify_one();
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.operators.lock().configuration().cloned()
+    }
+
+    pub(crate) fn take_evacuated(&self, revision: u64, evacuated: Vec<DomainName>, source: &str) {
+        let changed = self
+            .operators
+            .lock()
+            .set_evacuated(revision, evacuated.clone());
+        if !changed {
+            return;
+        }
+        let names: Vec<&str> = evacuated.iter().map(DomainName::as_str).collect();
+        slog::info!(self.log.rollout, "evacuated failure domains changed";
+            "evacuated" => names.join(", "), "revision" => revision, "source" => source);
+        self.servers.lock().evacuate(&evacuated);
+        self.view_changed.notify_one();
+    }
+
+    fn apply_configuration(&self, configuration: &Configuration) {
+        self.limits.lock().configure(now(), configuration);
+        let limits = ServerLimits {
+            // The timer for heads runs while a connection is idle, too.
+            header_timeout: configuration
+                .limits
+                .idle_timeout
+                .max(configuration.limits.header_timeout),
+            buffer_bytes: configuration.limits.header_bytes + REQUEST_LINE_BYTES,
+            ..ServerLimits::default()
+        };
+        self.caller_limits.send_replace(limits);
+    }
+}
+
+fn names(instances: &[RoutedInstance]) -> Vec<String> {
+    instances
+        .iter()
+        .map(|instance| instance.id.name.to_string())
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/wire_views.rs
@@ -0,0 +1,82 @@
+//! Views of the store in the form that instances exchange.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{InstanceId, MonotonicTime};
+use hawthornquay_instances::{InstanceEntry, ServerRecord, ServerUse};
+use hawthornquay_traffic::{BackendEntry, RoutedInstance, ServerUseRow};
+
+/// Returns a duration in whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the time that lies `age_ms` before `now`.
+pub(crate) fn time_before(now: MonotonicTime, age_ms: u64) -> MonotonicTime {
+    MonotonicTime(now.0.saturating_sub(age_ms.saturating_mul(1_000)))
+}
+
+pub(crate) fn server_record(entry: &BackendEntry) -> ServerRecord {
+    ServerRecord {
+        id: entry.id.to_string(),
+        service: entry.service.to_string(),
+        address: entry.address.to_string(),
+        domain: entry.domain.to_string(),
+        slots: entry.slots,
+        leaving: entry.leaving,
+        cold_ms: millis(entry.cold),
+        started_ms: entry.started_ms,
+    }
+}
+
+/// Reads a record; `None` if its address is malformed.
+pub(crate) fn backend_entry(record: &ServerRecord) -> Option<BackendEntry> {
+    Some(BackendEntry {
+        id: record.id.as_str().into(),
+        service: record.service.as_str().into(),
+        address: record.address.parse().ok()?,
+        domain: record.domain.as_str().into(),
+        slots: record.slots,
+        leaving: record.leaving,
+        cold: Duration::from_millis(record.cold_ms),
+        started_ms: record.started_ms,
+    })
+}
+
+pub(crate) fn instance_entry(instance: &RoutedInstance) -> InstanceEntry {
+    InstanceEntry {
+        name: instance.id.name.to_string(),
+        incarnation: instance.id.incarnation.0,
+        region: instance.region.to_string(),
+        domain: instance.domain.to_string(),
+        peers: instance.peers.to_string(),
+        callers: instance.callers.to_string(),
+    }
+}
+
+/// Reads an entry; `None` if an address is malformed.
+pub(crate) fn routed_instance(entry: &InstanceEntry) -> Option<RoutedInstance> {
+    Some(RoutedInstance {
+        id: InstanceId::new(&entry.name, entry.incarnation),
+        region: entry.region.as_str().into(),
+        domain: entry.domain.as_str().into(),
+        peers: entry.peers.parse().ok()?,
+        callers: entry.callers.parse().ok()?,
+    })
+}
+
+pub(crate) fn server_use(row: &ServerUseRow) -> ServerUse {
+    ServerUse {
+        server: row.id.to_string(),
+        requests: row.requests,
+        pending_tokens: row.pending_tokens,
+    }
+}
+
+pub(crate) fn use_row(server_use: &ServerUse) -> ServerUseRow {
+    ServerUseRow {
+        id: server_use.server.as_str().into(),
+        requests: server_use.requests,
+        pending_tokens: server_use.pending_tokens,
+    }
+}
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -12,7 +12,7 @@
 mod claim;
 mod claim_key;
 mod claim_leases;
-mod clock;
+use hawthornquay_clock as clock;
 mod command_accept;
 mod command_audit;
 mod command_authority;
