Take one lock at a time for the own status

Cause: a struct expression held the guard of the server table while it locked it again; every process stopped at its first status (gdb trace of a local run).

--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -4,7 +4,7 @@
 //! tells them the sums, and the leaders of other regions those of its own. No instance talks to
 //! all others.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::Arc;
 
 use hawthornquay_decisions::{
     InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName,
@@ -180,23 +180,23 @@
 fn own_status<C: ControlPlane, D: Dialect>(gateway: &Gateway<C, D>, time: MonotonicTime) -> Status {
     let request = view_request(gateway);
     let demands = gateway.limits.lock().publish(time);
+    let operator_age = gateway.operators.lock().age(time);
+    // One lock at a time: in the expression below, a guard would last to its end.
+    let (servers_age, uses) = {
+        let servers = gateway.servers.lock();
+        (servers.age(time), servers.own_uses())
+    };
     Status {
         region: gateway.settings.region.to_string(),
         domain: gateway.settings.domain.to_string(),
-        leaving: gateway.leaving.load(Ordering::Relaxed),
+        leaving: gateway.is_leaving(),
         configuration_version: request.configuration_version,
         operator_revision: request.operator_revision,
-        operator_age_ms: gateway.operators.lock().age(time).map_or(u64::MAX, millis),
+        operator_age_ms: operator_age.map_or(u64::MAX, millis),
         servers_revision: request.servers_revision,
-        servers_age_ms: gateway.servers.lock().age(time).map_or(u64::MAX, millis),
+        servers_age_ms: servers_age.map_or(u64::MAX, millis),
         demands: wire_demands(demands.iter().map(|(id, rate)| (id, *rate))),
-        uses: gateway
-            .servers
-            .lock()
-            .own_uses()
-            .iter()
-            .map(server_use)
-            .collect(),
+        uses: uses.iter().map(server_use).collect(),
         ..Status::default()
     }
 }
