Leave held servers out of the list for other instances

An instance whose store had been away holds missing entries for 2.4 s and passed them on; instances that knew them as gone took them in again. Ruled out: late polling (removal was seen after 0.6 s). Held entries are now left out of relayed lists.

--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -31,6 +31,9 @@
     cold: ColdGate,
     latency: LatencyModel,
     prefixes: PrefixMemory,
+    /// Whether the entry is missing from the list and only held until its server had time to
+    /// register again.
+    held: bool,
 }
 
 /// Work at one backend server, as instances tell each other.
@@ -52,7 +55,6 @@
     evacuated: Set<DomainName>,
     read_at: Option<MonotonicTime>,
     returned_at: Option<MonotonicTime>,
-    left: Map<BackendName, u64>,
 }
 
 impl ServerTable {
@@ -94,25 +96,26 @@
         let keep_missing = self
             .returned_at
             .is_some_and(|at| now.since(at) < RETURN_GRACE);
-        if !keep_missing {
-            let listed: Set<&BackendName> = listing.servers.iter().map(|s| &s.id).collect();
-            self.servers.retain(|id, _| {
-                let kept = listed.contains(id);
-                if !kept {
-                    changes.push(format!("{id} gone"));
-                }
-                kept
-            });
-            self.left.retain(|id, _| listed.contains(id));
-        }
+        let listed: Set<&BackendName> = listing.servers.iter().map(|s| &s.id).collect();
+        self.servers.retain(|id, server| {
+            server.held = !listed.contains(id);
+            if server.held && !keep_missing {
+                changes.push(format!("{id} gone"));
+            }
+            !server.held || keep_missing
+        });
         changes
     }
 
     /// Returns the list for instances that cannot read the store.
+    ///
+    /// Servers that are missing from the store's list are left out, since the others may know that
+    /// they are gone.
     pub fn listing(&self, now: MonotonicTime) -> ServerListing {
         let servers = self
             .servers
             .values()
+            .filter(|server| !server.held)
             .map(|server| BackendEntry {
                 cold: server.cold.left(now),
                 ..server.entry.clone()
@@ -367,6 +370,7 @@
             cold,
             latency: LatencyModel::new(engine),
             prefixes: PrefixMemory::default(),
+            held: false,
         };
         self.servers.insert(entry.id.clone(), server);
     }
