--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -32,6 +32,8 @@
     pub body: Bytes,
     /// Work that it asks for.
     pub work: Work,
+    /// Backend servers that may run it.
+    pub max_attempts: u32,
     /// Rank; zero is the most urgent.
     pub priority: u8,
     /// Number of the last event that the caller has of the stream.
--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -170,6 +170,7 @@
             .and_then(|terms| terms.priority)
             .unwrap_or(route.priority),
         organisation,
+        max_attempts: route.max_attempts,
         route,
         service,
         configuration,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -220,10 +220,7 @@
 
     fn note_peer_failure(&mut self, failure: &AttemptFailure, peer: &InstanceName) {
         self.avoid_peers.push(peer.clone());
-        if matches!(failure.cause, AttemptCause::Error(_)) {
-            // The instance has made all attempts that the route allows.
-            self.arrivals = self.call.route.max_attempts;
-        } else if failure.execution != Execution::NotRun {
+        if failure.execution != Execution::NotRun {
             self.arrivals += 1;
         }
     }
@@ -285,7 +282,7 @@
 
     /// Returns how long an attempt may take until its answer begins.
     fn patience(&self, left: Duration, expected: Duration) -> Duration {
-        if !self.call.route.rule.is_repeatable() || self.call.route.max_attempts < 2 {
+        if !self.call.route.rule.is_repeatable() || self.call.max_attempts < 2 {
             return left;
         }
         let usual = self.call.route.target.max(expected).mul_f64(PATIENCE);
@@ -333,7 +330,7 @@
             return !failure.arrived || self.gateway.spend_retry(service);
         }
         self.call.route.rule.is_repeatable()
-            && self.arrivals < self.call.route.max_attempts
+            && self.arrivals < self.call.max_attempts
             && self.gateway.spend_retry(service)
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -101,7 +101,7 @@
             servers: Mutex::default(),
             instances: Mutex::default(),
             board: Mutex::default(),
-            limits: Mutex::default(),
+            limits: Mutex::new(OrganisationLimits::new(settings.limit_slack)),
             members: Mutex::default(),
             retries: Mutex::default(),
             links: LinkPool::new(local.clone()),
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -175,6 +175,8 @@
             .collect(),
         // Events are numbered from one, so zero stands for none.
         last_event: last_event.unwrap_or(0),
+        // The sender keeps the other attempts, so that it counts them all.
+        attempts_left: 1,
         ..Forward::default()
     }
 }
--- a/crates/gateway/src/peer_gateway.rs
+++ b/crates/gateway/src/peer_gateway.rs
@@ -140,6 +140,10 @@
                 })
                 .collect(),
         },
+        max_attempts: match request.attempts_left {
+            0 => route.max_attempts,
+            left => route.max_attempts.min(left),
+        },
         priority,
         last_event: (request.last_event > 0).then_some(request.last_event),
         arrived,
--- a/crates/instances/src/forward.rs
+++ b/crates/instances/src/forward.rs
@@ -62,4 +62,7 @@
     /// Number of the last event that the caller has; zero for a new stream.
     #[prost(uint64, tag = "19")]
     pub last_event: u64,
+    /// Backend servers that may run the request from here on; zero leaves that to the receiver.
+    #[prost(uint32, tag = "20")]
+    pub attempts_left: u32,
 }
--- a/crates/operators/src/gateway_settings.rs
+++ b/crates/operators/src/gateway_settings.rs
@@ -42,6 +42,8 @@
     pub retry_ratio: f64,
     /// Retries that the fleet may make beyond those.
     pub retry_slack: u32,
+    /// Tokens by which the fleet may exceed an organisation's burst.
+    pub limit_slack: u64,
     /// Longest time from the order to stop to the end of the process.
     pub grace: Duration,
     /// Logging.
--- a/crates/operators/src/gateway_settings_reader.rs
+++ b/crates/operators/src/gateway_settings_reader.rs
@@ -15,8 +15,8 @@
     },
 };
 
-const SECTIONS: [&str; 8] = [
-    "instance", "status", "places", "store", "routing", "retries", "stop", "log",
+const SECTIONS: [&str; 9] = [
+    "instance", "status", "places", "store", "routing", "retries", "limits", "stop", "log",
 ];
 
 /// Reads the sections and records every fault.
@@ -43,7 +43,7 @@
     let (instance, status) = (required("instance"), required("status"));
     let (places, store) = (required("places"), required("store"));
     let (routing, retries) = (required("routing"), required("retries"));
-    let stop = required("stop");
+    let (limits, stop) = (required("limits"), required("stop"));
 
     let mut seen = Set::default();
     let instance = instance.and_then(|section| {
@@ -103,6 +103,11 @@
             Some((ratio?, slack?))
         })
     });
+    let limit_slack = limits.and_then(|section| {
+        read_section(section, faults, |reader, faults| {
+            reader.number_or("slack_tokens", 0, faults)
+        })
+    });
     let grace = stop.and_then(|section| {
         read_section(section, faults, |reader, faults| {
             let seconds = reader.positive::<u64>("grace_s", faults)?;
@@ -130,6 +135,7 @@
         send_away_margin,
         retry_ratio,
         retry_slack,
+        limit_slack: limit_slack?,
         grace: grace?,
         log: log?,
     })
--- a/crates/traffic/src/organisation_limits.rs
+++ b/crates/traffic/src/organisation_limits.rs
@@ -19,6 +19,13 @@
 /// before it.
 const INITIAL_LEVEL: f64 = 0.3;
 
+/// Part of the fleet's slack that the instances use; the rest covers requests that are larger than
+/// what a share may hold, and differing views of how many instances there are.
+const SLACK_PART: f64 = 0.6;
+
+/// Share with which a process begins that knows no other instance yet.
+const UNKNOWN_SHARE: f64 = 0.1;
+
 /// Time during which the highest known demand counts; equals the propagation time of demands.
 const TOTAL_MEMORY: Duration = Duration::from_millis(1_500);
 
@@ -35,21 +42,34 @@
     demand: DemandHistory,
     totals: VecDeque<(MonotonicTime, f64)>,
     share: f64,
+    slack: f64,
 }
 
 /// Admission of requests within the rates of their organisations.
-#[derive(Default)]
 pub struct OrganisationLimits {
     accounts: Map<OrganisationId, Account>,
     instances: usize,
+    slack: f64,
 }
 
 impl OrganisationLimits {
+    /// Builds the admission of a fleet that may exceed each organisation's burst by `slack` tokens.
+    pub fn new(slack: u64) -> Self {
+        Self {
+            accounts: Map::default(),
+            instances: 0,
+            slack: slack as f64 * SLACK_PART,
+        }
+    }
+
     /// Takes over the rates of a configuration.
     pub fn configure(&mut self, now: MonotonicTime, configuration: &Configuration) {
         self.accounts
             .retain(|id, _| configuration.organisations.contains_key(id));
-        let even = 1.0 / self.instances.max(1) as f64;
+        let (share, slack) = match self.instances {
+            0 => (UNKNOWN_SHARE, 0.0),
+            instances => (1.0 / instances as f64, self.slack / instances as f64),
+        };
         for (id, terms) in &configuration.organisations {
             match self.accounts.get_mut(id) {
                 Some(account) => {
@@ -57,7 +77,7 @@
                     account.apply_share(now);
                 }
                 None => {
-                    let account = Account::new(now, terms.clone(), even);
+                    let account = Account::new(now, terms.clone(), share, slack);
                     self.accounts.insert(id.clone(), account);
                 }
             }
@@ -114,6 +134,7 @@
         let first = self.instances == 0;
         self.instances = fleet.instances.max(1);
         for (id, account) in &mut self.accounts {
+            account.slack = self.slack / self.instances as f64;
             let total = fleet.totals.get(id).copied().unwrap_or(0.0);
             account.adapt(now, total, self.instances, fleet.complete, first);
         }
@@ -121,8 +142,8 @@
 }
 
 impl Account {
-    fn new(now: MonotonicTime, terms: Arc<OrganisationTerms>, share: f64) -> Self {
-        let capacity = terms.burst.max(1) as f64 * share;
+    fn new(now: MonotonicTime, terms: Arc<OrganisationTerms>, share: f64, slack: f64) -> Self {
+        let capacity = terms.burst.max(1) as f64 * share + slack;
         let bucket = TokenBucket::new(
             now,
             terms.rate as f64 * share,
@@ -135,6 +156,7 @@
             demand: DemandHistory::default(),
             totals: VecDeque::new(),
             share,
+            slack,
         }
     }
 
@@ -176,8 +198,8 @@
     }
 
     fn apply_share(&mut self, now: MonotonicTime) {
-        let burst = self.terms.burst.max(1) as f64;
-        self.bucket
-            .set_terms(now, self.terms.rate as f64 * self.share, burst * self.share);
+        let rate = self.terms.rate as f64 * self.share;
+        let capacity = self.terms.burst.max(1) as f64 * self.share + self.slack;
+        self.bucket.set_terms(now, rate, capacity);
     }
 }
