Take requests for a shorter time after the order to stop

A stream taken 3.06 s after SIGTERM was cut at the end of the grace period; only those sent within 3 s may be. The instance now stops taking requests after 2.6 s (3.2 s before).

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -23,9 +23,9 @@
     status_notices::send_leaving, tasks::spawn_tasks,
 };
 
-/// Time for which a stopping instance still takes requests: callers learn the others' addresses
-/// within it.
-const FAREWELL: Duration = Duration::from_millis(3_200);
+/// Time for which a stopping instance still takes requests. Callers learn the others' addresses
+/// within it, and what is taken later has too little of the grace period left.
+const FAREWELL: Duration = Duration::from_millis(2_600);
 
 /// Time before the end of the grace period at which the process ends by itself.
 const MARGIN: Duration = Duration::from_millis(400);
