Do not take a lost answer for an unreachable server

Only a failed connection pauses a server now; silence and broken answers count in its share of failures. The line of a request says why nothing was chosen.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -202,8 +202,12 @@
                     }
                     opened.map(|(head, attempt)| (head, Attempt::Peer(attempt)))
                 }
-                Choice::Unavailable => return Err(self.refuse_unavailable()),
+                Choice::Unavailable => {
+                    self.trail.push_str("no-server ");
+                    return Err(self.refuse_unavailable());
+                }
                 Choice::Overloaded { expected } => {
+                    let _ = write!(self.trail, "overloaded~{}ms ", expected.as_millis());
                     return Err(self.refuse_overloaded(expected));
                 }
             };
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -111,10 +111,12 @@
         let kind = match failure.cause {
             AttemptCause::WrongServer => return servers.misplace(&self.pick.id),
             AttemptCause::Rejected | AttemptCause::Peer { .. } => return,
-            AttemptCause::Unreachable | AttemptCause::Silent => ServerFailure::Unreachable,
-            AttemptCause::Broken | AttemptCause::Garbled | AttemptCause::Error(_) => {
-                ServerFailure::BadAnswer
-            }
+            AttemptCause::Unreachable => ServerFailure::Unreachable,
+            // A lost or late answer does not show that the server is gone.
+            AttemptCause::Silent
+            | AttemptCause::Broken
+            | AttemptCause::Garbled
+            | AttemptCause::Error(_) => ServerFailure::BadAnswer,
         };
         servers.fail(now(), &self.pick.id, kind, &call.configuration);
     }
