--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -2,7 +2,8 @@
 //!
 //! The regions' peaks are offset, and none can carry its own. A request stays at home while it is
 //! expected on time there, and otherwise goes where the first part of its answer comes soonest,
-//! the path included. One that cannot be answered before its deadline is refused at once.
+//! the path included. One that would come far too late is refused at once, so that the queues of an
+//! overload stay short and those admitted are on time.
 
 use std::time::Duration;
 
@@ -18,6 +19,10 @@
 /// Part of the time left that a predicted answer may take; later ones are refused.
 const LATEST: f64 = 0.95;
 
+/// Multiple of the expected time to the answer up to which requests are admitted. Beyond it, a
+/// longer queue makes all answers late and serves none more.
+const QUEUE_LIMIT: f64 = 1.25;
+
 /// Terms of the choice between regions.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementTerms<'a> {
@@ -82,7 +87,11 @@
         Choice::Region { expected, .. } => *expected,
         Choice::Unavailable | Choice::Overloaded { .. } => return choice,
     };
-    if expected > req.time_left.mul_f64(LATEST) {
+    let latest = req
+        .time_left
+        .mul_f64(LATEST)
+        .min(req.target.mul_f64(QUEUE_LIMIT));
+    if expected > latest {
         return Choice::Overloaded { expected };
     }
     choice
