--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -5,8 +5,8 @@
 use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
 
 use crate::{
-    BackendEntry, ColdGate, Configuration, LatencyModel, PlacementRequest, PrefixMemory,
-    ReportedLoad, ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick,
+    BackendEntry, ColdGate, Configuration, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
+    PrefixMemory, ReportedLoad, ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick,
     ServiceReport, cold_gate::COLD_SENDERS, stable_hash,
 };
 
@@ -21,6 +21,10 @@
 /// all streams of the engine.
 const COMFORT: f64 = 0.8;
 
+/// Weight of the time to read a shared prefix again, beyond the time itself: it is also taken from
+/// the requests behind.
+const REREAD_WEIGHT: f64 = 2.0;
+
 /// Penalty of a server for each certain failure, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
 
@@ -436,7 +440,13 @@
         } else {
             0.0
         };
+        let reread = if cached {
+            0.0
+        } else {
+            REREAD_WEIGHT * req.work.shared_tokens() as f64 / PREFILL_TOKENS_PER_MS
+        };
         let score = expected
+            + reread
             + crowded
             + crowding * 5.0
             + self.health.failure_share(now) * FAILURE_PENALTY_MS;
