--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -203,7 +203,7 @@
                     opened.map(|(head, attempt)| (head, Attempt::Peer(attempt)))
                 }
                 Choice::Unavailable => {
-                    self.trail.push_str("no-server ");
+                    self.note_unavailable();
                     return Err(self.refuse_unavailable());
                 }
                 Choice::Overloaded { expected } => {
@@ -222,6 +222,17 @@
         }
     }
 
+    /// Notes what kept every region from taking the request.
+    fn note_unavailable(&mut self) {
+        let time = now();
+        self.trail.push_str("no-server ");
+        let board = self.gateway.board.lock();
+        for name in &self.call.allowed {
+            let known = board.describe(time, name, &self.call.service);
+            let _ = write!(self.trail, "{name}:{known} ");
+        }
+    }
+
     fn note_peer_failure(&mut self, failure: &AttemptFailure, peer: &InstanceName) {
         self.avoid_peers.push(peer.clone());
         if failure.execution != Execution::NotRun {
--- a/crates/traffic/src/region_board.rs
+++ b/crates/traffic/src/region_board.rs
@@ -82,6 +82,25 @@
         Some(report)
     }
 
+    /// Describes for the log what is known of a service in a region.
+    pub fn describe(&self, now: MonotonicTime, name: &RegionName, service: &ServiceName) -> String {
+        let Some(region) = self.regions.get(name) else {
+            return "unheard".to_owned();
+        };
+        let age = now.since(region.reported_at).as_millis();
+        let servers = region
+            .report
+            .services
+            .get(service)
+            .map_or(0, |report| report.servers);
+        let paused = if now < region.paused_until {
+            ",paused"
+        } else {
+            ""
+        };
+        format!("{servers}servers,{age}ms{paused}")
+    }
+
     /// Adds up the demand over `regions`, those that have instances.
     pub fn fleet_demand(
         &self,
