Pause the instance that cannot be reached, not its region

Ruled out: stale reports (under 2.5 s old in most lines). The instance is now passed over for 2 s and another of its region takes the request.

--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -66,15 +66,14 @@
         };
         if let Err(AttemptFailure {
             cause:
-                AttemptCause::Silent
-                | AttemptCause::Peer {
+                AttemptCause::Peer {
                     code: RefusalCode::PeerUnreachable,
                     ..
                 },
             ..
         }) = &opened
         {
-            gateway.board.lock().fail(now(), region);
+            gateway.instances.lock().fail(now(), &receiver.id.name);
         }
         opened
     }
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -9,12 +9,17 @@
 /// Silence of an instance of the own region after which callers are not sent to it.
 const SILENT_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Pause after an instance could not be reached; opening a link to one that is cut off takes most
+/// of a second each time.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(2_000);
+
 /// Most addresses in one answer to callers.
 const MOST_ADDRESSES: usize = 64;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
     heard: Option<MonotonicTime>,
+    paused_until: MonotonicTime,
     leaving: bool,
     incarnation: u64,
 }
@@ -56,12 +61,19 @@
         let contact = self.contacts.entry(name.clone()).or_default();
         *contact = Contact {
             heard: Some(now),
+            paused_until: contact.paused_until,
             // An instance that leaves does not return, but for a new process of its name.
             leaving: leaving || (contact.leaving && contact.incarnation == incarnation),
             incarnation,
         };
     }
 
+    /// Notes that an instance could not be reached.
+    pub fn fail(&mut self, now: MonotonicTime, name: &InstanceName) {
+        let contact = self.contacts.entry(name.clone()).or_default();
+        contact.paused_until = now + UNREACHABLE_PAUSE;
+    }
+
     /// Returns the instances of the list.
     pub fn all(&self) -> &[RoutedInstance] {
         &self.listed
@@ -108,12 +120,17 @@
     /// stays open. `avoid` names instances that failed the request.
     pub fn receiver_in(
         &self,
+        now: MonotonicTime,
         region: &RegionName,
         sender: &InstanceName,
         avoid: &[InstanceName],
     ) -> Option<&RoutedInstance> {
         self.staying_in(region)
             .filter(|instance| !avoid.contains(&instance.id.name))
+            .filter(|instance| {
+                let contact = self.contacts.get(&instance.id.name);
+                contact.is_none_or(|contact| now >= contact.paused_until)
+            })
             .max_by_key(|instance| stable_hash(&[sender.as_str(), instance.id.name.as_str()]))
     }
 
