--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,101 @@
+//! Guards against events that are lost, joined or taken for whole, and against headers of one
+//! connection that reach the next.
+
+use hawthornquay_decisions::RegionName;
+use hawthornquay_gateway::{EventReader, LineBudget, allowed_regions, strip_hop_headers};
+use http::{HeaderMap, HeaderValue};
+
+fn events(parts: &[&[u8]]) -> (Vec<(String, Option<u64>)>, bool) {
+    let mut reader = EventReader::default();
+    let mut found = Vec::new();
+    for part in parts {
+        assert!(reader.push(part));
+        while let Some(event) = reader.next_event() {
+            let raw = String::from_utf8(event.raw.to_vec()).unwrap();
+            found.push((raw, event.id));
+        }
+    }
+    (found, reader.has_rest())
+}
+
+/// Guards against events that depend on how the bytes were split.
+#[test]
+fn next_event_any_split_gives_the_same_events() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n";
+    let whole = events(&[stream]);
+    assert_eq!(whole.0.len(), 3);
+    assert_eq!(whole.0[0].1, Some(1));
+    assert_eq!(whole.0[1].1, Some(2));
+    assert_eq!(whole.0[2].1, None);
+    assert!(!whole.1);
+    for at in 1..stream.len() {
+        assert_eq!(events(&[&stream[..at], &stream[at..]]), whole, "{at}");
+    }
+}
+
+/// Guards against half an event being delivered when a stream breaks off.
+#[test]
+fn next_event_unfinished_event_is_a_rest() {
+    let (found, rest) = events(&[b"id: 1\ndata: a\n\nid: 2\ndata:"]);
+    assert_eq!(found.len(), 1);
+    assert!(rest);
+}
+
+/// Guards against a sender that fills the memory with one event.
+#[test]
+fn push_endless_event_is_refused() {
+    let mut reader = EventReader::default();
+    let part = vec![b'x'; 300 << 10];
+    assert!((0..4).any(|_| !reader.push(&part)));
+}
+
+/// Guards against headers of one connection, named or known, on the next.
+#[test]
+fn strip_hop_headers_removes_named_and_known_ones() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, X-Private"),
+        ("x-private", "1"),
+        ("keep-alive", "timeout=5"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "3"),
+        ("te", "trailers"),
+        ("x-kept", "1"),
+    ] {
+        headers.append(name, HeaderValue::from_static(value));
+    }
+    strip_hop_headers(&mut headers);
+    assert_eq!(
+        headers.keys().map(|name| name.as_str()).collect::<Vec<_>>(),
+        ["x-kept"]
+    );
+}
+
+/// Guards against a request that may run where only one of its route and its organisation allows.
+#[test]
+fn allowed_regions_both_homes_bind() {
+    let all: Vec<RegionName> = ["a", "b", "c"].map(RegionName::new).to_vec();
+    let homes = |names: &[&str]| names.iter().map(|n| RegionName::new(n)).collect::<Vec<_>>();
+    assert_eq!(allowed_regions(&all, &[], &[]), all);
+    assert_eq!(
+        allowed_regions(&all, &homes(&["a", "b"]), &[]),
+        homes(&["a", "b"])
+    );
+    assert_eq!(
+        allowed_regions(&all, &homes(&["a", "b"]), &homes(&["b", "c"])),
+        homes(&["b"])
+    );
+    assert!(allowed_regions(&all, &homes(&["a"]), &homes(&["c"])).is_empty());
+}
+
+/// Guards against a log that grows with the load, or leaves lines out without saying so.
+#[test]
+fn take_overload_counts_the_lines_left_out() {
+    let budget = LineBudget::default();
+    let second = |s: u64| hawthornquay_decisions::MonotonicTime::from_millis(1_000 * s);
+    let written = (0..5_000)
+        .filter(|_| budget.take(second(1)).is_some())
+        .count();
+    assert_eq!(written, 300);
+    assert_eq!(budget.take(second(2)), Some(4_700));
+}
--- /dev/null
+++ b/crates/traffic/tests/placement.rs
@@ -0,0 +1,320 @@
+//! Guards against requests that wait, or are refused, where another place would serve them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Asker, at, listing, regions, server, work};
+use hawthornquay_decisions::{BackendName, InstanceName, Map, RegionName, ServiceName, Set};
+use hawthornquay_traffic::{
+    Choice, PlacementTerms, RegionBoard, RegionReport, ServerFailure, ServerTable, ServiceReport,
+    Work, place,
+};
+
+fn table(servers: &[(&str, &str)]) -> ServerTable {
+    let entries: Vec<_> = servers
+        .iter()
+        .map(|(id, domain)| server(id, domain))
+        .collect();
+    let mut table = ServerTable::default();
+    let asker = Asker::default();
+    table.take_listing(
+        at(0),
+        at(0),
+        &listing(1, &entries),
+        Some(&asker.configuration),
+    );
+    table
+}
+
+fn report(wait_ms: u64) -> RegionReport {
+    let report = ServiceReport {
+        servers: 4,
+        free_slots: 100,
+        wait: Duration::from_millis(wait_ms),
+    };
+    RegionReport {
+        demands: Map::default(),
+        services: [(ServiceName::new("llm"), report)].into_iter().collect(),
+    }
+}
+
+struct Regions {
+    home: RegionName,
+    allowed: Vec<RegionName>,
+    board: RegionBoard,
+}
+
+impl Regions {
+    fn new(remote_wait_ms: u64) -> Self {
+        let mut board = RegionBoard::default();
+        board.take(&RegionName::new("far"), at(0), report(remote_wait_ms));
+        Self {
+            home: RegionName::new("home"),
+            allowed: regions(&["far", "home"]),
+            board,
+        }
+    }
+
+    fn place(&self, now_ms: u64, asker: &Asker, work: &Work, table: &mut ServerTable) -> Choice {
+        let terms = PlacementTerms {
+            home: &self.home,
+            allowed: &self.allowed,
+            may_leave: true,
+            round_trip: Duration::from_millis(110),
+            margin: Duration::from_millis(40),
+        };
+        place(at(now_ms), &asker.request(work), &terms, table, &self.board)
+    }
+}
+
+/// Fills a server with unread prompts.
+fn load(table: &mut ServerTable, asker: &Asker, requests: usize) {
+    for n in 0..requests {
+        let work = work(n as u64, 0, 12_000);
+        let pick = table.pick(at(1), &asker.request(&work)).unwrap();
+        table.start(at(1), &pick, None);
+    }
+}
+
+/// Pattern: peaks of regions are offset, and the own region is over its capacity.
+#[test]
+fn place_own_peak_goes_to_the_idle_region() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    let regions = Regions::new(80);
+    let short = work(7, 500, 1_500);
+    assert!(matches!(
+        regions.place(2, &asker, &short, &mut table),
+        Choice::Server(_)
+    ));
+    load(&mut table, &asker, 8);
+    let choice = regions.place(2, &asker, &short, &mut table);
+    assert!(
+        matches!(&choice, Choice::Region { name, .. } if name.as_str() == "far"),
+        "{choice:?}"
+    );
+}
+
+/// Pattern: all regions are over their capacity; a queue would make everything late.
+#[test]
+fn place_overload_everywhere_is_refused_at_once() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    load(&mut table, &asker, 20);
+    let choice = Regions::new(2_000).place(2, &asker, &work(7, 500, 1_500), &mut table);
+    assert!(matches!(choice, Choice::Overloaded { .. }), "{choice:?}");
+}
+
+/// Guards against a request that is sent away for a gain within the noise of the predictions.
+#[test]
+fn place_small_gain_stays_at_home() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    load(&mut table, &asker, 5);
+    let choice = Regions::new(600).place(2, &asker, &work(7, 500, 1_500), &mut table);
+    assert!(matches!(choice, Choice::Server(_)), "{choice:?}");
+}
+
+/// Guards against requests that run outside their homes.
+#[test]
+fn place_home_elsewhere_never_runs_here() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    let mut regions = Regions::new(80);
+    regions.allowed = common::regions(&["far"]);
+    let choice = regions.place(2, &asker, &work(7, 500, 1_500), &mut table);
+    assert!(matches!(choice, Choice::Region { .. }), "{choice:?}");
+    regions.allowed = common::regions(&["elsewhere"]);
+    let choice = regions.place(2, &asker, &work(7, 500, 1_500), &mut table);
+    assert_eq!(choice, Choice::Unavailable);
+}
+
+/// Pattern: the own region is evacuated at its peak.
+#[test]
+fn place_evacuated_region_sends_everything_away() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    table.evacuate(&["home-a".into()]);
+    let choice = Regions::new(80).place(2, &asker, &work(7, 500, 1_500), &mut table);
+    assert!(matches!(choice, Choice::Region { .. }), "{choice:?}");
+}
+
+/// Guards against all instances sending to a region whose report is old.
+#[test]
+fn offer_old_report_is_not_used() {
+    let regions = Regions::new(80);
+    let far = RegionName::new("far");
+    let llm = ServiceName::new("llm");
+    assert!(regions.board.offer(at(2_000), &far, &llm).is_some());
+    assert!(regions.board.offer(at(3_000), &far, &llm).is_none());
+}
+
+/// Guards against a burst that floods one region between two of its reports.
+#[test]
+fn offer_counts_what_was_sent_since_the_report() {
+    let mut regions = Regions::new(80);
+    let (far, llm) = (RegionName::new("far"), ServiceName::new("llm"));
+    let before = regions.board.offer(at(1), &far, &llm).unwrap().wait;
+    for _ in 0..20 {
+        regions.board.send(&far, &llm, 12_000);
+    }
+    let after = regions.board.offer(at(1), &far, &llm).unwrap().wait;
+    assert!(after > before + Duration::from_millis(400), "{after:?}");
+}
+
+/// Guards against shared prompts that are read again on each server.
+#[test]
+fn pick_shared_prefix_goes_to_one_server() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a"), ("s2", "home-a"), ("s3", "home-b")]);
+    let mut chosen: Set<BackendName> = Set::default();
+    for _ in 0..6 {
+        let work = work(42, 4_000, 500);
+        let pick = table.pick(at(5), &asker.request(&work)).unwrap();
+        table.start(at(5), &pick, work.shared_prefix());
+        table.answer(&pick, Some(Duration::from_millis(80)));
+        chosen.insert(pick.id);
+    }
+    assert_eq!(chosen.len(), 1);
+}
+
+/// Guards against a prefix that keeps all requests on a server that is full.
+#[test]
+fn pick_shared_prefix_yields_to_load() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a"), ("s2", "home-a")]);
+    let mut chosen: Set<BackendName> = Set::default();
+    for _ in 0..12 {
+        let work = work(42, 4_000, 2_000);
+        let pick = table.pick(at(5), &asker.request(&work)).unwrap();
+        table.start(at(5), &pick, work.shared_prefix());
+        chosen.insert(pick.id);
+    }
+    assert_eq!(chosen.len(), 2);
+}
+
+/// Guards against a server that fails with good health taking its full part.
+#[test]
+fn pick_failing_server_is_passed_over() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a"), ("s2", "home-a")]);
+    let failing = BackendName::new("s1");
+    for _ in 0..5 {
+        table.fail(
+            at(5),
+            &failing,
+            ServerFailure::BadAnswer,
+            &asker.configuration,
+        );
+    }
+    for prefix in 0..10 {
+        let work = work(prefix, 1_000, 500);
+        let pick = table.pick(at(6), &asker.request(&work)).unwrap();
+        assert_eq!(pick.id.as_str(), "s2");
+    }
+}
+
+/// Guards against one lost answer that takes the only server of a region out of use.
+#[test]
+fn pick_lost_answer_keeps_the_only_server() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    let id = BackendName::new("s1");
+    table.fail(at(5), &id, ServerFailure::BadAnswer, &asker.configuration);
+    let work = work(1, 100, 100);
+    assert!(table.pick(at(6), &asker.request(&work)).is_some());
+    table.fail(at(7), &id, ServerFailure::Unreachable, &asker.configuration);
+    assert!(table.pick(at(8), &asker.request(&work)).is_none());
+}
+
+/// Guards against the instances of a region together sending a cold server more than it bears.
+#[test]
+fn pick_cold_server_gets_its_bound_over_all_instances() {
+    let members: Vec<InstanceName> = (0..4)
+        .map(|n| InstanceName::new(&format!("i{n}")))
+        .collect();
+    let mut cold = server("s1", "home-a");
+    cold.cold = Duration::from_secs(3);
+    let mut fleet: Vec<(Asker, ServerTable)> = members
+        .iter()
+        .map(|name| {
+            let asker = Asker {
+                instance: name.clone(),
+                members: members.clone(),
+                ..Asker::default()
+            };
+            let mut table = ServerTable::default();
+            let entries = listing(1, std::slice::from_ref(&cold));
+            table.take_listing(at(0), at(0), &entries, Some(&asker.configuration));
+            (asker, table)
+        })
+        .collect();
+    let work = work(1, 100, 100);
+    let mut sent: Vec<u64> = Vec::new();
+    for ms in (0..2_800).step_by(10) {
+        for (asker, table) in &mut fleet {
+            if let Some(pick) = table.pick(at(ms), &asker.request(&work)) {
+                table.start(at(ms), &pick, None);
+                sent.push(ms);
+            }
+        }
+    }
+    // The deployments' bound: 1.5 times the rate and 3 more in each second.
+    let bound = (4.6_f64 * 1.5 + 3.0) as usize;
+    for start in &sent {
+        let second = sent
+            .iter()
+            .filter(|ms| (*start..start + 1_000).contains(ms));
+        assert!(second.count() <= bound);
+    }
+    assert!(sent.len() >= 6, "{}", sent.len());
+}
+
+/// Guards against a leaving server that gets new work because a later list forgot its state.
+#[test]
+fn take_listing_leaving_server_stays_leaving() {
+    let asker = Asker::default();
+    let mut table = table(&[("s1", "home-a")]);
+    let mut leaving = server("s1", "home-a");
+    leaving.leaving = true;
+    table.take_listing(at(10), at(10), &listing(2, &[leaving]), None);
+    table.take_listing(at(20), at(20), &listing(3, &[server("s1", "home-a")]), None);
+    assert!(
+        table
+            .pick(at(21), &asker.request(&work(1, 0, 10)))
+            .is_none()
+    );
+    let mut restarted = server("s1", "home-a");
+    restarted.started_ms = 2;
+    table.take_listing(at(30), at(30), &listing(4, &[restarted]), None);
+    assert!(
+        table
+            .pick(at(31), &asker.request(&work(1, 0, 10)))
+            .is_some()
+    );
+}
+
+/// Guards against servers being dropped because their entries lapsed while the store was away,
+/// and against those that are gone being kept or told to others.
+#[test]
+fn take_listing_after_the_store_was_away_holds_missing_servers() {
+    let asker = Asker::default();
+    let request = work(1, 0, 10);
+    let mut table = table(&[("s1", "home-a")]);
+    table.take_listing(at(8_000), at(8_000), &listing(2, &[]), None);
+    assert!(table.pick(at(8_001), &asker.request(&request)).is_some());
+    assert!(table.listing(at(8_001)).servers.is_empty());
+    table.take_listing(at(10_500), at(10_500), &listing(3, &[]), None);
+    assert!(table.pick(at(10_501), &asker.request(&request)).is_none());
+}
+
+/// Guards against an older list that replaces a newer one.
+#[test]
+fn take_listing_older_revision_is_ignored() {
+    let mut table = ServerTable::default();
+    let entries = [server("s1", "home-a"), server("s2", "home-a")];
+    table.take_listing(at(0), at(0), &listing(9, &entries), None);
+    table.take_listing(at(5), at(5), &listing(8, &entries[..1]), None);
+    assert_eq!(table.len(), 2);
+}
