--- a/crates/traffic/src/token_bucket.rs
+++ b/crates/traffic/src/token_bucket.rs
@@ -4,6 +4,9 @@
 
 use hawthornquay_decisions::MonotonicTime;
 
+/// Part of the capacity that allows any cost.
+const DEBT_LEVEL: f64 = 0.5;
+
 /// Token bucket whose rate and capacity may change.
 #[derive(Clone, Copy, Debug)]
 pub struct TokenBucket {
@@ -34,15 +37,15 @@
 
     /// Spends `cost` tokens.
     ///
-    /// A cost above the capacity needs a full bucket and leaves a debt, since it could never be
-    /// spent otherwise.
+    /// A cost above half the capacity needs only a bucket that is half full, and may leave a debt:
+    /// shares of a fleet are often smaller than one request.
     ///
     /// # Errors
     ///
     /// Returns the time after which the bucket would allow it.
     pub fn spend(&mut self, now: MonotonicTime, cost: f64) -> Result<(), Duration> {
         self.accrue(now);
-        let needed = cost.min(self.capacity);
+        let needed = cost.min(self.capacity * DEBT_LEVEL);
         if self.level + f64::EPSILON >= needed {
             self.level -= cost;
             return Ok(());
