--- a/crates/traffic/src/demand_history.rs
+++ b/crates/traffic/src/demand_history.rs
@@ -9,7 +9,7 @@
 
 /// Time over which a demand is remembered. An instance gets a request or two of an organisation in
 /// a second, so a shorter time would show chance in place of demand.
-const MEMORY: Duration = Duration::from_millis(2_500);
+const MEMORY: Duration = Duration::from_millis(4_000);
 
 /// Time that a published demand needs to reach every instance: two status intervals within a
 /// region, one between regions and the path.
