--- a/crates/traffic/src/demand_history.rs
+++ b/crates/traffic/src/demand_history.rs
@@ -7,9 +7,12 @@
 /// Time over which a rise of the demand shows.
 const RISE: Duration = Duration::from_millis(1_000);
 
-/// Time over which a demand is remembered. An instance gets a request or two of an organisation in
-/// a second, so a shorter time would show chance in place of demand.
-const MEMORY: Duration = Duration::from_millis(4_000);
+/// Time over which a sparse demand is remembered. An instance often gets a request or two of an
+/// organisation in a second, and a shorter time would show chance in place of demand.
+const MEMORY: Duration = Duration::from_millis(2_500);
+
+/// Requests a second from which the newest second shows the demand well enough by itself.
+const DENSE: f64 = 6.0;
 
 /// Time that a published demand needs to reach every instance: two status intervals within a
 /// region, one between regions and the path.
@@ -20,6 +23,7 @@
 pub struct DemandHistory {
     rising: f64,
     remembered: f64,
+    requests: f64,
     updated: MonotonicTime,
     published: VecDeque<(MonotonicTime, f64)>,
 }
@@ -30,12 +34,17 @@
         self.decay(now);
         self.rising += tokens / RISE.as_secs_f64();
         self.remembered += tokens / MEMORY.as_secs_f64();
+        self.requests += 1.0 / MEMORY.as_secs_f64();
     }
 
     /// Returns the demand in tokens a second and remembers it as published.
     pub fn publish(&mut self, now: MonotonicTime) -> f64 {
         self.decay(now);
-        let rate = self.rising.max(self.remembered);
+        let rate = if self.requests >= DENSE {
+            self.rising
+        } else {
+            self.rising.max(self.remembered)
+        };
         self.published.push_back((now, rate));
         while self
             .published
@@ -62,7 +71,9 @@
     fn decay(&mut self, now: MonotonicTime) {
         let passed = now.since(self.updated).as_secs_f64();
         self.rising *= (-passed / RISE.as_secs_f64()).exp();
-        self.remembered *= (-passed / MEMORY.as_secs_f64()).exp();
+        let forgotten = (-passed / MEMORY.as_secs_f64()).exp();
+        self.remembered *= forgotten;
+        self.requests *= forgotten;
         self.updated = self.updated.max(now);
     }
 }
