--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -305,6 +305,7 @@
     table.take_listing(at(8_000), at(8_000), &listing(2, &[]), None);
     assert!(table.pick(at(8_001), &asker.request(&request)).is_some());
     assert!(table.listing(at(8_001)).servers.is_empty());
+    table.confirm(at(9_300));
     table.take_listing(at(10_500), at(10_500), &listing(3, &[]), None);
     assert!(table.pick(at(10_501), &asker.request(&request)).is_none());
 }
