Write the deciding share into the line of a refusal

A line with limit-exceeded did not say which share of the rate the instance held nor among how many instances, so on-call could not tell a hot organisation from a wrong share.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -228,11 +228,12 @@
     let tokens = charged_tokens(terms, head.work.as_ref());
     let admitted = gateway.limits.lock().admit(now(), id, tokens);
     admitted.map_err(|refusal| {
-        Refusal::not_run(
-            RefusalCode::LimitExceeded,
-            "the organisation has used up its rate and burst",
-        )
-        .with_retry_after(refusal.retry_after)
+        let message = format!(
+            "the organisation has used up its rate and burst: {tokens} tokens asked for, {:.3} of \
+             the rate admitted here, {} instances",
+            refusal.share, refusal.instances
+        );
+        Refusal::not_run(RefusalCode::LimitExceeded, &message).with_retry_after(refusal.retry_after)
     })
 }
 
@@ -357,6 +358,7 @@
             "id" => id.as_str(),
             "outcome" => refusal.code.as_str(),
             "execution" => refusal.execution.as_str(),
+            "reason" => &refusal.message,
             "path" => path,
             "configuration" => version,
             "configuration_age_ms" => age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
--- a/crates/traffic/src/organisation_limits.rs
+++ b/crates/traffic/src/organisation_limits.rs
@@ -30,10 +30,14 @@
 const TOTAL_MEMORY: Duration = Duration::from_millis(1_500);
 
 /// Refusal of a request that exceeds its organisation's share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitRefusal {
     /// Time after which the share would allow the request.
     pub retry_after: Duration,
+    /// Share of the organisation's rate that this instance admits, from 0 to 1.
+    pub share: f64,
+    /// Instances among which the rate is shared; zero while they are unknown.
+    pub instances: usize,
 }
 
 struct Account {
@@ -110,7 +114,11 @@
         account
             .bucket
             .spend(now, tokens as f64)
-            .map_err(|retry_after| LimitRefusal { retry_after })
+            .map_err(|retry_after| LimitRefusal {
+                retry_after,
+                share: account.share,
+                instances: self.instances,
+            })
     }
 
     /// Gives back the tokens of a request that was not run.
