Reach the leader of another region after a cut

A region's state now goes to the instance heard last, or to the first by name and two in turn while none is heard. A caller that leaves during an attempt is logged with execution unknown, not not-run.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -53,6 +53,8 @@
     gateway: Arc<Gateway<C, D>>,
     call: Call,
     attempt: Option<Attempt<C, D>>,
+    /// Whether an attempt waits for the head of its answer.
+    opening: bool,
     tries: u32,
     arrivals: u32,
     execution: Execution,
@@ -74,6 +76,7 @@
             gateway,
             call,
             attempt: None,
+            opening: false,
             tries: 0,
             arrivals: 0,
             execution: Execution::NotRun,
@@ -169,6 +172,7 @@
             if self.tries >= MOST_TRIES {
                 return Err(self.refuse_unavailable());
             }
+            self.opening = true;
             let opened = match self.choose() {
                 Choice::Server(pick) => self.open_server(&pick, left).await,
                 Choice::Region { name, .. } => {
@@ -180,6 +184,7 @@
                             .cloned()
                     };
                     let Some(receiver) = receiver else {
+                        self.opening = false;
                         self.gateway.board.lock().fail(now(), &name);
                         self.tries += 1;
                         continue;
@@ -203,14 +208,17 @@
                     opened.map(|(head, attempt)| (head, Attempt::Peer(attempt)))
                 }
                 Choice::Unavailable => {
+                    self.opening = false;
                     self.note_unavailable();
                     return Err(self.refuse_unavailable());
                 }
                 Choice::Overloaded { expected } => {
+                    self.opening = false;
                     let _ = write!(self.trail, "overloaded~{}ms ", expected.as_millis());
                     return Err(self.refuse_overloaded(expected));
                 }
             };
+            self.opening = false;
             match opened {
                 Ok((head, attempt)) => {
                     self.gateway.metrics.count_attempt("answered");
@@ -518,6 +526,9 @@
 
 impl<C: ControlPlane, D: Dialect> Drop for Exchange<C, D> {
     fn drop(&mut self) {
+        if self.opening || self.attempt.is_some() {
+            self.execution = Execution::Unknown;
+        }
         self.finish("caller-left");
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -65,6 +65,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) leaving: AtomicBool,
     pub(crate) in_flight: AtomicU64,
+    pub(crate) status_turn: AtomicUsize,
     pub(crate) view_changed: Notify,
     pub(crate) caller_limits: watch::Sender<ServerLimits>,
 }
@@ -111,6 +112,7 @@
             metrics: GatewayMetrics::new()?,
             leaving: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
+            status_turn: AtomicUsize::new(0),
             view_changed: Notify::new(),
             caller_limits: watch::channel(ServerLimits::default()).0,
             settings,
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -4,7 +4,7 @@
 //! tells them the sums, and the leaders of other regions those of its own. No instance talks to
 //! all others.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use hawthornquay_decisions::{
     InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName,
@@ -24,15 +24,14 @@
 /// Age up to which the report of an instance counts in the sums of its region.
 const REPORT_LIFE_MS: u64 = 2_500;
 
-/// Returns the leader of a region: the first by name of those that are not silent.
-pub(crate) fn leader_of<C: ControlPlane, D: Dialect>(
+/// Returns the leader of the own region: the first by name of those that are not silent.
+fn leader<C: ControlPlane, D: Dialect>(
     gateway: &Gateway<C, D>,
     time: MonotonicTime,
-    region: &RegionName,
 ) -> Option<RoutedInstance> {
     let instances = gateway.instances.lock();
     instances
-        .staying_in(region)
+        .staying_in(&gateway.settings.region)
         .filter(|instance| {
             instance.id.name == gateway.id.name || !instances.is_silent(time, &instance.id.name)
         })
@@ -45,8 +44,7 @@
     gateway: &Gateway<C, D>,
     time: MonotonicTime,
 ) -> bool {
-    leader_of(gateway, time, &gateway.settings.region)
-        .is_none_or(|leader| leader.id.name == gateway.id.name)
+    leader(gateway, time).is_none_or(|leader| leader.id.name == gateway.id.name)
 }
 
 /// Tells the own state to those who need it.
@@ -54,11 +52,12 @@
     let time = now();
     let own = own_status(gateway, time);
     if !leads(gateway, time) {
-        if let Some(leader) = leader_of(gateway, time, &gateway.settings.region) {
+        if let Some(leader) = leader(gateway, time) {
             send(gateway, &leader, Notice::Status(own)).await;
         }
         return;
     }
+    gateway.status_turn.fetch_add(1, Ordering::Relaxed);
     let region = own_region(gateway, time, &own);
     let wire_region = wire_region(&gateway.settings.region, 0, &region);
     gateway
@@ -305,8 +304,10 @@
         if *region == gateway.settings.region {
             continue;
         }
-        if let Some(leader) = leader_of(gateway, time, region) {
-            receivers.push((leader, to_leaders.clone()));
+        let turn = gateway.status_turn.load(Ordering::Relaxed);
+        let instances = gateway.instances.lock();
+        for contact in instances.contacts_in(time, region, turn) {
+            receivers.push((contact.clone(), to_leaders.clone()));
         }
     }
     receivers
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -9,6 +9,9 @@
 /// Silence of an instance of the own region after which callers are not sent to it.
 const SILENT_AFTER: Duration = Duration::from_millis(2_500);
 
+/// Instances of an unheard region that are tried at once, beside the first by name.
+const TRIED_AT_ONCE: usize = 2;
+
 /// Pause after an instance could not be reached; opening a link to one that is cut off takes most
 /// of a second each time.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(2_000);
@@ -114,6 +117,39 @@
         heard.is_some_and(|at| now.since(at) > SILENT_AFTER)
     }
 
+    /// Returns the instances of another region to which the state of the own one is told.
+    ///
+    /// Only leaders send to other regions, so the one heard last leads there. While none is heard,
+    /// the first by name and others by `turn` are tried: who leads there is not known, and an
+    /// instance that was silent once may lead again.
+    pub fn contacts_in(
+        &self,
+        now: MonotonicTime,
+        region: &RegionName,
+        turn: usize,
+    ) -> Vec<&RoutedInstance> {
+        let staying: Vec<&RoutedInstance> = self.staying_in(region).collect();
+        let last_heard = staying
+            .iter()
+            .filter_map(|instance| {
+                let heard = self.contacts.get(&instance.id.name)?.heard?;
+                (now.since(heard) <= SILENT_AFTER).then_some((heard, *instance))
+            })
+            .max_by_key(|(heard, _)| *heard);
+        if let Some((_, instance)) = last_heard {
+            return vec![instance];
+        }
+        let others = staying.len().saturating_sub(1);
+        let turning = (0..TRIED_AT_ONCE.min(others))
+            .map(|n| staying[1 + (turn * TRIED_AT_ONCE + n) % others]);
+        staying
+            .first()
+            .copied()
+            .into_iter()
+            .chain(turning)
+            .collect()
+    }
+
     /// Returns the instance of `region` that takes what `sender` passes there.
     ///
     /// Senders spread over the instances of the region, and each keeps to one, so that its link
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -125,6 +125,30 @@
     assert_eq!(again.id.name, first);
 }
 
+/// Guards against two regions that never hear of each other again, because each takes another
+/// instance than the real one for the other's leader after a cut.
+#[test]
+fn contacts_in_unheard_region_are_all_tried_in_turn() {
+    let mut list = InstanceList::default();
+    let listed = (1..6).map(|n| instance(&format!("a{n}"), "a", n)).collect();
+    list.take(5, listed);
+    let region = RegionName::new("a");
+    let names = |list: &InstanceList, now_ms: u64, turn: usize| -> Vec<String> {
+        list.contacts_in(at(now_ms), &region, turn)
+            .iter()
+            .map(|instance| instance.id.name.to_string())
+            .collect()
+    };
+    list.hear(at(0), &"a3".into(), 1, false);
+    assert_eq!(names(&list, 1_000, 0), ["a3"]);
+    list.hear(at(500), &"a1".into(), 1, false);
+    assert_eq!(names(&list, 1_000, 0), ["a1"]);
+    let mut tried: Vec<String> = (0..4).flat_map(|turn| names(&list, 9_000, turn)).collect();
+    tried.sort();
+    tried.dedup();
+    assert_eq!(tried, ["a1", "a2", "a3", "a4", "a5"]);
+}
+
 /// Guards against every instance of a region reading the store, or none soon after the first ends.
 #[test]
 fn poll_interval_grows_with_the_rank() {
