Count the lowest known demand of the fleet, not the highest

The total now counts at its lowest of 0.6 s and the own demand at its lowest of 1.6 s, which covers the way of every report in that total; the sum of shares stays at most the whole (property test over shifting demands, unchanged, passes).

--- a/crates/traffic/src/demand_history.rs
+++ b/crates/traffic/src/demand_history.rs
@@ -14,9 +14,10 @@
 /// Requests a second from which the newest second shows the demand well enough by itself.
 const DENSE: f64 = 6.0;
 
-/// Time that a published demand needs to reach every instance: two status intervals within a
-/// region, one between regions and the path.
-const PROPAGATION: Duration = Duration::from_millis(1_500);
+/// Time during which the lowest published demand counts: that of a report on its way to every
+/// instance (two status intervals within a region, one between regions and the path, 1 s), and
+/// that for which totals are kept (0.6 s).
+const PROPAGATION: Duration = Duration::from_millis(1_600);
 
 /// Demand of one organisation at this instance, and what of it the others know.
 #[derive(Clone, Debug, Default)]
--- a/crates/traffic/src/organisation_limits.rs
+++ b/crates/traffic/src/organisation_limits.rs
@@ -1,9 +1,9 @@
 //! Shares of the organisations' rates that this instance admits.
 //!
 //! Each instance admits the part of an organisation's rate that its share of the demand makes up.
-//! The parts of all instances add up to at most the whole: an instance counts its own demand only
-//! once the others know it, and the whole demand at its highest of the propagation time. While a
-//! region is unheard of, no share grows.
+//! The parts of all instances add up to at most the whole: an instance counts of its own demand only
+//! what it has published for longer than a report takes to reach all others, and with it the report
+//! of every total in use. While a region is unheard of, no share grows.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -26,8 +26,9 @@
 /// Share with which a process begins that knows no other instance yet.
 const UNKNOWN_SHARE: f64 = 0.1;
 
-/// Time during which the highest known demand counts; equals the propagation time of demands.
-const TOTAL_MEMORY: Duration = Duration::from_millis(1_500);
+/// Time during which the lowest known demand of the fleet counts. What instances count of their own
+/// was published before all of that time, so their shares still add up to at most the whole.
+const TOTAL_MEMORY: Duration = Duration::from_millis(600);
 
 /// Refusal of a request that exceeds its organisation's share.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -184,14 +185,14 @@
         {
             self.totals.pop_front();
         }
-        let highest = self
+        let lowest = self
             .totals
             .iter()
             .map(|(_, total)| *total)
-            .fold(0.0, f64::max);
+            .fold(f64::INFINITY, f64::min);
         let idle = IDLE_SHARE * self.terms.rate as f64 / instances as f64;
         let own = self.demand.agreed();
-        let whole = highest.max(own) + idle * instances as f64;
+        let whole = lowest.max(own) + idle * instances as f64;
         if whole <= 0.0 {
             return;
         }
