--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -21,7 +21,7 @@
 
 /// Multiple of the expected time to the answer up to which requests are admitted. Beyond it, a
 /// longer queue makes all answers late and serves none more.
-const QUEUE_LIMIT: f64 = 1.0;
+const QUEUE_LIMIT: f64 = 0.8;
 
 /// Terms of the choice between regions.
 #[derive(Clone, Copy, Debug)]
