--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,14 +26,11 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(1_300);
 
 /// Least time for which an attempt is worth starting.
-const LEAST_TIME: Duration = Duration::from_millis(5);
+pub(crate) const LEAST_TIME: Duration = Duration::from_millis(5);
 
 /// Largest answer that is not a stream, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
 
-/// Time after which a caller may return when no backend server takes requests.
-const UNAVAILABLE_RETRY: Duration = Duration::from_millis(700);
-
 /// Start of the answer to a request.
 pub(crate) enum Started {
     /// Whole answer.
@@ -50,20 +47,20 @@
 ///
 /// Dropping it ends the request at the backend server.
 pub(crate) struct Exchange<C: ControlPlane, D: Dialect> {
-    gateway: Arc<Gateway<C, D>>,
-    call: Call,
+    pub(crate) gateway: Arc<Gateway<C, D>>,
+    pub(crate) call: Call,
     attempt: Option<Attempt<C, D>>,
     /// Whether an attempt waits for the head of its answer.
     opening: bool,
     tries: u32,
     arrivals: u32,
-    execution: Execution,
+    pub(crate) execution: Execution,
     avoid: Vec<BackendName>,
     avoid_peers: Vec<InstanceName>,
     events: EventReader,
     delivered: Option<u64>,
     error_answer: Option<WholeAnswer>,
-    retry_after: Option<Duration>,
+    pub(crate) retry_after: Option<Duration>,
     last_code: Option<RefusalCode>,
     trail: String,
     finished: bool,
@@ -433,60 +430,6 @@
         }
     }
 
-    fn refuse_late(&mut self) -> Refusal {
-        if self.execution == Execution::NotRun {
-            return self.refuse_unavailable();
-        }
-        Refusal::unknown(
-            RefusalCode::DeadlineExceeded,
-            "the answer did not arrive in time",
-        )
-    }
-
-    fn refuse_unavailable(&mut self) -> Refusal {
-        if self.execution != Execution::NotRun {
-            return Refusal::unknown(
-                RefusalCode::BackendFailed,
-                "no other backend server can continue the request",
-            );
-        }
-        let after = self.retry_after.unwrap_or(UNAVAILABLE_RETRY);
-        Refusal::not_run(
-            self.last_code
-                .filter(|code| *code == RefusalCode::NoCapacity)
-                .unwrap_or(RefusalCode::NoCapacity),
-            "no backend server can take the request now",
-        )
-        .with_retry_after(after)
-    }
-
-    fn refuse_overloaded(&mut self, expected: Duration) -> Refusal {
-        if self.execution != Execution::NotRun {
-            return self.refuse_unavailable();
-        }
-        let after = expected.saturating_sub(self.call.route.target);
-        Refusal::not_run(
-            RefusalCode::NoCapacity,
-            "the request could not be answered before its deadline",
-        )
-        .with_retry_after(after.max(UNAVAILABLE_RETRY))
-    }
-
-    fn final_refusal(&mut self, failure: &AttemptFailure) -> Refusal {
-        if self.execution == Execution::NotRun {
-            return self.refuse_unavailable();
-        }
-        if self.call.time_left(now()) < LEAST_TIME {
-            return self.refuse_late();
-        }
-        let code = match &failure.cause {
-            AttemptCause::Silent => RefusalCode::DeadlineExceeded,
-            AttemptCause::Peer { .. } => RefusalCode::PeerUnreachable,
-            _ => RefusalCode::BackendFailed,
-        };
-        Refusal::unknown(code, "the backend server failed while it had the request")
-    }
-
     /// Returns the failure that a backend server answered with, if that is the last word.
     pub(crate) fn take_error_answer(&mut self) -> Option<WholeAnswer> {
         self.error_answer.take()
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -19,8 +19,9 @@
 /// Part of the time left that a predicted answer may take; later ones are refused.
 const LATEST: f64 = 0.95;
 
-/// Multiple of the expected time to the answer up to which requests are admitted. Beyond it, a
-/// longer queue makes all answers late and serves none more.
+/// Part of the expected time to the answer up to which requests are admitted. Beyond it, a longer
+/// queue makes all answers late and serves none more; the rest covers errors of the predictions,
+/// which are too short under load.
 const QUEUE_LIMIT: f64 = 0.8;
 
 /// Terms of the choice between regions.
