--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Write, io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use hawthornquay_decisions::{BackendName, Execution, InstanceName, Refusal, RefusalCode};
+use hawthornquay_decisions::{BackendName, Execution, InstanceName, Refusal};
 use hawthornquay_traffic::{
     Choice, ExecutionRule, PlacementRequest, PlacementTerms, ServerPick, place,
 };
@@ -61,7 +61,6 @@
     delivered: Option<u64>,
     error_answer: Option<WholeAnswer>,
     pub(crate) retry_after: Option<Duration>,
-    last_code: Option<RefusalCode>,
     trail: String,
     finished: bool,
 }
@@ -83,7 +82,6 @@
             delivered,
             error_answer: None,
             retry_after: None,
-            last_code: None,
             trail: String::new(),
             finished: false,
         }
@@ -328,10 +326,7 @@
         }
         match &failure.cause {
             AttemptCause::Error(answer) => self.error_answer = Some(answer.as_ref().clone()),
-            AttemptCause::Peer { code, retry_after } => {
-                self.last_code = Some(*code);
-                self.retry_after = *retry_after;
-            }
+            AttemptCause::Peer { retry_after, .. } => self.retry_after = *retry_after,
             _ => {}
         }
         if self.may_retry(failure) {
--- a/crates/gateway/src/exchange_refusals.rs
+++ b/crates/gateway/src/exchange_refusals.rs
@@ -32,9 +32,7 @@
         }
         let after = self.retry_after.unwrap_or(UNAVAILABLE_RETRY);
         Refusal::not_run(
-            self.last_code
-                .filter(|code| *code == RefusalCode::NoCapacity)
-                .unwrap_or(RefusalCode::NoCapacity),
+            RefusalCode::NoCapacity,
             "no backend server can take the request now",
         )
         .with_retry_after(after)
