--- a/crates/traffic/src/latency_model.rs
+++ b/crates/traffic/src/latency_model.rs
@@ -54,11 +54,6 @@
             .clamp(*CORRECTION.start(), *CORRECTION.end());
     }
 
-    /// Returns the factor by which predictions are corrected.
-    pub const fn correction(&self) -> f64 {
-        self.correction
-    }
-
     /// Predicts without correction, in milliseconds.
     pub fn plain_ms(&self, ahead_tokens: u64, tokens: u64, running: u32, slots: u32) -> f64 {
         let slots = slots.max(1);
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -14,7 +14,7 @@
 };
 
 /// Part of the expected time to the answer within which the own region is not left.
-const AT_HOME: f64 = 0.35;
+const AT_HOME: f64 = 0.5;
 
 /// Part of the time left that a predicted answer may take; later ones are refused.
 const LATEST: f64 = 0.95;
--- a/crates/traffic/src/server_pick.rs
+++ b/crates/traffic/src/server_pick.rs
@@ -17,6 +17,4 @@
     pub uncorrected_ms: f64,
     /// Prompt tokens that the server is expected to read.
     pub tokens: u64,
-    /// Whether the server is cold.
-    pub cold: bool,
 }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -1,6 +1,6 @@
 //! Backend servers of the own region.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
 
@@ -234,13 +234,6 @@
         self.servers.remove(id);
     }
 
-    /// Notes that the server says it is leaving.
-    pub fn leave(&mut self, id: &BackendName) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.entry.leaving = true;
-        }
-    }
-
     /// Takes the load that a server reports with an answer.
     pub fn report(&mut self, now: MonotonicTime, id: &BackendName, load: ReportedLoad) {
         if let Some(server) = self.servers.get_mut(id) {
@@ -309,15 +302,6 @@
         reports
     }
 
-    /// Returns the servers of a service that may take requests, with their addresses.
-    pub fn usable(&self, now: MonotonicTime) -> Vec<(BackendName, SocketAddr)> {
-        self.servers
-            .iter()
-            .filter(|(_, server)| server.is_usable(now))
-            .map(|(id, server)| (id.clone(), server.entry.address))
-            .collect()
-    }
-
     /// Returns the number of servers in the list.
     pub fn len(&self) -> usize {
         self.servers.len()
@@ -456,7 +440,6 @@
             expected: Duration::from_secs_f64(expected / 1_000.0),
             uncorrected_ms: self.latency.plain_ms(pending, tokens, requests, slots),
             tokens,
-            cold: self.cold.is_cold(now),
         };
         (score, pick)
     }
