End the hold of missing servers by time

An instance whose store had been away held the removed server for 2.4 s, but dropped it only with the next list, and an unchanged list is confirmed, not sent. The extended test failed first (a server in use 2.5 s after the return without a new list). Ruled out: slow reading (the instance had the store back at 27.8 s).

--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -35,9 +35,9 @@
     cold: ColdGate,
     latency: LatencyModel,
     prefixes: PrefixMemory,
-    /// Whether the entry is missing from the list and only held until its server had time to
-    /// register again.
-    held: bool,
+    /// Time until which the server is used although it is missing from the list, since it may not
+    /// have registered again yet; `None` for a listed server.
+    held_until: Option<MonotonicTime>,
 }
 
 /// Work at one backend server, as instances tell each other.
@@ -97,16 +97,20 @@
         for entry in &listing.servers {
             self.take_entry(now, entry, configuration, &mut changes);
         }
-        let keep_missing = self
-            .returned_at
-            .is_some_and(|at| now.since(at) < RETURN_GRACE);
+        let until = self.returned_at.map(|at| at + RETURN_GRACE);
         let listed: Set<&BackendName> = listing.servers.iter().map(|s| &s.id).collect();
         self.servers.retain(|id, server| {
-            server.held = !listed.contains(id);
-            if server.held && !keep_missing {
+            if listed.contains(id) {
+                server.held_until = None;
+                return true;
+            }
+            // The first absence decides, so that a store that is away again extends nothing.
+            server.held_until = server.held_until.or(until);
+            let held = server.held_until.is_some_and(|until| now < until);
+            if !held {
                 changes.push(format!("{id} gone"));
             }
-            !server.held || keep_missing
+            held
         });
         changes
     }
@@ -119,7 +123,7 @@
         let servers = self
             .servers
             .values()
-            .filter(|server| !server.held)
+            .filter(|server| server.held_until.is_none())
             .map(|server| BackendEntry {
                 cold: server.cold.left(now),
                 ..server.entry.clone()
@@ -358,7 +362,7 @@
             cold,
             latency: LatencyModel::new(engine),
             prefixes: PrefixMemory::default(),
-            held: false,
+            held_until: None,
         };
         self.servers.insert(entry.id.clone(), server);
     }
@@ -383,7 +387,9 @@
 
 impl Server {
     fn is_usable(&self, now: MonotonicTime) -> bool {
-        !self.entry.leaving && !self.health.is_paused(now)
+        !self.entry.leaving
+            && !self.health.is_paused(now)
+            && self.held_until.is_none_or(|until| now < until)
     }
 
     fn is_candidate(
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -305,9 +305,12 @@
     table.take_listing(at(8_000), at(8_000), &listing(2, &[]), None);
     assert!(table.pick(at(8_001), &asker.request(&request)).is_some());
     assert!(table.listing(at(8_001)).servers.is_empty());
+    // The list does not change any more, so it is confirmed but not sent again.
     table.confirm(at(9_300));
-    table.take_listing(at(10_500), at(10_500), &listing(3, &[]), None);
+    assert!(table.pick(at(10_301), &asker.request(&request)).is_some());
     assert!(table.pick(at(10_501), &asker.request(&request)).is_none());
+    table.take_listing(at(10_600), at(10_600), &listing(3, &[]), None);
+    assert!(table.is_empty());
 }
 
 /// Guards against an older list that replaces a newer one.
