Name the client of the own store after what it is

crates/platform and platform/ confused a newcomer: one is the client of the store, instance list and directory that the gateway's own interface uses, the other the adapter to the users' platform. The package is now crates/store. No code changed.

--- a/crates/hawthornquay/examples/capacity_support/table_sections.rs
+++ b/crates/hawthornquay/examples/capacity_support/table_sections.rs
@@ -15,7 +15,7 @@
 };
 use hawthornquay_instances::{Body, Envelope, LoanGrant, LoanRequest};
 use hawthornquay_operators::{BundleDocument, BundleHead, OperatorKey, StoredDifference, Trust};
-use hawthornquay_platform::ListedInstances;
+use hawthornquay_store::ListedInstances;
 use prost::Message;
 use serde_json::json;
 
--- a/crates/hawthornquay/src/claim.rs
+++ b/crates/hawthornquay/src/claim.rs
@@ -4,7 +4,7 @@
 use hawthornquay_decisions::{
     ClaimAction, ClaimEvent, ClaimProcess, ClaimRecord, ClaimState, Execution, IssuedKey, Refusal,
 };
-use hawthornquay_platform::{Entry, LeaseId, PlatformError, Revision};
+use hawthornquay_store::{Entry, LeaseId, PlatformError, Revision};
 use slog::warn;
 
 use crate::{ActiveBundle, ClaimKey, Node, OutboundRequest, clock};
--- a/crates/hawthornquay/src/claim_leases.rs
+++ b/crates/hawthornquay/src/claim_leases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{ISSUED_KEY_LIFETIME, MonotonicTime};
-use hawthornquay_platform::{LeaseId, PlatformClient, PlatformError};
+use hawthornquay_store::{LeaseId, PlatformClient, PlatformError};
 use tokio::sync::Mutex;
 
 /// Time for which new claims share a lease.
--- a/crates/hawthornquay/src/command_accept.rs
+++ b/crates/hawthornquay/src/command_accept.rs
@@ -10,7 +10,7 @@
     AcceptError, AcceptRequest, AcceptedBundle, BundleDocument, DaemonSettings, Trust,
     accept_bundle,
 };
-use hawthornquay_platform::{CallLimits, PlatformClient};
+use hawthornquay_store::{CallLimits, PlatformClient};
 use serde_json::json;
 
 use crate::{
--- a/crates/hawthornquay/src/command_audit.rs
+++ b/crates/hawthornquay/src/command_audit.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use hawthornquay_operators::{AUDIT_PREFIX, AuditAction, AuditRecord};
-use hawthornquay_platform::Entry;
+use hawthornquay_store::Entry;
 use serde_json::{Value, json};
 use time::{OffsetDateTime, format_description::well_known::Rfc3339};
 
--- a/crates/hawthornquay/src/command_bundle.rs
+++ b/crates/hawthornquay/src/command_bundle.rs
@@ -8,7 +8,7 @@
 use hawthornquay_operators::{
     BundleDocument, LoadError, OperatorKey, SignatureError, Trust, load_content, load_head,
 };
-use hawthornquay_platform::{CallLimits, PlatformClient};
+use hawthornquay_store::{CallLimits, PlatformClient};
 use serde_json::{Value, json};
 
 use crate::{
--- a/crates/hawthornquay/src/command_platform.rs
+++ b/crates/hawthornquay/src/command_platform.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use hawthornquay_platform::{CallLimits, ListedInstances, Listing, PlatformClient, PlatformError};
+use hawthornquay_store::{CallLimits, ListedInstances, Listing, PlatformClient, PlatformError};
 
 use crate::CommandError;
 
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -17,7 +17,7 @@
 use hawthornquay_http::{HttpServer, ServerLimits};
 use hawthornquay_instances::{LinkError, LinkPool, LocalInstance, PeerServer, TlsIdentity};
 use hawthornquay_operators::{DaemonSettings, Logs};
-use hawthornquay_platform::{CallLimits, PlatformClient};
+use hawthornquay_store::{CallLimits, PlatformClient};
 use parking_lot::Mutex;
 use slog::{info, warn};
 use tokio::task::JoinHandle;
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -6,7 +6,7 @@
     DomainName, InstanceRecord, LimitTable, Map, MonotonicTime, SlotDomain, SlotRelease, SlotRules,
     SlotSnapshot,
 };
-use hawthornquay_platform::{Change, Entry, PlatformError, Revision};
+use hawthornquay_store::{Change, Entry, PlatformError, Revision};
 use slog::{info, warn};
 
 use crate::{Node, clock, peer_loans::ask_for_loan};
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -16,7 +16,7 @@
 };
 use hawthornquay_instances::{LinkCounters, LinkPool};
 use hawthornquay_operators::DaemonSettings;
-use hawthornquay_platform::PlatformClient;
+use hawthornquay_store::PlatformClient;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
--- a/crates/hawthornquay/src/order_audit.rs
+++ b/crates/hawthornquay/src/order_audit.rs
@@ -6,7 +6,7 @@
 };
 
 use hawthornquay_operators::{AUDIT_PREFIX, AuditAction, AuditRecord};
-use hawthornquay_platform::PlatformError;
+use hawthornquay_store::PlatformError;
 use slog::{error, warn};
 use tokio::sync::mpsc;
 
--- a/crates/hawthornquay/src/order_task.rs
+++ b/crates/hawthornquay/src/order_task.rs
@@ -8,7 +8,7 @@
     OrderPlan, OrderRequest, OrderStep,
 };
 use hawthornquay_operators::AuditAction;
-use hawthornquay_platform::{LeaseId, PlatformError, Revision};
+use hawthornquay_store::{LeaseId, PlatformError, Revision};
 use slog::{info, warn};
 
 use crate::{Node, OrderAudit, clock};
--- a/crates/hawthornquay/src/platform_store.rs
+++ b/crates/hawthornquay/src/platform_store.rs
@@ -1,7 +1,7 @@
 //! The platform's store as the operators' package sees it.
 
 use hawthornquay_operators::{BundleStore, StoreEntry, StoreError};
-use hawthornquay_platform::{Entry, PlatformClient, PlatformError, Revision};
+use hawthornquay_store::{Entry, PlatformClient, PlatformError, Revision};
 
 /// Bundle steps over the platform's store.
 pub struct PlatformStore<'a>(pub &'a PlatformClient);
--- a/crates/hawthornquay/src/rollout_task.rs
+++ b/crates/hawthornquay/src/rollout_task.rs
@@ -6,7 +6,7 @@
     InstanceName, RolloutPeerAnswer, RolloutStart, RolloutStoreAnswer, RolloutVersion,
 };
 use hawthornquay_operators::load_head;
-use hawthornquay_platform::Revision;
+use hawthornquay_store::Revision;
 use slog::info;
 
 use crate::{
--- a/crates/hawthornquay/tests/command/store.rs
+++ b/crates/hawthornquay/tests/command/store.rs
@@ -6,8 +6,8 @@
 };
 
 use hawthornquay_decisions::{InstanceRecord, InstanceState};
-use hawthornquay_platform::{CallLimits, PlatformClient, PlatformError, Revision};
 use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
+use hawthornquay_store::{CallLimits, PlatformClient, PlatformError, Revision};
 use tokio::runtime::{Builder, Runtime};
 
 /// Platform that runs in the test's process.
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -17,10 +17,10 @@
     AcceptRequest, BundleDocument, DaemonSettings, Logs, OperatorKey, accept_bundle,
     caller_key_digest, key_digest_text,
 };
-use hawthornquay_platform::{CallLimits, PlatformClient};
 use hawthornquay_standins::{
     EngineSettings, ModelEngine, PlainService, Platform, PlatformSettings,
 };
+use hawthornquay_store::{CallLimits, PlatformClient};
 
 use parking_lot::Mutex;
 use tokio::net::TcpSocket;
--- a/crates/platform/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -6,8 +6,8 @@
 
 use common::{PATIENCE, any_port, brief_limits, client, outcome};
 use hawthornquay_decisions::{InstanceRecord, InstanceState};
-use hawthornquay_platform::{Change, PlatformClient, Revision, VALUE_LIMIT_BYTES};
 use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
+use hawthornquay_store::{Change, PlatformClient, Revision, VALUE_LIMIT_BYTES};
 use tokio::time::{Instant, timeout};
 
 async fn platform() -> (Platform, PlatformClient) {
@@ -57,7 +57,7 @@
         client.delete("head", Some(first)).await,
     ];
     for conflict in conflicts {
-        let Err(hawthornquay_platform::PlatformError::Conflict {
+        let Err(hawthornquay_store::PlatformError::Conflict {
             current: Some(shown),
         }) = conflict
         else {
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hawthornquay_platform::{CallLimits, LostAnswerCause, PlatformClient, PlatformError};
+use hawthornquay_store::{CallLimits, LostAnswerCause, PlatformClient, PlatformError};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
--- a/crates/platform/tests/lost_answers.rs
+++ b/crates/store/tests/lost_answers.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use common::{Reply, answer, any_port, client, outcome, read_request, scripted};
-use hawthornquay_platform::Revision;
 use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
+use hawthornquay_store::Revision;
 use tokio::{net::TcpListener, sync::Barrier};
 
 const TOKEN: &[u8] = b"token";
