Tell an unlisted instance from one that has ended

Instance 2 had its bundle and slots before it had read the list of instances, and answered for a request of instance 1 that the instance had ended, which was false. Ruled out: a wrong incarnation (an unknown one counts as current). The answer now says that the instance is not in the list yet. The test asserts that no answer claims an end, and that the address comes within 5 s; before, it asked once without waiting for the list.

--- a/crates/hawthornquay/src/caller_gateway.rs
+++ b/crates/hawthornquay/src/caller_gateway.rs
@@ -14,7 +14,8 @@
 use http::Response;
 
 use crate::{
-    Admission, Decision, Node, clock, model_request::complete, service_request::call_service,
+    Admission, Decision, Node, clock, model_request::complete, request_server::RequestServer,
+    service_request::call_service,
 };
 
 /// Serves callers out of the shared tables.
@@ -131,19 +132,16 @@
 }
 
 fn unknown_request(node: &Node, id: &RequestId) -> Refusal {
-    let (execution, place) = match node.address_of_request(id) {
-        Some(address) => (
-            Execution::Unknown,
-            format!("ask {address}, which served it"),
-        ),
-        None => (
-            Execution::Unknown,
-            "the instance that served it has ended".to_owned(),
-        ),
+    let place = match node.server_of_request(id) {
+        RequestServer::At(address) => format!("ask {address}, which served it"),
+        RequestServer::Ended => "the instance that served it has ended".to_owned(),
+        RequestServer::Unlisted => {
+            "the instance that served it is not in this instance's list; ask again later".to_owned()
+        }
     };
     Refusal {
         code: RefusalCode::RequestUnknown,
-        execution,
+        execution: Execution::Unknown,
         message: format!("request {id} is not remembered here: {place}"),
         retry_after: None,
     }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -65,6 +65,7 @@
 mod request_body;
 mod request_log;
 mod request_queue;
+mod request_server;
 mod rollout_install;
 mod rollout_peers;
 mod rollout_task;
--- a/crates/hawthornquay/src/node_peers.rs
+++ b/crates/hawthornquay/src/node_peers.rs
@@ -1,7 +1,5 @@
 //! Addresses of other instances.
 
-use std::net::SocketAddr;
-
 use hawthornquay_callers::CallerKey;
 use hawthornquay_decisions::{
     CallerListEntry, DomainName, InstanceId, InstanceName, MemberState, Organisation, RequestId,
@@ -10,7 +8,7 @@
 use hawthornquay_instances::PeerAddress;
 use hawthornquay_operators::caller_key_digest;
 
-use crate::{Node, clock};
+use crate::{Node, clock, request_server::RequestServer};
 
 impl Node {
     /// Returns the instances that a caller may use, best first.
@@ -103,18 +101,26 @@
         Some(peers.swap_remove(rand::random_range(0..peers.len())))
     }
 
-    /// Returns the callers' address of the instance that gave a request its identifier.
-    pub fn address_of_request(&self, id: &RequestId) -> Option<SocketAddr> {
-        let (process, _sequence) = id.as_str().rsplit_once('-')?;
-        let (name, incarnation) = process.rsplit_once('-')?;
+    /// Returns what is known of the instance that served a request.
+    pub fn server_of_request(&self, id: &RequestId) -> RequestServer {
+        let process = id.as_str().rsplit_once('-').map(|(process, _)| process);
+        let Some((name, incarnation)) = process.and_then(|process| process.rsplit_once('-')) else {
+            return RequestServer::Ended;
+        };
         if name == self.id.name.as_str() {
-            return None;
+            return RequestServer::Ended;
         }
         let members = self.members.lock();
-        let member = members.get(&InstanceName::new(name))?;
+        let Some(member) = members.get(&InstanceName::new(name)) else {
+            return RequestServer::Unlisted;
+        };
         let current = member
             .incarnation
             .is_none_or(|known| known.to_string() == incarnation);
-        current.then_some(member.record.callers)
+        if current {
+            RequestServer::At(member.record.callers)
+        } else {
+            RequestServer::Ended
+        }
     }
 }
--- a/crates/hawthornquay/tests/whole_path.rs
+++ b/crates/hawthornquay/tests/whole_path.rs
@@ -88,12 +88,18 @@
         .get(fleet.callers(0), &path)
         .await;
     assert_eq!(other.code(), "request-unknown");
-    let elsewhere = caller.get(fleet.callers(1), &path).await;
-    assert!(
-        elsewhere.text().contains(&fleet.callers(0).to_string()),
-        "{}",
-        elsewhere.text()
-    );
+    let end = Instant::now() + Duration::from_secs(5);
+    loop {
+        let elsewhere = caller.get(fleet.callers(1), &path).await;
+        let text = elsewhere.text();
+        if text.contains(&fleet.callers(0).to_string()) {
+            return;
+        }
+        // An instance that has not read the list yet must not say that another has ended.
+        assert!(!text.contains("has ended"), "{text}");
+        assert!(Instant::now() < end, "{text}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
 
 /// Guards against a list that names instances which the residency forbids.
