Order to engines only once listed, and look again after a failed read

Cause: run_orders_leaves_audit_records failed in 3 of 10 and 1 of 9 runs beside three busy processes. A second fault, found by reading: an engine whose models could not be read was passed over in silence, and the domain counted as settled for 60 s.

Change: MemberTable::leads_domain holds only after a list that shows the instance itself; a failed read of an engine's models is logged and the domain is looked at again at the next tick.

Ruled out: the lease (it was granted once), the wait for the audit record (written within 300 ms).

Tests: domain_lead_waits_for_the_list; run_orders_asks_again_after_a_failed_look (without the second change: no order within 20 s).

--- a/crates/decisions/src/member_table.rs
+++ b/crates/decisions/src/member_table.rs
@@ -29,6 +29,8 @@
     members: BTreeMap<InstanceName, MemberEntry>,
     settings: GossipSettings,
     round: u64,
+    /// Whether a list has shown this instance since the start; older lists may lack others too.
+    is_listed: bool,
     /// Member that the last digest to each receiver ended with.
     cursors: Map<InstanceName, InstanceName>,
 }
@@ -50,6 +52,7 @@
             members: BTreeMap::new(),
             settings,
             round: 0,
+            is_listed: false,
             cursors: Map::default(),
         }
     }
@@ -76,6 +79,9 @@
 
     /// Takes the platform's list.
     pub fn apply_list(&mut self, now: MonotonicTime, records: &[InstanceRecord]) {
+        self.is_listed |= records
+            .iter()
+            .any(|record| record.name == self.own_record.name);
         for record in records {
             if record.name != self.own_record.name {
                 self.apply_record(now, record);
@@ -231,6 +237,20 @@
         names
     }
 
+    /// Returns whether this instance is the first live one of its failure domain by name.
+    ///
+    /// It leads nothing before a list shows it: lists lag, and an older one may lack the others
+    /// too. Views may differ for a while.
+    pub fn leads_domain(&self, now: MonotonicTime) -> bool {
+        self.is_listed
+            && self
+                .members
+                .values()
+                .filter(|member| member.record.domain == self.own_record.domain)
+                .filter(|member| self.state_of(member, now) == MemberState::Live)
+                .all(|member| member.record.name > self.own_record.name)
+    }
+
     /// Returns the highest bundle version that a member has, with the members that have it.
     pub fn highest_bundle(&self) -> (u64, Vec<InstanceName>) {
         let highest = self.members.values().map(|member| member.bundle_version);
--- a/crates/decisions/tests/member_table.rs
+++ b/crates/decisions/tests/member_table.rs
@@ -35,6 +35,26 @@
     table.state(&record(index, 2, 1).name, seconds(s))
 }
 
+/// Guards against an instance that leads its domain because it has not read of the others yet.
+#[test]
+fn domain_lead_waits_for_the_list() {
+    let records = [record(0, 2, 1), record(2, 2, 1)];
+    let mut second = table(2);
+    assert!(!second.leads_domain(seconds(1)), "before the list");
+    second.apply_list(seconds(1), &[]);
+    assert!(
+        !second.leads_domain(seconds(1)),
+        "list from before the start"
+    );
+    second.apply_list(seconds(1), &records);
+    assert!(!second.leads_domain(seconds(1)), "behind a live one");
+    second.mark_unreachable(&records[0].name);
+    assert!(second.leads_domain(seconds(1)), "behind a suspect one");
+    let mut alone = table(0);
+    alone.apply_list(seconds(1), &records);
+    assert!(alone.leads_domain(seconds(1)), "first by name");
+}
+
 /// Guards against a relayed entry that brings a former incarnation back, and against a new one that is
 /// never accepted.
 #[test]
--- a/crates/hawthornquay/src/order_task.rs
+++ b/crates/hawthornquay/src/order_task.rs
@@ -4,8 +4,8 @@
 
 use hawthornquay_backends::OrderAnswer;
 use hawthornquay_decisions::{
-    BackendKind, BackendServer, Execution, MemberState, MonotonicTime, OrderKind, OrderLease,
-    OrderPlan, OrderRequest, OrderStep,
+    BackendKind, BackendServer, Execution, MonotonicTime, OrderKind, OrderLease, OrderPlan,
+    OrderRequest, OrderStep,
 };
 use hawthornquay_operators::AuditAction;
 use hawthornquay_store::{LeaseId, PlatformError, Revision};
@@ -33,6 +33,13 @@
     plan: OrderPlan,
 }
 
+/// What the engines of the domain lack.
+struct Need {
+    engines: Vec<Engine>,
+    /// Whether the models of each engine could be read.
+    all_read: bool,
+}
+
 /// Lease that makes this instance the orderer of its domain.
 struct Orderer {
     lease: OrderLease,
@@ -59,11 +66,14 @@
         let version = node.bundle.version();
         let due =
             checked.is_none_or(|(known, at)| known != version || now.since(at) > CHECK_INTERVAL);
-        if version == 0 || !due || !is_candidate(&node) || node.drain.is_closing() {
+        if version == 0 || !due || !node.members.lock().leads_domain(now) || node.drain.is_closing()
+        {
             continue;
         }
-        let engines = engines_in_need(&node).await;
-        if engines.is_empty() || order(&node, &audit, engines).await {
+        let need = engines_in_need(&node).await;
+        let settled = need.engines.is_empty() || order(&node, &audit, need.engines).await;
+        // A view that differs lets another instance hold the lease; the lease decides.
+        if settled && need.all_read {
             checked = Some((version, now));
         } else {
             tokio::time::sleep(RETRY_DELAY).await;
@@ -71,24 +81,14 @@
     }
 }
 
-/// Returns whether this instance is the first live one of its domain by name.
-///
-/// Views may differ for a while; the lease then decides.
-fn is_candidate(node: &Node) -> bool {
-    let members = node.members.lock();
-    let now = clock::now();
-    members
-        .others()
-        .filter(|member| member.record.domain == node.place.domain)
-        .filter(|member| members.state_of(member, now) == MemberState::Live)
-        .all(|member| member.record.name > node.id.name)
-}
-
-async fn engines_in_need(node: &Node) -> Vec<Engine> {
+async fn engines_in_need(node: &Node) -> Need {
+    let mut need = Need {
+        engines: Vec::new(),
+        all_read: true,
+    };
     let Some(bundle) = node.bundle.active() else {
-        return Vec::new();
+        return need;
     };
-    let mut engines = Vec::new();
     for server in bundle.bundle().backends.values() {
         let BackendKind::ModelEngine { models } = &server.kind else {
             continue;
@@ -96,8 +96,16 @@
         if server.domain != node.place.domain {
             continue;
         }
-        let Ok(loaded) = node.backends.models(server.address).await else {
-            continue;
+        let loaded = match node.backends.models(server.address).await {
+            Ok(loaded) => loaded,
+            Err(error) => {
+                warn!(
+                    node.log.orders, "models of an engine cannot be read, trying again";
+                    "server" => %server.name, "error" => %error,
+                );
+                need.all_read = false;
+                continue;
+            }
         };
         let missing: Vec<(OrderKind, String)> = models
             .iter()
@@ -106,13 +114,13 @@
             .collect();
         if !missing.is_empty() {
             let plan = OrderPlan::new(missing, server.checks_fencing);
-            engines.push(Engine {
+            need.engines.push(Engine {
                 server: server.clone(),
                 plan,
             });
         }
     }
-    engines
+    need
 }
 
 /// Takes the lease and orders until everything is settled; returns whether it is.
--- a/crates/hawthornquay/tests/engine_orders.rs
+++ b/crates/hawthornquay/tests/engine_orders.rs
@@ -7,7 +7,7 @@
 use hawthornquay::OrderAudit;
 use hawthornquay_decisions::OrderKind;
 use hawthornquay_operators::{AuditAction, AuditRecord};
-use hawthornquay_standins::{EngineSettings, PlatformFaults};
+use hawthornquay_standins::{EngineFaults, EngineSettings, PlatformFaults};
 use http::StatusCode;
 use support::{Caller, Fleet, FleetBuilder};
 use tokio::time::Instant;
@@ -38,6 +38,35 @@
     assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
 }
 
+/// Guards against an engine that is forgotten for a minute after its models could not be read once.
+#[tokio::test(flavor = "multi_thread")]
+async fn run_orders_asks_again_after_a_failed_look() {
+    let engine = EngineSettings {
+        models: Vec::new(),
+        ..EngineSettings::default()
+    };
+    let mut fleet = FleetBuilder::default().engine(engine).prepare().await;
+    fleet.engines[0].set_faults(EngineFaults {
+        hide_models: true,
+        ..EngineFaults::default()
+    });
+    fleet.start_all(None).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.engines[0].set_faults(EngineFaults::default());
+    let observer = Caller::new(None);
+    let end = Instant::now() + Duration::from_secs(20);
+    let address = fleet.engines[0].address();
+    while !observer
+        .get(address, "/v1/models")
+        .await
+        .text()
+        .contains("ledger-7b")
+    {
+        assert!(Instant::now() < end, "no order within 20 s");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 async fn audit_of(fleet: &Fleet, is_wanted: impl Fn(&str) -> bool) -> Vec<(String, AuditRecord)> {
     let listing = fleet.client.list("audit/").await.unwrap();
     let entries = listing.entries.into_iter();
@@ -89,7 +118,10 @@
             if let (Some(fence), Some(sent)) = (changed, sent) {
                 break (fence, sent.clone());
             }
-            assert!(Instant::now() < end, "no records of {domain} within 20 s");
+            assert!(
+                Instant::now() < end,
+                "no records of {domain} within 20 s: {records:?}"
+            );
             tokio::time::sleep(Duration::from_millis(50)).await;
         };
         let expected = AuditAction::OrderSent {
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -6,7 +6,7 @@
     io::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     ops::RangeInclusive,
-    path::PathBuf,
+    path::{Path, PathBuf},
     time::{Duration, SystemTime},
 };
 
@@ -181,17 +181,7 @@
     pub async fn start(self) -> Fleet {
         let program = self.program.clone();
         let mut fleet = self.prepare().await;
-        for index in 0..fleet.settings.len() {
-            fleet.list_instance(index, InstanceState::Live);
-            match &program {
-                Some(program) => fleet.start_process(program, index).await,
-                None => fleet.start_instance(index).await,
-            }
-        }
-        match program {
-            Some(_) => fleet.wait_processes(Duration::from_secs(60)).await,
-            None => fleet.wait_ready().await,
-        }
+        fleet.start_all(program.as_deref()).await;
         fleet
     }
 
@@ -470,6 +460,21 @@
         self.daemons[index] = Some(daemon);
     }
 
+    /// Starts each instance, as a process if there is a program, and waits until all are ready.
+    pub async fn start_all(&mut self, program: Option<&Path>) {
+        for index in 0..self.settings.len() {
+            self.list_instance(index, InstanceState::Live);
+            match program {
+                Some(program) => self.start_process(program, index).await,
+                None => self.start_instance(index).await,
+            }
+        }
+        match program {
+            Some(_) => self.wait_processes(Duration::from_secs(60)).await,
+            None => self.wait_ready().await,
+        }
+    }
+
     async fn wait_ready(&self) {
         wait_until(
             Duration::from_secs(20),
--- a/crates/standins/src/engine_endpoint.rs
+++ b/crates/standins/src/engine_endpoint.rs
@@ -116,7 +116,12 @@
     }
 
     fn models(&self) -> Response<Body> {
-        let models = self.state.lock().orders.models(Instant::now());
+        let state = self.state.lock();
+        if state.faults.hide_models {
+            let message = "the list of models cannot be read";
+            return refuse(StatusCode::INTERNAL_SERVER_ERROR, "internal", message);
+        }
+        let models = state.orders.models(Instant::now());
         let data: Vec<Value> = models
             .iter()
             .map(|model| json!({"id": model, "object": "model", "owned_by": "stand-in"}))
--- a/crates/standins/src/engine_faults.rs
+++ b/crates/standins/src/engine_faults.rs
@@ -14,4 +14,6 @@
     pub silent_after_tokens: Option<u64>,
     /// Answers with a nonce that is not the caller's.
     pub wrong_nonce: bool,
+    /// Answers 500 when asked for its models.
+    pub hide_models: bool,
 }
