Tell engines from plain services when the configuration comes after the list

A process that reads the list of servers before the configuration took each engine for a plain service for as long as the server lived: 20 ms, and the correction ends at eight times that. Every restart could do it; admission and choice then worked on wrong figures.

Change: the table learns the engines' services whenever a configuration is put in force.

Test: configure_after_the_list_tells_engines_apart; without the loop over the known servers it expects 20 ms instead of 160.

--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -76,10 +76,9 @@
         listing: &ServerListing,
         source: &str,
     ) {
-        let configuration = self.configuration();
         let (changes, count) = {
             let mut servers = self.servers.lock();
-            let changes = servers.take_listing(now(), read_at, listing, configuration.as_deref());
+            let changes = servers.take_listing(now(), read_at, listing);
             (changes, servers.len())
         };
         if changes.is_empty() {
@@ -125,6 +124,7 @@
     }
 
     fn apply_configuration(&self, configuration: &Configuration) {
+        self.servers.lock().configure(configuration);
         self.limits.lock().configure(now(), configuration);
         let limits = ServerLimits {
             // The timer for heads runs while a connection is idle, too.
--- a/crates/hawthornquay/examples/capacity_support/table_sections.rs
+++ b/crates/hawthornquay/examples/capacity_support/table_sections.rs
@@ -280,6 +280,7 @@
         rate: 100_000,
         capacity: 1_000_000_000_000,
         level: 330_000_000_000,
+        retry_after_ms: 0,
     });
     let len = |body| Envelope::of_call(u64::MAX / 3, 1_000_000, body).encoded_len() + 4 + 22;
     let mean = (len(request) + len(grant)) as f64 / 2.0;
--- a/crates/traffic/src/latency_model.rs
+++ b/crates/traffic/src/latency_model.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Sets whether the server is a model engine; a change forgets the correction.
+    pub const fn set_engine(&mut self, engine: bool) {
+        if self.engine != engine {
+            *self = Self::new(engine);
+        }
+    }
+
     /// Predicts the time to the first part of an answer, in milliseconds.
     ///
     /// `ahead_tokens` are to be read before the request's own `tokens`; `running` requests occupy
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -57,6 +57,8 @@
     revision: u64,
     servers: Map<BackendName, Server>,
     evacuated: Set<DomainName>,
+    /// Services whose servers are model engines.
+    engines: Set<ServiceName>,
     read_at: Option<MonotonicTime>,
     returned_at: Option<MonotonicTime>,
 }
@@ -86,7 +88,6 @@
         now: MonotonicTime,
         read_at: MonotonicTime,
         listing: &ServerListing,
-        configuration: Option<&Configuration>,
     ) -> Vec<String> {
         if listing.revision < self.revision {
             return Vec::new();
@@ -95,7 +96,7 @@
         self.revision = listing.revision;
         let mut changes = Vec::new();
         for entry in &listing.servers {
-            self.take_entry(now, entry, configuration, &mut changes);
+            self.take_entry(now, entry, &mut changes);
         }
         let until = self.returned_at.map(|at| at + RETURN_GRACE);
         let listed: Set<&BackendName> = listing.servers.iter().map(|s| &s.id).collect();
@@ -135,6 +136,20 @@
         }
     }
 
+    /// Takes over which services are model engines; the list of servers may have been read before.
+    pub fn configure(&mut self, configuration: &Configuration) {
+        self.engines = configuration
+            .services
+            .iter()
+            .filter(|(_, terms)| terms.engine.is_some())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for server in self.servers.values_mut() {
+            let engine = self.engines.contains(&server.entry.service);
+            server.latency.set_engine(engine);
+        }
+    }
+
     /// Replaces the failure domains whose servers get nothing; returns whether they changed.
     pub fn evacuate(&mut self, domains: &[DomainName]) -> bool {
         let domains: Set<DomainName> = domains.iter().cloned().collect();
@@ -326,16 +341,8 @@
         self.read_at = self.read_at.max(Some(read_at));
     }
 
-    fn take_entry(
-        &mut self,
-        now: MonotonicTime,
-        entry: &BackendEntry,
-        configuration: Option<&Configuration>,
-        changes: &mut Vec<String>,
-    ) {
-        let engine = configuration
-            .and_then(|configuration| configuration.service(&entry.service))
-            .is_some_and(|terms| terms.engine.is_some());
+    fn take_entry(&mut self, now: MonotonicTime, entry: &BackendEntry, changes: &mut Vec<String>) {
+        let engine = self.engines.contains(&entry.service);
         if let Some(server) = self.servers.get_mut(&entry.id)
             && server.entry.started_ms == entry.started_ms
             && server.entry.address == entry.address
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -18,12 +18,8 @@
         .collect();
     let mut table = ServerTable::default();
     let asker = Asker::default();
-    table.take_listing(
-        at(0),
-        at(0),
-        &listing(1, &entries),
-        Some(&asker.configuration),
-    );
+    table.take_listing(at(0), at(0), &listing(1, &entries));
+    table.configure(&asker.configuration);
     table
 }
 
@@ -194,6 +190,23 @@
     assert_eq!(chosen.len(), 2);
 }
 
+/// Guards against engines that a restarted process takes for plain services, because it read the
+/// list of servers before the configuration.
+#[test]
+fn configure_after_the_list_tells_engines_apart() {
+    let asker = Asker::default();
+    let work = work(1, 0, 9_500);
+    let known = table(&[("s1", "home-a")]).pick(at(0), &asker.request(&work));
+    let mut table = ServerTable::default();
+    table.take_listing(at(0), at(0), &listing(1, &[server("s1", "home-a")]));
+    table.configure(&asker.configuration);
+    let pick = table.pick(at(0), &asker.request(&work));
+    assert_eq!(
+        pick.map(|pick| pick.expected),
+        known.map(|pick| pick.expected)
+    );
+}
+
 /// Guards against a server that fails with good health taking its full part.
 #[test]
 fn pick_failing_server_is_passed_over() {
@@ -246,7 +259,8 @@
             };
             let mut table = ServerTable::default();
             let entries = listing(1, std::slice::from_ref(&cold));
-            table.take_listing(at(0), at(0), &entries, Some(&asker.configuration));
+            table.take_listing(at(0), at(0), &entries);
+            table.configure(&asker.configuration);
             (asker, table)
         })
         .collect();
@@ -278,8 +292,8 @@
     let mut table = table(&[("s1", "home-a")]);
     let mut leaving = server("s1", "home-a");
     leaving.leaving = true;
-    table.take_listing(at(10), at(10), &listing(2, &[leaving]), None);
-    table.take_listing(at(20), at(20), &listing(3, &[server("s1", "home-a")]), None);
+    table.take_listing(at(10), at(10), &listing(2, &[leaving]));
+    table.take_listing(at(20), at(20), &listing(3, &[server("s1", "home-a")]));
     assert!(
         table
             .pick(at(21), &asker.request(&work(1, 0, 10)))
@@ -287,7 +301,7 @@
     );
     let mut restarted = server("s1", "home-a");
     restarted.started_ms = 2;
-    table.take_listing(at(30), at(30), &listing(4, &[restarted]), None);
+    table.take_listing(at(30), at(30), &listing(4, &[restarted]));
     assert!(
         table
             .pick(at(31), &asker.request(&work(1, 0, 10)))
@@ -302,14 +316,14 @@
     let asker = Asker::default();
     let request = work(1, 0, 10);
     let mut table = table(&[("s1", "home-a")]);
-    table.take_listing(at(8_000), at(8_000), &listing(2, &[]), None);
+    table.take_listing(at(8_000), at(8_000), &listing(2, &[]));
     assert!(table.pick(at(8_001), &asker.request(&request)).is_some());
     assert!(table.listing(at(8_001)).servers.is_empty());
     // The list does not change any more, so it is confirmed but not sent again.
     table.confirm(at(9_300));
     assert!(table.pick(at(10_301), &asker.request(&request)).is_some());
     assert!(table.pick(at(10_501), &asker.request(&request)).is_none());
-    table.take_listing(at(10_600), at(10_600), &listing(3, &[]), None);
+    table.take_listing(at(10_600), at(10_600), &listing(3, &[]));
     assert!(table.is_empty());
 }
 
@@ -318,7 +332,7 @@
 fn take_listing_older_revision_is_ignored() {
     let mut table = ServerTable::default();
     let entries = [server("s1", "home-a"), server("s2", "home-a")];
-    table.take_listing(at(0), at(0), &listing(9, &entries), None);
-    table.take_listing(at(5), at(5), &listing(8, &entries[..1]), None);
+    table.take_listing(at(0), at(0), &listing(9, &entries));
+    table.take_listing(at(5), at(5), &listing(8, &entries[..1]));
     assert_eq!(table.len(), 2);
 }
