Close a region to a request that it refused, not to all requests

A request that kano refused for want of capacity tried all its instances in turn, each a round trip of 110 ms (865 ms in one case), and when none was left the region was paused for one second for every service and size.

Change: after such a refusal the request leaves the region, and the region is offered no request of the service and at least that size until its next report. A region is paused only while none of its instances can be reached.

Tests: refuse_lasts_until_the_next_report_for_requests_of_the_size, has_receiver_only_reachability_counts.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,9 @@
 use std::{fmt::Write, io, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use hawthornquay_decisions::{BackendName, Execution, InstanceName, Refusal};
+use hawthornquay_decisions::{
+    BackendName, Execution, InstanceName, Refusal, RefusalCode, RegionName,
+};
 use hawthornquay_traffic::{
     Choice, ExecutionRule, PlacementRequest, PlacementTerms, ServerPick, place,
 };
@@ -57,6 +59,7 @@
     pub(crate) execution: Execution,
     avoid: Vec<BackendName>,
     avoid_peers: Vec<InstanceName>,
+    avoid_regions: Vec<RegionName>,
     events: EventReader,
     delivered: Option<u64>,
     error_answer: Option<WholeAnswer>,
@@ -78,6 +81,7 @@
             execution: Execution::NotRun,
             avoid: Vec::new(),
             avoid_peers: Vec::new(),
+            avoid_regions: Vec::new(),
             events: EventReader::default(),
             delivered,
             error_answer: None,
@@ -180,7 +184,7 @@
                     };
                     let Some(receiver) = receiver else {
                         self.opening = false;
-                        self.gateway.board.lock().fail(now(), &name);
+                        self.leave_region(&name);
                         self.tries += 1;
                         continue;
                     };
@@ -198,7 +202,7 @@
                     .await;
                     match &opened {
                         Ok(_) => self.arrivals += 1,
-                        Err(failure) => self.note_peer_failure(failure, &receiver.id.name),
+                        Err(failure) => self.note_peer_failure(failure, &receiver.id.name, &name),
                     }
                     opened.map(|(head, attempt)| (head, Attempt::Peer(attempt)))
                 }
@@ -236,8 +240,33 @@
         }
     }
 
-    fn note_peer_failure(&mut self, failure: &AttemptFailure, peer: &InstanceName) {
+    /// Sends the request to `region` no more, since none of its instances is left for it.
+    fn leave_region(&mut self, region: &RegionName) {
+        self.avoid_regions.push(region.clone());
+        let time = now();
+        // Instances that failed this request may well take another one.
+        if !self.gateway.instances.lock().has_receiver(time, region) {
+            self.gateway.board.lock().fail(time, region);
+        }
+    }
+
+    fn note_peer_failure(
+        &mut self,
+        failure: &AttemptFailure,
+        peer: &InstanceName,
+        region: &RegionName,
+    ) {
         self.avoid_peers.push(peer.clone());
+        // The instances of a region send to the same servers, so another one refuses too.
+        if let AttemptCause::Peer {
+            code: RefusalCode::NoCapacity,
+            ..
+        } = failure.cause
+        {
+            self.avoid_regions.push(region.clone());
+            let (service, tokens) = (&self.call.service, self.call.work.prompt_tokens);
+            self.gateway.board.lock().refuse(region, service, tokens);
+        }
         if failure.execution != Execution::NotRun {
             self.arrivals += 1;
         }
@@ -286,9 +315,16 @@
             region_instances: &members,
             is_local: &|domain| gateway.is_local(domain),
         };
+        let allowed: Vec<RegionName> = self
+            .call
+            .allowed
+            .iter()
+            .filter(|name| !self.avoid_regions.contains(name))
+            .cloned()
+            .collect();
         let terms = PlacementTerms {
             home: &gateway.settings.region,
-            allowed: &self.call.allowed,
+            allowed: &allowed,
             may_leave: !self.call.forwarded,
             round_trip: gateway.settings.region_round_trip,
             margin: gateway.settings.send_away_margin,
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -169,6 +169,12 @@
             .max_by_key(|instance| stable_hash(&[sender.as_str(), instance.id.name.as_str()]))
     }
 
+    /// Returns whether any instance of `region` may be reached, whatever failed a single request.
+    pub fn has_receiver(&self, now: MonotonicTime, region: &RegionName) -> bool {
+        self.staying_in(region)
+            .any(|instance| !self.is_paused(now, &instance.id.name))
+    }
+
     /// Returns the instance of `region` that keeps the region's pool of an organisation's rate.
     pub fn keeper_in(
         &self,
--- a/crates/traffic/src/region_board.rs
+++ b/crates/traffic/src/region_board.rs
@@ -20,6 +20,8 @@
     report: RegionReport,
     reported_at: MonotonicTime,
     sent_tokens: Map<ServiceName, u64>,
+    /// Prompt tokens of the smallest request of each service that was refused since the report.
+    refused_tokens: Map<ServiceName, u64>,
     paused_until: MonotonicTime,
 }
 
@@ -39,6 +41,7 @@
         region.report = report;
         region.reported_at = reported_at;
         region.sent_tokens.clear();
+        region.refused_tokens.clear();
     }
 
     /// Returns the last report of each region with its time.
@@ -55,25 +58,38 @@
         }
     }
 
+    /// Notes that a region refused a request of `tokens` for want of capacity.
+    ///
+    /// Until its next report, the region is offered no request of this size for the service.
+    pub fn refuse(&mut self, name: &RegionName, service: &ServiceName, tokens: u64) {
+        if let Some(region) = self.regions.get_mut(name) {
+            let refused = region.refused_tokens.entry(service.clone());
+            let least = refused.or_insert(tokens);
+            *least = (*least).min(tokens);
+        }
+    }
+
     /// Notes that a request could not be passed to a region.
     pub fn fail(&mut self, now: MonotonicTime, name: &RegionName) {
         let region = self.regions.entry(name.clone()).or_default();
         region.paused_until = now + FAILURE_PAUSE;
     }
 
-    /// Returns the load of a service in a region, if it is recent and takes requests.
+    /// Returns the load of a service in a region, if it is recent and takes requests of `tokens`.
     pub fn offer(
         &self,
         now: MonotonicTime,
         name: &RegionName,
         service: &ServiceName,
+        tokens: u64,
     ) -> Option<ServiceReport> {
         let region = self.regions.get(name)?;
         if now.since(region.reported_at) > LOAD_LIFE || now < region.paused_until {
             return None;
         }
         let mut report = *region.report.services.get(service)?;
-        if report.servers == 0 {
+        let refused = region.refused_tokens.get(service);
+        if report.servers == 0 || refused.is_some_and(|least| tokens >= *least) {
             return None;
         }
         let sent = region.sent_tokens.get(service).copied().unwrap_or(0) as f64;
@@ -93,12 +109,14 @@
             .services
             .get(service)
             .map_or(0, |report| report.servers);
-        let paused = if now < region.paused_until {
+        let state = if now < region.paused_until {
             ",paused"
+        } else if region.refused_tokens.contains_key(service) {
+            ",refused"
         } else {
             ""
         };
-        format!("{servers}servers,{age}ms{paused}")
+        format!("{servers}servers,{age}ms{state}")
     }
 
     /// Adds up the demand over `regions`, those that have instances.
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use common::{Asker, at, listing, regions, server, work};
-use hawthornquay_decisions::{BackendName, InstanceName, Map, RegionName, ServiceName, Set};
+use hawthornquay_decisions::{
+    BackendName, DomainName, InstanceId, InstanceName, Map, RegionName, ServiceName, Set,
+};
 use hawthornquay_traffic::{
-    Choice, PlacementTerms, RegionBoard, RegionReport, ServerFailure, ServerTable, ServiceReport,
-    Work, place,
+    Choice, InstanceList, PlacementTerms, RegionBoard, RegionReport, RoutedInstance, ServerFailure,
+    ServerTable, ServiceReport, Work, place,
 };
 
 fn table(servers: &[(&str, &str)]) -> ServerTable {
@@ -142,8 +144,8 @@
     let regions = Regions::new(80);
     let far = RegionName::new("far");
     let llm = ServiceName::new("llm");
-    assert!(regions.board.offer(at(2_000), &far, &llm).is_some());
-    assert!(regions.board.offer(at(3_000), &far, &llm).is_none());
+    assert!(regions.board.offer(at(2_000), &far, &llm, 2_000).is_some());
+    assert!(regions.board.offer(at(3_000), &far, &llm, 2_000).is_none());
 }
 
 /// Guards against a burst that floods one region between two of its reports.
@@ -151,14 +153,56 @@
 fn offer_counts_what_was_sent_since_the_report() {
     let mut regions = Regions::new(80);
     let (far, llm) = (RegionName::new("far"), ServiceName::new("llm"));
-    let before = regions.board.offer(at(1), &far, &llm).unwrap().wait;
+    let before = regions.board.offer(at(1), &far, &llm, 2_000).unwrap().wait;
     for _ in 0..20 {
         regions.board.send(&far, &llm, 12_000);
     }
-    let after = regions.board.offer(at(1), &far, &llm).unwrap().wait;
+    let after = regions.board.offer(at(1), &far, &llm, 2_000).unwrap().wait;
     assert!(after > before + Duration::from_millis(400), "{after:?}");
 }
 
+/// Guards against a region that is left alone for all requests because it refused a long one, and
+/// against one that is asked again at once for what it has just refused.
+#[test]
+fn refuse_lasts_until_the_next_report_for_requests_of_the_size() {
+    let mut regions = Regions::new(80);
+    let (far, llm) = (RegionName::new("far"), ServiceName::new("llm"));
+    regions.board.refuse(&far, &llm, 12_000);
+    let app = ServiceName::new("app");
+    let offer = |board: &RegionBoard, service: &ServiceName, tokens| {
+        board.offer(at(1), &far, service, tokens).is_some()
+    };
+    assert!(!offer(&regions.board, &llm, 12_000));
+    assert!(offer(&regions.board, &llm, 2_000));
+    regions.board.refuse(&far, &app, 0);
+    assert!(offer(&regions.board, &llm, 2_000));
+    regions.board.take(&far, at(300), report(80));
+    assert!(offer(&regions.board, &llm, 12_000));
+}
+
+/// Guards against an instance that is taken for unreachable because one request avoids it.
+#[test]
+fn has_receiver_only_reachability_counts() {
+    let region = RegionName::new("far");
+    let instance = RoutedInstance {
+        id: InstanceId::new("i1", 1),
+        region: region.clone(),
+        domain: DomainName::new("far-a"),
+        peers: "10.0.0.1:1".parse().unwrap(),
+        callers: "10.0.0.1:2".parse().unwrap(),
+    };
+    let mut list = InstanceList::default();
+    list.take(1, vec![instance.clone()]);
+    let avoid = [instance.id.name.clone()];
+    assert!(
+        list.receiver_in(at(0), &region, &"a".into(), &avoid)
+            .is_none()
+    );
+    assert!(list.has_receiver(at(0), &region));
+    list.fail(at(0), &instance.id.name);
+    assert!(!list.has_receiver(at(0), &region));
+}
+
 /// Guards against shared prompts that are read again on each server.
 #[test]
 fn pick_shared_prefix_goes_to_one_server() {
