Keep telling instances whose entries lapsed while they are still heard

Change: the list keeps an instance whose entry is gone while its own messages still arrive; the leader goes on sending it statuses and views. Callers are not led to it.

Ruled out: the links (they were open), the leader (it was heard all the time).

Test: followers_in_lapsed_instance_stays_while_it_is_heard.

--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -295,7 +295,7 @@
     let mut receivers: Vec<(RoutedInstance, Status)> = {
         let instances = gateway.instances.lock();
         instances
-            .staying_in(&gateway.settings.region)
+            .followers_in(time, &gateway.settings.region)
             .filter(|instance| instance.id.name != *own)
             .map(|instance| (instance.clone(), to_members.clone()))
             .collect()
--- a/crates/gateway/src/tasks.rs
+++ b/crates/gateway/src/tasks.rs
@@ -223,7 +223,7 @@
         let receivers: Vec<_> = {
             let instances = gateway.instances.lock();
             instances
-                .staying_in(&gateway.settings.region)
+                .followers_in(now(), &gateway.settings.region)
                 .filter(|instance| instance.id.name != gateway.id.name)
                 .cloned()
                 .collect()
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -94,7 +94,10 @@
     pub(crate) fn take_instances(&self, listing: InstanceListing, source: &str) {
         let names: Vec<String> = names(&listing.instances);
         let revision = listing.revision;
-        let changed = self.instances.lock().take(revision, listing.instances);
+        let changed = self
+            .instances
+            .lock()
+            .take(now(), revision, listing.instances);
         if !changed {
             return;
         }
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -34,6 +34,8 @@
 pub struct InstanceList {
     revision: u64,
     listed: Vec<RoutedInstance>,
+    /// Instances whose entry in the store has lapsed though they were heard a moment ago.
+    lapsed: Vec<RoutedInstance>,
     contacts: Map<InstanceName, Contact>,
 }
 
@@ -44,13 +46,29 @@
     }
 
     /// Takes over a list of the store; returns whether its members changed.
-    pub fn take(&mut self, revision: u64, mut listed: Vec<RoutedInstance>) -> bool {
+    ///
+    /// An instance that is missing from the list, and still heard, may be cut off from the store
+    /// only; it depends on the others' messages then.
+    pub fn take(
+        &mut self,
+        now: MonotonicTime,
+        revision: u64,
+        mut listed: Vec<RoutedInstance>,
+    ) -> bool {
         if revision < self.revision {
             return false;
         }
         self.revision = revision;
         listed.sort_by(|a, b| a.id.cmp(&b.id));
         let changed = listed != self.listed;
+        let mut lapsed = std::mem::take(&mut self.lapsed);
+        lapsed.append(&mut self.listed);
+        lapsed.retain(|known| {
+            !listed.iter().any(|one| one.id.name == known.id.name)
+                && self.is_heard(now, &known.id.name)
+                && !self.is_leaving(known)
+        });
+        self.lapsed = lapsed;
         self.listed = listed;
         changed
     }
@@ -84,13 +102,27 @@
         &self.listed
     }
 
-    /// Returns the instance with this name.
+    /// Returns the instance with this name, also one whose entry has lapsed while it was heard.
     pub fn get(&self, name: &InstanceName) -> Option<&RoutedInstance> {
         self.listed
             .iter()
+            .chain(&self.lapsed)
             .find(|instance| instance.id.name == *name)
     }
 
+    /// Returns the instances of a region that need the others' messages: those that are not leaving,
+    /// and those that are still heard though their entries in the store have lapsed.
+    pub fn followers_in(
+        &self,
+        now: MonotonicTime,
+        region: &RegionName,
+    ) -> impl Iterator<Item = &RoutedInstance> {
+        let lapsed = self.lapsed.iter().filter(move |instance| {
+            instance.region == *region && self.is_heard(now, &instance.id.name)
+        });
+        self.staying_in(region).chain(lapsed)
+    }
+
     /// Returns the names of the instances of a region that are not leaving.
     pub fn names_in(&self, region: &RegionName) -> Vec<InstanceName> {
         self.staying_in(region)
@@ -119,6 +151,11 @@
         heard.is_some_and(|at| now.since(at) > SILENT_AFTER)
     }
 
+    fn is_heard(&self, now: MonotonicTime, name: &InstanceName) -> bool {
+        let heard = self.contacts.get(name).and_then(|contact| contact.heard);
+        heard.is_some_and(|at| now.since(at) <= SILENT_AFTER)
+    }
+
     /// Returns the instances of another region to which the state of the own one is told.
     ///
     /// Only leaders send to other regions, so the one heard last leads there. While none is heard,
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -192,7 +192,7 @@
         callers: "10.0.0.1:2".parse().unwrap(),
     };
     let mut list = InstanceList::default();
-    list.take(1, vec![instance.clone()]);
+    list.take(at(0), 1, vec![instance.clone()]);
     let avoid = [instance.id.name.clone()];
     assert!(
         list.receiver_in(at(0), &region, &"a".into(), &avoid)
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -31,7 +31,7 @@
         instance("a2", "a", 2),
         instance("b1", "b", 3),
     ];
-    assert!(list.take(5, listed));
+    assert!(list.take(at(0), 5, listed));
     list
 }
 
@@ -98,7 +98,7 @@
     assert_eq!(hosts(&list, 1, "a"), ["10.0.0.1:2"]);
     let mut restarted = instance("a2", "a", 2);
     restarted.id = InstanceId::new("a2", 2);
-    list.take(6, vec![instance("a1", "a", 1), restarted]);
+    list.take(at(0), 6, vec![instance("a1", "a", 1), restarted]);
     list.hear(at(2), &"a2".into(), 2, false);
     assert_eq!(hosts(&list, 2, "a").len(), 2);
     assert_eq!(hosts(&list, 5_000, "a"), ["10.0.0.1:2"]);
@@ -133,7 +133,7 @@
 fn contacts_in_unheard_region_are_all_tried_in_turn() {
     let mut list = InstanceList::default();
     let listed = (1..6).map(|n| instance(&format!("a{n}"), "a", n)).collect();
-    list.take(5, listed);
+    list.take(at(0), 5, listed);
     let region = RegionName::new("a");
     let names = |list: &InstanceList, now_ms: u64, turn: usize| -> Vec<String> {
         list.contacts_in(at(now_ms), &region, turn)
@@ -151,13 +151,38 @@
     assert_eq!(tried, ["a1", "a2", "a3", "a4", "a5"]);
 }
 
+/// Guards against an instance that gets no more reports of the regions, and refuses what only they
+/// can serve, because it cannot reach the store and its entry has lapsed.
+#[test]
+fn followers_in_lapsed_instance_stays_while_it_is_heard() {
+    let region = RegionName::new("a");
+    let mut list = list();
+    list.hear(at(1_000), &"a2".into(), 1, false);
+    list.take(at(2_000), 6, vec![instance("a1", "a", 1)]);
+    let names = |list: &InstanceList, ms| -> Vec<String> {
+        list.followers_in(at(ms), &region)
+            .map(|instance| instance.id.name.to_string())
+            .collect()
+    };
+    assert_eq!(names(&list, 2_000), ["a1", "a2"]);
+    assert!(list.get(&"a2".into()).is_some());
+    assert_eq!(hosts(&list, 2_000, "a"), ["10.0.0.1:2"], "not for callers");
+    list.take(at(3_000), 7, vec![instance("a1", "a", 1)]);
+    assert_eq!(names(&list, 3_000), ["a1", "a2"], "after another list");
+    assert_eq!(names(&list, 4_000), ["a1"], "silent");
+}
+
 /// Guards against two pools of one organisation in a region, and against one that is kept by an
 /// instance that stops.
 #[test]
 fn keeper_in_region_is_one_that_stays() {
     let (region, mut list) = (RegionName::new("a"), list());
     let mut turned = InstanceList::default();
-    turned.take(5, vec![instance("a2", "a", 2), instance("a1", "a", 1)]);
+    turned.take(
+        at(0),
+        5,
+        vec![instance("a2", "a", 2), instance("a1", "a", 1)],
+    );
     for n in 0..20 {
         let organisation = OrganisationId::new(&format!("o{n}"));
         let keeper = list.keeper_in(&region, &organisation).cloned();
