Copy shared parts of prompts from the engine that holds them

Each region prefers another engine for the same parts, and an engine that is full leaves them to its neighbours.

Change: a request that shares parts of its prompt names the engine to copy them from: the one that its region prefers, if another one was chosen, or else the one preferred in the largest other region in which the prompt may be stored.

Ruled out: fetching only within the region (the parts are mostly missing there because another region read them last).

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,6 +1,6 @@
 //! Edge to the HTTP headers that callers and backend servers of a platform use.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use hawthornquay_decisions::{BackendName, OrganisationId, RequestId};
 use hawthornquay_traffic::{ReportedLoad, Work};
@@ -45,6 +45,8 @@
     pub priority: u8,
     /// Number of the last event that was delivered; `None` if the stream begins.
     pub last_event: Option<u64>,
+    /// Backend server from which the shared parts of the prompt may be copied.
+    pub copy_from: Option<SocketAddr>,
 }
 
 /// What the head of a backend server's answer says beside its status.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -314,6 +314,8 @@
             instance: &gateway.id.name,
             region_instances: &members,
             is_local: &|domain| gateway.is_local(domain),
+            regions: &gateway.settings.regions,
+            storing: &self.call.allowed,
         };
         let allowed: Vec<RegionName> = self
             .call
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -140,6 +140,7 @@
             time_left: call.time_left(now()),
             priority: call.priority,
             last_event,
+            copy_from: self.pick.copy_from,
         });
         let req = BackendRequest::new(call.method.clone(), &call.path)
             .headers(headers)
--- a/crates/traffic/src/placement_request.rs
+++ b/crates/traffic/src/placement_request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hawthornquay_decisions::{BackendName, DomainName, InstanceName, ServiceName};
+use hawthornquay_decisions::{BackendName, DomainName, InstanceName, Map, RegionName, ServiceName};
 
 use crate::{Configuration, Work};
 
@@ -27,4 +27,8 @@
     pub region_instances: &'a [InstanceName],
     /// Says whether a failure domain is in the own region.
     pub is_local: &'a dyn Fn(&DomainName) -> bool,
+    /// Region of each failure domain.
+    pub regions: &'a Map<DomainName, RegionName>,
+    /// Regions that may store the prompt.
+    pub storing: &'a [RegionName],
 }
--- a/crates/traffic/src/server_pick.rs
+++ b/crates/traffic/src/server_pick.rs
@@ -17,4 +17,6 @@
     pub uncorrected_ms: f64,
     /// Prompt tokens that the server is expected to read.
     pub tokens: u64,
+    /// Server that probably holds the shared parts of the prompt, from which they may be copied.
+    pub copy_from: Option<SocketAddr>,
 }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -1,8 +1,10 @@
 //! Backend servers of the own region.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
+use hawthornquay_decisions::{
+    BackendName, DomainName, Map, MonotonicTime, RegionName, ServiceName, Set,
+};
 
 use crate::{
     BackendEntry, ColdGate, Configuration, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
@@ -187,7 +189,13 @@
                 best = Some((score, pick));
             }
         }
-        best.map(|(_, pick)| pick)
+        let (_, mut pick) = best?;
+        if let Some(prefix) = prefix
+            && terms.engine.is_some()
+        {
+            pick.copy_from = self.copy_source(now, req, prefix, &pick.id, home.as_ref());
+        }
+        Some(pick)
     }
 
     /// Counts a request that is sent to the server.
@@ -374,6 +382,47 @@
         self.servers.insert(entry.id.clone(), server);
     }
 
+    /// Returns where the shared parts may be copied from, if not from `chosen` itself: the server
+    /// that the own region prefers for them, or else the one that the largest other region prefers.
+    fn copy_source(
+        &self,
+        now: MonotonicTime,
+        req: &PlacementRequest<'_>,
+        prefix: u64,
+        chosen: &BackendName,
+        home: Option<&BackendName>,
+    ) -> Option<SocketAddr> {
+        let known = home.filter(|home| *home != chosen);
+        if let Some(server) = known.and_then(|home| self.servers.get(home)) {
+            return Some(server.entry.address);
+        }
+        let mut regions: Map<&RegionName, (usize, u64, SocketAddr)> = Map::default();
+        for (id, server) in &self.servers {
+            let domain = &server.entry.domain;
+            let usable = server.entry.service == *req.service
+                && server.is_usable(now)
+                && !server.cold.is_cold(now)
+                && !self.evacuated.contains(domain)
+                && !(req.is_local)(domain);
+            let region = req.regions.get(domain);
+            let Some(region) = region.filter(|name| usable && req.storing.contains(name)) else {
+                continue;
+            };
+            let rank = affinity(id, prefix);
+            let best = regions
+                .entry(region)
+                .or_insert((0, rank, server.entry.address));
+            best.0 += 1;
+            if rank > best.1 {
+                (best.1, best.2) = (rank, server.entry.address);
+            }
+        }
+        let largest = regions
+            .into_iter()
+            .max_by_key(|(name, best)| (best.0, *name))?;
+        Some(largest.1.2)
+    }
+
     /// Returns the server that all instances of the region prefer for a prefix.
     fn preferred(
         &self,
@@ -387,7 +436,7 @@
                 server.is_candidate(now, req, &self.evacuated) && !server.cold.is_cold(now)
             })
             .map(|(id, _)| id)
-            .max_by_key(|id| stable_hash(&[id.as_str().as_bytes(), &prefix.to_le_bytes()]))
+            .max_by_key(|id| affinity(id, prefix))
             .cloned()
     }
 }
@@ -453,11 +502,17 @@
             expected: Duration::from_secs_f64(expected / 1_000.0),
             uncorrected_ms: self.latency.plain_ms(pending, tokens, requests, slots),
             tokens,
+            copy_from: None,
         };
         (score, pick)
     }
 }
 
+/// Returns the rank of a server for a prefix; of the usable ones, the highest is preferred.
+fn affinity(id: &BackendName, prefix: u64) -> u64 {
+    stable_hash(&[id.as_str().as_bytes(), &prefix.to_le_bytes()])
+}
+
 /// Returns whether this instance may send to a cold server, and how many instances may.
 fn cold_sender(id: &BackendName, req: &PlacementRequest<'_>) -> (bool, usize) {
     let senders = req.region_instances.len().min(COLD_SENDERS);
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -4,7 +4,8 @@
 use std::{sync::Arc, time::Duration};
 
 use hawthornquay_decisions::{
-    BackendName, DomainName, InstanceName, MonotonicTime, OrganisationId, RegionName, ServiceName,
+    BackendName, DomainName, InstanceName, Map, MonotonicTime, OrganisationId, RegionName,
+    ServiceName,
 };
 use hawthornquay_traffic::{
     BackendEntry, Configuration, EngineTerms, ExecutionRule, OrganisationTerms, PlacementRequest,
@@ -110,6 +111,8 @@
     pub members: Vec<InstanceName>,
     pub avoid: Vec<BackendName>,
     pub time_left: Duration,
+    pub regions: Map<DomainName, RegionName>,
+    pub storing: Vec<RegionName>,
 }
 
 impl Default for Asker {
@@ -121,6 +124,11 @@
             members: vec![InstanceName::new("i1")],
             avoid: Vec::new(),
             time_left: Duration::from_secs(10),
+            regions: ["home", "far", "wide"]
+                .iter()
+                .map(|name| (DomainName::new(&format!("{name}-a")), RegionName::new(name)))
+                .collect(),
+            storing: regions(&["home", "far", "wide"]),
         }
     }
 }
@@ -137,6 +145,8 @@
             instance: &self.instance,
             region_instances: &self.members,
             is_local: &|domain| domain.as_str().starts_with("home"),
+            regions: &self.regions,
+            storing: &self.storing,
         }
     }
 }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -9,8 +9,8 @@
     BackendName, DomainName, InstanceId, InstanceName, Map, RegionName, ServiceName, Set,
 };
 use hawthornquay_traffic::{
-    Choice, InstanceList, PlacementTerms, RegionBoard, RegionReport, RoutedInstance, ServerFailure,
-    ServerTable, ServiceReport, Work, place,
+    BackendEntry, Choice, InstanceList, PlacementTerms, RegionBoard, RegionReport, RoutedInstance,
+    ServerFailure, ServerTable, ServiceReport, Work, place,
 };
 
 fn table(servers: &[(&str, &str)]) -> ServerTable {
@@ -219,6 +219,68 @@
     assert_eq!(chosen.len(), 1);
 }
 
+/// Servers with addresses of their own: two at home, two in `far` and three in `wide`.
+fn table_of_three_regions(service: &str) -> ServerTable {
+    let domains = ["home", "home", "far", "far", "wide", "wide", "wide"];
+    let entries: Vec<_> = domains
+        .iter()
+        .enumerate()
+        .map(|(n, region)| BackendEntry {
+            address: format!("10.0.0.{n}:80").parse().unwrap(),
+            service: ServiceName::new(service),
+            ..server(&format!("s{n}"), &format!("{region}-a"))
+        })
+        .collect();
+    let mut table = ServerTable::default();
+    table.take_listing(at(0), at(0), &listing(1, &entries));
+    table.configure(&Asker::default().configuration);
+    table
+}
+
+/// Guards against shared parts that are read again although another engine holds them.
+#[test]
+fn pick_shared_parts_are_copied_from_where_they_are_preferred() {
+    let (asker, work) = (Asker::default(), work(42, 4_000, 500));
+    let mut table = table_of_three_regions("llm");
+    let first = table.pick(at(5), &asker.request(&work)).unwrap();
+    let wide = ["10.0.0.4:80", "10.0.0.5:80", "10.0.0.6:80"];
+    let source = first.copy_from.unwrap().to_string();
+    assert!(wide.contains(&source.as_str()), "{source}");
+    for _ in 0..100 {
+        table.start(at(5), &first, None);
+    }
+    let second = table.pick(at(5), &asker.request(&work)).unwrap();
+    assert_ne!(second.id, first.id, "the preferred one is full");
+    assert_eq!(second.copy_from, Some(first.address));
+}
+
+/// Guards against prompts that are stored outside their homes, and against servers that are told to
+/// copy what they cannot hold.
+#[test]
+fn pick_copies_come_from_homes_and_engines_only() {
+    let mut asker = Asker::default();
+    let shared = work(42, 4_000, 500);
+    asker.storing = regions(&["home", "far"]);
+    let mut table = table_of_three_regions("llm");
+    let pick = table.pick(at(5), &asker.request(&shared)).unwrap();
+    let source = pick.copy_from.unwrap().to_string();
+    assert!(["10.0.0.2:80", "10.0.0.3:80"].contains(&source.as_str()));
+    asker.storing = regions(&["home"]);
+    let pick = table.pick(at(5), &asker.request(&shared)).unwrap();
+    assert_eq!(pick.copy_from, None, "no other home");
+    let alone = Work {
+        parts: Vec::new(),
+        ..work(42, 0, 500)
+    };
+    let pick = table.pick(at(5), &asker.request(&alone)).unwrap();
+    assert_eq!(pick.copy_from, None, "nothing is shared");
+    asker.storing = regions(&["home", "far"]);
+    asker.service = ServiceName::new("app");
+    let mut table = table_of_three_regions("app");
+    let pick = table.pick(at(5), &asker.request(&shared)).unwrap();
+    assert_eq!(pick.copy_from, None, "a plain service");
+}
+
 /// Guards against a prefix that keeps all requests on a server that is full.
 #[test]
 fn pick_shared_prefix_yields_to_load() {
