Count at engines what the other instances have sent since the last counts

Change: each own request to an engine since the last counts, and half of those of the interval before, count once more for each other instance of the region. The trail of a request gives the known requests beside the predicted time.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -299,7 +299,8 @@
         left: Duration,
     ) -> Result<(crate::server_attempt::AttemptHead, Attempt<C, D>), AttemptFailure> {
         self.tries += 1;
-        let _ = write!(self.trail, "{}~{}ms ", pick.id, pick.expected.as_millis());
+        let (expected, requests) = (pick.expected.as_millis(), pick.requests);
+        let _ = write!(self.trail, "{}~{expected}ms/{requests} ", pick.id);
         if self.arrivals == 0 {
             self.gateway.earn_retry(&self.call.service);
         }
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -231,7 +231,8 @@
         report.uses.iter().for_each(|row| add_use(&mut sums, row));
     }
     let others: Vec<ServerUseRow> = sums.values().cloned().collect();
-    gateway.servers.lock().share_uses(time, &others);
+    let peers = peer_count(gateway);
+    gateway.servers.lock().share_uses(time, peers, &others);
     for row in own.iter().map(use_row) {
         add_use(&mut sums, &row);
     }
@@ -256,6 +257,7 @@
     time: MonotonicTime,
     sums: &[ServerUse],
 ) {
+    let peers = peer_count(gateway);
     let mut servers = gateway.servers.lock();
     let own: Map<String, ServerUseRow> = servers
         .own_uses()
@@ -273,7 +275,13 @@
             row
         })
         .collect();
-    servers.share_uses(time, &others);
+    servers.share_uses(time, peers, &others);
+}
+
+/// Returns the number of other instances of the region.
+fn peer_count<C: ControlPlane, D: Dialect>(gateway: &Gateway<C, D>) -> u32 {
+    let others = gateway.region_instances().len() - 1;
+    u32::try_from(others).unwrap_or(u32::MAX)
 }
 
 fn current_members<C: ControlPlane, D: Dialect>(
--- a/crates/traffic/src/server_load.rs
+++ b/crates/traffic/src/server_load.rs
@@ -31,6 +31,11 @@
     others_requests: u32,
     others_pending: u64,
     others_at: MonotonicTime,
+    /// Other instances that send to the same servers.
+    peers: u32,
+    /// Own requests and their prompt tokens since the last shared counts, and in the interval
+    /// before them.
+    sent: [(u32, u64); 2],
     reported: Option<(MonotonicTime, ReportedLoad)>,
     sent_since: u32,
 }
@@ -41,6 +46,8 @@
         self.own_requests += 1;
         self.own_pending += tokens;
         self.sent_since += 1;
+        self.sent[0].0 += 1;
+        self.sent[0].1 += tokens;
     }
 
     /// Counts the first part of an answer.
@@ -59,8 +66,10 @@
         self.sent_since = 0;
     }
 
-    /// Takes the work that other instances have at the server.
-    pub fn share(&mut self, now: MonotonicTime, requests: u32, pending: u64) {
+    /// Takes the work that `peers` other instances had at the server an interval ago.
+    pub fn share(&mut self, now: MonotonicTime, peers: u32, requests: u32, pending: u64) {
+        self.peers = peers;
+        self.sent = [(0, 0), self.sent[0]];
         self.others_requests = requests;
         self.others_pending = pending;
         self.others_at = now;
@@ -87,6 +96,14 @@
         if now.since(self.others_at) > SHARED_LIFE {
             return (0, 0);
         }
-        (self.others_requests, self.others_pending)
+        let [(requests, tokens), (requests_before, tokens_before)] = self.sent;
+        // The others know the same counts, so what this instance has sent since, each of them has
+        // probably sent as well. Without that, all choose the same server until the next counts.
+        let unseen = self.peers * (requests + requests_before / 2);
+        let unseen_tokens = u64::from(self.peers) * (tokens + tokens_before / 2);
+        (
+            self.others_requests + unseen,
+            self.others_pending + unseen_tokens,
+        )
     }
 }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -288,16 +288,19 @@
             .collect()
     }
 
-    /// Takes the work that the other instances of the region have at each server; servers that
-    /// are not named have none.
-    pub fn share_uses(&mut self, now: MonotonicTime, rows: &[ServerUseRow]) {
-        for server in self.servers.values_mut() {
-            server.load.share(now, 0, 0);
-        }
-        for row in rows {
-            if let Some(server) = self.servers.get_mut(&row.id) {
-                server.load.share(now, row.requests, row.pending_tokens);
-            }
+    /// Takes the work that the `peers` other instances of the region have at each server; servers
+    /// that are not named have none.
+    pub fn share_uses(&mut self, now: MonotonicTime, peers: u32, rows: &[ServerUseRow]) {
+        let rows: Map<&BackendName, &ServerUseRow> =
+            rows.iter().map(|row| (&row.id, row)).collect();
+        for (id, server) in &mut self.servers {
+            let (requests, pending) = rows
+                .get(id)
+                .map_or((0, 0), |row| (row.requests, row.pending_tokens));
+            // Requests to plain services mostly end within an interval.
+            let engine = self.engines.contains(&server.entry.service);
+            let senders = if engine { peers } else { 0 };
+            server.load.share(now, senders, requests, pending);
         }
     }
 
@@ -501,6 +504,7 @@
             address: self.entry.address,
             expected: Duration::from_secs_f64(expected / 1_000.0),
             uncorrected_ms: self.latency.plain_ms(pending, tokens, requests, slots),
+            requests,
             tokens,
             copy_from: None,
         };
