Compare each request of a large region over two random engines

Even with corrected counts all instances rank the engines alike, so a small difference moves hundreds of requests.

Change: in regions of more than six instances a request is compared over the engine that it prefers for its prompt and two drawn at random; over all if none of them takes it.

--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -3,13 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use hawthornquay_decisions::{
-    BackendName, DomainName, Map, MonotonicTime, RegionName, ServiceName, Set,
+    BackendName, DomainName, InstanceName, Map, MonotonicTime, RegionName, ServiceName, Set,
 };
 
 use crate::{
     BackendEntry, ColdGate, Configuration, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
     PrefixMemory, ReportedLoad, ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick,
-    ServiceReport, cold_gate::COLD_SENDERS, stable_hash,
+    ServiceReport, ServiceTerms, cold_gate::COLD_SENDERS, stable_hash,
 };
 
 /// Time after the store's return during which servers missing from its list stay in use; servers
@@ -27,6 +27,14 @@
 /// the requests behind, and priced. Of 0.7, 2 and 4, the last one served best on both deployments.
 const REREAD_WEIGHT: f64 = 4.0;
 
+/// Instances of a region up to which each request is compared over all engines. With more, many
+/// requests go out on the same counts, and the engine that looks best would get them all.
+const COMPARED_BY_ALL: usize = 6;
+
+/// Engines that a request of a larger region is compared over, beside the preferred one: two
+/// random choices. Of 2, 3, 4 and 8, the first kept most answers on time.
+const SAMPLE: f64 = 2.0;
+
 /// Penalty of a server for each certain failure, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
 
@@ -61,6 +69,8 @@
     evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
     engines: Set<ServiceName>,
+    /// Choices so far, which vary the samples.
+    picks: u64,
     read_at: Option<MonotonicTime>,
     returned_at: Option<MonotonicTime>,
 }
@@ -172,30 +182,50 @@
         let terms = req.configuration.service(req.service)?;
         let prefix = req.work.shared_prefix();
         let home = prefix.and_then(|prefix| self.preferred(now, req, prefix));
+        self.picks += 1;
+        let share = self.sample_share(now, req, terms);
+        let mut pick = self.best(now, req, terms, home.as_ref(), share);
+        if pick.is_none() && share < 1.0 {
+            pick = self.best(now, req, terms, home.as_ref(), 1.0);
+        }
+        let mut pick = pick?;
+        if let Some(prefix) = prefix
+            && terms.engine.is_some()
+        {
+            pick.copy_from = self.copy_source(now, req, prefix, &pick.id, home.as_ref());
+        }
+        Some(pick)
+    }
+
+    /// Returns the best of the preferred server and a sample of the others.
+    fn best(
+        &mut self,
+        now: MonotonicTime,
+        req: &PlacementRequest<'_>,
+        terms: &ServiceTerms,
+        home: Option<&BackendName>,
+        share: f64,
+    ) -> Option<ServerPick> {
+        let prefix = req.work.shared_prefix();
         let mut best: Option<(f64, ServerPick)> = None;
         for (id, server) in &mut self.servers {
-            if !server.is_candidate(now, req, &self.evacuated) {
+            let preferred = home == Some(id);
+            if !server.is_candidate(now, req, &self.evacuated)
+                || !(preferred || is_sampled(id, req.instance, self.picks, share))
+            {
                 continue;
             }
             let (sender, senders) = cold_sender(id, req);
             if !server.cold.is_open(now, terms.cold_rate, sender, senders) {
                 continue;
             }
-            let cached = prefix.is_some_and(|prefix| {
-                home.as_ref() == Some(id) || server.prefixes.holds(now, prefix)
-            });
-            let (score, pick) = server.assess(now, req, cached);
+            let held = prefix.is_some_and(|prefix| server.prefixes.holds(now, prefix));
+            let (score, pick) = server.assess(now, req, preferred || held);
             if best.as_ref().is_none_or(|(least, _)| score < *least) {
                 best = Some((score, pick));
             }
         }
-        let (_, mut pick) = best?;
-        if let Some(prefix) = prefix
-            && terms.engine.is_some()
-        {
-            pick.copy_from = self.copy_source(now, req, prefix, &pick.id, home.as_ref());
-        }
-        Some(pick)
+        best.map(|(_, pick)| pick)
     }
 
     /// Counts a request that is sent to the server.
@@ -385,6 +415,23 @@
         self.servers.insert(entry.id.clone(), server);
     }
 
+    /// Returns the part of the candidates that a request is compared over, from 0 to 1.
+    fn sample_share(
+        &self,
+        now: MonotonicTime,
+        req: &PlacementRequest<'_>,
+        terms: &ServiceTerms,
+    ) -> f64 {
+        if terms.engine.is_none() || req.region_instances.len() <= COMPARED_BY_ALL {
+            return 1.0;
+        }
+        let candidates = self
+            .servers
+            .values()
+            .filter(|server| server.is_candidate(now, req, &self.evacuated));
+        SAMPLE / candidates.count().max(1) as f64
+    }
+
     /// Returns where the shared parts may be copied from, if not from `chosen` itself: the server
     /// that the own region prefers for them, or else the one that the largest other region prefers.
     fn copy_source(
@@ -517,6 +564,17 @@
     stable_hash(&[id.as_str().as_bytes(), &prefix.to_le_bytes()])
 }
 
+/// Draws whether a server is in the sample of one choice, of which `share` are.
+fn is_sampled(id: &BackendName, instance: &InstanceName, choice: u64, share: f64) -> bool {
+    let choice = choice.to_le_bytes();
+    let drawn = stable_hash(&[
+        instance.as_str().as_bytes(),
+        &choice,
+        id.as_str().as_bytes(),
+    ]);
+    drawn as f64 / u64::MAX as f64 <= share
+}
+
 /// Returns whether this instance may send to a cold server, and how many instances may.
 fn cold_sender(id: &BackendName, req: &PlacementRequest<'_>) -> (bool, usize) {
     let senders = req.region_instances.len().min(COLD_SENDERS);
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -10,7 +10,7 @@
 };
 use hawthornquay_traffic::{
     BackendEntry, Choice, InstanceList, PlacementTerms, RegionBoard, RegionReport, RoutedInstance,
-    ServerFailure, ServerTable, ServiceReport, Work, place,
+    ServerFailure, ServerTable, ServerUseRow, ServiceReport, Work, place,
 };
 
 fn table(servers: &[(&str, &str)]) -> ServerTable {
@@ -237,6 +237,69 @@
     table
 }
 
+/// Guards against the engine that looks best at one count getting all requests until the next:
+/// 22 instances before 46 engines, each sending 14 requests on the same counts, as at the peak of
+/// the largest region. No engine may get over twice its even share.
+#[test]
+fn pick_peak_of_a_large_region_spreads_between_counts() {
+    let entries: Vec<_> = (0..46)
+        .map(|n| BackendEntry {
+            slots: 24,
+            ..server(&format!("s{n}"), "home-a")
+        })
+        .collect();
+    let members: Vec<_> = (0..22)
+        .map(|n| InstanceName::new(&format!("i{n}")))
+        .collect();
+    let rows: Vec<_> = (0..46)
+        .map(|n| ServerUseRow {
+            id: BackendName::new(&format!("s{n}")),
+            requests: n % 8,
+            pending_tokens: 0,
+        })
+        .collect();
+    let mut sent: Map<BackendName, u32> = Map::default();
+    for (index, instance) in members.iter().enumerate() {
+        let asker = Asker {
+            instance: instance.clone(),
+            members: members.clone(),
+            ..Asker::default()
+        };
+        let mut table = ServerTable::default();
+        table.take_listing(at(0), at(0), &listing(1, &entries));
+        table.configure(&asker.configuration);
+        table.share_uses(at(0), 21, &rows);
+        for n in 0..14 {
+            let work = work(index as u64 * 100 + n, 300, 2_000);
+            let pick = table.pick(at(10 * n), &asker.request(&work)).unwrap();
+            table.start(at(10 * n), &pick, work.shared_prefix());
+            *sent.entry(pick.id).or_default() += 1;
+        }
+    }
+    let even = 22.0 * 14.0 / 46.0;
+    let most = sent.values().copied().max().unwrap_or(0);
+    assert!(f64::from(most) <= 2.0 * even, "{most} of {even:.1}");
+}
+
+/// Guards against requests that are refused because their sample of a large region is empty.
+#[test]
+fn pick_without_a_preferred_engine_always_finds_one() {
+    let asker = Asker {
+        members: (0..22)
+            .map(|n| InstanceName::new(&format!("i{n}")))
+            .collect(),
+        ..Asker::default()
+    };
+    let mut table = table(&[("s1", "home-a"), ("s2", "home-a"), ("s3", "home-b")]);
+    let alone = Work {
+        parts: Vec::new(),
+        ..work(1, 0, 500)
+    };
+    for n in 0..200 {
+        assert!(table.pick(at(n), &asker.request(&alone)).is_some(), "{n}");
+    }
+}
+
 /// Guards against shared parts that are read again although another engine holds them.
 #[test]
 fn pick_shared_parts_are_copied_from_where_they_are_preferred() {
