Give the pools of a large region a deputy, and probe a lost keeper once

Every two seconds, all requests of an instance waited up to 250 ms for the keeper at the same moment.

Change: a region of six instances or more has a deputy beside the keeper, asked when that cannot be reached; one question at a time finds out whether a lost keeper is back.

Ruled out: deputies in small regions (a cut-off keeper's own callers are a third of a region there, and both pools together would exceed the rate).

Tests: keepers_in_large_region_have_a_deputy, keepers_in_small_region_is_one_that_stays, may_ask_unreachable_instance_is_probed_by_one.

--- a/crates/gateway/src/limit_loans.rs
+++ b/crates/gateway/src/limit_loans.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hawthornquay_decisions::OrganisationId;
+use hawthornquay_decisions::{OrganisationId, RegionName};
 use hawthornquay_instances::{LoanGrant, LoanRequest, PeerAddress};
 use hawthornquay_traffic::RoutedInstance;
 
@@ -40,13 +40,8 @@
     target: Duration,
 ) -> Loan {
     let mut outcome = Loan::Unreachable;
-    for keeper in keepers(gateway, organisation, target) {
-        let asked = ask(gateway, &keeper, organisation, tokens).await;
-        gateway.metrics.count_loan(match asked {
-            Loan::Granted => "granted",
-            Loan::Refused(_) => "refused",
-            Loan::Unreachable => "unreachable",
-        });
+    for region in regions_to_ask(gateway, target) {
+        let asked = ask_region(gateway, region, organisation, tokens).await;
         outcome = match (outcome, asked) {
             (_, Loan::Granted) => return Loan::Granted,
             (Loan::Refused(known), Loan::Refused(after)) => Loan::Refused(known.min(after)),
@@ -62,10 +57,12 @@
     let organisation = OrganisationId::new(&request.organisation);
     let keeps = {
         let instances = gateway.instances.lock();
-        let keeper = instances.keeper_in(&gateway.settings.region, &organisation);
-        keeper.is_some_and(|keeper| keeper.id.name == gateway.id.name)
+        let keepers = instances.keepers_in(&gateway.settings.region, &organisation);
+        keepers
+            .iter()
+            .any(|keeper| keeper.id.name == gateway.id.name)
     };
-    // Lists of instances differ for a moment; one pool in each region keeps the sum within the rate.
+    // Lists of instances differ for a moment; the pools of the listed keepers keep the sum within the rate.
     if !keeps {
         slog::debug!(gateway.log.limits, "asked for a loan from a pool that is kept elsewhere";
             "organisation" => organisation.as_str());
@@ -81,24 +78,44 @@
     }
 }
 
-/// Returns the keepers to ask, the nearest first.
-fn keepers<C, D>(
-    gateway: &Gateway<C, D>,
-    organisation: &OrganisationId,
-    target: Duration,
-) -> Vec<RoutedInstance> {
-    let instances = gateway.instances.lock();
+/// Returns the regions whose keepers may be asked, the own one first.
+fn regions_to_ask<C, D>(gateway: &Gateway<C, D>, target: Duration) -> Vec<&RegionName> {
     let own = &gateway.settings.region;
     let far = gateway
         .regions
         .iter()
         .filter(|region| *region != own && target >= FAR_TARGET);
-    std::iter::once(own)
-        .chain(far)
-        .filter_map(|region| instances.keeper_in(region, organisation))
-        .filter(|keeper| !instances.is_paused(now(), &keeper.id.name))
-        .cloned()
-        .collect()
+    std::iter::once(own).chain(far).collect()
+}
+
+/// Asks the keeper of a region, or its deputy if the keeper cannot be reached.
+async fn ask_region<C, D>(
+    gateway: &Arc<Gateway<C, D>>,
+    region: &RegionName,
+    organisation: &OrganisationId,
+    tokens: u64,
+) -> Loan {
+    let keepers: Vec<RoutedInstance> = {
+        let instances = gateway.instances.lock();
+        let keepers = instances.keepers_in(region, organisation);
+        keepers.into_iter().cloned().collect()
+    };
+    for keeper in keepers {
+        let name = &keeper.id.name;
+        if *name != gateway.id.name && !gateway.instances.lock().may_ask(now(), name) {
+            continue;
+        }
+        let asked = ask(gateway, &keeper, organisation, tokens).await;
+        gateway.metrics.count_loan(match asked {
+            Loan::Granted => "granted",
+            Loan::Refused(_) => "refused",
+            Loan::Unreachable => "unreachable",
+        });
+        if asked != Loan::Unreachable {
+            return asked;
+        }
+    }
+    Loan::Unreachable
 }
 
 async fn ask<C, D>(
@@ -132,7 +149,11 @@
         ..LoanRequest::default()
     };
     let timeout = if near { NEAR_TIMEOUT } else { FAR_TIMEOUT };
-    match gateway.links.call(&address, req, timeout).await {
+    let answer = gateway.links.call(&address, req, timeout).await;
+    if answer.is_ok() {
+        gateway.instances.lock().reach(name);
+    }
+    match answer {
         Ok(grant) if grant.level > 0 => Loan::Granted,
         Ok(grant) if grant.retry_after_ms > 0 => {
             let after = Duration::from_millis(grant.retry_after_ms);
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -1,6 +1,6 @@
 //! Instances of the fleet.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use hawthornquay_decisions::{
     DomainName, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set,
@@ -18,6 +18,9 @@
 /// of a second each time.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Instances of a region from which on a pool has a deputy: the callers of one are a sixth there.
+const DEPUTY_REGION: usize = 6;
+
 /// Most addresses in one answer to callers.
 const MOST_ADDRESSES: usize = 64;
 
@@ -212,14 +215,49 @@
             .any(|instance| !self.is_paused(now, &instance.id.name))
     }
 
-    /// Returns the instance of `region` that keeps the region's pool of an organisation's rate.
-    pub fn keeper_in(
+    /// Returns the instances of `region` that may lend from the region's pool of an organisation's
+    /// rate: its keeper and, in a large region, a deputy for those that cannot reach the keeper.
+    ///
+    /// A keeper that is cut off lends to itself at most. In a large region its own callers are few,
+    /// so that a deputy beside it exceeds the rate by little.
+    pub fn keepers_in(
         &self,
         region: &RegionName,
         organisation: &OrganisationId,
-    ) -> Option<&RoutedInstance> {
-        self.staying_in(region)
-            .max_by_key(|instance| stable_hash(&[organisation.as_str(), instance.id.name.as_str()]))
+    ) -> Vec<&RoutedInstance> {
+        let mut staying: Vec<&RoutedInstance> = self.staying_in(region).collect();
+        let keepers = if staying.len() >= DEPUTY_REGION { 2 } else { 1 };
+        staying.sort_by_cached_key(|instance| {
+            Reverse(stable_hash(&[
+                organisation.as_str(),
+                instance.id.name.as_str(),
+            ]))
+        });
+        staying.truncate(keepers);
+        staying
+    }
+
+    /// Returns whether a question to an instance is worth its time.
+    ///
+    /// Of one that could not be reached, only one question at a time finds out whether it is back.
+    pub fn may_ask(&mut self, now: MonotonicTime, name: &InstanceName) -> bool {
+        let Some(contact) = self.contacts.get_mut(name) else {
+            return true;
+        };
+        if now < contact.paused_until {
+            return false;
+        }
+        if contact.paused_until > MonotonicTime(0) {
+            contact.paused_until = now + UNREACHABLE_PAUSE;
+        }
+        true
+    }
+
+    /// Notes that an instance answered.
+    pub fn reach(&mut self, name: &InstanceName) {
+        if let Some(contact) = self.contacts.get_mut(name) {
+            contact.paused_until = MonotonicTime(0);
+        }
     }
 
     /// Returns whether an instance could not be reached a moment ago.
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -172,10 +172,10 @@
     assert_eq!(names(&list, 4_000), ["a1"], "silent");
 }
 
-/// Guards against two pools of one organisation in a region, and against one that is kept by an
-/// instance that stops.
+/// Guards against two pools of one organisation in a small region, and against one that is kept by
+/// an instance that stops.
 #[test]
-fn keeper_in_region_is_one_that_stays() {
+fn keepers_in_small_region_is_one_that_stays() {
     let (region, mut list) = (RegionName::new("a"), list());
     let mut turned = InstanceList::default();
     turned.take(
@@ -185,15 +185,44 @@
     );
     for n in 0..20 {
         let organisation = OrganisationId::new(&format!("o{n}"));
-        let keeper = list.keeper_in(&region, &organisation).cloned();
-        assert_eq!(keeper.as_ref(), turned.keeper_in(&region, &organisation));
-        assert_eq!(keeper.map(|keeper| keeper.region), Some(region.clone()));
+        let keepers = list.keepers_in(&region, &organisation);
+        assert_eq!(keepers, turned.keepers_in(&region, &organisation));
+        assert_eq!(keepers.len(), 1);
+        assert_eq!(keepers[0].region, region);
     }
     let organisation = OrganisationId::new("o");
-    let first = list.keeper_in(&region, &organisation).unwrap().id.clone();
+    let first = list.keepers_in(&region, &organisation)[0].id.clone();
     list.hear(at(0), &first.name, first.incarnation.0, true);
-    let next = list.keeper_in(&region, &organisation).unwrap();
-    assert_ne!(next.id, first);
+    let next = &list.keepers_in(&region, &organisation)[0].id;
+    assert_ne!(*next, first);
+}
+
+/// Guards against a large region without a pool while the keeper cannot be reached.
+#[test]
+fn keepers_in_large_region_have_a_deputy() {
+    let mut list = InstanceList::default();
+    let listed = (0..6).map(|n| instance(&format!("a{n}"), "a", n)).collect();
+    list.take(at(0), 1, listed);
+    let organisation = OrganisationId::new("o");
+    let keepers = list.keepers_in(&RegionName::new("a"), &organisation);
+    assert_eq!(keepers.len(), 2);
+    assert_ne!(keepers[0].id, keepers[1].id);
+}
+
+/// Guards against many requests that wait, at the same moment, for an instance that is cut off.
+#[test]
+fn may_ask_unreachable_instance_is_probed_by_one() {
+    let mut list = list();
+    let name: InstanceName = "a2".into();
+    assert!(list.may_ask(at(0), &name));
+    assert!(list.may_ask(at(0), &name));
+    list.fail(at(0), &name);
+    assert!(!list.may_ask(at(1_000), &name));
+    assert!(list.may_ask(at(2_100), &name), "the probe");
+    assert!(!list.may_ask(at(2_100), &name), "beside the probe");
+    list.reach(&name);
+    assert!(list.may_ask(at(2_200), &name));
+    assert!(list.may_ask(at(2_200), &name));
 }
 
 /// Guards against every instance of a region reading the store, or none soon after the first ends.
