Rely on servers' own reports for longer where nothing is heard of the others

Change: without counts of the other instances for two seconds, the load that a server reports with its answers counts for 1.5 s.

Test: requests_lone_instance_relies_on_reports_for_longer.

--- a/crates/traffic/src/server_load.rs
+++ b/crates/traffic/src/server_load.rs
@@ -7,6 +7,10 @@
 /// Age up to which a server's own report counts.
 const REPORT_LIFE: Duration = Duration::from_millis(400);
 
+/// Age up to which a server's own report counts at an instance that hears nothing from the others:
+/// the report is all that it knows of their work.
+const LONE_REPORT_LIFE: Duration = Duration::from_millis(1_500);
+
 /// Age up to which the work that other instances reported counts.
 const SHARED_LIFE: Duration = Duration::from_millis(2_000);
 
@@ -81,7 +85,12 @@
         let Some((at, load)) = self.reported else {
             return counted;
         };
-        if now.since(at) > REPORT_LIFE {
+        let life = if self.is_shared(now) {
+            REPORT_LIFE
+        } else {
+            LONE_REPORT_LIFE
+        };
+        if now.since(at) > life {
             return counted;
         }
         counted.max(load.running + load.waiting + self.sent_since)
@@ -92,8 +101,12 @@
         self.own_pending + self.others(now).1
     }
 
+    fn is_shared(&self, now: MonotonicTime) -> bool {
+        now.since(self.others_at) <= SHARED_LIFE
+    }
+
     fn others(&self, now: MonotonicTime) -> (u32, u64) {
-        if now.since(self.others_at) > SHARED_LIFE {
+        if !self.is_shared(now) {
             return (0, 0);
         }
         let [(requests, tokens), (requests_before, tokens_before)] = self.sent;
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -9,8 +9,9 @@
     BackendName, DomainName, InstanceId, InstanceName, Map, RegionName, ServiceName, Set,
 };
 use hawthornquay_traffic::{
-    BackendEntry, Choice, InstanceList, PlacementTerms, RegionBoard, RegionReport, RoutedInstance,
-    ServerFailure, ServerTable, ServerUseRow, ServiceReport, Work, place,
+    BackendEntry, Choice, InstanceList, PlacementTerms, RegionBoard, RegionReport, ReportedLoad,
+    RoutedInstance, ServerFailure, ServerLoad, ServerTable, ServerUseRow, ServiceReport, Work,
+    place,
 };
 
 fn table(servers: &[(&str, &str)]) -> ServerTable {
@@ -281,6 +282,24 @@
     assert!(f64::from(most) <= 2.0 * even, "{most} of {even:.1}");
 }
 
+/// Guards against an instance that is cut off from the others and floods servers that they fill.
+#[test]
+fn requests_lone_instance_relies_on_reports_for_longer() {
+    let reported = ReportedLoad {
+        running: 24,
+        waiting: 10,
+        slots: 24,
+    };
+    let mut load = ServerLoad::default();
+    load.share(at(0), 2, 5, 0);
+    load.report(at(0), reported);
+    assert_eq!(load.requests(at(300)), 34);
+    assert_eq!(load.requests(at(500)), 5, "the others' counts are newer");
+    load.report(at(3_000), reported);
+    assert_eq!(load.requests(at(4_000)), 34, "no counts for three seconds");
+    assert_eq!(load.requests(at(5_000)), 0);
+}
+
 /// Guards against requests that are refused because their sample of a large region is empty.
 #[test]
 fn pick_without_a_preferred_engine_always_finds_one() {
