Explain a failed request from the logs of several instances

Cause: the logs name what decided, and an engineer had to put the lines of two or three instances together by hand, with docs/OPERATIONS.md at the side.

--- a/crates/hawthornquay/src/command_error.rs
+++ b/crates/hawthornquay/src/command_error.rs
@@ -39,6 +39,17 @@
         /// The name.
         name: String,
     },
+    /// No line of the logs names the request.
+    #[error("no line of {logs} logs names request `{id}`")]
+    #[diagnostic(help(
+        "pass the logs of all instances of the time; `suppressed` in them counts lines left out"
+    ))]
+    RequestNotLogged {
+        /// Request.
+        id: String,
+        /// Logs that were read.
+        logs: usize,
+    },
     /// A file that would be written exists.
     #[error("{} exists already; nothing was written", path.display())]
     #[diagnostic(help("choose another directory, or move the file away"))]
--- a/crates/hawthornquay/src/command_explain.rs
+++ b/crates/hawthornquay/src/command_explain.rs
@@ -1,15 +1,17 @@
 //! Command that explains a request.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use hawthornquay_decisions::Execution;
+use hawthornquay_operators::RequestStory;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
     CommandError, CommandExit, CommandOutput, ExplainTarget, InstanceError, RequestName,
-    command_instance::get, command_platform::read_instances, command_runtime::block_on,
+    command_files::read_text, command_instance::get, command_platform::read_instances,
+    command_runtime::block_on,
 };
 
 /// Answer to `GET /requests/<id>` of the operators' interface.
@@ -28,19 +30,48 @@
     target: &ExplainTarget,
     id: &str,
 ) -> Result<CommandOutput, CommandError> {
-    let id: RequestName = id.parse()?;
-    let explanation = block_on(async {
-        let address = match target {
-            ExplainTarget::Named { instance } => *instance,
-            ExplainTarget::Listed { platform } => find_instance(*platform, &id.instance).await?,
-        };
-        ask(address, id).await
-    })??;
+    let explanation = match target {
+        ExplainTarget::Logged { log } => return explain_logged(as_json, log, id),
+        ExplainTarget::Named { instance } => {
+            let id: RequestName = id.parse()?;
+            block_on(ask(*instance, id))??
+        }
+        ExplainTarget::Listed { platform } => {
+            let id: RequestName = id.parse()?;
+            block_on(async {
+                let address = find_instance(*platform, &id.instance).await?;
+                ask(address, id).await
+            })??
+        }
+    };
     let text = text_of(&explanation);
     let json = json!(explanation);
     Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
 }
 
+/// Tells the story of a request from the logs of instances.
+fn explain_logged(
+    as_json: bool,
+    paths: &[PathBuf],
+    id: &str,
+) -> Result<CommandOutput, CommandError> {
+    let mut logs = Vec::new();
+    for path in paths {
+        let name = path.file_stem().unwrap_or(path.as_os_str());
+        logs.push((name.to_string_lossy().into_owned(), read_text(path)?));
+    }
+    let Some(story) = RequestStory::read(&logs, id) else {
+        return Err(CommandError::RequestNotLogged {
+            id: id.to_owned(),
+            logs: logs.len(),
+        });
+    };
+    let lines: Vec<String> = story.lines.iter().map(ToString::to_string).collect();
+    let json = json!({"request_id": id, "lines": lines, "cause": story.cause});
+    let text = format!("{story}\n");
+    Ok(CommandOutput::of(CommandExit::Done, as_json, &json, text))
+}
+
 async fn find_instance(platform: SocketAddr, name: &str) -> Result<SocketAddr, CommandError> {
     let listed = read_instances(platform).await?.instances;
     let found = listed.iter().find(|record| record.name.as_str() == name);
--- a/crates/hawthornquay/src/command_options.rs
+++ b/crates/hawthornquay/src/command_options.rs
@@ -235,6 +235,15 @@
         #[bpaf(argument("IP:PORT"))]
         platform: SocketAddr,
     },
+    /// Logs of instances of a platform's gateway.
+    Logged {
+        /// Log of an instance, named after it; may be repeated
+        #[bpaf(
+            argument("FILE"),
+            some("name --platform, the operators' address of an instance, or at least one log")
+        )]
+        log: Vec<PathBuf>,
+    },
     /// Instance at an address.
     Named {
         /// Operators' address of the instance
--- a/crates/hawthornquay/tests/command/explain.rs
+++ b/crates/hawthornquay/tests/command/explain.rs
@@ -117,3 +117,37 @@
         assert!(said.contains("is no identifier of a request"), "{said}");
     }
 }
+
+/// Guards against logs whose story leaves out the other instance, or that pass for another request.
+#[test]
+fn explain_logs_of_two_instances_give_one_story() {
+    let workplace = Workplace::new("explain-logs");
+    let line = |ts: &str, fields: &str| {
+        format!(
+            "{{\"msg\":\"requests: request ended\",\"ts\":\"2026-12-04T10:00:{ts}Z\",{fields}}}\n"
+        )
+    };
+    let near = line(
+        "02.5",
+        r#""id":"r1","outcome":"backend-failed","execution":"unknown","forwarded":false,"attempts":"front-2@far broken""#,
+    );
+    let far = line(
+        "02.4",
+        r#""id":"r1","outcome":"caller-left","execution":"unknown","forwarded":true,"attempts":"i-7~20ms/0""#,
+    );
+    std::fs::write(workplace.path("front-1.log"), &near).unwrap();
+    let cut_off = format!("{far}{{\"msg\":\"cut off");
+    std::fs::write(workplace.path("front-2.log"), cut_off).unwrap();
+    let ran = workplace.run("explain --log front-1.log --log front-2.log r1");
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let lines: Vec<&str> = ran.stdout.lines().collect();
+    assert_eq!(lines.len(), 3, "{ran:?}");
+    assert!(lines[0].contains("front-2") && lines[0].contains("i-7~20ms/0"));
+    assert!(
+        lines[2].starts_with("cause: the answer was lost"),
+        "{ran:?}"
+    );
+    let ran = workplace.run("explain --log front-1.log r2");
+    assert_ne!(ran.code, 0);
+    assert!(ran.stderr.contains("names request `r2`"), "{ran:?}");
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -39,6 +39,7 @@
 mod operator_key;
 mod part;
 mod random_bytes;
+mod request_story;
 mod section_change;
 mod section_kind;
 mod section_reader;
@@ -49,6 +50,7 @@
 mod store_keys;
 mod stored_difference;
 mod stored_head;
+mod story_line;
 mod tls_settings;
 mod trust;
 mod trust_reader;
@@ -83,6 +85,7 @@
     lost_race::LostRace,
     operator_key::OperatorKey,
     part::Part,
+    request_story::RequestStory,
     section_change::SectionChange,
     section_kind::SectionKind,
     signature_error::SignatureError,
@@ -91,6 +94,7 @@
     store_keys::{AUDIT_PREFIX, HEAD_KEY},
     stored_difference::StoredDifference,
     stored_head::StoredHead,
+    story_line::StoryLine,
     tls_settings::TlsSettings,
     trust::Trust,
 };
