Spread the returns after an overload over the time that callers can wait

Each refusal for overload gave 0.7 s, so all callers returned into the same overload; a long summary could wait for 4 s.

Change: a caller whose answer would be late in any case is asked back between a sixth and a third of the time it has left, spread by the request's identifier, and not before the predicted excess has passed.

--- a/crates/gateway/src/exchange_refusals.rs
+++ b/crates/gateway/src/exchange_refusals.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{Execution, Refusal, RefusalCode};
+use hawthornquay_traffic::return_after;
 
 use crate::{
     AttemptCause, AttemptFailure, ControlPlane, Dialect, Exchange, exchange::LEAST_TIME,
@@ -42,12 +43,16 @@
         if self.execution != Execution::NotRun {
             return self.refuse_unavailable();
         }
-        let after = expected.saturating_sub(self.call.route.target);
+        let after = return_after(
+            expected.saturating_sub(self.call.route.target),
+            self.call.time_left(now()),
+            self.call.id.as_str(),
+        );
         Refusal::not_run(
             RefusalCode::NoCapacity,
             "the request could not be answered before its deadline",
         )
-        .with_retry_after(after.max(UNAVAILABLE_RETRY))
+        .with_retry_after(after)
     }
 
     pub(crate) fn final_refusal(&mut self, failure: &AttemptFailure) -> Refusal {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -23,6 +23,7 @@
 mod prefix_memory;
 mod region_board;
 mod region_report;
+mod return_time;
 mod route;
 mod route_lookup;
 mod routed_instance;
@@ -58,6 +59,7 @@
     prefix_memory::PrefixMemory,
     region_board::RegionBoard,
     region_report::RegionReport,
+    return_time::return_after,
     route::Route,
     route_lookup::RouteLookup,
     routed_instance::RoutedInstance,
