Split the choice of a server and the placement of a request into files of their own

Change: server_choice.rs (which server), listed_server.rs (what is known of one), server_use_row.rs, exchange_placement.rs. No behaviour changes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,11 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use hawthornquay_decisions::{
-    BackendName, Execution, InstanceName, MonotonicTime, Refusal, RefusalCode, RegionName,
-};
-use hawthornquay_traffic::{
-    Choice, ExecutionRule, PlacementRequest, PlacementTerms, ServerPick, place,
+    BackendName, Execution, InstanceName, MonotonicTime, Refusal, RegionName,
 };
+use hawthornquay_traffic::{Choice, ExecutionRule, ServerPick};
 use http::{HeaderMap, StatusCode};
 
 use crate::{
@@ -56,16 +54,16 @@
     /// Whether an attempt waits for the head of its answer.
     opening: bool,
     tries: u32,
-    arrivals: u32,
+    pub(crate) arrivals: u32,
     pub(crate) execution: Execution,
-    avoid: Vec<BackendName>,
-    avoid_peers: Vec<InstanceName>,
-    avoid_regions: Vec<RegionName>,
+    pub(crate) avoid: Vec<BackendName>,
+    pub(crate) avoid_peers: Vec<InstanceName>,
+    pub(crate) avoid_regions: Vec<RegionName>,
     events: EventReader,
     delivered: Option<u64>,
     error_answer: Option<WholeAnswer>,
     pub(crate) retry_after: Option<Duration>,
-    trail: String,
+    pub(crate) trail: String,
     /// Time to the first events of a stream.
     first_part: Option<Duration>,
     events_at: Option<MonotonicTime>,
@@ -250,49 +248,6 @@
         }
     }
 
-    /// Notes what kept every region from taking the request.
-    fn note_unavailable(&mut self) {
-        let time = now();
-        self.trail.push_str("no-server ");
-        let board = self.gateway.board.lock();
-        for name in &self.call.allowed {
-            let known = board.describe(time, name, &self.call.service);
-            let _ = write!(self.trail, "{name}:{known} ");
-        }
-    }
-
-    /// Sends the request to `region` no more, since none of its instances is left for it.
-    fn leave_region(&mut self, region: &RegionName) {
-        self.avoid_regions.push(region.clone());
-        let time = now();
-        // Instances that failed this request may well take another one.
-        if !self.gateway.instances.lock().has_receiver(time, region) {
-            self.gateway.board.lock().fail(time, region);
-        }
-    }
-
-    fn note_peer_failure(
-        &mut self,
-        failure: &AttemptFailure,
-        peer: &InstanceName,
-        region: &RegionName,
-    ) {
-        self.avoid_peers.push(peer.clone());
-        // The instances of a region send to the same servers, so another one refuses too.
-        if let AttemptCause::Peer {
-            code: RefusalCode::NoCapacity,
-            ..
-        } = failure.cause
-        {
-            self.avoid_regions.push(region.clone());
-            let (service, tokens) = (&self.call.service, self.call.work.prompt_tokens);
-            self.gateway.board.lock().refuse(region, service, tokens);
-        }
-        if failure.execution != Execution::NotRun {
-            self.arrivals += 1;
-        }
-    }
-
     async fn open_server(
         &mut self,
         pick: &ServerPick,
@@ -322,42 +277,6 @@
         }
     }
 
-    fn choose(&self) -> Choice {
-        let gateway = &self.gateway;
-        let time = now();
-        let members = gateway.region_instances();
-        let req = PlacementRequest {
-            configuration: &self.call.configuration,
-            service: &self.call.service,
-            work: &self.call.work,
-            target: self.call.route.target,
-            time_left: self.call.time_left(time),
-            avoid: &self.avoid,
-            instance: &gateway.id.name,
-            region_instances: &members,
-            is_local: &|domain| gateway.is_local(domain),
-            regions: &gateway.settings.regions,
-            storing: &self.call.allowed,
-        };
-        let allowed: Vec<RegionName> = self
-            .call
-            .allowed
-            .iter()
-            .filter(|name| !self.avoid_regions.contains(name))
-            .cloned()
-            .collect();
-        let terms = PlacementTerms {
-            home: &gateway.settings.region,
-            allowed: &allowed,
-            may_leave: !self.call.forwarded,
-            round_trip: gateway.settings.region_round_trip,
-            margin: gateway.settings.send_away_margin,
-        };
-        let mut servers = gateway.servers.lock();
-        let board = gateway.board.lock();
-        place(time, &req, &terms, &mut servers, &board)
-    }
-
     /// Returns how long an attempt may take until its answer begins.
     fn patience(&self, left: Duration, expected: Duration) -> Duration {
         if !self.call.route.rule.is_repeatable() || self.call.max_attempts < 2 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod dialect;
 mod event_reader;
 mod exchange;
+mod exchange_placement;
 mod exchange_refusals;
 mod gateway;
 mod gateway_error;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -14,6 +14,7 @@
 mod fleet_demand;
 mod instance_list;
 mod latency_model;
+mod listed_server;
 mod operator_view;
 mod organisation_limits;
 mod organisation_terms;
@@ -27,11 +28,13 @@
 mod route;
 mod route_lookup;
 mod routed_instance;
+mod server_choice;
 mod server_health;
 mod server_listing;
 mod server_load;
 mod server_pick;
 mod server_table;
+mod server_use_row;
 mod service_report;
 mod service_terms;
 mod stable_hash;
@@ -67,7 +70,8 @@
     server_listing::ServerListing,
     server_load::{ReportedLoad, ServerLoad},
     server_pick::ServerPick,
-    server_table::{ServerTable, ServerUseRow},
+    server_table::ServerTable,
+    server_use_row::ServerUseRow,
     service_report::ServiceReport,
     service_terms::ServiceTerms,
     stable_hash::stable_hash,
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -1,15 +1,13 @@
 //! Backend servers of the own region.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
-use hawthornquay_decisions::{
-    BackendName, DomainName, InstanceName, Map, MonotonicTime, RegionName, ServiceName, Set,
-};
+use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
 
 use crate::{
-    BackendEntry, ColdGate, Configuration, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
-    PrefixMemory, ReportedLoad, ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick,
-    ServiceReport, ServiceTerms, cold_gate::COLD_SENDERS, stable_hash,
+    BackendEntry, ColdGate, Configuration, LatencyModel, PrefixMemory, ReportedLoad, ServerFailure,
+    ServerHealth, ServerListing, ServerLoad, ServerPick, ServerUseRow, ServiceReport,
+    listed_server::ListedServer,
 };
 
 /// Time after the store's return during which servers missing from its list stay in use; servers
@@ -19,58 +17,16 @@
 /// Age of the list from which the store counts as away.
 const AWAY_AFTER: Duration = Duration::from_millis(2_500);
 
-/// Share of an engine's slots that may be filled before others are preferred; the last ones slow
-/// all streams of the engine.
-const COMFORT: f64 = 0.8;
-
-/// Weight of the time to read a shared prefix again, beyond the time itself: it is also taken from
-/// the requests behind, and priced. Of 0.7, 2 and 4, the last one served best on both deployments.
-const REREAD_WEIGHT: f64 = 4.0;
-
-/// Instances of a region up to which each request is compared over all engines. With more, many
-/// requests go out on the same counts, and the engine that looks best would get them all.
-const COMPARED_BY_ALL: usize = 6;
-
-/// Engines that a request of a larger region is compared over, beside the preferred one: two
-/// random choices. Of 2, 3, 4 and 8, the first kept most answers on time.
-const SAMPLE: f64 = 2.0;
-
-/// Penalty of a server for each certain failure, in milliseconds.
-const FAILURE_PENALTY_MS: f64 = 2_000.0;
-
-struct Server {
-    entry: BackendEntry,
-    load: ServerLoad,
-    health: ServerHealth,
-    cold: ColdGate,
-    latency: LatencyModel,
-    prefixes: PrefixMemory,
-    /// Time until which the server is used although it is missing from the list, since it may not
-    /// have registered again yet; `None` for a listed server.
-    held_until: Option<MonotonicTime>,
-}
-
-/// Work at one backend server, as instances tell each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerUseRow {
-    /// Identifier.
-    pub id: BackendName,
-    /// Requests that have not ended.
-    pub requests: u32,
-    /// Prompt tokens of requests without an answer.
-    pub pending_tokens: u64,
-}
-
 /// Backend servers, their load and their health.
 #[derive(Default)]
 pub struct ServerTable {
     revision: u64,
-    servers: Map<BackendName, Server>,
-    evacuated: Set<DomainName>,
+    pub(crate) servers: Map<BackendName, ListedServer>,
+    pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
     engines: Set<ServiceName>,
     /// Choices so far, which vary the samples.
-    picks: u64,
+    pub(crate) picks: u64,
     read_at: Option<MonotonicTime>,
     returned_at: Option<MonotonicTime>,
 }
@@ -175,59 +131,6 @@
         self.evacuated.contains(domain)
     }
 
-    /// Chooses the backend server with the shortest expected time to an answer.
-    ///
-    /// Returns `None` if none may take the request.
-    pub fn pick(&mut self, now: MonotonicTime, req: &PlacementRequest<'_>) -> Option<ServerPick> {
-        let terms = req.configuration.service(req.service)?;
-        let prefix = req.work.shared_prefix();
-        let home = prefix.and_then(|prefix| self.preferred(now, req, prefix));
-        self.picks += 1;
-        let share = self.sample_share(now, req, terms);
-        let mut pick = self.best(now, req, terms, home.as_ref(), share);
-        if pick.is_none() && share < 1.0 {
-            pick = self.best(now, req, terms, home.as_ref(), 1.0);
-        }
-        let mut pick = pick?;
-        if let Some(prefix) = prefix
-            && terms.engine.is_some()
-        {
-            pick.copy_from = self.copy_source(now, req, prefix, &pick.id, home.as_ref());
-        }
-        Some(pick)
-    }
-
-    /// Returns the best of the preferred server and a sample of the others.
-    fn best(
-        &mut self,
-        now: MonotonicTime,
-        req: &PlacementRequest<'_>,
-        terms: &ServiceTerms,
-        home: Option<&BackendName>,
-        share: f64,
-    ) -> Option<ServerPick> {
-        let prefix = req.work.shared_prefix();
-        let mut best: Option<(f64, ServerPick)> = None;
-        for (id, server) in &mut self.servers {
-            let preferred = home == Some(id);
-            if !server.is_candidate(now, req, &self.evacuated)
-                || !(preferred || is_sampled(id, req.instance, self.picks, share))
-            {
-                continue;
-            }
-            let (sender, senders) = cold_sender(id, req);
-            if !server.cold.is_open(now, terms.cold_rate, sender, senders) {
-                continue;
-            }
-            let held = prefix.is_some_and(|prefix| server.prefixes.holds(now, prefix));
-            let (score, pick) = server.assess(now, req, preferred || held);
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                best = Some((score, pick));
-            }
-        }
-        best.map(|(_, pick)| pick)
-    }
-
     /// Counts a request that is sent to the server.
     pub fn start(&mut self, now: MonotonicTime, pick: &ServerPick, prefix: Option<u64>) {
         let Some(server) = self.servers.get_mut(&pick.id) else {
@@ -403,7 +306,7 @@
         changes.push(format!("{} at {}", entry.id, entry.address));
         let mut cold = ColdGate::default();
         cold.extend(now, entry.cold);
-        let server = Server {
+        let server = ListedServer {
             entry: entry.clone(),
             load: ServerLoad::default(),
             health: ServerHealth::default(),
@@ -414,176 +317,4 @@
         };
         self.servers.insert(entry.id.clone(), server);
     }
-
-    /// Returns the part of the candidates that a request is compared over, from 0 to 1.
-    fn sample_share(
-        &self,
-        now: MonotonicTime,
-        req: &PlacementRequest<'_>,
-        terms: &ServiceTerms,
-    ) -> f64 {
-        if terms.engine.is_none() || req.region_instances.len() <= COMPARED_BY_ALL {
-            return 1.0;
-        }
-        let candidates = self
-            .servers
-            .values()
-            .filter(|server| server.is_candidate(now, req, &self.evacuated));
-        SAMPLE / candidates.count().max(1) as f64
-    }
-
-    /// Returns where the shared parts may be copied from, if not from `chosen` itself: the server
-    /// that the own region prefers for them, or else the one that the largest other region prefers.
-    fn copy_source(
-        &self,
-        now: MonotonicTime,
-        req: &PlacementRequest<'_>,
-        prefix: u64,
-        chosen: &BackendName,
-        home: Option<&BackendName>,
-    ) -> Option<SocketAddr> {
-        let known = home.filter(|home| *home != chosen);
-        if let Some(server) = known.and_then(|home| self.servers.get(home)) {
-            return Some(server.entry.address);
-        }
-        let mut regions: Map<&RegionName, (usize, u64, SocketAddr)> = Map::default();
-        for (id, server) in &self.servers {
-            let domain = &server.entry.domain;
-            let usable = server.entry.service == *req.service
-                && server.is_usable(now)
-                && !server.cold.is_cold(now)
-                && !self.evacuated.contains(domain)
-                && !(req.is_local)(domain);
-            let region = req.regions.get(domain);
-            let Some(region) = region.filter(|name| usable && req.storing.contains(name)) else {
-                continue;
-            };
-            let rank = affinity(id, prefix);
-            let best = regions
-                .entry(region)
-                .or_insert((0, rank, server.entry.address));
-            best.0 += 1;
-            if rank > best.1 {
-                (best.1, best.2) = (rank, server.entry.address);
-            }
-        }
-        let largest = regions
-            .into_iter()
-            .max_by_key(|(name, best)| (best.0, *name))?;
-        Some(largest.1.2)
-    }
-
-    /// Returns the server that all instances of the region prefer for a prefix.
-    fn preferred(
-        &self,
-        now: MonotonicTime,
-        req: &PlacementRequest<'_>,
-        prefix: u64,
-    ) -> Option<BackendName> {
-        self.servers
-            .iter()
-            .filter(|(_, server)| {
-                server.is_candidate(now, req, &self.evacuated) && !server.cold.is_cold(now)
-            })
-            .map(|(id, _)| id)
-            .max_by_key(|id| affinity(id, prefix))
-            .cloned()
-    }
-}
-
-impl Server {
-    fn is_usable(&self, now: MonotonicTime) -> bool {
-        !self.entry.leaving
-            && !self.health.is_paused(now)
-            && self.held_until.is_none_or(|until| now < until)
-    }
-
-    fn is_candidate(
-        &self,
-        now: MonotonicTime,
-        req: &PlacementRequest<'_>,
-        evacuated: &Set<DomainName>,
-    ) -> bool {
-        self.entry.service == *req.service
-            && self.is_usable(now)
-            && (req.is_local)(&self.entry.domain)
-            && !evacuated.contains(&self.entry.domain)
-            && !req.avoid.contains(&self.entry.id)
-            && !(self.health.is_doubtful() && self.load.own_requests > 0)
-    }
-
-    fn wait_ms(&self, now: MonotonicTime) -> f64 {
-        let requests = self.load.requests(now);
-        self.latency
-            .predict_ms(self.load.pending(now), 0, requests, self.entry.slots)
-    }
-
-    fn assess(
-        &self,
-        now: MonotonicTime,
-        req: &PlacementRequest<'_>,
-        cached: bool,
-    ) -> (f64, ServerPick) {
-        let shared = if cached { req.work.shared_tokens() } else { 0 };
-        let tokens = req.work.prompt_tokens.saturating_sub(shared);
-        let requests = self.load.requests(now);
-        let pending = self.load.pending(now);
-        let slots = self.entry.slots;
-        let expected = self.latency.predict_ms(pending, tokens, requests, slots);
-        let crowding = f64::from(requests) / f64::from(slots.max(1));
-        let crowded = if crowding > COMFORT {
-            expected * (crowding - COMFORT)
-        } else {
-            0.0
-        };
-        let reread = if cached {
-            0.0
-        } else {
-            REREAD_WEIGHT * req.work.shared_tokens() as f64 / PREFILL_TOKENS_PER_MS
-        };
-        let score = expected
-            + reread
-            + crowded
-            + crowding * 5.0
-            + self.health.failure_share(now) * FAILURE_PENALTY_MS;
-        let pick = ServerPick {
-            id: self.entry.id.clone(),
-            address: self.entry.address,
-            expected: Duration::from_secs_f64(expected / 1_000.0),
-            uncorrected_ms: self.latency.plain_ms(pending, tokens, requests, slots),
-            requests,
-            tokens,
-            copy_from: None,
-        };
-        (score, pick)
-    }
-}
-
-/// Returns the rank of a server for a prefix; of the usable ones, the highest is preferred.
-fn affinity(id: &BackendName, prefix: u64) -> u64 {
-    stable_hash(&[id.as_str().as_bytes(), &prefix.to_le_bytes()])
-}
-
-/// Draws whether a server is in the sample of one choice, of which `share` are.
-fn is_sampled(id: &BackendName, instance: &InstanceName, choice: u64, share: f64) -> bool {
-    let choice = choice.to_le_bytes();
-    let drawn = stable_hash(&[
-        instance.as_str().as_bytes(),
-        &choice,
-        id.as_str().as_bytes(),
-    ]);
-    drawn as f64 / u64::MAX as f64 <= share
-}
-
-/// Returns whether this instance may send to a cold server, and how many instances may.
-fn cold_sender(id: &BackendName, req: &PlacementRequest<'_>) -> (bool, usize) {
-    let senders = req.region_instances.len().min(COLD_SENDERS);
-    let rank = |name: &str| stable_hash(&[id.as_str(), name]);
-    let own = rank(req.instance.as_str());
-    let before = req
-        .region_instances
-        .iter()
-        .filter(|name| **name != *req.instance && rank(name.as_str()) > own)
-        .count();
-    (before < COLD_SENDERS, senders.max(1))
 }
