Compare the published directory entry, not the one written last

Cause: at the start a second instance of a region that has not seen the first takes itself for the first watcher and overwrites a complete entry; the first one compared its list with what it had written itself and wrote again only after 60 s. Now the first watcher reads the published entry every 2 s and writes when names or addresses differ.

The test of the other entry now fails at once with the response of a request that ends early, so that the next failure shows which call was missing.

A fraction is rounded down; a number that is negative, not finite or no number is still refused by its field's name.

--- a/crates/hawthornquay/src/directory_task.rs
+++ b/crates/hawthornquay/src/directory_task.rs
@@ -1,65 +1,75 @@
 //! Publication of this region's instances in the platform's client directory.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hawthornquay_callers::InstanceListResponse;
+use hawthornquay_decisions::InstanceName;
 use slog::debug;
-use tokio::time::Instant;
 
 use crate::{Node, caller_gateway::caller_list_answer};
 
-/// Interval at which the list is compared with the one written last.
+/// Interval at which the published list is compared with the current one.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Time after which an unchanged list is written again, in case a write was lost.
-const REWRITE_INTERVAL: Duration = Duration::from_secs(60);
-
 /// Keeps the region's directory entry current, for as long as the process runs.
 ///
-/// Only the first watcher of the region writes the entry. The entry lists the instances without
+/// Only the first watcher of the region writes the entry. An instance that has not seen the others
+/// yet also takes itself for the first watcher and may overwrite the entry, so the published entry
+/// is compared, not the one that this instance wrote last. The entry lists the instances without
 /// regard to residency and names no organisation.
 pub async fn run_directory_updates(node: Arc<Node>) {
-    let mut written: Option<(Vec<String>, Instant)> = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         if node.watcher_rank() != Some(0) {
-            written = None;
             continue;
         }
         let list = caller_list_answer(&node, None);
-        let names = sorted_names(&list);
-        let fresh = written
-            .as_ref()
-            .is_some_and(|(known, at)| *known == names && at.elapsed() < REWRITE_INTERVAL);
-        if !fresh && write(&node, &list).await {
-            written = Some((names, Instant::now()));
+        if published_entries(&node).await != Some(sorted_entries(&list)) {
+            write(&node, &list).await;
         }
     }
 }
 
-/// Returns the names on the list in ascending order, for comparison.
-///
-/// Only the names count as a change, because the order of the list is random.
-fn sorted_names(list: &InstanceListResponse) -> Vec<String> {
-    let mut names: Vec<String> = list
+/// Returns the names and addresses in the region's published entry, or `None` if there is no
+/// readable one.
+async fn published_entries(node: &Node) -> Option<Vec<(InstanceName, SocketAddr)>> {
+    let name = entry_name(node);
+    let entry = match node.platform.read_directory(&name).await {
+        Ok(entry) => entry,
+        Err(error) => {
+            debug!(node.log.platform, "directory entry not read"; "error" => %error);
+            return None;
+        }
+    };
+    serde_json::from_slice(&entry)
+        .ok()
+        .map(|list| sorted_entries(&list))
+}
+
+/// Returns the names and addresses on a list in ascending order; the order of a list is random.
+fn sorted_entries(list: &InstanceListResponse) -> Vec<(InstanceName, SocketAddr)> {
+    let mut entries: Vec<_> = list
         .instances
         .iter()
-        .map(|entry| entry.name.to_string())
+        .map(|entry| (entry.name.clone(), entry.address))
         .collect();
-    names.sort();
-    names
+    entries.sort();
+    entries
 }
 
-async fn write(node: &Node, list: &InstanceListResponse) -> bool {
+async fn write(node: &Node, list: &InstanceListResponse) {
     let Ok(entry) = serde_json::to_vec(list) else {
-        return false;
+        return;
     };
-    let name = format!("hawthornquay-{}", node.location.region);
-    match node.platform.write_directory(&name, entry.into()).await {
-        Ok(()) => true,
-        Err(error) => {
-            debug!(node.log.platform, "directory entry not written"; "error" => %error);
-            false
-        }
+    let written = node
+        .platform
+        .write_directory(&entry_name(node), entry.into())
+        .await;
+    if let Err(error) = written {
+        debug!(node.log.platform, "directory entry not written"; "error" => %error);
     }
 }
+
+fn entry_name(node: &Node) -> String {
+    format!("hawthornquay-{}", node.location.region)
+}
--- a/crates/hawthornquay/tests/end_to_end.rs
+++ b/crates/hawthornquay/tests/end_to_end.rs
@@ -133,25 +133,49 @@
     let fleet = FleetBuilder::default().start().await;
     let end = Instant::now() + Duration::from_secs(15);
     for region in ["lagos", "kano"] {
-        let name = format!("hawthornquay-{region}");
-        loop {
-            let entry = fleet
-                .store_client
-                .read_directory(&name)
-                .await
-                .unwrap_or_default();
-            let list: Value = serde_json::from_slice(&entry).unwrap_or_default();
-            if list["instances"]
-                .as_array()
-                .is_some_and(|entries| entries.len() == 3)
-            {
-                break;
-            }
-            assert!(
-                Instant::now() < end,
-                "no complete directory entry of {region} within 15 s"
-            );
-            tokio::time::sleep(Duration::from_millis(50)).await;
+        wait_for_complete_entry(&fleet, region, end).await;
+    }
+}
+
+/// Guards against a directory entry that stays incomplete for a minute: at the start, a second
+/// instance that has not seen the first one overwrites the first one's entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn directory_entry_overwritten_by_another_instance_is_restored() {
+    let fleet = FleetBuilder::default().start().await;
+    let end = Instant::now() + Duration::from_secs(15);
+    wait_for_complete_entry(&fleet, "lagos", end).await;
+    let client = &fleet.store_client;
+    let name = "hawthornquay-lagos";
+    let mut entry: Value =
+        serde_json::from_slice(&client.read_directory(name).await.unwrap()).unwrap();
+    entry["instances"].as_array_mut().unwrap().remove(0);
+    client
+        .write_directory(name, entry.to_string().into())
+        .await
+        .unwrap();
+    let end = Instant::now() + Duration::from_secs(15);
+    wait_for_complete_entry(&fleet, "lagos", end).await;
+}
+
+async fn wait_for_complete_entry(fleet: &support::Fleet, region: &str, end: Instant) {
+    let name = format!("hawthornquay-{region}");
+    loop {
+        let entry = fleet
+            .store_client
+            .read_directory(&name)
+            .await
+            .unwrap_or_default();
+        let list: Value = serde_json::from_slice(&entry).unwrap_or_default();
+        if list["instances"]
+            .as_array()
+            .is_some_and(|entries| entries.len() == 3)
+        {
+            return;
         }
+        assert!(
+            Instant::now() < end,
+            "no complete directory entry of {region} within 15 s"
+        );
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
--- a/crates/hawthornquay/tests/stopping.rs
+++ b/crates/hawthornquay/tests/stopping.rs
@@ -55,6 +55,10 @@
     }
     let deadline = Instant::now() + Duration::from_secs(5);
     while fleet.engines[0].counters().started < 8 || fleet.service.runs().len() < 4 {
+        if let Some(ended) = calls.try_join_next() {
+            let (nonce, response) = ended.unwrap();
+            panic!("{nonce} ended before SIGTERM: {}", response.text());
+        }
         assert!(
             Instant::now() < deadline,
             "not all requests are running after 5 s"
--- a/crates/operators/src/gateway_settings.rs
+++ b/crates/operators/src/gateway_settings.rs
@@ -40,9 +40,9 @@
     pub send_away_margin: Duration,
     /// Retries allowed for each request on average, over the whole fleet; from 0 to 1.
     pub retry_ratio: f64,
-    /// Retries that the fleet may make in addition to that ratio.
+    /// Retries that the fleet may make in addition to that ratio; a fraction is rounded down.
     pub retry_slack: u32,
-    /// Tokens by which the fleet may exceed the burst of an organisation.
+    /// Tokens by which the fleet may exceed the burst of an organisation; a fraction is rounded down.
     pub limit_slack: u64,
     /// Maximum time from the stop signal to the exit of the process.
     pub stop_grace: Duration,
--- a/crates/operators/src/gateway_settings_reader.rs
+++ b/crates/operators/src/gateway_settings_reader.rs
@@ -19,6 +19,12 @@
     "instance", "status", "places", "store", "routing", "retries", "limits", "stop", "log",
 ];
 
+/// Grace period of a stop if the settings state none, in seconds.
+const DEFAULT_STOP_GRACE_S: f64 = 5.0;
+
+/// Longest grace period of a stop, in seconds.
+const MAX_STOP_GRACE_S: f64 = 3_600.0;
+
 /// Parses the sections and records every fault.
 pub(crate) fn read_gateway_settings(
     text: &IniText,
@@ -98,20 +104,22 @@
     });
     let retries = retries.and_then(|section| {
         read_section(section, faults, |reader, faults| {
-            let ratio = reader.fraction("ratio", faults);
-            let slack = reader.positive::<u32>("slack", faults);
-            Some((ratio?, slack?))
+            // Without a stated budget there are no retries.
+            let ratio = reader.fraction_or("ratio", 0.0, faults);
+            let slack = reader.decimal_or("slack", 0.0, faults);
+            Some((ratio?, slack? as u32))
         })
     });
     let limit_slack = limits.and_then(|section| {
         read_section(section, faults, |reader, faults| {
-            reader.number_or("slack_tokens", 0, faults)
+            let tokens = reader.decimal_or("slack_tokens", 0.0, faults)?;
+            Some(tokens as u64)
         })
     });
     let stop_grace = stop.and_then(|section| {
         read_section(section, faults, |reader, faults| {
-            let seconds = reader.positive::<u64>("grace_s", faults)?;
-            Some(Duration::from_secs(seconds))
+            let seconds = reader.decimal_or("grace_s", DEFAULT_STOP_GRACE_S, faults)?;
+            Some(Duration::from_secs_f64(seconds.min(MAX_STOP_GRACE_S)))
         })
     });
     let (name, region, domain, callers, peers) = instance?;
--- a/crates/operators/src/section_reader.rs
+++ b/crates/operators/src/section_reader.rs
@@ -99,13 +99,17 @@
         }
     }
 
-    /// Returns a required decimal number from 0 to 1.
-    pub(crate) fn fraction(
+    /// Returns an optional decimal number from 0 to 1; a missing or empty field has the default.
+    pub(crate) fn fraction_or(
         &mut self,
         name: &'static str,
+        default: f64,
         faults: &mut FaultCollector,
     ) -> Option<f64> {
-        let field = self.required(name, faults)?;
+        let field = self.optional(name, faults);
+        let Some(field) = field.filter(|field| !field.value.is_empty()) else {
+            return Some(default);
+        };
         let value = field
             .value
             .parse()
@@ -142,6 +146,32 @@
         value
     }
 
+    /// Returns an optional decimal number of at least 0; a missing or empty field has the default.
+    pub(crate) fn decimal_or(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        faults: &mut FaultCollector,
+    ) -> Option<f64> {
+        let field = self.optional(name, faults);
+        let Some(field) = field.filter(|field| !field.value.is_empty()) else {
+            return Some(default);
+        };
+        let value = field
+            .value
+            .parse()
+            .ok()
+            .filter(|value: &f64| value.is_finite() && *value >= 0.0);
+        if value.is_none() {
+            faults.add(
+                field.line,
+                format!("`{name}` is `{}`, not a number of at least 0", field.value),
+                format!("write `{name}` as a number such as 0, 8 or 33.5"),
+            );
+        }
+        value
+    }
+
     /// Returns an optional `yes` or `no`.
     pub(crate) fn flag(
         &mut self,
