Send changes of lists, and lead a region over its fastest link

Cause: at each change of a view the leader of a region sent every member the complete lists of servers and instances, and every member asked for them again when the revision alone had moved. With 170 servers, 295 instances and 103 members that is 4 MB a change, almost 2 s of a 20 Mbit/s link, and the leader was the first instance by name, mostly one of the smallest.

Change: lists remember at which store revision each entry changed and which names went; a member that states its revision gets only what changed since, and the complete list if that is not known. Status notices state the revision of the last change, so that a newer revision without a change moves no data. Instances register the bandwidth of their link; the fastest leads, the name decides between equals.

Instances of the former code take complete lists as before; while both run, a region may have two leaders, one for each.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use hawthornquay_instances::Notice;
-use hawthornquay_traffic::{poll_interval, rank_in_region};
+use hawthornquay_traffic::poll_interval;
 use rand::Rng;
 use tokio::{
     task::JoinHandle,
@@ -263,11 +263,10 @@
     gateway: &Gateway<C, H>,
     age: Option<Duration>,
 ) -> bool {
-    let rank = rank_in_region(
-        &gateway.instances.lock(),
-        &gateway.settings.region,
-        &gateway.id.name,
-    );
+    let rank = gateway
+        .instances
+        .lock()
+        .leadership_rank(&gateway.settings.region, &gateway.id.name);
     age.is_none_or(|age| age >= poll_interval(rank))
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,6 +173,7 @@
             domain: self.settings.domain.clone(),
             peer_address: self.settings.peers,
             caller_address: self.settings.callers,
+            link_mbps: self.settings.link_mbps,
         }
     }
 
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -1,7 +1,7 @@
 //! Exchange of state and load between instances.
 //!
-//! The leader of a region is its first live instance by name. The other instances of the region
-//! send their state and load to it. It sends the sums back to them, and sends those of its region
+//! The leader of a region is the live instance with the fastest network link. The other instances of
+//! the region send their state and load to it. It sends the sums back to them, and sends those of its region
 //! to the leaders of the other regions. So no instance has to send to all others.
 
 use std::sync::{Arc, atomic::Ordering};
@@ -24,20 +24,14 @@
 /// Age up to which the report of an instance is included in the sums of its region.
 const MAX_REPORT_AGE_MS: u64 = 2_500;
 
-/// Returns the leader of the region of this instance: the first by name of the instances that are
-/// neither stopping nor silent.
+/// Returns the leader of the region of this instance.
 fn leader<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
     time: MonotonicTime,
 ) -> Option<ListedInstance> {
     let instances = gateway.instances.lock();
-    instances
-        .active_in(&gateway.settings.region)
-        .filter(|instance| {
-            instance.id.name == gateway.id.name || !instances.is_silent(time, &instance.id.name)
-        })
-        .min_by(|a, b| a.id.name.cmp(&b.id.name))
-        .cloned()
+    let leader = instances.leader_of(time, &gateway.settings.region, &gateway.id.name);
+    leader.cloned()
 }
 
 /// Returns whether this instance is the leader of its region.
@@ -154,9 +148,26 @@
     }
     {
         let mut servers = gateway.servers.lock();
-        if status.servers_revision == servers.revision() {
-            servers.confirm(time_before(time, status.servers_age_ms));
-        } else if status.servers_revision > servers.revision() {
+        let read_at = time_before(time, status.servers_age_ms);
+        let own = servers.revision();
+        if status.servers_revision == own {
+            servers.confirm(read_at);
+        } else if is_unchanged(
+            own,
+            status.servers_revision,
+            status.servers_changed_revision,
+        ) {
+            servers.confirm_revision(status.servers_revision, read_at);
+        } else if status.servers_revision > own {
+            behind = true;
+        }
+    }
+    {
+        let mut instances = gateway.instances.lock();
+        let (own, theirs) = (instances.revision(), status.instances_revision);
+        if is_unchanged(own, theirs, status.instances_changed_revision) {
+            instances.confirm_revision(theirs);
+        } else if theirs > own {
             behind = true;
         }
     }
@@ -170,6 +181,13 @@
     }
 }
 
+/// Returns whether the list of revision `own` has not changed up to the newer revision `theirs`.
+///
+/// `changed` is the revision of its last change; zero if that is unknown.
+const fn is_unchanged(own: u64, theirs: u64, changed: u64) -> bool {
+    changed > 0 && own >= changed && theirs > own
+}
+
 /// Returns a request for a view that is newer than that of this instance.
 pub(crate) fn view_request<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
@@ -182,6 +200,8 @@
         configuration_version,
         operator_revision,
         servers_revision: gateway.servers.lock().revision(),
+        accepts_changes: true,
+        instances_revision: gateway.instances.lock().revision(),
     }
 }
 
@@ -194,10 +214,12 @@
     let operator_age = gateway.operators.lock().age(time);
     // Takes one lock at a time. A lock taken within the struct expression below would be held until
     // the end of the expression.
-    let (servers_age, usage) = {
+    let (servers_age, servers_changed_revision, usage) = {
         let servers = gateway.servers.lock();
-        (servers.age(time), servers.own_usage())
+        let changed = servers.changed_revision();
+        (servers.age(time), changed, servers.own_usage())
     };
+    let instances_changed_revision = gateway.instances.lock().changed_revision();
     Status {
         region: gateway.settings.region.to_string(),
         domain: gateway.settings.domain.to_string(),
@@ -209,6 +231,9 @@
         servers_age_ms: servers_age.map_or(u64::MAX, millis),
         demands: wire_demands(demands.iter().map(|(id, rate)| (id, *rate))),
         uses: usage.iter().map(server_use).collect(),
+        servers_changed_revision,
+        instances_revision: request.instances_revision,
+        instances_changed_revision,
         ..Status::default()
     }
 }
--- a/crates/gateway/src/view_notices.rs
+++ b/crates/gateway/src/view_notices.rs
@@ -10,7 +10,8 @@
     ControlPlane, Gateway, HeaderMapping, InstanceListing,
     gateway::now,
     wire_views::{
-        backend_entry, instance_entry, listed_instance, millis, server_record, time_before,
+        backend_entry, instance_changes, instance_entry, listed_instance, millis, server_changes,
+        server_record, time_before, wire_instance_changes, wire_server_changes,
     },
 };
 
@@ -41,19 +42,47 @@
             .clone()
             .unwrap_or_default();
     }
-    {
-        let servers = gateway.servers.lock();
-        if servers.revision() > request.servers_revision {
-            let listing = servers.listing(time);
-            update.servers_revision = listing.revision;
-            update.servers_age_ms = servers.age(time).map_or(u64::MAX, millis);
-            update.servers = listing.servers.iter().map(server_record).collect();
-        }
+    add_servers(gateway, request, &mut update);
+    add_instances(gateway, request, &mut update);
+    update
+}
+
+/// Adds the list of backend servers, or its changes, if the requester's is older.
+fn add_servers<C, H>(gateway: &Gateway<C, H>, request: &ViewRequest, update: &mut ViewUpdate) {
+    let time = now();
+    let servers = gateway.servers.lock();
+    if servers.revision() <= request.servers_revision {
+        return;
     }
+    let age_ms = servers.age(time).map_or(u64::MAX, millis);
+    let changes = request
+        .accepts_changes
+        .then(|| servers.changes_since(time, request.servers_revision))
+        .flatten();
+    if let Some(changes) = changes {
+        update.server_changes = Some(wire_server_changes(&changes, age_ms));
+        return;
+    }
+    let listing = servers.listing(time);
+    update.servers_revision = listing.revision;
+    update.servers_age_ms = age_ms;
+    update.servers = listing.servers.iter().map(server_record).collect();
+}
+
+/// Adds the list of instances, or its changes, if the requester's is older.
+fn add_instances<C, H>(gateway: &Gateway<C, H>, request: &ViewRequest, update: &mut ViewUpdate) {
     let instances = gateway.instances.lock();
+    if request.accepts_changes {
+        if instances.revision() <= request.instances_revision {
+            return;
+        }
+        if let Some(changes) = instances.changes_since(request.instances_revision) {
+            update.instance_changes = Some(wire_instance_changes(&changes));
+            return;
+        }
+    }
     update.instances_revision = instances.revision();
     update.instances = instances.all().iter().map(instance_entry).collect();
-    update
 }
 
 /// Responds to a request for a newer view.
@@ -100,6 +129,13 @@
         };
         gateway.apply_servers(time_before(time, update.servers_age_ms), &listing, source);
     }
+    if let Some(changes) = &update.server_changes {
+        let read_at = time_before(time, changes.age_ms);
+        gateway.apply_server_changes(read_at, &server_changes(changes), source);
+    }
+    if let Some(changes) = &update.instance_changes {
+        gateway.apply_instance_changes(&instance_changes(changes), source);
+    }
     if update.instances_revision > 0 {
         let listing = InstanceListing {
             revision: update.instances_revision,
--- a/crates/gateway/src/view_updates.rs
+++ b/crates/gateway/src/view_updates.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hawthornquay_decisions::{DomainName, MonotonicTime};
 use hawthornquay_http::ServerLimits;
-use hawthornquay_traffic::{Configuration, ListedInstance, ServerListing};
+use hawthornquay_traffic::{Configuration, InstanceChanges, ServerChanges, ServerListing};
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceListing, OperatorState, OperatorStateChanges,
@@ -86,31 +86,77 @@
         listing: &ServerListing,
         source: &str,
     ) {
-        let (changes, count) = {
+        let (changes, changed, count) = {
             let mut servers = self.servers.lock();
+            let before = servers.changed_revision();
             let changes = servers.apply_listing(now(), read_at, listing);
-            (changes, servers.len())
+            (changes, servers.changed_revision() > before, servers.len())
         };
-        if changes.is_empty() {
-            return;
+        self.report_server_changes(&changes, changed, count, listing.revision, source);
+    }
+
+    /// Applies changes of the list of backend servers; the resulting list was read at `read_at`.
+    pub(crate) fn apply_server_changes(
+        &self,
+        read_at: MonotonicTime,
+        changes: &ServerChanges,
+        source: &str,
+    ) {
+        let (applied, changed, count) = {
+            let mut servers = self.servers.lock();
+            let before = servers.changed_revision();
+            let applied = servers.apply_changes(now(), read_at, changes);
+            (applied, servers.changed_revision() > before, servers.len())
+        };
+        self.report_server_changes(&applied, changed, count, changes.revision, source);
+    }
+
+    /// Logs changes of the list of backend servers, and passes them on if this instance leads.
+    fn report_server_changes(
+        &self,
+        changes: &[String],
+        changed: bool,
+        count: usize,
+        revision: u64,
+        source: &str,
+    ) {
+        if !changes.is_empty() {
+            slog::info!(self.log.routing, "backend servers changed";
+                "changes" => changes.join(", "), "revision" => revision, "source" => source);
+            self.metrics.set_backend_servers(count);
+        }
+        if changed || !changes.is_empty() {
+            self.view_changed.notify_one();
         }
-        slog::info!(self.log.routing, "backend servers changed";
-            "changes" => changes.join(", "), "revision" => listing.revision, "source" => source);
-        self.metrics.set_backend_servers(count);
-        self.view_changed.notify_one();
     }
 
     /// Applies a list of instances.
     pub(crate) fn apply_instances(&self, listing: InstanceListing, source: &str) {
-        let names: Vec<String> = instance_names(&listing.instances);
         let revision = listing.revision;
         let changed = self
             .instances
             .lock()
             .apply_listing(now(), revision, listing.instances);
-        if !changed {
-            return;
+        if changed {
+            self.report_instances(revision, source);
         }
+    }
+
+    /// Applies changes of the list of instances.
+    pub(crate) fn apply_instance_changes(&self, changes: &InstanceChanges, source: &str) {
+        let changed = self.instances.lock().apply_changes(now(), changes);
+        if changed {
+            self.report_instances(changes.revision, source);
+        }
+    }
+
+    /// Logs the instances, and passes their changes on if this instance leads.
+    fn report_instances(&self, revision: u64, source: &str) {
+        let names: Vec<String> = {
+            let instances = self.instances.lock();
+            let names = instances.all().iter().map(|one| one.id.name.to_string());
+            names.collect()
+        };
         slog::info!(self.log.membership, "instances changed";
             "instances" => names.join(", "), "revision" => revision, "source" => source);
         self.view_changed.notify_one();
@@ -153,10 +199,3 @@
         self.caller_limits.send_replace(limits);
     }
 }
-
-fn instance_names(instances: &[ListedInstance]) -> Vec<String> {
-    instances
-        .iter()
-        .map(|instance| instance.id.name.to_string())
-        .collect()
-}
--- a/crates/gateway/src/wire_views.rs
+++ b/crates/gateway/src/wire_views.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{InstanceId, MonotonicTime};
-use hawthornquay_instances::{InstanceEntry, ServerRecord, ServerUse};
-use hawthornquay_traffic::{BackendEntry, ListedInstance, ServerUsage};
+use hawthornquay_instances::{
+    InstanceEntry, InstanceListChanges, ServerListChanges, ServerRecord, ServerUse,
+};
+use hawthornquay_traffic::{
+    BackendEntry, InstanceChanges, ListedInstance, ServerChanges, ServerUsage,
+};
 
 /// Returns a duration in whole milliseconds.
 pub(crate) fn millis(duration: Duration) -> u64 {
@@ -51,6 +55,7 @@
         domain: instance.domain.to_string(),
         peers: instance.peer_address.to_string(),
         callers: instance.caller_address.to_string(),
+        link_mbps: instance.link_mbps,
     }
 }
 
@@ -62,6 +67,7 @@
         domain: entry.domain.as_str().into(),
         peer_address: entry.peers.parse().ok()?,
         caller_address: entry.callers.parse().ok()?,
+        link_mbps: entry.link_mbps,
     })
 }
 
@@ -80,3 +86,44 @@
         pending_tokens: server_use.pending_tokens,
     }
 }
+
+pub(crate) fn wire_server_changes(changes: &ServerChanges, age_ms: u64) -> ServerListChanges {
+    ServerListChanges {
+        base: changes.base,
+        revision: changes.revision,
+        age_ms,
+        changed: changes.changed.iter().map(server_record).collect(),
+        removed: changes.removed.iter().map(ToString::to_string).collect(),
+    }
+}
+
+pub(crate) fn server_changes(wire: &ServerListChanges) -> ServerChanges {
+    ServerChanges {
+        base: wire.base,
+        revision: wire.revision,
+        changed: wire.changed.iter().filter_map(backend_entry).collect(),
+        removed: wire.removed.iter().map(|id| id.as_str().into()).collect(),
+    }
+}
+
+pub(crate) fn wire_instance_changes(changes: &InstanceChanges) -> InstanceListChanges {
+    InstanceListChanges {
+        base: changes.base,
+        revision: changes.revision,
+        changed: changes.changed.iter().map(instance_entry).collect(),
+        removed: changes.removed.iter().map(ToString::to_string).collect(),
+    }
+}
+
+pub(crate) fn instance_changes(wire: &InstanceListChanges) -> InstanceChanges {
+    InstanceChanges {
+        base: wire.base,
+        revision: wire.revision,
+        changed: wire.changed.iter().filter_map(listed_instance).collect(),
+        removed: wire
+            .removed
+            .iter()
+            .map(|name| name.as_str().into())
+            .collect(),
+    }
+}
--- a/crates/instances/src/instance_entry.rs
+++ b/crates/instances/src/instance_entry.rs
@@ -21,4 +21,7 @@
     /// Address for callers.
     #[prost(string, tag = "6")]
     pub callers: String,
+    /// Bandwidth of its network link in Mbit/s; zero if unknown.
+    #[prost(uint32, tag = "7")]
+    pub link_mbps: u32,
 }
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -60,6 +60,7 @@
 mod tls_identity;
 mod traffic_counter;
 mod unary_request;
+mod view_changes;
 mod view_request;
 mod view_update;
 mod wire_execution;
@@ -119,6 +120,7 @@
     tls_identity::TlsIdentity,
     traffic_counter::TrafficCounter,
     unary_request::UnaryRequest,
+    view_changes::{InstanceListChanges, ServerListChanges},
     view_request::ViewRequest,
     view_update::ViewUpdate,
     wire_execution::WireExecution,
--- a/crates/instances/src/status.rs
+++ b/crates/instances/src/status.rs
@@ -44,4 +44,13 @@
     /// leader.
     #[prost(message, repeated, tag = "12")]
     pub region_uses: Vec<ServerUse>,
+    /// Store revision of the last change of the sender's list of backend servers; zero if unknown.
+    #[prost(uint64, tag = "13")]
+    pub servers_changed_revision: u64,
+    /// Store revision of the sender's list of instances; zero if unknown.
+    #[prost(uint64, tag = "14")]
+    pub instances_revision: u64,
+    /// Store revision of the last change of the sender's list of instances.
+    #[prost(uint64, tag = "15")]
+    pub instances_changed_revision: u64,
 }
--- a/crates/instances/src/view_request.rs
+++ b/crates/instances/src/view_request.rs
@@ -12,4 +12,10 @@
     /// Store revision of the sender's list of backend servers.
     #[prost(uint64, tag = "3")]
     pub servers_revision: u64,
+    /// Whether the sender applies changes of lists; otherwise it needs the complete lists.
+    #[prost(bool, tag = "4")]
+    pub accepts_changes: bool,
+    /// Store revision of the sender's list of instances.
+    #[prost(uint64, tag = "5")]
+    pub instances_revision: u64,
 }
--- a/crates/instances/src/view_update.rs
+++ b/crates/instances/src/view_update.rs
@@ -1,6 +1,6 @@
 //! Parts of a view of the store.
 
-use crate::{InstanceEntry, ServerRecord};
+use crate::{InstanceEntry, InstanceListChanges, ServerListChanges, ServerRecord};
 
 /// Parts of the view of the store that are newer than those of the receiver.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -35,4 +35,10 @@
     /// Instances in the sender's list.
     #[prost(message, repeated, tag = "10")]
     pub instances: Vec<InstanceEntry>,
+    /// Changes of the list of backend servers, in place of the complete list.
+    #[prost(message, optional, tag = "11")]
+    pub server_changes: Option<ServerListChanges>,
+    /// Changes of the list of instances, in place of the complete list.
+    #[prost(message, optional, tag = "12")]
+    pub instance_changes: Option<InstanceListChanges>,
 }
--- a/crates/operators/src/gateway_settings.rs
+++ b/crates/operators/src/gateway_settings.rs
@@ -18,6 +18,8 @@
     pub region: RegionName,
     /// Failure domain in which the instance runs.
     pub domain: DomainName,
+    /// Bandwidth of the network link of the instance in Mbit/s; zero if unknown.
+    pub link_mbps: u32,
     /// Address to listen on for callers.
     pub callers: SocketAddr,
     /// Address to listen on for other instances.
--- a/crates/operators/src/gateway_settings_reader.rs
+++ b/crates/operators/src/gateway_settings_reader.rs
@@ -59,7 +59,8 @@
             let domain = read_name(reader, "domain", faults);
             let callers = unique_listen_address(reader, "callers", &mut used_addresses, faults);
             let peers = unique_listen_address(reader, "peers", &mut used_addresses, faults);
-            Some((name?, region?, domain?, callers?, peers?))
+            let link_mbps = reader.decimal_or("link_mbps", 0.0, faults);
+            Some((name?, region?, domain?, callers?, peers?, link_mbps? as u32))
         })
     });
     let status = status.and_then(|section| {
@@ -122,7 +123,7 @@
             Some(Duration::from_secs_f64(seconds.min(MAX_STOP_GRACE_S)))
         })
     });
-    let (name, region, domain, callers, peers) = instance?;
+    let (name, region, domain, callers, peers, link_mbps) = instance?;
     let (readiness, directory, metrics) = status?;
     let (store, registration_ttl) = store?;
     let (region_round_trip, send_away_margin) = routing?;
@@ -131,6 +132,7 @@
         name: name.into(),
         region: region.into(),
         domain: domain.into(),
+        link_mbps,
         callers,
         peers,
         readiness,
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -6,12 +6,12 @@
     DomainName, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set,
 };
 
-use crate::{ListedInstance, stable_hash};
+use crate::{InstanceChanges, ListedInstance, removal_log::RemovalLog, stable_hash};
 
 /// Time without a message after which an instance counts as silent and callers are not sent to it.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Number of instances, besides the first by name, that are tried at a time as the leader of a
+/// Number of instances, besides the first by rank, that are tried at a time as the leader of a
 /// region without recent messages. The leader exchanges reports with the other regions.
 const EXTRA_LEADER_CANDIDATES: usize = 2;
 
@@ -40,6 +40,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct InstanceList {
     revision: u64,
+    /// Store revision of the last list that differed from the one before.
+    changed_revision: u64,
+    /// Store revision of the list that last added or changed each instance.
+    changed_at: Map<InstanceName, u64>,
+    removals: RemovalLog<InstanceName>,
     listed: Vec<ListedInstance>,
     /// Instances that are missing from the store's list but have sent a message recently.
     unlisted: Vec<ListedInstance>,
@@ -69,6 +74,10 @@
         self.revision = revision;
         listed.sort_by(|a, b| a.id.cmp(&b.id));
         let changed = listed != self.listed;
+        self.removals.start(revision);
+        if changed {
+            self.record_changes(revision, &listed);
+        }
         let mut unlisted = std::mem::take(&mut self.unlisted);
         unlisted.append(&mut self.listed);
         unlisted.retain(|missing| {
@@ -81,6 +90,71 @@
         changed
     }
 
+    /// Applies the changes since an earlier list, and returns whether the instances changed.
+    ///
+    /// Changes that do not continue the current list, or lead to an older one, are ignored.
+    pub fn apply_changes(&mut self, now: MonotonicTime, changes: &InstanceChanges) -> bool {
+        if changes.base > self.revision || self.revision == 0 {
+            return false;
+        }
+        let replaced = |name: &InstanceName| {
+            changes.removed.contains(name) || changes.changed.iter().any(|one| one.id.name == *name)
+        };
+        let kept = self.listed.iter().filter(|one| !replaced(&one.id.name));
+        let listed = kept.chain(&changes.changed).cloned().collect();
+        self.apply_listing(now, changes.revision, listed)
+    }
+
+    /// Returns the changes after the list of `revision`, or `None` if they are not known so far
+    /// back.
+    pub fn changes_since(&self, revision: u64) -> Option<InstanceChanges> {
+        let is_listed = |name: &InstanceName| self.listed.iter().any(|one| one.id.name == *name);
+        let removed = self.removals.since(revision)?;
+        let removed: Set<&InstanceName> = removed.filter(|name| !is_listed(name)).collect();
+        let is_changed = |name: &InstanceName| {
+            let at = self.changed_at.get(name);
+            at.is_none_or(|at| *at > revision)
+        };
+        Some(InstanceChanges {
+            base: revision,
+            revision: self.revision,
+            changed: self
+                .listed
+                .iter()
+                .filter(|one| is_changed(&one.id.name))
+                .cloned()
+                .collect(),
+            removed: removed.into_iter().cloned().collect(),
+        })
+    }
+
+    /// Returns the store revision of the last list that differed from the one before.
+    pub const fn changed_revision(&self) -> u64 {
+        self.changed_revision
+    }
+
+    /// Records that the list has not changed up to the store revision `revision`.
+    pub fn confirm_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Records how `listed`, the list of `revision`, differs from the current one.
+    fn record_changes(&mut self, revision: u64, listed: &[ListedInstance]) {
+        self.changed_revision = revision;
+        let before: Map<&InstanceName, &ListedInstance> =
+            self.listed.iter().map(|one| (&one.id.name, one)).collect();
+        for one in listed {
+            if before.get(&one.id.name) != Some(&one) {
+                self.changed_at.insert(one.id.name.clone(), revision);
+            }
+        }
+        let names: Set<&InstanceName> = listed.iter().map(|one| &one.id.name).collect();
+        for name in before.into_keys().filter(|name| !names.contains(name)) {
+            self.removals.record(revision, name.clone());
+            self.changed_at.remove(name);
+        }
+    }
+
     /// Records a message from an instance; `leaving` says whether it is shutting down.
     pub fn record_message(
         &mut self,
@@ -145,6 +219,32 @@
             .filter(move |instance| instance.region == *region && !self.is_leaving(instance))
     }
 
+    /// Returns the rank of an instance for the leadership of its region, from zero.
+    ///
+    /// The instance with the fastest network link comes first, since a leader sends to all others
+    /// of its region; the name decides between equal ones.
+    pub fn leadership_rank(&self, region: &RegionName, name: &InstanceName) -> usize {
+        let own = self.active_in(region).find(|one| one.id.name == *name);
+        let own_link = own.map_or(0, |one| one.link_mbps);
+        self.active_in(region)
+            .filter(|one| leadership_key(one) < (Reverse(own_link), name))
+            .count()
+    }
+
+    /// Returns the leader of a region: the first in the order of [`Self::leadership_rank`] of the
+    /// instances that are neither stopping nor silent. `local` is this instance, which is never
+    /// silent.
+    pub fn leader_of(
+        &self,
+        now: MonotonicTime,
+        region: &RegionName,
+        local: &InstanceName,
+    ) -> Option<&ListedInstance> {
+        self.active_in(region)
+            .filter(|one| one.id.name == *local || !self.is_silent(now, &one.id.name))
+            .min_by_key(|one| leadership_key(one))
+    }
+
     /// Returns the regions that have listed instances.
     pub fn regions(&self) -> Set<RegionName> {
         self.listed
@@ -174,7 +274,7 @@
     /// because each of them may be the leader of that region.
     ///
     /// Only leaders send to other regions, so the instance with the latest message is the leader.
-    /// Without a recent message the leader is unknown: the first instance by name and, depending on
+    /// Without a recent message the leader is unknown: the first instance by rank and, depending on
     /// `turn`, a few of the others are returned. Every instance gets its turn, since one that was
     /// silent before may lead now.
     pub fn leader_candidates_in(
@@ -183,7 +283,8 @@
         region: &RegionName,
         turn: usize,
     ) -> Vec<&ListedInstance> {
-        let active: Vec<&ListedInstance> = self.active_in(region).collect();
+        let mut active: Vec<&ListedInstance> = self.active_in(region).collect();
+        active.sort_by_key(|one| leadership_key(one));
         let latest_sender = active
             .iter()
             .filter_map(|instance| {
@@ -326,3 +427,8 @@
         })
     }
 }
+
+/// Returns the key by which the instances of a region are ordered for its leadership.
+const fn leadership_key(instance: &ListedInstance) -> (Reverse<u32>, &InstanceName) {
+    (Reverse(instance.link_mbps), &instance.id.name)
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine_config;
 mod execution_semantics;
 mod fleet_demand;
+mod instance_changes;
 mod instance_list;
 mod latency_model;
 mod listed_instance;
@@ -27,8 +28,10 @@
 mod recent_prefixes;
 mod region_report;
 mod region_table;
+mod removal_log;
 mod route;
 mod route_index;
+mod server_changes;
 mod server_health;
 mod server_listing;
 mod server_load;
@@ -51,6 +54,7 @@
     engine_config::EngineConfig,
     execution_semantics::ExecutionSemantics,
     fleet_demand::FleetDemand,
+    instance_changes::InstanceChanges,
     instance_list::InstanceList,
     latency_model::{LatencyModel, PREFILL_TOKENS_PER_MS},
     listed_instance::ListedInstance,
@@ -61,12 +65,13 @@
     placement::{PlacementOptions, place},
     placement_decision::PlacementDecision,
     placement_request::PlacementRequest,
-    poll_interval::{poll_interval, rank_in_region},
+    poll_interval::poll_interval,
     recent_prefixes::RecentPrefixes,
     region_report::RegionReport,
     region_table::RegionTable,
     route::Route,
     route_index::RouteIndex,
+    server_changes::ServerChanges,
     server_health::{ServerFailure, ServerHealth},
     server_listing::ServerListing,
     server_load::{ReportedLoad, ServerLoad},
--- a/crates/traffic/src/listed_instance.rs
+++ b/crates/traffic/src/listed_instance.rs
@@ -17,4 +17,6 @@
     pub peer_address: SocketAddr,
     /// Address for requests of callers.
     pub caller_address: SocketAddr,
+    /// Bandwidth of its network link in Mbit/s; zero if unknown.
+    pub link_mbps: u32,
 }
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -32,6 +32,8 @@
     /// End of the grace period of a server that is missing from the list after a store outage and
     /// may not have registered again yet; `None` for a listed server.
     pub(crate) kept_until: Option<MonotonicTime>,
+    /// Store revision of the list that last added or changed the server.
+    pub(crate) changed_at: u64,
 }
 
 impl ListedServer {
--- a/crates/traffic/src/poll_interval.rs
+++ b/crates/traffic/src/poll_interval.rs
@@ -5,11 +5,7 @@
 
 use std::time::Duration;
 
-use hawthornquay_decisions::{InstanceName, RegionName};
-
-use crate::InstanceList;
-
-/// Age of its view at which the first instance of a region reads the store.
+/// Age of its view at which the leader of a region reads the store.
 const FIRST_RANK_AGE: Duration = Duration::from_millis(700);
 
 /// Age of its view at which the second instance reads the store; by then, one update from the
@@ -22,14 +18,7 @@
 /// Maximum age for any rank, so that changes in the store take effect within the required time.
 const MAX_AGE: Duration = Duration::from_millis(2_000);
 
-/// Returns the rank of an instance by name among the active instances of its region, from zero.
-pub fn rank_in_region(list: &InstanceList, region: &RegionName, name: &InstanceName) -> usize {
-    list.active_in(region)
-        .filter(|instance| instance.id.name < *name)
-        .count()
-}
-
-/// Returns the age of its view at which an instance of this rank reads the store itself.
+/// Returns the age of its view at which an instance of this leadership rank reads the store itself.
 ///
 /// The first instance of each region reads the store and sends updates to the others. The others
 /// read the store only if no update arrives, so the failure of the first instance, or of its
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes, ReportedLoad,
-    ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick, ServerUsage, ServiceReport,
-    listed_server::ListedServer,
+    ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick, ServerUsage,
+    ServiceReport, listed_server::ListedServer, removal_log::RemovalLog,
 };
 
 /// Time after the store's recovery during which servers missing from its list stay in use. Servers
@@ -17,10 +17,16 @@
 /// Minimum time between two reads of the list for the store to count as having been unavailable.
 const STORE_OUTAGE_AGE: Duration = Duration::from_millis(2_500);
 
+/// Minimum extension of a server's cold time that is passed on to other instances.
+const MIN_COLD_EXTENSION: Duration = Duration::from_millis(100);
+
 /// Listed backend servers with their load and health, and the evacuated failure domains.
 #[derive(Default)]
 pub struct ServerTable {
     revision: u64,
+    /// Store revision of the last list that differed from the one before.
+    changed_revision: u64,
+    removals: RemovalLog<BackendName>,
     pub(crate) servers: Map<BackendName, ListedServer>,
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
@@ -65,17 +71,97 @@
         }
         self.record_read(read_at);
         self.revision = listing.revision;
+        self.removals.start(listing.revision);
         let mut changes = Vec::new();
         for entry in &listing.servers {
             self.apply_entry(now, entry, &mut changes);
         }
-        let grace_end = self.recovered_at.map(|at| at + RECOVERY_GRACE);
         let listed: Set<&BackendName> = listing.servers.iter().map(|s| &s.id).collect();
+        self.remove_missing(now, |id| listed.contains(id), &mut changes);
+        changes
+    }
+
+    /// Applies the changes since an earlier list, and returns them as text for the log.
+    ///
+    /// Changes that do not continue the current list, or lead to an older one, are ignored.
+    pub fn apply_changes(
+        &mut self,
+        now: MonotonicTime,
+        read_at: MonotonicTime,
+        changes: &ServerChanges,
+    ) -> Vec<String> {
+        if changes.base > self.revision || changes.revision < self.revision || self.revision == 0 {
+            return Vec::new();
+        }
+        self.record_read(read_at);
+        self.revision = changes.revision;
+        let mut log = Vec::new();
+        for entry in &changes.changed {
+            self.apply_entry(now, entry, &mut log);
+        }
+        let removed: Set<&BackendName> = changes.removed.iter().collect();
+        let kept: Set<BackendName> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.kept_until.is_some())
+            .map(|(id, _)| id.clone())
+            .collect();
+        self.remove_missing(
+            now,
+            |id| !removed.contains(id) && !kept.contains(id),
+            &mut log,
+        );
+        log
+    }
+
+    /// Returns the changes after the list of `revision`, or `None` if they are not known so far
+    /// back.
+    pub fn changes_since(&self, now: MonotonicTime, revision: u64) -> Option<ServerChanges> {
+        let is_listed = |id: &BackendName| {
+            let server = self.servers.get(id);
+            server.is_some_and(|server| server.kept_until.is_none())
+        };
+        let removed = self.removals.since(revision)?;
+        let removed: Set<&BackendName> = removed.filter(|id| !is_listed(id)).collect();
+        Some(ServerChanges {
+            base: revision,
+            revision: self.revision,
+            changed: self
+                .listed_entries(now, |server| server.changed_at > revision)
+                .collect(),
+            removed: removed.into_iter().cloned().collect(),
+        })
+    }
+
+    /// Returns the store revision of the last list that differed from the one before.
+    pub const fn changed_revision(&self) -> u64 {
+        self.changed_revision
+    }
+
+    /// Records that the list has not changed up to the store revision `revision`, and was still
+    /// current at `read_at`.
+    pub fn confirm_revision(&mut self, revision: u64, read_at: MonotonicTime) {
+        self.revision = self.revision.max(revision);
+        self.record_read(read_at);
+    }
+
+    /// Removes the servers that are not listed, or keeps them for the grace period.
+    fn remove_missing(
+        &mut self,
+        now: MonotonicTime,
+        is_listed: impl Fn(&BackendName) -> bool,
+        changes: &mut Vec<String>,
+    ) {
+        let grace_end = self.recovered_at.map(|at| at + RECOVERY_GRACE);
+        let revision = self.revision;
         self.servers.retain(|id, server| {
-            if listed.contains(id) {
-                server.kept_until = None;
+            if is_listed(id) {
                 return true;
             }
+            if server.kept_until.is_none() {
+                self.changed_revision = revision;
+                self.removals.record(revision, id.clone());
+            }
             // The end of the grace period is set at the first absence, so that another outage does
             // not extend it.
             server.kept_until = server.kept_until.or(grace_end);
@@ -85,25 +171,31 @@
             }
             kept
         });
-        changes
     }
 
-    /// Returns the list to send to other instances, with the remaining cold times as of `now`.
-    ///
-    /// Servers that are missing from the store's list are left out, because they may be gone.
-    pub fn listing(&self, now: MonotonicTime) -> ServerListing {
-        let servers = self
-            .servers
+    /// Returns the listed entries for which `is_included` returns true, with the remaining cold
+    /// times as of `now`.
+    fn listed_entries(
+        &self,
+        now: MonotonicTime,
+        is_included: impl Fn(&ListedServer) -> bool,
+    ) -> impl Iterator<Item = BackendEntry> {
+        self.servers
             .values()
-            .filter(|server| server.kept_until.is_none())
-            .map(|server| BackendEntry {
+            .filter(move |server| server.kept_until.is_none() && is_included(server))
+            .map(move |server| BackendEntry {
                 cold_remaining: server.cold.remaining(now),
                 ..server.entry.clone()
             })
-            .collect();
+    }
+
+    /// Returns the list to send to other instances, with the remaining cold times as of `now`.
+    ///
+    /// Servers that are missing from the store's list are left out, because they may be gone.
+    pub fn listing(&self, now: MonotonicTime) -> ServerListing {
         ServerListing {
             revision: self.revision,
-            servers,
+            servers: self.listed_entries(now, |_| true).collect(),
         }
     }
 
@@ -315,25 +407,36 @@
             if entry.leaving && !server.entry.leaving {
                 changes.push(format!("{} leaving", entry.id));
             }
-            let leaving = server.entry.leaving || entry.leaving;
-            server.entry = BackendEntry {
-                leaving,
+            let updated = BackendEntry {
+                leaving: server.entry.leaving || entry.leaving,
+                cold_remaining: Duration::ZERO,
                 ..entry.clone()
             };
+            let colder = entry.cold_remaining > server.cold.remaining(now) + MIN_COLD_EXTENSION;
+            if server.kept_until.take().is_some() || colder || updated != server.entry {
+                server.changed_at = self.revision;
+                self.changed_revision = self.revision;
+            }
+            server.entry = updated;
             server.cold.extend(now, entry.cold_remaining);
             return;
         }
         changes.push(format!("{} at {}", entry.id, entry.address));
         let mut cold = ColdStartLimiter::default();
         cold.extend(now, entry.cold_remaining);
+        self.changed_revision = self.revision;
         let server = ListedServer {
-            entry: entry.clone(),
+            entry: BackendEntry {
+                cold_remaining: Duration::ZERO,
+                ..entry.clone()
+            },
             load: ServerLoad::default(),
             health: ServerHealth::default(),
             cold,
             latency: LatencyModel::new(engine),
             prefixes: RecentPrefixes::default(),
             kept_until: None,
+            changed_at: self.revision,
         };
         self.servers.insert(entry.id.clone(), server);
     }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -236,6 +236,7 @@
         domain: DomainName::new("far-a"),
         peer_address: "10.0.0.1:1".parse().unwrap(),
         caller_address: "10.0.0.1:2".parse().unwrap(),
+        link_mbps: 0,
     };
     let mut list = InstanceList::default();
     list.apply_listing(at(0), 1, vec![instance.clone()]);
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -11,7 +11,6 @@
 };
 use hawthornquay_traffic::{
     Configuration, InstanceList, ListedInstance, OperatorView, RouteIndex, poll_interval,
-    rank_in_region,
 };
 
 fn instance(name: &str, region: &str, host: u8) -> ListedInstance {
@@ -22,6 +21,7 @@
         domain: DomainName::new(&format!("{region}-a")),
         peer_address: address(1),
         caller_address: address(2),
+        link_mbps: 0,
     }
 }
 
@@ -248,8 +248,8 @@
 fn poll_interval_grows_with_rank() {
     let list = list();
     let region = RegionName::new("a");
-    assert_eq!(rank_in_region(&list, &region, &"a1".into()), 0);
-    assert_eq!(rank_in_region(&list, &region, &"a2".into()), 1);
+    assert_eq!(list.leadership_rank(&region, &"a1".into()), 0);
+    assert_eq!(list.leadership_rank(&region, &"a2".into()), 1);
     assert!(poll_interval(0) < poll_interval(1));
     assert!((0..100).all(|rank| poll_interval(rank) <= Duration::from_secs(2)));
 }
