Send away what small plain servers reject, and ask all pools

Change: instances report what servers accepted and rejected; the leader turns the share of rejected requests into an offload of the service (offload.rs), which all instances of the region send to regions without one. In a region of more than six instances plain servers are chosen at random by slots. Pools of other regions are asked also for routes with targets under 880 ms: 334 drafts (target 800 ms) were refused inside their organisation's rate. Only leaders read all of op/ every 15 s.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -34,8 +34,8 @@
 /// Interval at which the leader of a region reads the list of instances.
 const INSTANCE_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Interval at which the configuration and all evacuations are read again, in case a change was
-/// missed.
+/// Interval at which the leader of a region reads the configuration and all evacuations again, in
+/// case a change was missed.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(15);
 
 /// Age at which the registration of this instance is renewed, as a share of its lifetime.
@@ -64,12 +64,13 @@
     loop {
         let started = now();
         let revision = gateway.operators.lock().revision();
-        let must_read_all = revision == 0 || started >= read_all_at;
+        let leads = is_leader(&gateway, started);
+        let must_read_all = revision == 0 || (leads && started >= read_all_at);
         let outcome = if must_read_all {
             read_operator_state(&gateway).await.inspect(|()| {
                 read_all_at = now() + FULL_READ_INTERVAL;
             })
-        } else if is_leader(&gateway, started) {
+        } else if leads {
             watch_operator_state_changes(&gateway, revision, WATCH_TIMEOUT).await
         } else if must_read(&gateway, gateway.operators.lock().age(started)) {
             watch_operator_state_changes(&gateway, revision, Duration::ZERO).await
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,8 @@
 use hawthornquay_instances::{LinkPool, LinkSecurity, LocalInstance};
 use hawthornquay_operators::{GatewaySettings, Logs};
 use hawthornquay_traffic::{
-    InstanceList, ListedInstance, OperatorView, OrganisationLimits, RegionTable, ServerTable,
+    InstanceList, ListedInstance, Offload, OperatorView, OrganisationLimits, RegionTable,
+    ServerTable,
 };
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -38,7 +39,7 @@
 /// State of one gateway process.
 ///
 /// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`,
-/// `region_board`, `limits`, `instance_reports`. None is held across an `await`.
+/// `region_board`, `limits`, `instance_reports`, `offload`. None is held across an `await`.
 pub struct Gateway<C, H> {
     /// Settings of this instance.
     pub settings: GatewaySettings,
@@ -64,6 +65,8 @@
     pub(crate) limits: Mutex<OrganisationLimits>,
     /// Last status reports of the other instances of the region, which the leader adds up.
     pub(crate) instance_reports: Mutex<Map<InstanceName, InstanceReport>>,
+    /// Share of the region's requests that go to other regions, which the leader adapts.
+    pub(crate) offload: Mutex<Offload>,
     /// This instance's part of the retry budget of each service.
     pub(crate) retries: Mutex<Map<ServiceName, RetryBudget>>,
     /// Links to other instances.
@@ -121,6 +124,7 @@
                 settings.region_names().len(),
             )),
             instance_reports: Mutex::default(),
+            offload: Mutex::default(),
             retries: Mutex::default(),
             links: LinkPool::new(local.clone()),
             local,
--- a/crates/gateway/src/instance_report.rs
+++ b/crates/gateway/src/instance_report.rs
@@ -1,7 +1,7 @@
 //! Last status report of another instance of the same region.
 
-use hawthornquay_decisions::{Map, MonotonicTime, OrganisationId};
-use hawthornquay_traffic::ServerUsage;
+use hawthornquay_decisions::{Map, MonotonicTime, OrganisationId, ServiceName};
+use hawthornquay_traffic::{Admissions, ServerUsage};
 
 /// Last status report of another instance of the same region.
 #[derive(Clone, Debug, Default)]
@@ -12,4 +12,7 @@
     pub demands: Map<OrganisationId, f64>,
     /// Requests and tokens in progress at each backend server.
     pub usage: Vec<ServerUsage>,
+    /// Requests that servers of each service accepted and rejected since the leader last took them
+    /// into account.
+    pub admissions: Map<ServiceName, Admissions>,
 }
--- a/crates/gateway/src/limit_loans.rs
+++ b/crates/gateway/src/limit_loans.rs
@@ -19,9 +19,8 @@
 /// Time-out for a pool owner in another region: two round trips of 55 ms each way, and a margin.
 const OTHER_REGION_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Shortest latency target of requests for which other regions are asked. A round trip takes an
-/// eighth of it.
-const MIN_TARGET_FOR_OTHER_REGIONS: Duration = Duration::from_millis(880);
+/// Longest share of a request's latency target that asking another region may take.
+const MAX_LOAN_TARGET_SHARE: f64 = 0.5;
 
 /// Nanotokens in a token; loan messages state amounts in nanotokens.
 const NANOTOKENS_PER_TOKEN: u64 = 1_000_000_000;
@@ -40,7 +39,8 @@
 /// Asks the pool owners for the tokens of a request, starting with the region of this instance.
 ///
 /// Other regions are asked only if `target`, the latency target of the request, leaves time for
-/// it.
+/// it. A request that is refused inside its organisation's rate is lost, while one that waits for a
+/// round trip may still be in time.
 pub(crate) async fn borrow<C, H>(
     gateway: &Arc<Gateway<C, H>>,
     organisation: &OrganisationId,
@@ -90,10 +90,11 @@
 /// Returns the regions whose pool owners may be asked, starting with the region of this instance.
 fn regions_to_ask<C, H>(gateway: &Gateway<C, H>, target: Duration) -> Vec<&RegionName> {
     let own = &gateway.settings.region;
+    let has_time = gateway.settings.region_round_trip <= target.mul_f64(MAX_LOAN_TARGET_SHARE);
     let others = gateway
         .regions
         .iter()
-        .filter(|region| *region != own && target >= MIN_TARGET_FOR_OTHER_REGIONS);
+        .filter(|region| *region != own && has_time);
     std::iter::once(own).chain(others).collect()
 }
 
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -177,6 +177,11 @@
         let BackendResponse { head, body } = response;
         let metadata = self.gateway.header_mapping.read_response(&head);
         self.record_metadata(&metadata);
+        if !metadata.wrong_server {
+            let accepted = !metadata.not_run;
+            let mut servers = self.gateway.servers.lock();
+            servers.record_admission(&self.pick.id, accepted);
+        }
         if metadata.not_run || metadata.wrong_server {
             let cause = if metadata.wrong_server {
                 AttemptCause::WrongServer
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -7,12 +7,13 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use hawthornquay_decisions::{
-    InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName,
+    InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, ServiceName,
 };
 use hawthornquay_instances::{
-    Notice, OrganisationDemand, RegionStatus, ServerUse, ServiceLoad, Status, ViewRequest,
+    Notice, OrganisationDemand, RegionStatus, ServerUse, ServiceAdmissions, ServiceLoad, Status,
+    ViewRequest,
 };
-use hawthornquay_traffic::{ListedInstance, RegionReport, ServerUsage, ServiceReport};
+use hawthornquay_traffic::{Admissions, ListedInstance, RegionReport, ServerUsage, ServiceReport};
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceReport,
@@ -54,6 +55,7 @@
         return;
     }
     gateway.status_round.fetch_add(1, Ordering::Relaxed);
+    update_offload(gateway, &own);
     let region = own_region_report(gateway, time, &own);
     let wire_region = wire_region(&gateway.settings.region, 0, &region);
     gateway
@@ -214,10 +216,10 @@
     let operator_age = gateway.operators.lock().age(time);
     // Takes one lock at a time. A lock taken within the struct expression below would be held until
     // the end of the expression.
-    let (servers_age, servers_changed_revision, usage) = {
-        let servers = gateway.servers.lock();
-        let changed = servers.changed_revision();
-        (servers.age(time), changed, servers.own_usage())
+    let (servers_age, servers_changed_revision, usage, admissions) = {
+        let mut servers = gateway.servers.lock();
+        let (age, changed) = (servers.age(time), servers.changed_revision());
+        (age, changed, servers.own_usage(), servers.take_admissions())
     };
     let instances_changed_revision = gateway.instances.lock().changed_revision();
     Status {
@@ -234,10 +236,23 @@
         servers_changed_revision,
         instances_revision: request.instances_revision,
         instances_changed_revision,
+        admissions: admissions.iter().map(wire_admissions).collect(),
         ..Status::default()
     }
 }
 
+/// Adapts the share of the region's requests that go to other regions to the admissions that its
+/// instances have reported since the last call.
+fn update_offload<C: ControlPlane, H: HeaderMapping>(gateway: &Gateway<C, H>, own: &Status) {
+    let mut sums = admission_map(&own.admissions);
+    for report in gateway.instance_reports.lock().values_mut() {
+        for (service, admissions) in report.admissions.drain() {
+            sums.entry(service).or_default().add(admissions);
+        }
+    }
+    gateway.offload.lock().update(&sums);
+}
+
 /// Returns the summed demand and the service loads of the region of this instance.
 fn own_region_report<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
@@ -250,10 +265,15 @@
             *demands.entry(id.clone()).or_default() += rate;
         }
     }
-    let services = gateway
+    let mut services = gateway
         .servers
         .lock()
         .service_reports(time, |domain| gateway.is_local(domain));
+    let offload = gateway.offload.lock();
+    for (service, report) in &mut services {
+        report.offload_permille = (offload.share(service) * 1_000.0) as u32;
+    }
+    drop(offload);
     RegionReport { demands, services }
 }
 
@@ -383,9 +403,30 @@
         received_at: time,
         demands: demand_map(&status.demands),
         usage: status.uses.iter().map(server_usage).collect(),
+        admissions: admission_map(&status.admissions),
     }
 }
 
+fn wire_admissions((service, admissions): (&ServiceName, &Admissions)) -> ServiceAdmissions {
+    ServiceAdmissions {
+        service: service.to_string(),
+        accepted: admissions.accepted,
+        rejected: admissions.rejected,
+    }
+}
+
+fn admission_map(rows: &[ServiceAdmissions]) -> Map<ServiceName, Admissions> {
+    rows.iter()
+        .map(|row| {
+            let admissions = Admissions {
+                accepted: row.accepted,
+                rejected: row.rejected,
+            };
+            (row.service.as_str().into(), admissions)
+        })
+        .collect()
+}
+
 fn wire_region(name: &RegionName, age_ms: u64, report: &RegionReport) -> RegionStatus {
     RegionStatus {
         region: name.to_string(),
@@ -399,6 +440,7 @@
                 servers: report.servers,
                 free_slots: report.free_slots,
                 wait_ms: u32::try_from(report.expected_latency.as_millis()).unwrap_or(u32::MAX),
+                offload_permille: report.offload_permille,
             })
             .collect(),
     }
@@ -415,6 +457,7 @@
                     servers: load.servers,
                     free_slots: load.free_slots,
                     expected_latency: std::time::Duration::from_millis(load.wait_ms.into()),
+                    offload_permille: load.offload_permille,
                 };
                 (load.service.as_str().into(), report)
             })
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -53,6 +53,7 @@
 mod send_queue;
 mod server_record;
 mod server_use;
+mod service_admissions;
 mod service_load;
 mod status;
 mod stream_sender;
@@ -114,6 +115,7 @@
     region_status::RegionStatus,
     server_record::ServerRecord,
     server_use::ServerUse,
+    service_admissions::ServiceAdmissions,
     service_load::ServiceLoad,
     status::Status,
     test_authority::{TestAuthority, generate_test_authority},
--- a/crates/instances/src/service_load.rs
+++ b/crates/instances/src/service_load.rs
@@ -15,4 +15,8 @@
     /// Expected queueing time of a new request at the least loaded of them, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub wait_ms: u32,
+    /// Share of the requests at instances of the region that are to go to other regions, in
+    /// thousandths.
+    #[prost(uint32, tag = "5")]
+    pub offload_permille: u32,
 }
--- a/crates/instances/src/status.rs
+++ b/crates/instances/src/status.rs
@@ -1,6 +1,6 @@
 //! State and load of an instance and of regions.
 
-use crate::{OrganisationDemand, RegionStatus, ServerUse};
+use crate::{OrganisationDemand, RegionStatus, ServerUse, ServiceAdmissions};
 
 /// State and load of an instance. The leader of a region adds the load of regions.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -53,4 +53,7 @@
     /// Store revision of the last change of the sender's list of instances.
     #[prost(uint64, tag = "15")]
     pub instances_changed_revision: u64,
+    /// Requests of the sender that servers of its region accepted and rejected.
+    #[prost(message, repeated, tag = "16")]
+    pub admissions: Vec<ServiceAdmissions>,
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -17,6 +17,7 @@
 mod latency_model;
 mod listed_instance;
 mod listed_server;
+mod offload;
 mod operator_view;
 mod organisation_config;
 mod organisation_limits;
@@ -58,6 +59,7 @@
     instance_list::InstanceList,
     latency_model::{LatencyModel, PREFILL_TOKENS_PER_MS},
     listed_instance::ListedInstance,
+    offload::{Admissions, Offload},
     operator_view::OperatorView,
     organisation_config::OrganisationConfig,
     organisation_limits::{LimitRefusal, OrganisationLimits},
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -58,7 +58,10 @@
     } else {
         None
     };
+    let offload = regions.offload(now, options.local_region, req.service);
+    let offloaded = options.may_forward && servers.draw(req.instance) < offload;
     if let Some(pick) = &local
+        && !offloaded
         && pick.expected_latency <= req.target_latency.mul_f64(STAY_LOCAL_TARGET_SHARE)
     {
         return PlacementDecision::Server(pick.clone());
@@ -68,9 +71,25 @@
     } else {
         None
     };
+    if offloaded
+        && let Some((name, expected_latency)) = &remote
+        && *expected_latency <= latest_admitted(req)
+    {
+        return PlacementDecision::Region {
+            name: name.clone(),
+            expected_latency: *expected_latency,
+        };
+    }
     choose(req, options, local, remote)
 }
 
+/// Returns the longest expected latency with which a request is admitted.
+fn latest_admitted(req: &PlacementRequest<'_>) -> Duration {
+    req.time_left
+        .mul_f64(MAX_DEADLINE_SHARE)
+        .min(req.target_latency.mul_f64(MAX_TARGET_SHARE))
+}
+
 /// Chooses between the local region and the best other one, and refuses the request if its response
 /// would be too late.
 fn choose(
@@ -104,11 +123,7 @@
         } => *expected_latency,
         PlacementDecision::Unavailable | PlacementDecision::Overloaded { .. } => return decision,
     };
-    let latest = req
-        .time_left
-        .mul_f64(MAX_DEADLINE_SHARE)
-        .min(req.target_latency.mul_f64(MAX_TARGET_SHARE));
-    if expected_latency > latest {
+    if expected_latency > latest_admitted(req) {
         return PlacementDecision::Overloaded { expected_latency };
     }
     decision
--- a/crates/traffic/src/region_table.rs
+++ b/crates/traffic/src/region_table.rs
@@ -86,7 +86,8 @@
     /// report.
     ///
     /// Returns `None` if the report is too old, if the region is in backoff, if it has no usable
-    /// server, or if it has refused a request of at most `tokens` prompt tokens.
+    /// server, if it sends requests of its own to other regions, or if it has refused a request of
+    /// at most `tokens` prompt tokens.
     pub fn available_load(
         &self,
         now: MonotonicTime,
@@ -100,7 +101,10 @@
         }
         let mut report = *region.report.services.get(service)?;
         let refused = region.refused_tokens.get(service);
-        if report.servers == 0 || refused.is_some_and(|smallest| tokens >= *smallest) {
+        if report.servers == 0
+            || report.offload_permille > 0
+            || refused.is_some_and(|smallest| tokens >= *smallest)
+        {
             return None;
         }
         let sent = region.sent_tokens.get(service).copied().unwrap_or(0) as f64;
@@ -109,6 +113,15 @@
         Some(report)
     }
 
+    /// Returns the share of the requests to a service that instances of a region are to send to
+    /// other regions, from 0 to 1.
+    pub fn offload(&self, now: MonotonicTime, name: &RegionName, service: &ServiceName) -> f64 {
+        let region = self.regions.get(name);
+        let recent = region.filter(|region| now.since(region.reported_at) <= MAX_LOAD_AGE);
+        let report = recent.and_then(|region| region.report.services.get(service));
+        report.map_or(0.0, |report| f64::from(report.offload_permille) / 1_000.0)
+    }
+
     /// Returns a summary of a service's state in a region, for the log.
     pub fn describe(&self, now: MonotonicTime, name: &RegionName, service: &ServiceName) -> String {
         let Some(region) = self.regions.get(name) else {
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -3,7 +3,7 @@
 //! Requests with the same shared prefix prefer the same engine of the region, as long as its load
 //! allows. In a large region, only a pseudo-random sample of the engines is considered for each
 //! request, so that the engine with the lowest load does not get all requests until the next load
-//! update.
+//! update. For the same reason, the servers of a plain service are chosen at random there.
 
 use std::net::SocketAddr;
 
@@ -11,7 +11,7 @@
 
 use crate::{
     PlacementRequest, ServerPick, ServerTable, ServiceConfig, cold_start_limiter::MAX_COLD_SENDERS,
-    stable_hash,
+    listed_server::ListedServer, stable_hash,
 };
 
 /// Maximum number of instances in a region for which all engines are considered for each request.
@@ -23,6 +23,9 @@
 /// With larger samples, fewer responses are in time.
 const SAMPLE_SIZE: f64 = 2.0;
 
+/// Exponent of a plain server's share of successful requests in the probability of its choice.
+const FAILURE_EXPONENT: i32 = 4;
+
 impl ServerTable {
     /// Returns the backend server with the best score for a request.
     ///
@@ -46,6 +49,11 @@
         Some(pick)
     }
 
+    /// Returns a pseudo-random number above 0 and up to 1, which changes with each pick.
+    pub(crate) fn draw(&self, instance: &InstanceName) -> f64 {
+        unit_hash(&[instance.as_str().as_bytes(), &self.picks.to_le_bytes()])
+    }
+
     /// Returns the best of the preferred server and a sample of the others, where `probability`
     /// is that of each server to be in the sample.
     fn best(
@@ -57,6 +65,8 @@
         probability: f64,
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
+        let at_random =
+            config.engine.is_none() && req.region_instances.len() > MAX_INSTANCES_WITHOUT_SAMPLING;
         let mut best: Option<(f64, ServerPick)> = None;
         for (id, server) in &mut self.servers {
             let is_preferred = preferred == Some(id);
@@ -74,6 +84,11 @@
             }
             let cached = prefix.is_some_and(|prefix| server.prefixes.contains(now, prefix));
             let (score, pick) = server.score(now, req, is_preferred || cached);
+            let score = if at_random {
+                random_score(now, server, req.instance, self.picks)
+            } else {
+                score
+            };
             if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
                 best = Some((score, pick));
             }
@@ -172,8 +187,27 @@
 /// probability.
 fn is_sampled(id: &BackendName, instance: &InstanceName, pick: u64, probability: f64) -> bool {
     let pick = pick.to_le_bytes();
-    let hash = stable_hash(&[instance.as_str().as_bytes(), &pick, id.as_str().as_bytes()]);
-    hash as f64 / u64::MAX as f64 <= probability
+    let parts = [instance.as_str().as_bytes(), &pick, id.as_str().as_bytes()];
+    unit_hash(&parts) <= probability
+}
+
+/// Returns a pseudo-random score for the pick number `pick`. A server has the lowest score with a
+/// probability proportional to its slots, and much less if it fails.
+fn random_score(
+    now: MonotonicTime,
+    server: &ListedServer,
+    instance: &InstanceName,
+    pick: u64,
+) -> f64 {
+    let id = server.entry.id.as_str().as_bytes();
+    let success_ratio = 1.0 - server.health.failure_ratio(now);
+    let weight = f64::from(server.entry.slots.max(1)) * success_ratio.powi(FAILURE_EXPONENT);
+    -unit_hash(&[instance.as_str().as_bytes(), &pick.to_le_bytes(), id]).ln() / weight
+}
+
+/// Returns a hash of `parts` that is evenly distributed above 0 and up to 1.
+fn unit_hash(parts: &[&[u8]]) -> f64 {
+    (stable_hash(parts) as f64 + 1.0) / (u64::MAX as f64 + 1.0)
 }
 
 /// Returns whether this instance may send to a cold server, and the number of instances that may.
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -5,9 +5,9 @@
 use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
 
 use crate::{
-    BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes, ReportedLoad,
-    ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad, ServerPick, ServerUsage,
-    ServiceReport, listed_server::ListedServer, removal_log::RemovalLog,
+    Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes,
+    ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad,
+    ServerPick, ServerUsage, ServiceReport, listed_server::ListedServer, removal_log::RemovalLog,
 };
 
 /// Time after the store's recovery during which servers missing from its list stay in use. Servers
@@ -31,6 +31,8 @@
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
     engines: Set<ServiceName>,
+    /// Requests that servers accepted and rejected since the counts were last taken.
+    admissions: Map<ServiceName, Admissions>,
     /// Number of picks so far, so that the sample differs from pick to pick.
     pub(crate) picks: u64,
     /// Time at which the list was last known to be current.
@@ -263,6 +265,23 @@
         }
     }
 
+    /// Records whether a server accepted a request or rejected it because it was full.
+    pub fn record_admission(&mut self, id: &BackendName, accepted: bool) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let service = server.entry.service.clone();
+        self.admissions.entry(service).or_default().add(Admissions {
+            accepted: u32::from(accepted),
+            rejected: u32::from(!accepted),
+        });
+    }
+
+    /// Returns the requests that servers accepted and rejected since the last call.
+    pub fn take_admissions(&mut self) -> Map<ServiceName, Admissions> {
+        std::mem::take(&mut self.admissions)
+    }
+
     /// Records a successful response.
     pub fn record_success(&mut self, now: MonotonicTime, id: &BackendName) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/traffic/src/service_report.rs
+++ b/crates/traffic/src/service_report.rs
@@ -11,6 +11,8 @@
     pub free_slots: u32,
     /// Expected time to the first byte of a request with an empty prompt at the best of them.
     pub expected_latency: Duration,
+    /// Share of the region's own requests that are to go to other regions, in thousandths.
+    pub offload_permille: u32,
 }
 
 impl ServiceReport {
@@ -20,6 +22,7 @@
             servers: 0,
             free_slots: 0,
             expected_latency: Duration::MAX,
+            offload_permille: 0,
         }
     }
 }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -33,6 +33,7 @@
         servers: 4,
         free_slots: 100,
         expected_latency: Duration::from_millis(expected_ms),
+        offload_permille: 0,
     };
     RegionReport {
         demands: Map::default(),
