Transfer tokens between the pools of regions, list instances later

Cause: an organisation's rate is split evenly among the regions' pools, and regions have their peaks at different times. A request that its own pool refused asked the other owners one after the other, over links that were mostly not open yet: refusals after 1.2 s, 182 drafts refused inside the rate. When the whole fleet starts, each instance read an incomplete list and took itself for a leader.

Change: the owner of a pool below 0.6 asks the other owners for what is missing, in the background; they give what they have above half. The first list is read 450 ms after the registration, and without a list no instance leads. Registrations last 4 s and are renewed every 2 s: a crashed instance leaves the directory after 3 s on average, as before.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -39,7 +39,12 @@
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(15);
 
 /// Age at which the registration of this instance is renewed, as a share of its lifetime.
-const RENEWAL_SHARE_OF_TTL: f64 = 0.33;
+const RENEWAL_SHARE_OF_TTL: f64 = 0.5;
+
+/// Time from the registration of a new process to its first read of the list of instances. When
+/// the whole fleet starts, an earlier list lacks many instances, and each of them would take itself
+/// for a leader and read the store for its region.
+const FIRST_LIST_DELAY: Duration = Duration::from_millis(450);
 
 /// Starts the background tasks.
 pub(crate) fn spawn_tasks<C: ControlPlane, H: HeaderMapping>(
@@ -143,6 +148,7 @@
     let mut health = StoreHealth::new("instances");
     let mut registration = None;
     let mut renewed_at = now();
+    let mut registered_at = None;
     let mut listed_at = None;
     loop {
         if gateway.is_leaving() {
@@ -160,8 +166,12 @@
                 continue;
             }
             renewed_at = started;
+            registered_at.get_or_insert(started);
         }
-        let due = listed_at.is_none_or(|at| now().since(at) >= INSTANCE_LIST_INTERVAL);
+        let due = match listed_at {
+            None => registered_at.is_some_and(|at| now().since(at) >= FIRST_LIST_DELAY),
+            Some(at) => now().since(at) >= INSTANCE_LIST_INTERVAL,
+        };
         if due && (listed_at.is_none() || is_leader(&gateway, now())) {
             let outcome = gateway.control.instances().await.map(|listing| {
                 gateway.apply_instances(listing, "store");
@@ -264,10 +274,14 @@
     gateway: &Gateway<C, H>,
     age: Option<Duration>,
 ) -> bool {
-    let rank = gateway
-        .instances
-        .lock()
-        .leadership_rank(&gateway.settings.region, &gateway.id.name);
+    let rank = {
+        let instances = gateway.instances.lock();
+        match instances.revision() {
+            // Without a list of instances, this one does not read for others.
+            0 => usize::MAX,
+            _ => instances.leadership_rank(&gateway.settings.region, &gateway.id.name),
+        }
+    };
     age.is_none_or(|age| age >= poll_interval(rank))
 }
 
--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -237,7 +237,7 @@
 /// token pools of the regions.
 ///
 /// If no pool can be reached, a request that is larger than the share may overdraw it.
-async fn charge<C, H>(
+async fn charge<C: ControlPlane, H: HeaderMapping>(
     gateway: &Arc<Gateway<C, H>>,
     organisation: Option<&OrganisationId>,
     organisation_config: Option<&OrganisationConfig>,
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -35,11 +35,15 @@
     leader.cloned()
 }
 
-/// Returns whether this instance is the leader of its region.
+/// Returns whether this instance is the leader of its region; never before it has a list of
+/// instances.
 pub(crate) fn is_leader<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
     time: MonotonicTime,
 ) -> bool {
+    if gateway.instances.lock().revision() == 0 {
+        return false;
+    }
     leader(gateway, time).is_none_or(|leader| leader.id.name == gateway.id.name)
 }
 
--- a/crates/instances/src/loan_request.rs
+++ b/crates/instances/src/loan_request.rs
@@ -24,4 +24,8 @@
     /// Duration of the loan in milliseconds, from the time at which the borrower sent the request.
     #[prost(uint64, tag = "7")]
     pub duration_ms: u64,
+    /// Whether the tokens are for the borrower's own pool; the lender then gives only what it does
+    /// not need.
+    #[prost(bool, tag = "8")]
+    pub transfer: bool,
 }
--- a/crates/traffic/src/organisation_limits.rs
+++ b/crates/traffic/src/organisation_limits.rs
@@ -10,7 +10,9 @@
 //! The rest of each rate is divided evenly among the regions as pools. In each region one instance
 //! owns the organisation's pool and lends from it for requests that exceed a share. Pools are
 //! needed because the shares in a large fleet are smaller than a single request, and because the
-//! demand at one instance varies far more than the demand of a region.
+//! demand at one instance varies far more than the demand of a region. The owner of a pool that
+//! runs low takes tokens from the pools of other regions that have more than they need, before its
+//! own is empty: the regions have their peaks at different times.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -50,6 +52,18 @@
 /// requests of any size, because a pool may go into debt.
 const INITIAL_POOL_LEVEL: f64 = 0.5;
 
+/// Level of a pool, as a share of its capacity, below which its owner asks other regions for tokens.
+const LOW_POOL_LEVEL: f64 = 0.6;
+
+/// Level that a pool keeps when it transfers tokens to another region, as a share of its capacity.
+const MIN_LEVEL_AFTER_TRANSFER: f64 = 0.5;
+
+/// Minimum transfer, as a share of the lending pool's capacity.
+const MIN_TRANSFER_SHARE: f64 = 0.02;
+
+/// Minimum time between two requests of a pool for tokens of other regions.
+const TRANSFER_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Window over which the lowest reported total demand of the fleet is used. An instance counts its
 /// own demand only once every total in this window includes it, so that the shares still add up to
 /// at most 1.
@@ -79,6 +93,8 @@
     slack: f64,
     /// Pool of the local region; created when a loan is first requested from it.
     pool: Option<TokenBucket>,
+    /// Time from which the pool may ask other regions for tokens again.
+    next_transfer_at: MonotonicTime,
     /// For each pool owner that refused a loan, the end of its backoff and the number of tokens
     /// that it refused.
     loan_refusals: Map<InstanceName, (MonotonicTime, u64)>,
@@ -189,10 +205,63 @@
         id: &OrganisationId,
         tokens: u64,
     ) -> Result<(), Duration> {
-        let (slack, regions) = (self.slack, self.regions as f64);
-        let Some(account) = self.accounts.get_mut(id) else {
-            return Err(MAX_LOAN_BACKOFF);
+        self.pool(now, id)
+            .ok_or(MAX_LOAN_BACKOFF)?
+            .spend_with_debt(now, tokens as f64)
+    }
+
+    /// Returns the number of tokens that this instance, as the owner of the local region's pool, is
+    /// to ask other regions for because the pool runs low; `None` if it need not.
+    ///
+    /// After a request for tokens, the next one is due after a minimum time.
+    pub fn tokens_to_transfer(&mut self, now: MonotonicTime, id: &OrganisationId) -> Option<u64> {
+        if now < self.accounts.get(id)?.next_transfer_at {
+            return None;
+        }
+        let pool = self.pool(now, id)?;
+        let fill_share = pool.fill_share(now);
+        let missing = (pool.capacity() * (1.0 - fill_share)) as u64;
+        if fill_share >= LOW_POOL_LEVEL || missing == 0 {
+            return None;
+        }
+        self.accounts.get_mut(id)?.next_transfer_at = now + TRANSFER_INTERVAL;
+        Some(missing)
+    }
+
+    /// Takes up to `tokens` from the pool of the local region, which this instance owns, for the
+    /// pool of another region, and returns how many; zero if the pool has none to spare.
+    pub fn take_for_transfer(
+        &mut self,
+        now: MonotonicTime,
+        id: &OrganisationId,
+        tokens: u64,
+    ) -> u64 {
+        let Some(pool) = self.pool(now, id) else {
+            return 0;
         };
+        let surplus = pool.capacity() * (pool.fill_share(now) - MIN_LEVEL_AFTER_TRANSFER);
+        if surplus < pool.capacity() * MIN_TRANSFER_SHARE {
+            return 0;
+        }
+        let taken = (surplus as u64).min(tokens);
+        match pool.spend_available(now, taken as f64) {
+            Ok(()) => taken,
+            Err(_) => 0,
+        }
+    }
+
+    /// Adds tokens that another region's pool has transferred to the pool of the local region.
+    pub fn add_transferred(&mut self, now: MonotonicTime, id: &OrganisationId, tokens: u64) {
+        if let Some(pool) = self.pool(now, id) {
+            pool.refund(tokens as f64);
+        }
+    }
+
+    /// Returns the pool of the local region, with the limits in force; `None` for an unknown
+    /// organisation.
+    fn pool(&mut self, now: MonotonicTime, id: &OrganisationId) -> Option<&mut TokenBucket> {
+        let (slack, regions) = (self.slack, self.regions as f64);
+        let account = self.accounts.get_mut(id)?;
         let rate = account.config.rate as f64 * (1.0 - SHARES_RATE_FRACTION) / regions;
         let burst = account.config.burst.max(1) as f64 + slack;
         let capacity = burst * (1.0 - SHARES_BURST_FRACTION) / regions;
@@ -200,7 +269,7 @@
             TokenBucket::new(now, rate, capacity, capacity * INITIAL_POOL_LEVEL)
         });
         pool.set_limits(now, rate, capacity);
-        pool.spend_with_debt(now, tokens as f64)
+        Some(pool)
     }
 
     /// Returns the remaining backoff of `owner` for a loan of `tokens`, or `None` if it may be
@@ -274,6 +343,7 @@
             share,
             slack,
             pool: None,
+            next_transfer_at: MonotonicTime(0),
             loan_refusals: Map::default(),
         };
         let (rate, capacity) = account.share_limits();
--- a/crates/traffic/src/token_bucket.rs
+++ b/crates/traffic/src/token_bucket.rs
@@ -77,6 +77,17 @@
         self.level >= tokens
     }
 
+    /// Returns the available tokens as a share of the capacity; negative while the bucket is in debt.
+    pub fn fill_share(&mut self, now: MonotonicTime) -> f64 {
+        self.refill(now);
+        self.level / self.capacity.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the maximum number of available tokens.
+    pub const fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
     /// Adds unused tokens back to the bucket, up to its capacity.
     pub fn refund(&mut self, tokens: f64) {
         self.level = (self.level + tokens).min(self.capacity);
--- a/crates/traffic/tests/limits.rs
+++ b/crates/traffic/tests/limits.rs
@@ -285,3 +285,70 @@
         assert!(sum <= allowed, "{sum} tokens admitted of {allowed} allowed");
     }
 }
+
+/// Plays one pool in each of three regions for `seconds`, with requests of 1,000 tokens and the
+/// given requests per second in each region, and returns how many were admitted and refused.
+///
+/// A transfer of tokens between two pools takes 110 ms.
+fn play_pools(seconds: u64, per_s: [u64; 3]) -> (u64, u64) {
+    const REQUEST_TOKENS: u64 = 1_000;
+    const TRANSFER_MS: u64 = 110;
+    let id = OrganisationId::new("o");
+    let mut owners: Vec<OrganisationLimits> = (0..3)
+        .map(|_| {
+            let mut limits = OrganisationLimits::new(0, 3);
+            limits.configure(at(0), &configuration(100_000, 50_000));
+            limits
+        })
+        .collect();
+    let mut transfers: Vec<(u64, usize, u64)> = Vec::new();
+    let (mut admitted, mut refused) = (0, 0);
+    for ms in 0..seconds * 1_000 {
+        let (arrived, under_way): (Vec<_>, Vec<_>) =
+            transfers.into_iter().partition(|(end, ..)| *end <= ms);
+        transfers = under_way;
+        for (_, region, tokens) in arrived {
+            owners[region].add_transferred(at(ms), &id, tokens);
+        }
+        for region in 0..3 {
+            let before = ms * per_s[region] / 1_000;
+            for _ in before..(ms + 1) * per_s[region] / 1_000 {
+                match owners[region].lend(at(ms), &id, REQUEST_TOKENS) {
+                    Ok(()) => admitted += 1,
+                    Err(_) => refused += 1,
+                }
+                let Some(tokens) = owners[region].tokens_to_transfer(at(ms), &id) else {
+                    continue;
+                };
+                let mut missing = tokens;
+                for (n, lender) in [(1, (region + 1) % 3), (2, (region + 2) % 3)] {
+                    let taken = owners[lender].take_for_transfer(at(ms), &id, missing);
+                    missing -= taken;
+                    transfers.push((ms + n * TRANSFER_MS, region, taken));
+                }
+            }
+        }
+    }
+    (admitted, refused)
+}
+
+/// Regions have their peaks at different times. Guards against requests that are refused inside
+/// the rate because the pools of regions without demand stay full.
+#[test]
+fn pools_follow_demand_of_one_region() {
+    let (admitted, refused) = play_pools(20, [70, 0, 0]);
+    assert!(
+        refused * 50 <= admitted,
+        "{refused} refused, {admitted} admitted"
+    );
+}
+
+/// Guards against transfers that create tokens: all pools together must stay within the part of
+/// the rate and burst that they have.
+#[test]
+fn pools_with_transfers_stay_within_rate() {
+    for per_s in [[300, 300, 300], [300, 0, 0], [200, 20, 5]] {
+        let (admitted, _) = play_pools(20, per_s);
+        assert!(admitted <= 20 * 80 + 43, "{admitted} at {per_s:?}");
+    }
+}
