Predict the wait for a slot from the requests that ended

Change: each instance keeps a moving average of the time in a slot for each service (slot_time.rs), from the first byte to the end of the requests that it completed, and the prefill of their prompts.

--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
 use hawthornquay_decisions::{Execution, MonotonicTime};
-use hawthornquay_traffic::{ServerFailure, ServerPick};
+use hawthornquay_traffic::{PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
 use http::{HeaderMap, StatusCode};
 use tokio::time::timeout;
 
@@ -29,7 +29,10 @@
     gateway: Arc<Gateway<C, H>>,
     pick: ServerPick,
     started: MonotonicTime,
-    has_responded: bool,
+    /// Time of the first byte of the response.
+    responded_at: Option<MonotonicTime>,
+    /// Whether the response has been read to its end.
+    is_complete: bool,
     body: Option<ResponseBody>,
 }
 
@@ -57,7 +60,8 @@
             gateway: gateway.clone(),
             pick: pick.clone(),
             started,
-            has_responded: false,
+            responded_at: None,
+            is_complete: false,
             body: None,
         };
         let response = attempt.send(request, last_event, max_wait).await;
@@ -95,6 +99,7 @@
                     .lock()
                     .record_success(now(), &self.pick.id);
                 self.body = None;
+                self.is_complete = true;
                 return None;
             }
             Ok(Some(Ok(data))) => {
@@ -236,9 +241,10 @@
     }
 
     fn record_response(&mut self) {
-        if !self.has_responded {
-            self.has_responded = true;
-            let took = now().since(self.started);
+        if self.responded_at.is_none() {
+            let time = now();
+            self.responded_at = Some(time);
+            let took = time.since(self.started);
             self.gateway
                 .servers
                 .lock()
@@ -250,9 +256,15 @@
 impl<C: ControlPlane, H: HeaderMapping> Drop for ServerAttempt<C, H> {
     fn drop(&mut self) {
         let mut servers = self.gateway.servers.lock();
-        if !self.has_responded {
+        if self.responded_at.is_none() {
             servers.record_first_byte(&self.pick, None);
         }
-        servers.record_end(&self.pick.id);
+        let prefill_ms = self.pick.uncached_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        let prefill = Duration::from_secs_f64(prefill_ms / 1_000.0);
+        let slot_time = self
+            .responded_at
+            .filter(|_| self.is_complete)
+            .map(|at| now().since(at) + prefill);
+        servers.record_end(&self.pick.id, slot_time);
     }
 }
--- a/crates/traffic/src/latency_model.rs
+++ b/crates/traffic/src/latency_model.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::SlotTime;
+
 /// Prompt tokens that an engine prefills per millisecond while it also generates output. The
 /// figure that the engines give for prefill without generation is 112 to 125.
 pub const PREFILL_TOKENS_PER_MS: f64 = 95.0;
@@ -12,9 +14,6 @@
 /// Initial estimate of the time to the first byte of an idle plain service, in milliseconds.
 const PLAIN_BASE_MS: f64 = 20.0;
 
-/// Mean time that a request occupies a slot of a fully loaded engine, in milliseconds.
-const ENGINE_MEAN_SLOT_TIME_MS: f64 = 1_500.0;
-
 /// Weight of the newest response in the moving average of the correction factor.
 const CORRECTION_SMOOTHING: f64 = 0.1;
 
@@ -48,9 +47,18 @@
     /// Returns the predicted time to the first byte, in milliseconds.
     ///
     /// The server prefills `queued_tokens` before the `tokens` of the request, and `running`
-    /// requests occupy its `slots`.
-    pub fn predict_ms(&self, queued_tokens: u64, tokens: u64, running: u32, slots: u32) -> f64 {
-        self.correction * self.predict_uncorrected_ms(queued_tokens, tokens, running, slots)
+    /// requests occupy its `slots`, on average for `slot_time` each.
+    pub fn predict_ms(
+        &self,
+        queued_tokens: u64,
+        tokens: u64,
+        running: u32,
+        slots: u32,
+        slot_time: SlotTime,
+    ) -> f64 {
+        let uncorrected_ms =
+            self.predict_uncorrected_ms(queued_tokens, tokens, running, slots, slot_time);
+        self.correction * uncorrected_ms
     }
 
     /// Updates the correction factor from a measured time and its uncorrected prediction.
@@ -70,12 +78,13 @@
         tokens: u64,
         running: u32,
         slots: u32,
+        slot_time: SlotTime,
     ) -> f64 {
         let slots = slots.max(1);
         let waiting = f64::from((running + 1).saturating_sub(slots));
         if self.engine {
             let prefill_ms = (queued_tokens + tokens) as f64 / PREFILL_TOKENS_PER_MS;
-            ENGINE_BASE_MS + prefill_ms + waiting * ENGINE_MEAN_SLOT_TIME_MS / f64::from(slots)
+            ENGINE_BASE_MS + prefill_ms + waiting * slot_time.mean_ms() / f64::from(slots)
         } else {
             PLAIN_BASE_MS * (1.0 + waiting / f64::from(slots))
         }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -42,6 +42,7 @@
 mod server_usage;
 mod service_config;
 mod service_report;
+mod slot_time;
 mod stable_hash;
 mod token_bucket;
 mod work;
@@ -82,6 +83,7 @@
     server_usage::ServerUsage,
     service_config::ServiceConfig,
     service_report::ServiceReport,
+    slot_time::SlotTime,
     stable_hash::stable_hash,
     token_bucket::TokenBucket,
     work::{PromptPart, Work},
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     BackendEntry, ColdStartLimiter, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
-    RecentPrefixes, ServerHealth, ServerLoad, ServerPick,
+    RecentPrefixes, ServerHealth, ServerLoad, ServerPick, SlotTime,
 };
 
 /// Share of a server's slots in use above which its score gets a penalty. Filling the last slots of
@@ -62,31 +62,33 @@
     }
 
     /// Returns the predicted time to the first byte of an empty prompt, in milliseconds.
-    pub(crate) fn empty_prompt_ms(&self, now: MonotonicTime) -> f64 {
+    pub(crate) fn empty_prompt_ms(&self, now: MonotonicTime, slot_time: SlotTime) -> f64 {
         let requests = self.load.requests(now);
+        let queued_tokens = self.load.pending(now);
         self.latency
-            .predict_ms(self.load.pending(now), 0, requests, self.entry.slots)
+            .predict_ms(queued_tokens, 0, requests, self.entry.slots, slot_time)
     }
 
     /// Returns the score of the server for a request, and the pick that goes with it.
     ///
     /// The score is the predicted time to the first byte in milliseconds, plus penalties; the
     /// server with the lowest score is the best. `cached` says whether the server is expected to
-    /// have the shared prefix in its cache.
+    /// have the shared prefix in its cache, and `slot_time` is that of the service.
     pub(crate) fn score(
         &self,
         now: MonotonicTime,
         req: &PlacementRequest<'_>,
         cached: bool,
+        slot_time: SlotTime,
     ) -> (f64, ServerPick) {
         let shared = if cached { req.work.shared_tokens() } else { 0 };
         let uncached_tokens = req.work.prompt_tokens.saturating_sub(shared);
         let requests = self.load.requests(now);
         let queued_tokens = self.load.pending(now);
         let slots = self.entry.slots;
-        let expected_ms = self
-            .latency
-            .predict_ms(queued_tokens, uncached_tokens, requests, slots);
+        let expected_ms =
+            self.latency
+                .predict_ms(queued_tokens, uncached_tokens, requests, slots, slot_time);
         let slot_use = f64::from(requests) / f64::from(slots.max(1));
         let congestion_penalty = if slot_use > CONGESTION_SLOT_SHARE {
             expected_ms * (slot_use - CONGESTION_SLOT_SHARE)
@@ -114,6 +116,7 @@
                 uncached_tokens,
                 requests,
                 slots,
+                slot_time,
             ),
             requests,
             uncached_tokens,
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -65,6 +65,7 @@
         probability: f64,
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
+        let slot_time = self.slot_time(req.service);
         let at_random =
             config.engine.is_none() && req.region_instances.len() > MAX_INSTANCES_WITHOUT_SAMPLING;
         let mut best: Option<(f64, ServerPick)> = None;
@@ -83,7 +84,7 @@
                 continue;
             }
             let cached = prefix.is_some_and(|prefix| server.prefixes.contains(now, prefix));
-            let (score, pick) = server.score(now, req, is_preferred || cached);
+            let (score, pick) = server.score(now, req, is_preferred || cached, slot_time);
             let score = if at_random {
                 random_score(now, server, req.instance, self.picks)
             } else {
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -7,7 +7,8 @@
 use crate::{
     Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes,
     ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad,
-    ServerPick, ServerUsage, ServiceReport, listed_server::ListedServer, removal_log::RemovalLog,
+    ServerPick, ServerUsage, ServiceReport, SlotTime, listed_server::ListedServer,
+    removal_log::RemovalLog,
 };
 
 /// Time after the store's recovery during which servers missing from its list stay in use. Servers
@@ -31,6 +32,8 @@
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
     engines: Set<ServiceName>,
+    /// Mean time in a slot at the engines of each service.
+    slot_times: Map<ServiceName, SlotTime>,
     /// Requests that servers accepted and rejected since the counts were last taken.
     admissions: Map<ServiceName, Admissions>,
     /// Number of picks so far, so that the sample differs from pick to pick.
@@ -258,13 +261,24 @@
         }
     }
 
-    /// Records the end of a request.
-    pub fn record_end(&mut self, id: &BackendName) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.load.record_end();
+    /// Records the end of a request; `slot_time` is the time that it occupied a slot, if it
+    /// completed.
+    pub fn record_end(&mut self, id: &BackendName, slot_time: Option<Duration>) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.load.record_end();
+        if let Some(took) = slot_time {
+            let service = server.entry.service.clone();
+            self.slot_times.entry(service).or_default().record(took);
         }
     }
 
+    /// Returns the mean time in a slot at the engines of a service.
+    pub(crate) fn slot_time(&self, service: &ServiceName) -> SlotTime {
+        self.slot_times.get(service).copied().unwrap_or_default()
+    }
+
     /// Records whether a server accepted a request or rejected it because it was full.
     pub fn record_admission(&mut self, id: &BackendName, accepted: bool) {
         let Some(server) = self.servers.get(id) else {
@@ -380,7 +394,7 @@
             if server.cold.is_cold(now) {
                 continue;
             }
-            let expected_ms = server.empty_prompt_ms(now);
+            let expected_ms = server.empty_prompt_ms(now, self.slot_time(&server.entry.service));
             let requests = server.load.requests(now);
             let report = reports
                 .entry(server.entry.service.clone())
--- a/crates/traffic/tests/small_plain_servers.rs
+++ b/crates/traffic/tests/small_plain_servers.rs
@@ -185,7 +185,7 @@
                 .is_some_and(|(end, _)| *end <= now_ms)
             {
                 let (_, index) = server.running.pop_front().unwrap();
-                self.instances[index].servers.record_end(&server.id);
+                self.instances[index].servers.record_end(&server.id, None);
                 if let Some(next) = server.waiting.pop_front() {
                     server.running.push_back((now_ms + SERVICE_TIME_MS, next));
                 }
