Bound responses without end, stalled streams and the end of accepting

A connection to a server now fails after 256 KiB from which no data results, its read buffer is bounded by 64 KiB, and incomplete responses share 8 MiB beyond their first 32 KiB. Only events with an id or data count as progress. Events are searched once, not from the start again. - At the end of accepting, connections in the accept queue, and kept ones whose next request had arrived unread, were reset. They are served for another 250 ms.

A slow but sound stream (gaps three times the route's aim) was kept before and is now.

--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -10,7 +10,9 @@
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{
-    BackendError, BackendRequest, BackendResponse, ResponseBody, connection_pool::ConnectionPool,
+    BackendError, BackendRequest, BackendResponse, ResponseBody,
+    bounded_stream::{BoundedStream, ReceivedBytes},
+    connection_pool::ConnectionPool,
 };
 
 /// Maximum time for which sent data may remain unacknowledged (`TCP_USER_TIMEOUT`).
@@ -18,6 +20,9 @@
 /// It covers several TCP retransmissions on a lossy path within a region.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum size of a connection's read buffer, and so of a response head.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Open connection that can send one request.
 ///
 /// Dropping the connection or the future returned by [`Connection::send`] closes it.
@@ -77,6 +82,7 @@
                 return Err(BackendError::HeadTimeout { address, limit });
             }
         };
+        self.open.received.reset();
         let (head, body) = res.into_parts();
         Ok(BackendResponse {
             head,
@@ -89,6 +95,7 @@
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) received: ReceivedBytes,
     driver: AbortHandle,
 }
 
@@ -104,7 +111,10 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
             .map_err(connect_error)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let received = ReceivedBytes::default();
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(BoundedStream::new(stream, received.clone())))
             .await
             .map_err(|source| BackendError::Http { address, source })?;
         // The result is ignored: a connection error also fails the request in flight.
@@ -112,7 +122,11 @@
             let _ = connection.await;
         })
         .abort_handle();
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            received,
+            driver,
+        })
     }
 
     pub(crate) fn is_closed(&self) -> bool {
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -7,6 +7,7 @@
 mod backend_error;
 mod backend_request;
 mod backend_response;
+mod bounded_stream;
 mod client_limits;
 mod connection;
 mod connection_pool;
--- a/crates/backends/src/response_body.rs
+++ b/crates/backends/src/response_body.rs
@@ -107,6 +107,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    connection.open.received.reset();
                     self.idle_timer.as_mut().reset(Instant::now() + limit);
                     self.release_if_complete();
                     return Poll::Ready(Some(Ok(data)));
--- a/crates/gateway/src/event_reader.rs
+++ b/crates/gateway/src/event_reader.rs
@@ -6,6 +6,7 @@
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 const ID_FIELD: &[u8] = b"id:";
+const DATA_FIELD: &[u8] = b"data:";
 
 /// Event of a stream in its received encoding.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,12 +15,18 @@
     pub raw: Bytes,
     /// Number in the `id` field; `None` if the field is missing or is no number.
     pub id: Option<u64>,
+    /// Whether it has a number or data, and so is not just a comment that keeps the stream open.
+    pub has_data: bool,
 }
 
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub struct EventReader {
     buf: BytesMut,
+    /// Number of buffered bytes that have been searched for the end of the event.
+    searched: usize,
+    /// Start of the line that the searched bytes end in.
+    line_start: usize,
 }
 
 impl EventReader {
@@ -31,14 +38,43 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.buf)?;
+        let end = self.find_event_end()?;
+        (self.searched, self.line_start) = (0, 0);
         let raw = self.buf.copy_to_bytes(end);
+        let is_data = |line: &[u8]| line.starts_with(ID_FIELD) || line.starts_with(DATA_FIELD);
+        let has_data = raw.split(|byte| *byte == b'\n').any(is_data);
         let id = raw
             .split(|byte| *byte == b'\n')
             .find_map(|line| line.strip_prefix(ID_FIELD))
             .and_then(|value| std::str::from_utf8(value).ok())
             .and_then(|value| value.trim().parse().ok());
-        Some(Event { raw, id })
+        Some(Event { raw, id, has_data })
+    }
+
+    /// Returns the length of the first event with its blank line. Bytes are searched only once.
+    fn find_event_end(&mut self) -> Option<usize> {
+        for index in self.searched..self.buf.len() {
+            if self.buf[index] != b'\n' {
+                continue;
+            }
+            let line = &self.buf[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
+        }
+        self.searched = self.buf.len();
+        None
+    }
+
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Returns whether no bytes are buffered.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
     }
 
     /// Returns whether part of an event is buffered.
@@ -48,22 +84,6 @@
 
     /// Discards the partial event of an interrupted stream.
     pub fn clear(&mut self) {
-        self.buf.clear();
-    }
-}
-
-/// Returns the length of the first event with its blank line.
-fn event_end(buf: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in buf.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &buf[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
+        *self = Self::default();
     }
-    None
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, EventReader,
     Gateway, HeaderMapping, attempt::Attempt, gateway::now, peer_attempt::PeerAttempt,
-    server_attempt::ServerAttempt, wire_views::millis,
+    response_memory::ResponseMemory, server_attempt::ServerAttempt, wire_views::millis,
 };
 
 /// Bound on all attempts for one request, including those that reached no backend server.
@@ -67,6 +67,10 @@
     /// Regions without capacity for the request or without an instance that accepts it.
     pub(crate) excluded_regions: Vec<RegionName>,
     events: EventReader,
+    /// Part of the memory budget for the buffered part of the response.
+    memory: ResponseMemory,
+    /// Time of the last event with data, or of the response head.
+    progress_at: MonotonicTime,
     /// Number of the last event that was delivered to the caller.
     last_delivered_event: Option<u64>,
     /// Last error response of a backend server.
@@ -99,6 +103,8 @@
             excluded_instances: Vec::new(),
             excluded_regions: Vec::new(),
             events: EventReader::default(),
+            memory: ResponseMemory::default(),
+            progress_at: MonotonicTime(0),
             last_delivered_event,
             error_response: None,
             retry_after: None,
@@ -259,6 +265,7 @@
                 Ok((head, attempt)) => {
                     self.gateway.metrics.count_attempt("answered");
                     self.attempt = Some(attempt);
+                    self.progress_at = now();
                     return Ok((head.status, head.headers));
                 }
                 Err(failure) => self.handle_failure(&failure)?,
@@ -330,6 +337,7 @@
             }
         }
         self.events.clear();
+        self.memory = ResponseMemory::default();
         if failure.execution != Execution::NotRun {
             self.execution = Execution::Unknown;
         }
@@ -373,7 +381,10 @@
                     self.attempt = None;
                     return Ok(body.freeze());
                 }
-                Some(Ok(part)) if body.len() + part.len() <= MAX_RESPONSE_BYTES => {
+                Some(Ok(part))
+                    if body.len() + part.len() <= MAX_RESPONSE_BYTES
+                        && self.memory.try_hold(body.len() + part.len()) =>
+                {
                     body.extend_from_slice(&part);
                 }
                 Some(Ok(_)) => return Err(AttemptFailure::unknown(AttemptCause::Garbled)),
@@ -402,7 +413,7 @@
                     return Ok(None);
                 }
                 Some(Ok(part)) => {
-                    if !self.events.push(&part) {
+                    if !self.events.push(&part) || !self.memory.try_hold(self.events.len()) {
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
                 }
@@ -415,6 +426,9 @@
     fn take_events(&mut self) -> Option<Bytes> {
         let mut data = BytesMut::new();
         while let Some(event) = self.events.next_event() {
+            if event.has_data {
+                self.progress_at = now();
+            }
             if let Some(id) = event.id {
                 if self.last_delivered_event.is_some_and(|last| id <= last) {
                     continue;
@@ -423,21 +437,25 @@
             }
             data.extend_from_slice(&event.raw);
         }
+        self.memory.try_hold(self.events.len());
         (!data.is_empty()).then(|| data.freeze())
     }
 
-    /// Returns the time-out for the next data of a stream.
+    /// Returns the time left for the next event with data of a stream. Other bytes, such as comment
+    /// lines, do not extend it.
     fn stream_timeout(&self) -> Duration {
-        let left = self.request.time_left(now());
-        match self.request.route.semantics {
+        let time = now();
+        let left = self.request.time_left(time);
+        let limit = match self.request.route.semantics {
             ExecutionSemantics::Stream {
                 resumable: true,
                 target_event_gap: gap,
-            } if self.last_delivered_event != self.request.last_event => MIN_STREAM_IDLE_TIMEOUT
-                .max(gap.mul_f64(TIMEOUT_FACTOR))
-                .min(left),
-            _ => self.attempt_timeout(left, Duration::ZERO),
-        }
+            } if self.last_delivered_event != self.request.last_event => {
+                MIN_STREAM_IDLE_TIMEOUT.max(gap.mul_f64(TIMEOUT_FACTOR))
+            }
+            _ => self.attempt_timeout(Duration::MAX, Duration::ZERO),
+        };
+        limit.saturating_sub(time.since(self.progress_at)).min(left)
     }
 
     /// Returns the error response of a backend server, to be sent to the caller in place of a
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod log_rate_limiter;
 mod peer_attempt;
 mod peer_handler;
+mod response_memory;
 mod server_attempt;
 mod status_notices;
 mod view_notices;
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
 use hawthornquay_decisions::{Execution, MonotonicTime};
@@ -13,7 +13,7 @@
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BackendRequestMetadata, BackendResponseMetadata,
     BufferedResponse, ControlPlane, Gateway, HeaderMapping, gateway::now,
-    hop_headers::strip_hop_headers,
+    hop_headers::strip_hop_headers, response_memory::ResponseMemory,
 };
 
 /// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
@@ -214,8 +214,8 @@
             return Ok(AttemptHead { status, headers });
         }
         self.record_response();
-        let body = timeout(ERROR_BODY_TIMEOUT, body.read(MAX_ERROR_BODY_BYTES)).await;
-        let Ok(Ok(body)) = body else {
+        let body = timeout(ERROR_BODY_TIMEOUT, read_error_body(body)).await;
+        let Ok(Some(body)) = body else {
             return Err(AttemptFailure::unknown(AttemptCause::Broken));
         };
         let response = BufferedResponse {
@@ -253,6 +253,22 @@
     }
 }
 
+/// Reads the complete body of an error response; `None` if it breaks off, is too large or does not
+/// fit into the memory budget.
+async fn read_error_body(mut body: ResponseBody) -> Option<Bytes> {
+    let mut memory = ResponseMemory::default();
+    let mut buf = BytesMut::new();
+    while let Some(part) = body.next().await {
+        let part = part.ok()?;
+        let len = buf.len() + part.len();
+        if len > MAX_ERROR_BODY_BYTES || !memory.try_hold(len) {
+            return None;
+        }
+        buf.extend_from_slice(&part);
+    }
+    Some(buf.freeze())
+}
+
 impl<C: ControlPlane, H: HeaderMapping> Drop for ServerAttempt<C, H> {
     fn drop(&mut self) {
         let mut servers = self.gateway.servers.lock();
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use futures_util::FutureExt;
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
 use hyper::{Request, body::Incoming, service::service_fn};
 use hyper_util::{
@@ -16,7 +17,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -25,6 +26,13 @@
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time after the end of accepting in which requests on connections without a request in progress
+/// are still read.
+const UNREAD_REQUEST_DELAY: Duration = Duration::from_millis(250);
+
+/// Accepted connection with its permit.
+type Accepted = (TcpStream, SocketAddr, OwnedSemaphorePermit);
+
 /// HTTP server that runs a gotham router or handler and drains requests on shutdown.
 ///
 /// It runs the handler on hyper-util, because `gotham::bind_server` has no graceful shutdown.
@@ -81,26 +89,35 @@
                 accepted = accept(&self.listener, &permits) => accepted,
             };
             match accepted {
-                Ok((stream, address, permit)) => {
-                    let connection = self.connection(stream, address);
-                    let connection = graceful.watch(connection);
-                    tokio::spawn(async move {
-                        // A connection error affects only its client, which observes it, too.
-                        let _ = connection.await;
-                        drop(permit);
-                    });
-                }
+                Ok(accepted) => self.spawn_connection(accepted, &graceful),
                 // Usually no file descriptor is free: wait for connections to close.
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
+        // The operating system has accepted further connections, and their callers may have sent a
+        // request already. Closing the listener would reset them.
+        while let Some(Ok(accepted)) = accept(&self.listener, &permits).now_or_never() {
+            self.spawn_connection(accepted, &graceful);
+        }
         drop(self.listener);
+        // A connection without a request in progress is closed at once, also if a request has
+        // arrived that has not been read.
+        tokio::time::sleep(UNREAD_REQUEST_DELAY).await;
         let drain_timeout = self.limits.borrow().drain_timeout;
         tokio::time::timeout(drain_timeout, graceful.shutdown())
             .await
             .is_ok()
     }
 
+    fn spawn_connection(&self, (stream, address, permit): Accepted, graceful: &GracefulShutdown) {
+        let connection = graceful.watch(self.connection(stream, address));
+        tokio::spawn(async move {
+            // A connection error affects only its client, which observes it, too.
+            let _ = connection.await;
+            drop(permit);
+        });
+    }
+
     fn connection(
         &self,
         stream: TcpStream,
@@ -132,10 +149,7 @@
     }
 }
 
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> io::Result<(TcpStream, SocketAddr, tokio::sync::OwnedSemaphorePermit)> {
+async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> io::Result<Accepted> {
     let permit = Arc::clone(permits)
         .acquire_owned()
         .await
