Send each request to a backend server on a connection of its own

Cause: hawthornquayd sent repeatable requests on kept connections. A second copy of a response that arrives when the connection is in use again was taken for the next response: in second_copy_of_response_is_not_taken_for_next_response the caller of lookup 1 got the response to lookup 0. The gateway of routed services opens a connection for each attempt already.

Change: call_backend opens a connection for each request; only control calls reuse connections. The relay of the tests can repeat responses. The test fails on the code before and passes now.

Also: the package hawthornquay and its example state the new field of loan requests.

--- a/crates/hawthornquay/examples/capacity_support/table_sections.rs
+++ b/crates/hawthornquay/examples/capacity_support/table_sections.rs
@@ -301,6 +301,7 @@
         capacity: 1_000_000_000_000,
         level: 330_000_000_000,
         duration_ms: 3_000,
+        transfer: false,
     });
     let grant = Body::LoanGrant(LoanGrant {
         sequence: 1_000_000,
--- a/crates/hawthornquay/src/backend_attempt.rs
+++ b/crates/hawthornquay/src/backend_attempt.rs
@@ -59,12 +59,9 @@
     req: &OutboundRequest,
     server: &BackendServer,
 ) -> Result<(StatusCode, HeaderMap, AnswerStream), BackendError> {
-    // A server may close a pooled connection while the request is being written. It would then be
-    // unknown whether the request ran, so a request that must not be repeated gets a new one.
-    let connection = match req.repeatable {
-        true => node.backends.connect(server.address).await?,
-        false => node.backends.connect_fresh(server.address).await?,
-    };
+    // A used connection may deliver a second copy of the response to its former request, and nothing
+    // in a response says to which request it belongs.
+    let connection = node.backends.connect_fresh(server.address).await?;
     // The request may run from here on. The log entry must not state `not-run` in the meantime.
     node.requests.set_execution(&req.id, Execution::Unknown);
     let answer = connection.send(backend_request(req)).await?;
--- a/crates/hawthornquay/src/peer_loans.rs
+++ b/crates/hawthornquay/src/peer_loans.rs
@@ -23,6 +23,7 @@
         capacity: call.request.share.capacity,
         level: call.request.amount,
         duration_ms: u64::try_from(call.request.duration.as_millis()).unwrap_or(u64::MAX),
+        transfer: false,
     };
     match node.links.call(&peer, req, LoanTerms::ANSWER_TIMEOUT).await {
         Ok(grant) => {
--- a/crates/hawthornquay/tests/isolation.rs
+++ b/crates/hawthornquay/tests/isolation.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hawthornquay_decisions::{Execution, Incarnation, InstanceId};
 use hawthornquay_instances::{
     Forward, ForwardEvent, ForwardRefused, LinkPool, LocalInstance, PeerAddress, TlsIdentity,
@@ -13,7 +14,8 @@
 use http::{Method, StatusCode};
 use serde_json::json;
 use support::{
-    Caller, FakeBackend, Fleet, FleetBuilder, LogBuffer, RawCaller, chat_body, wait_until,
+    Caller, FakeBackend, Fleet, FleetBuilder, LogBuffer, RawCaller, RelayFault, chat_body,
+    wait_until,
 };
 
 const BOOKINGS: &str = "/v1/services/bookings";
@@ -408,3 +410,33 @@
         }
     }
 }
+
+/// Guards against a caller that gets the response to a former request: a server sends a second copy
+/// of it, late, on a connection that is in use again.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_copy_of_response_is_not_taken_for_next_response() {
+    let fleet = FleetBuilder::default().fault_relays().start().await;
+    for relay in &fleet.service_relays {
+        relay.set_fault(RelayFault::RepeatResponse);
+    }
+    let caller = Caller::new(Some("key-kolanut"));
+    for n in 0..20 {
+        let nonce = format!("lookup-{n}-end");
+        let body = Bytes::from(json!({"nonce": nonce}).to_string());
+        let response = caller
+            .call(
+                fleet.callers(0),
+                Method::POST,
+                "/v1/services/lookups",
+                &[],
+                body,
+            )
+            .await;
+        assert_eq!(response.status, StatusCode::OK, "{}", response.text());
+        assert!(
+            response.text().contains(&nonce),
+            "{nonce}: {}",
+            response.text()
+        );
+    }
+}
--- a/crates/hawthornquay/tests/support/fault_relay.rs
+++ b/crates/hawthornquay/tests/support/fault_relay.rs
@@ -27,6 +27,9 @@
     DropToClient,
     /// Stops forwarding; the bytes are delivered after the fault ends.
     Hold,
+    /// Sends a second copy of a connection's former response as soon as its next request has been
+    /// sent.
+    RepeatResponse,
     /// Closes the open connections, and accepts and closes new ones.
     Cut,
     /// Refuses new connections and closes the open ones.
@@ -151,6 +154,7 @@
     bytes_read: &AtomicU64,
 ) {
     let mut buf = vec![0; 64 << 10];
+    let mut former = Vec::new();
     loop {
         let fault = *faults.borrow_and_update();
         if matches!(fault, RelayFault::Cut | RelayFault::Refuse) {
@@ -167,6 +171,13 @@
             return;
         };
         bytes_read.fetch_add(len as u64, Ordering::SeqCst);
+        if fault == RelayFault::RepeatResponse && drop_fault == RelayFault::DropToClient {
+            // The response to the next request follows the copy on the connection.
+            let copy = std::mem::replace(&mut former, buf[..len].to_vec());
+            if to.write_all(&copy).await.is_err() {
+                return;
+            }
+        }
         if fault != drop_fault && to.write_all(&buf[..len]).await.is_err() {
             return;
         }
