Leave out engines whose queue is full, fill pools from the start

A pool of an organisation's rate was created half full when the first loan was asked for, in the first second of load.

Change: the number of requests with which a full engine rejects is remembered for its service; an engine with as many known requests is left out. Pools are created with the configuration, so they are full when the load begins.

Test: pick_leaves_out_engine_that_rejects_at_its_level.

--- a/crates/traffic/src/organisation_limits.rs
+++ b/crates/traffic/src/organisation_limits.rs
@@ -91,7 +91,7 @@
     share: f64,
     /// Tokens by which this instance's share may exceed its part of the burst.
     slack: f64,
-    /// Pool of the local region; created when a loan is first requested from it.
+    /// Pool of the local region, of use while this instance owns it.
     pool: Option<TokenBucket>,
     /// Time from which the pool may ask other regions for tokens again.
     next_transfer_at: MonotonicTime,
@@ -139,6 +139,8 @@
                 None => {
                     let account = Account::new(now, config.clone(), share, slack);
                     self.accounts.insert(id.clone(), account);
+                    // The pool fills from now on, whether or not this instance owns it already.
+                    self.pool(now, id);
                 }
             }
         }
--- a/crates/traffic/src/server_load.rs
+++ b/crates/traffic/src/server_load.rs
@@ -75,6 +75,11 @@
         self.sent_since_report = 0;
     }
 
+    /// Returns the last load that the server reported.
+    pub fn last_report(&self) -> Option<ReportedLoad> {
+        self.reported.map(|(_, load)| load)
+    }
+
     /// Records the total usage by the peers, which is up to one status interval old.
     ///
     /// `estimated_peers` is the number of peers whose newer requests are estimated.
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -66,6 +66,10 @@
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
         let slot_time = self.slot_time(req.service);
+        // The queue of a plain server changes faster than the counts.
+        let full_level = config
+            .engine
+            .and_then(|_| self.full_levels.get(req.service).copied());
         let at_random =
             config.engine.is_none() && req.region_instances.len() > MAX_INSTANCES_WITHOUT_SAMPLING;
         let mut best: Option<(f64, ServerPick)> = None;
@@ -76,6 +80,9 @@
             {
                 continue;
             }
+            if full_level.is_some_and(|level| server.load.requests(now) >= level) {
+                continue;
+            }
             let (sender, senders) = cold_sender(id, req);
             if !server
                 .cold
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -32,6 +32,9 @@
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
     engines: Set<ServiceName>,
+    /// Number of requests, running or queued, with which a full engine of each service has last
+    /// rejected another one, or more if one has accepted more since.
+    pub(crate) full_levels: Map<ServiceName, u32>,
     /// Mean time in a slot at the engines of each service.
     slot_times: Map<ServiceName, SlotTime>,
     /// Requests that servers accepted and rejected since the counts were last taken.
@@ -285,6 +288,14 @@
             return;
         };
         let service = server.entry.service.clone();
+        if !accepted
+            && let Some(load) = server.load.last_report()
+            && load.waiting > 0
+            && load.running >= load.slots
+        {
+            let requests = load.running + load.waiting;
+            self.full_levels.insert(service.clone(), requests);
+        }
         self.admissions.entry(service).or_default().add(Admissions {
             accepted: u32::from(accepted),
             rejected: u32::from(!accepted),
@@ -329,8 +340,12 @@
 
     /// Records the load that a server reports with a response.
     pub fn record_load_report(&mut self, now: MonotonicTime, id: &BackendName, load: ReportedLoad) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.load.record_load_report(now, load);
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        server.load.record_load_report(now, load);
+        if let Some(level) = self.full_levels.get_mut(&server.entry.service) {
+            *level = (*level).max(load.running + load.waiting);
         }
     }
 
--- a/crates/traffic/tests/queue_of_short_requests.rs
+++ b/crates/traffic/tests/queue_of_short_requests.rs
@@ -7,7 +7,7 @@
 
 use common::{RequestContext, at, listing, server, work};
 use hawthornquay_decisions::{BackendName, InstanceName};
-use hawthornquay_traffic::{BackendEntry, ServerPick, ServerTable, ServerUsage};
+use hawthornquay_traffic::{BackendEntry, ReportedLoad, ServerPick, ServerTable, ServerUsage};
 
 const SLOTS: u32 = 12;
 
@@ -55,3 +55,43 @@
     let pick = pick_after(3_000, 32);
     assert!(pick.expected_latency > Duration::from_secs(4), "{pick:?}");
 }
+
+/// Guards against requests to engines whose queues are full: they are rejected, and use up the
+/// retry budget of the service.
+#[test]
+fn pick_leaves_out_engine_that_rejects_at_its_level() {
+    let context = RequestContext {
+        region_instances: vec![InstanceName::new("i1"), InstanceName::new("i2")],
+        ..RequestContext::default()
+    };
+    let entry = |id: &str| BackendEntry {
+        slots: SLOTS,
+        ..server(id, "home-a")
+    };
+    let mut table = ServerTable::default();
+    let entries = [entry("s1"), entry("s2")];
+    table.apply_listing(at(0), at(0), &listing(1, &entries));
+    table.configure(&context.configuration);
+    let full = ReportedLoad {
+        running: SLOTS,
+        waiting: 36,
+        slots: SLOTS,
+    };
+    let s1 = BackendName::new("s1");
+    table.record_load_report(at(0), &s1, full);
+    table.record_admission(&s1, false);
+    let usage = |id: &str, requests| ServerUsage {
+        id: BackendName::new(id),
+        requests,
+        pending_tokens: 0,
+    };
+    let work = work(1, 90, 290);
+    let mut pick = |s1, s2| {
+        table.apply_peer_usage(at(1_000), 1, &[usage("s1", s1), usage("s2", s2)]);
+        let pick = table.pick(at(1_000), &context.request(&work));
+        pick.map(|pick| pick.id.to_string())
+    };
+    assert_eq!(pick(47, 60).as_deref(), Some("s1"), "one place is left");
+    assert_eq!(pick(48, 47).as_deref(), Some("s2"), "the other has a place");
+    assert_eq!(pick(50, 49), None, "no engine has a place");
+}
