Use an offloading region as the last resort, spread returns from full engines

Cause, found by reading: a region that sends some of its own requests away was left out for requests that have no other place, for example of a region whose only server is down; and when all engines are at the level at which they reject, callers were asked back after 0.7 s in place of the spread delay of an overload.

Change: an offloading region is chosen if the local one has no server; full engines count as late for the request.

--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -67,7 +67,7 @@
         return PlacementDecision::Server(pick.clone());
     }
     let remote = if options.may_forward {
-        best_region(now, req, options, regions)
+        best_region(now, req, options, regions, local.is_none())
     } else {
         None
     };
@@ -130,11 +130,14 @@
 }
 
 /// Returns the other region with the shortest expected time to the first byte, and that time.
+///
+/// A region that sends requests of its own to others is only chosen as a `last_resort`.
 fn best_region(
     now: MonotonicTime,
     req: &PlacementRequest<'_>,
     options: &PlacementOptions<'_>,
     regions: &RegionTable,
+    last_resort: bool,
 ) -> Option<(RegionName, Duration)> {
     let engine = req
         .configuration
@@ -152,10 +155,10 @@
         .filter(|name| *name != options.local_region)
         .filter_map(|name| {
             let report = regions.available_load(now, name, req.service, req.work.prompt_tokens)?;
-            Some((
-                name.clone(),
-                report.expected_latency + prefill + options.region_round_trip,
-            ))
+            let offloads = report.offload_permille > 0;
+            let expected_latency = report.expected_latency + prefill + options.region_round_trip;
+            (last_resort || !offloads).then_some((offloads, expected_latency, name))
         })
-        .min_by_key(|(_, expected_latency)| *expected_latency)
+        .min()
+        .map(|(_, expected_latency, name)| (name.clone(), expected_latency))
 }
--- a/crates/traffic/src/region_table.rs
+++ b/crates/traffic/src/region_table.rs
@@ -86,8 +86,7 @@
     /// report.
     ///
     /// Returns `None` if the report is too old, if the region is in backoff, if it has no usable
-    /// server, if it sends requests of its own to other regions, or if it has refused a request of
-    /// at most `tokens` prompt tokens.
+    /// server, or if it has refused a request of at most `tokens` prompt tokens.
     pub fn available_load(
         &self,
         now: MonotonicTime,
@@ -101,10 +100,7 @@
         }
         let mut report = *region.report.services.get(service)?;
         let refused = region.refused_tokens.get(service);
-        if report.servers == 0
-            || report.offload_permille > 0
-            || refused.is_some_and(|smallest| tokens >= *smallest)
-        {
+        if report.servers == 0 || refused.is_some_and(|smallest| tokens >= *smallest) {
             return None;
         }
         let sent = region.sent_tokens.get(service).copied().unwrap_or(0) as f64;
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -36,9 +36,22 @@
         let preferred = prefix.and_then(|prefix| self.preferred_server(now, req, prefix));
         self.picks += 1;
         let probability = self.sampling_probability(now, req, config);
-        let mut pick = self.best(now, req, config, preferred.as_ref(), probability);
+        // The queue of a plain server changes faster than the counts.
+        let full_level = config
+            .engine
+            .and_then(|_| self.full_levels.get(req.service).copied());
+        let preferred_id = preferred.as_ref();
+        let mut pick = self.best(now, req, config, preferred_id, probability, full_level);
         if pick.is_none() && probability < 1.0 {
-            pick = self.best(now, req, config, preferred.as_ref(), 1.0);
+            pick = self.best(now, req, config, preferred_id, 1.0, full_level);
+        }
+        if pick.is_none() && full_level.is_some() {
+            // All engines are at the level at which they reject, so the request would not be in
+            // time.
+            pick = self.best(now, req, config, preferred_id, 1.0, None);
+            if let Some(pick) = &mut pick {
+                pick.expected_latency = pick.expected_latency.max(req.target_latency);
+            }
         }
         let mut pick = pick?;
         if let Some(prefix) = prefix
@@ -55,7 +68,7 @@
     }
 
     /// Returns the best of the preferred server and a sample of the others, where `probability`
-    /// is that of each server to be in the sample.
+    /// is that of each server to be in the sample. Servers with `full_level` requests are left out.
     fn best(
         &mut self,
         now: MonotonicTime,
@@ -63,13 +76,10 @@
         config: &ServiceConfig,
         preferred: Option<&BackendName>,
         probability: f64,
+        full_level: Option<u32>,
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
         let slot_time = self.slot_time(req.service);
-        // The queue of a plain server changes faster than the counts.
-        let full_level = config
-            .engine
-            .and_then(|_| self.full_levels.get(req.service).copied());
         let at_random =
             config.engine.is_none() && req.region_instances.len() > MAX_INSTANCES_WITHOUT_SAMPLING;
         let mut best: Option<(f64, ServerPick)> = None;
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -598,3 +598,30 @@
     table.apply_listing(at(5), at(5), &listing(8, &entries[..1]));
     assert_eq!(table.len(), 2);
 }
+
+/// A region that sends requests of its own away must get none of another region, but those that
+/// have no other place.
+#[test]
+fn place_offloading_region_is_last_resort() {
+    let context = RequestContext::default();
+    let work = work(1, 0, 100);
+    let mut regions = Regions::new(10);
+    let mut offloading = report(10);
+    for service in offloading.services.values_mut() {
+        service.offload_permille = 50;
+    }
+    let far = RegionName::new("far");
+    regions.table.apply_report(&far, at(1), offloading);
+    let mut busy = table(&[("s1", "home-a")]);
+    add_load(&mut busy, &context, 5);
+    let decision = regions.place(2, &context, &work, &mut busy);
+    assert!(
+        matches!(decision, PlacementDecision::Server(_)),
+        "{decision:?}"
+    );
+    let decision = regions.place(2, &context, &work, &mut table(&[]));
+    assert!(
+        matches!(decision, PlacementDecision::Region { .. }),
+        "{decision:?}"
+    );
+}
