--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, EventReader,
-    Gateway, HeaderMapping, attempt::Attempt, gateway::now, peer_attempt::PeerAttempt,
-    response_memory::ResponseMemory, server_attempt::ServerAttempt, wire_views::millis,
+    Gateway, HeaderMapping, ResponseStart, attempt::Attempt, gateway::now,
+    peer_attempt::PeerAttempt, response_memory::ResponseMemory, server_attempt::ServerAttempt,
+    wire_views::millis,
 };
 
 /// Bound on all attempts for one request, including those that reached no backend server.
@@ -33,18 +34,6 @@
 /// Largest response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
-/// Response as far as it is available when [`Exchange::start`] returns.
-pub(crate) enum ResponseStart {
-    /// Complete response.
-    Complete(BufferedResponse),
-    /// Stream with its first events; [`Exchange::next_events`] returns the others.
-    Stream {
-        status: StatusCode,
-        headers: HeaderMap,
-        first: Bytes,
-    },
-}
-
 /// Processing of one admitted request.
 ///
 /// Dropping it cancels the request at the backend server.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod peer_attempt;
 mod peer_handler;
 mod response_memory;
+mod response_start;
 mod server_attempt;
 mod status_notices;
 mod view_notices;
@@ -60,4 +61,5 @@
     log_rate_limiter::LogRateLimiter,
 };
 
-use exchange::{Exchange, ResponseStart};
+use exchange::Exchange;
+use response_start::ResponseStart;
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -29,6 +29,7 @@
 mod header;
 mod hello;
 mod instance_entry;
+mod instance_list_changes;
 mod link;
 mod link_counters;
 mod link_error;
@@ -51,6 +52,7 @@
 mod prompt_part;
 mod region_status;
 mod send_queue;
+mod server_list_changes;
 mod server_record;
 mod server_use;
 mod service_admissions;
@@ -61,7 +63,6 @@
 mod tls_identity;
 mod traffic_counter;
 mod unary_request;
-mod view_changes;
 mod view_request;
 mod view_update;
 mod wire_execution;
@@ -93,6 +94,7 @@
     header::Header,
     hello::Hello,
     instance_entry::InstanceEntry,
+    instance_list_changes::InstanceListChanges,
     link_counters::LinkCounters,
     link_error::LinkError,
     link_pool::LinkPool,
@@ -113,6 +115,7 @@
     pong::Pong,
     prompt_part::PromptPart,
     region_status::RegionStatus,
+    server_list_changes::ServerListChanges,
     server_record::ServerRecord,
     server_use::ServerUse,
     service_admissions::ServiceAdmissions,
@@ -122,7 +125,6 @@
     tls_identity::TlsIdentity,
     traffic_counter::TrafficCounter,
     unary_request::UnaryRequest,
-    view_changes::{InstanceListChanges, ServerListChanges},
     view_request::ViewRequest,
     view_update::ViewUpdate,
     wire_execution::WireExecution,
--- a/crates/instances/src/view_changes.rs
+++ b/crates/instances/src/server_list_changes.rs
@@ -1,6 +1,6 @@
-//! Changes of the lists of a view of the store.
+//! Changes of the list of backend servers in a view of the store.
 
-use crate::{InstanceEntry, ServerRecord};
+use crate::ServerRecord;
 
 /// Changes of the list of backend servers after the receiver's.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -21,20 +21,3 @@
     #[prost(string, repeated, tag = "5")]
     pub removed: Vec<String>,
 }
-
-/// Changes of the list of instances after the receiver's.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct InstanceListChanges {
-    /// Store revision after which the changes are complete.
-    #[prost(uint64, tag = "1")]
-    pub base: u64,
-    /// Store revision of the list that results.
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    /// Instances that were added or changed.
-    #[prost(message, repeated, tag = "3")]
-    pub changed: Vec<InstanceEntry>,
-    /// Names of the instances that are no longer listed.
-    #[prost(string, repeated, tag = "4")]
-    pub removed: Vec<String>,
-}
--- a/crates/operators/src/section_reader.rs
+++ b/crates/operators/src/section_reader.rs
@@ -1,6 +1,6 @@
 //! Parses the fields of one section.
 
-use std::{net::SocketAddr, str::FromStr};
+use std::{net::SocketAddr, ops::RangeInclusive, str::FromStr};
 
 use crate::{fault_collector::FaultCollector, ini_field::IniField, ini_section::IniSection};
 
@@ -105,6 +105,28 @@
         name: &'static str,
         default: f64,
         faults: &mut FaultCollector,
+    ) -> Option<f64> {
+        self.decimal_in(name, default, 0.0..=1.0, "from 0 to 1", faults)
+    }
+
+    /// Returns an optional decimal number of at least 0; a missing or empty field has the default.
+    pub(crate) fn decimal_or(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        faults: &mut FaultCollector,
+    ) -> Option<f64> {
+        self.decimal_in(name, default, 0.0..=f64::MAX, "of at least 0", faults)
+    }
+
+    /// Returns an optional decimal number in a range, which `description` states.
+    fn decimal_in(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        range: RangeInclusive<f64>,
+        description: &str,
+        faults: &mut FaultCollector,
     ) -> Option<f64> {
         let field = self.optional(name, faults);
         let Some(field) = field.filter(|field| !field.value.is_empty()) else {
@@ -114,12 +136,12 @@
             .value
             .parse()
             .ok()
-            .filter(|value| (0.0..=1.0).contains(value));
+            .filter(|value| range.contains(value));
         if value.is_none() {
             faults.add(
                 field.line,
-                format!("`{name}` is `{}`, not a number from 0 to 1", field.value),
-                format!("write `{name}` as a number such as 0.2"),
+                format!("`{name}` is `{}`, not a number {description}", field.value),
+                format!("write `{name}` as a number {description}, such as 0.2"),
             );
         }
         value
@@ -146,32 +168,6 @@
         value
     }
 
-    /// Returns an optional decimal number of at least 0; a missing or empty field has the default.
-    pub(crate) fn decimal_or(
-        &mut self,
-        name: &'static str,
-        default: f64,
-        faults: &mut FaultCollector,
-    ) -> Option<f64> {
-        let field = self.optional(name, faults);
-        let Some(field) = field.filter(|field| !field.value.is_empty()) else {
-            return Some(default);
-        };
-        let value = field
-            .value
-            .parse()
-            .ok()
-            .filter(|value: &f64| value.is_finite() && *value >= 0.0);
-        if value.is_none() {
-            faults.add(
-                field.line,
-                format!("`{name}` is `{}`, not a number of at least 0", field.value),
-                format!("write `{name}` as a number such as 0, 8 or 33.5"),
-            );
-        }
-        value
-    }
-
     /// Returns an optional `yes` or `no`.
     pub(crate) fn flag(
         &mut self,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -4,6 +4,7 @@
 //! operators' configuration defines routes, services, organisations and limits; the platform's
 //! store lists the backend servers.
 
+mod admissions;
 mod backend_entry;
 mod caller_limits;
 mod cold_start_limiter;
@@ -48,6 +49,7 @@
 mod work;
 
 pub use {
+    admissions::Admissions,
     backend_entry::BackendEntry,
     caller_limits::CallerLimits,
     cold_start_limiter::ColdStartLimiter,
@@ -60,7 +62,7 @@
     instance_list::InstanceList,
     latency_model::{LatencyModel, PREFILL_TOKENS_PER_MS},
     listed_instance::ListedInstance,
-    offload::{Admissions, Offload},
+    offload::Offload,
     operator_view::OperatorView,
     organisation_config::OrganisationConfig,
     organisation_limits::{LimitRefusal, OrganisationLimits},
--- a/crates/traffic/src/offload.rs
+++ b/crates/traffic/src/offload.rs
@@ -8,6 +8,8 @@
 
 use hawthornquay_decisions::{Map, ServiceName};
 
+use crate::Admissions;
+
 /// Share of rejected requests up to which the servers are not overloaded.
 const TOLERATED_REJECTIONS: f64 = 0.02;
 
@@ -24,23 +26,6 @@
 /// Minimum number of requests in a step from which the share of rejected ones is computed.
 const MIN_REQUESTS: u32 = 10;
 
-/// Requests that servers accepted and rejected.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Admissions {
-    /// Requests that a server accepted.
-    pub accepted: u32,
-    /// Requests that a server rejected because it was full.
-    pub rejected: u32,
-}
-
-impl Admissions {
-    /// Adds the counts of another instance.
-    pub const fn add(&mut self, other: Self) {
-        self.accepted += other.accepted;
-        self.rejected += other.rejected;
-    }
-}
-
 /// Share of the requests to each service that a region sends to other regions.
 #[derive(Clone, Debug, Default)]
 pub struct Offload {
