Bound the bytes that a server connection may send without data more tightly

Cause: 100 connections of 256 KiB each are parsed byte by byte by one thread.

Change: the read buffer of a connection is 32 KiB, and 48 KiB without data end it.

--- a/crates/backends/src/bounded_stream.rs
+++ b/crates/backends/src/bounded_stream.rs
@@ -15,9 +15,12 @@
     net::TcpStream,
 };
 
-/// Maximum number of received bytes without a response head or a piece of its body. A server may
-/// otherwise send, for example, a chunk size of endless zeros, which occupies the processor.
-const MAX_BYTES_WITHOUT_DATA: usize = 256 << 10;
+use crate::connection::MAX_READ_BUFFER_BYTES;
+
+/// Maximum number of received bytes without a response head or a piece of its body: a full buffer
+/// and the framing of the next piece. A server may otherwise send, for example, a chunk size of
+/// endless zeros, which occupies the processor.
+const MAX_BYTES_WITHOUT_DATA: usize = MAX_READ_BUFFER_BYTES + (16 << 10);
 
 /// Number of bytes received since the last response head or piece of a body.
 #[derive(Clone, Debug, Default)]
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -21,7 +21,7 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Maximum size of a connection's read buffer, and so of a response head.
-const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+pub(crate) const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
 
 /// Open connection that can send one request.
 ///
