Delay the first list of instances only when the fleet starts for the first time

The delay was meant for the first start of a fleet, before there is traffic.

Change: the platform's bootstrap becomes first_start of the settings; an instance that starts again reads the list as soon as it has registered.

Test: read_instance_fields_not_stated_have_defaults.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -41,9 +41,10 @@
 /// Age at which the registration of this instance is renewed, as a share of its lifetime.
 const RENEWAL_SHARE_OF_TTL: f64 = 0.5;
 
-/// Time from the registration of a new process to its first read of the list of instances. When
-/// the whole fleet starts, an earlier list lacks many instances, and each of them would take itself
-/// for a leader and read the store for its region.
+/// Time from the registration of an instance to its first read of the list of instances when the
+/// whole fleet starts for the first time. An earlier list would lack many instances, and each of
+/// them would take itself for a leader and read the store for its region. An instance that starts
+/// again has callers at once and reads the list without delay.
 const FIRST_LIST_DELAY: Duration = Duration::from_millis(450);
 
 /// Starts the background tasks.
@@ -149,6 +150,10 @@
     let mut registration = None;
     let mut renewed_at = now();
     let mut registered_at = None;
+    let first_list_delay = match gateway.settings.first_start {
+        true => FIRST_LIST_DELAY,
+        false => Duration::ZERO,
+    };
     let mut listed_at = None;
     loop {
         if gateway.is_leaving() {
@@ -169,7 +174,7 @@
             registered_at.get_or_insert(started);
         }
         let due = match listed_at {
-            None => registered_at.is_some_and(|at| now().since(at) >= FIRST_LIST_DELAY),
+            None => registered_at.is_some_and(|at| now().since(at) >= first_list_delay),
             Some(at) => now().since(at) >= INSTANCE_LIST_INTERVAL,
         };
         if due && (listed_at.is_none() || is_leader(&gateway, now())) {
--- a/crates/operators/src/gateway_settings.rs
+++ b/crates/operators/src/gateway_settings.rs
@@ -20,6 +20,8 @@
     pub domain: DomainName,
     /// Bandwidth of the network link of the instance in Mbit/s; zero if unknown.
     pub link_mbps: u32,
+    /// Whether the whole fleet starts for the first time, before it has callers.
+    pub first_start: bool,
     /// Address to listen on for callers.
     pub callers: SocketAddr,
     /// Address to listen on for other instances.
--- a/crates/operators/src/gateway_settings_reader.rs
+++ b/crates/operators/src/gateway_settings_reader.rs
@@ -60,7 +60,9 @@
             let callers = unique_listen_address(reader, "callers", &mut used_addresses, faults);
             let peers = unique_listen_address(reader, "peers", &mut used_addresses, faults);
             let link_mbps = reader.decimal_or("link_mbps", 0.0, faults);
-            Some((name?, region?, domain?, callers?, peers?, link_mbps? as u32))
+            let first_start = reader.flag("first_start", false, faults);
+            let places = (name?, region?, domain?);
+            Some((places, callers?, peers?, link_mbps? as u32, first_start?))
         })
     });
     let status = status.and_then(|section| {
@@ -123,7 +125,7 @@
             Some(Duration::from_secs_f64(seconds.min(MAX_STOP_GRACE_S)))
         })
     });
-    let (name, region, domain, callers, peers, link_mbps) = instance?;
+    let ((name, region, domain), callers, peers, link_mbps, first_start) = instance?;
     let (readiness, directory, metrics) = status?;
     let (store, registration_ttl) = store?;
     let (region_round_trip, send_away_margin) = routing?;
@@ -133,6 +135,7 @@
         region: region.into(),
         domain: domain.into(),
         link_mbps,
+        first_start,
         callers,
         peers,
         readiness,
--- a/crates/operators/tests/gateway_settings.rs
+++ b/crates/operators/tests/gateway_settings.rs
@@ -87,6 +87,21 @@
     }
 }
 
+/// Guards against a start delay of instances that start again, and against links of unknown speed
+/// that stop the start.
+#[test]
+fn read_instance_fields_not_stated_have_defaults() {
+    let settings = read("peers", "peers").unwrap();
+    assert!(!settings.first_start);
+    assert_eq!(settings.link_mbps, 0);
+    let stated = "domain = lagos-a\nfirst_start = yes\nlink_mbps = 20.5";
+    let settings = read("domain = lagos-a", stated).unwrap();
+    assert!(settings.first_start);
+    assert_eq!(settings.link_mbps, 20);
+    let faults = read("domain = lagos-a", "domain = lagos-a\nfirst_start = true").unwrap_err();
+    assert!(faults[0].contains("first_start"), "{faults:?}");
+}
+
 /// Guards against a bound without meaning that is taken for another value.
 #[test]
 fn read_bound_without_meaning_is_refused_by_name() {
