Count and log where the directory sends callers

Neither logs nor metrics told whether callers of a region were sent to another one, so the hypotheses on requests outside their home regions could not be told apart. Counts the answers of the directory by the distance of the instances that they name, and logs, rate-limited, those without an instance in the caller's region. No answer changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,11 +1,8 @@
 //! State of one gateway process.
 
-use std::{
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
 use bytes::Bytes;
@@ -156,19 +153,6 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Returns the addresses to which callers in a region and failure domain may connect.
-    pub fn caller_addresses(&self, region: &RegionName, domain: &DomainName) -> Vec<SocketAddr> {
-        let now = hawthornquay_clock::now();
-        let instances = self.instances.lock();
-        let mut found = instances.addresses_for(now, &self.id.name, region, domain);
-        if self.is_leaving() {
-            found.retain(|address| *address != self.settings.callers);
-        } else if found.is_empty() && self.is_ready() {
-            found.push(self.settings.callers);
-        }
-        found
-    }
-
     /// Returns this instance as it is listed in the store.
     pub fn to_listed_instance(&self) -> ListedInstance {
         ListedInstance {
--- a/crates/gateway/src/gateway_logs.rs
+++ b/crates/gateway/src/gateway_logs.rs
@@ -25,6 +25,8 @@
     pub routing: Logger,
     /// Rate limit of the lines about requests.
     pub request_log_limit: LogRateLimiter,
+    /// Rate limit of the lines about answers of the directory.
+    pub directory_log_limit: LogRateLimiter,
     _writer: Logs,
 }
 
@@ -41,6 +43,7 @@
             rollout: logs.component(LogComponent::Rollout),
             routing: logs.component(LogComponent::Routing),
             request_log_limit: LogRateLimiter::default(),
+            directory_log_limit: LogRateLimiter::default(),
             _writer: logs,
         }
     }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -20,6 +20,7 @@
     attempts: IntCounterVec,
     store_calls: IntCounterVec,
     loans: IntCounterVec,
+    directory_answers: IntCounterVec,
     first_part: Histogram,
     duration: Histogram,
     configuration_version: IntGauge,
@@ -59,6 +60,12 @@
                 "Requests to the pools of organisations' rates by outcome",
                 "outcome",
             )?,
+            directory_answers: counters(
+                &registry,
+                "directory_answers_total",
+                "Answers of the directory by the distance of the instances named",
+                "proximity",
+            )?,
             first_part: histogram(
                 &registry,
                 "first_part_seconds",
@@ -111,6 +118,11 @@
         self.loans.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an answer of the directory by the distance of the instances that it names.
+    pub fn count_directory_answer(&self, proximity: &str) {
+        self.directory_answers.with_label_values(&[proximity]).inc();
+    }
+
     /// Records the time to the start of a response.
     pub fn observe_first_part(&self, took: Duration) {
         self.first_part.observe(took.as_secs_f64());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt_failure;
 mod background_tasks;
 mod buffered_response;
+mod caller_directory;
 mod caller_handler;
 mod control_error;
 mod control_plane;
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -1,12 +1,15 @@
 //! Instances of the fleet and their reachability.
 
-use std::{cmp::Reverse, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, time::Duration};
 
 use hawthornquay_decisions::{
     DomainName, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set,
 };
 
-use crate::{InstanceChanges, ListedInstance, removal_log::RemovalLog, stable_hash};
+use crate::{
+    CallerAddresses, CallerProximity, InstanceChanges, ListedInstance, removal_log::RemovalLog,
+    stable_hash,
+};
 
 /// Time without a message after which an instance counts as silent and callers are not sent to it.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -393,7 +396,7 @@
         local: &InstanceName,
         region: &RegionName,
         domain: &DomainName,
-    ) -> Vec<SocketAddr> {
+    ) -> CallerAddresses {
         let usable: Vec<&ListedInstance> = self
             .listed
             .iter()
@@ -402,22 +405,22 @@
                 instance.id.name == *local || !self.is_silent(now, &instance.id.name)
             })
             .collect();
-        let by_proximity: [&dyn Fn(&ListedInstance) -> bool; 3] = [
-            &|instance| instance.region == *region && instance.domain == *domain,
-            &|instance| instance.region == *region,
-            &|_| true,
+        let by_proximity: [(CallerProximity, &dyn Fn(&ListedInstance) -> bool); 3] = [
+            (CallerProximity::Domain, &|instance| {
+                instance.region == *region && instance.domain == *domain
+            }),
+            (CallerProximity::Region, &|instance| {
+                instance.region == *region
+            }),
+            (CallerProximity::OtherRegion, &|_| true),
         ];
         by_proximity
-            .iter()
-            .map(|matches| {
-                usable
-                    .iter()
-                    .filter(|instance| matches(instance))
-                    .take(MAX_CALLER_ADDRESSES)
-                    .map(|instance| instance.caller_address)
-                    .collect::<Vec<_>>()
+            .into_iter()
+            .map(|(proximity, matches)| {
+                let named = usable.iter().filter(|instance| matches(instance));
+                CallerAddresses::new(proximity, named.take(MAX_CALLER_ADDRESSES).copied())
             })
-            .find(|found| !found.is_empty())
+            .find(|found| !found.addresses.is_empty())
             .unwrap_or_default()
     }
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod admissions;
 mod backend_entry;
+mod caller_addresses;
 mod caller_limits;
+mod caller_proximity;
 mod cold_start_limiter;
 mod configuration;
 mod demand_history;
@@ -51,7 +53,9 @@
 pub use {
     admissions::Admissions,
     backend_entry::BackendEntry,
+    caller_addresses::CallerAddresses,
     caller_limits::CallerLimits,
+    caller_proximity::CallerProximity,
     cold_start_limiter::ColdStartLimiter,
     configuration::Configuration,
     demand_history::DemandHistory,
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -39,6 +39,7 @@
 fn hosts(list: &InstanceList, now_ms: u64, region: &str) -> Vec<String> {
     let domain = DomainName::new(&format!("{region}-a"));
     list.addresses_for(at(now_ms), &"a1".into(), &RegionName::new(region), &domain)
+        .addresses
         .iter()
         .map(ToString::to_string)
         .collect()
