Send callers out of their region only to home regions of their host's routes

What callers saw: with no usable instance in the caller's region, the directory named instances of all other regions. A request of a route with home regions then went, with its body, to an instance in a region that is no home of the route (HOME).

Cause: the choice of addresses fell back from the failure domain to the region and then to any region, and the directory ignored the host in the query, so it did not know the home regions.

Change: the index of routes knows the regions that are a home to most routes of a host. Beside their own region, callers get only these; without a configuration, only their own. The fallback that names the answering instance itself keeps to the same rule.

Why it works: no address outside the caller's region and these home regions can be named, whatever the list of instances holds. The query names neither path nor organisation, so a route with other homes than most of its host, and an organisation's own homes, are applied only to the request.

--- a/crates/gateway/src/caller_directory.rs
+++ b/crates/gateway/src/caller_directory.rs
@@ -8,20 +8,35 @@
 use crate::Gateway;
 
 impl<C, H> Gateway<C, H> {
-    /// Returns the addresses to which callers in a region and failure domain may connect.
-    pub fn caller_addresses(&self, region: &RegionName, domain: &DomainName) -> Vec<SocketAddr> {
+    /// Returns the addresses to which callers of `host` in a region and failure domain may connect.
+    ///
+    /// Callers are sent out of their region only to home regions of the host's routes.
+    pub fn caller_addresses(
+        &self,
+        host: &str,
+        region: &RegionName,
+        domain: &DomainName,
+    ) -> Vec<SocketAddr> {
         let now = hawthornquay_clock::now();
-        let mut found = self
-            .instances
-            .lock()
-            .addresses_for(now, &self.id.name, region, domain);
+        let configuration = self.operators.lock().configuration().cloned();
+        // Without a configuration the home regions are unknown, so callers stay in their region.
+        let home_regions = configuration
+            .as_deref()
+            .map_or(Some(&[][..]), |configuration| {
+                configuration.route_index.home_regions(host)
+            });
+        let own = &self.settings;
+        let mut found =
+            self.instances
+                .lock()
+                .addresses_for(now, &self.id.name, region, domain, home_regions);
+        let may_name_own =
+            own.region == *region || home_regions.is_none_or(|homes| homes.contains(&own.region));
         if self.is_leaving() {
-            found
-                .addresses
-                .retain(|address| *address != self.settings.callers);
-        } else if found.addresses.is_empty() && self.is_ready() {
-            found.addresses.push(self.settings.callers);
-            found.regions.push(self.settings.region.clone());
+            found.addresses.retain(|address| *address != own.callers);
+        } else if found.addresses.is_empty() && may_name_own && self.is_ready() {
+            found.addresses.push(own.callers);
+            found.regions.push(own.region.clone());
         }
         self.report_caller_addresses(now, region, domain, &found);
         found.addresses
--- a/crates/traffic/src/caller_proximity.rs
+++ b/crates/traffic/src/caller_proximity.rs
@@ -7,9 +7,9 @@
     Domain,
     /// In the caller's region.
     Region,
-    /// In other regions, since no instance of the caller's region is usable.
+    /// In other regions that the caller may use, since no instance of its own region is usable.
     OtherRegion,
-    /// No instance is usable.
+    /// No instance that the caller may use is usable.
     #[default]
     Nowhere,
 }
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -387,7 +387,8 @@
     }
 
     /// Returns the addresses for callers in a failure domain: those of the instances in the same
-    /// failure domain, or else in the same region, or else in any region.
+    /// failure domain, or else in the same region, or else in the other regions to which the callers
+    /// may be sent, which are `home_regions` if there are any.
     ///
     /// Leaving and silent instances are left out; `local` is this instance, which is never silent.
     pub fn addresses_for(
@@ -396,6 +397,7 @@
         local: &InstanceName,
         region: &RegionName,
         domain: &DomainName,
+        home_regions: Option<&[RegionName]>,
     ) -> CallerAddresses {
         let usable: Vec<&ListedInstance> = self
             .listed
@@ -405,23 +407,28 @@
                 instance.id.name == *local || !self.is_silent(now, &instance.id.name)
             })
             .collect();
-        let by_proximity: [(CallerProximity, &dyn Fn(&ListedInstance) -> bool); 3] = [
-            (CallerProximity::Domain, &|instance| {
-                instance.region == *region && instance.domain == *domain
-            }),
-            (CallerProximity::Region, &|instance| {
-                instance.region == *region
-            }),
-            (CallerProximity::OtherRegion, &|_| true),
-        ];
-        by_proximity
-            .into_iter()
-            .map(|(proximity, matches)| {
-                let named = usable.iter().filter(|instance| matches(instance));
-                CallerAddresses::new(proximity, named.take(MAX_CALLER_ADDRESSES).copied())
-            })
-            .find(|found| !found.addresses.is_empty())
-            .unwrap_or_default()
+        let is_near = |proximity: CallerProximity, instance: &ListedInstance| match proximity {
+            CallerProximity::Domain => instance.region == *region && instance.domain == *domain,
+            CallerProximity::Region => instance.region == *region,
+            CallerProximity::OtherRegion => {
+                home_regions.is_none_or(|homes| homes.contains(&instance.region))
+            }
+            CallerProximity::Nowhere => false,
+        };
+        [
+            CallerProximity::Domain,
+            CallerProximity::Region,
+            CallerProximity::OtherRegion,
+        ]
+        .into_iter()
+        .map(|proximity| {
+            let named = usable
+                .iter()
+                .filter(|instance| is_near(proximity, instance));
+            CallerAddresses::new(proximity, named.take(MAX_CALLER_ADDRESSES).copied())
+        })
+        .find(|found| !found.addresses.is_empty())
+        .unwrap_or_default()
     }
 
     fn is_leaving(&self, instance: &ListedInstance) -> bool {
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -10,7 +10,7 @@
     DomainName, InstanceId, InstanceName, OrganisationId, RegionName, ServiceName,
 };
 use hawthornquay_traffic::{
-    Configuration, InstanceList, ListedInstance, OperatorView, RouteIndex, poll_interval,
+    Configuration, InstanceList, ListedInstance, OperatorView, Route, RouteIndex, poll_interval,
 };
 
 fn instance(name: &str, region: &str, host: u8) -> ListedInstance {
@@ -37,8 +37,18 @@
 }
 
 fn hosts(list: &InstanceList, now_ms: u64, region: &str) -> Vec<String> {
+    hosts_with_homes(list, now_ms, region, None)
+}
+
+fn hosts_with_homes(
+    list: &InstanceList,
+    now_ms: u64,
+    region: &str,
+    homes: Option<&[RegionName]>,
+) -> Vec<String> {
     let domain = DomainName::new(&format!("{region}-a"));
-    list.addresses_for(at(now_ms), &"a1".into(), &RegionName::new(region), &domain)
+    let region = RegionName::new(region);
+    list.addresses_for(at(now_ms), &"a1".into(), &region, &domain, homes)
         .addresses
         .iter()
         .map(ToString::to_string)
@@ -90,6 +100,18 @@
     assert_eq!(hosts(&list, 0, "c").len(), 3);
 }
 
+/// Guards against requests whose home regions exclude a region being sent there by the directory when
+/// no instance of the caller's region is usable.
+#[test]
+fn addresses_for_region_without_instances_stay_in_home_regions() {
+    let list = list();
+    let homes = |names: &[&str]| names.iter().map(|name| (*name).into()).collect::<Vec<_>>();
+    let named = |region, names| hosts_with_homes(&list, 0, region, Some(&homes(names)));
+    assert_eq!(named("c", &["b", "c"]), ["10.0.0.3:2"]);
+    assert!(named("c", &["c"]).is_empty());
+    assert_eq!(named("b", &["a"]), ["10.0.0.3:2"]);
+}
+
 /// Callers must not get the address of a leaving or silent instance. A new process of the same name
 /// must not count as leaving.
 #[test]
@@ -272,6 +294,41 @@
     assert_eq!(name("b.example", "/a/"), None);
 }
 
+/// Guards against callers being sent to a region that is a home of one route of their host but not of
+/// the others, against routes without home regions lifting the restriction, and against routes with
+/// different homes leaving no region at all.
+#[test]
+fn home_regions_are_those_of_most_routes_of_host() {
+    let with_homes = |name: &str, prefix: &str, host: &str, homes: &[&str]| Route {
+        host: host.to_owned(),
+        home_regions: homes.iter().map(|name| (*name).into()).collect(),
+        ..route(name, prefix)
+    };
+    let routes = [
+        with_homes("one", "/1/", "a.example", &["a", "b"]),
+        with_homes("two", "/2/", "a.example", &["b", "c"]),
+        with_homes("open", "/3/", "a.example", &[]),
+        with_homes("plain", "/4/", "b.example", &[]),
+        with_homes("both", "/5/", "c.example", &["a", "b"]),
+        with_homes("first", "/6/", "c.example", &["a"]),
+        with_homes("second", "/7/", "c.example", &["b"]),
+    ];
+    let index = RouteIndex::new(&routes.map(std::sync::Arc::new));
+    let homes = |host| {
+        let mut names: Vec<_> = index
+            .home_regions(host)?
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        names.sort();
+        Some(names.join(" "))
+    };
+    assert_eq!(homes("A.example:80").as_deref(), Some("b"));
+    assert_eq!(homes("b.example"), None);
+    assert_eq!(homes("c.example").as_deref(), Some("a b"));
+    assert_eq!(homes("unknown.example").as_deref(), Some("b"));
+}
+
 /// A traffic split must follow its weights, and a request identifier must always get the same
 /// service.
 #[test]
