Leave a stopping instance out of its own list of instances

What callers saw: while all instances of a failure domain stopped as planned work, the directory answered 503, callers kept the old addresses, and their connections were refused until the first instance was back.

Cause: a stopping instance is known as leaving to all others, but not to itself. It found itself as the only usable instance of the failure domain, looked no further, and was then removed from the answer.

Change: the instance records itself as leaving when it begins to stop. It then also follows the leader and the owners of pools that the others see, rather than itself.

Why it works: the answer is chosen among the same instances that all others use.

--- a/crates/gateway/src/caller_directory.rs
+++ b/crates/gateway/src/caller_directory.rs
@@ -32,9 +32,7 @@
                 .addresses_for(now, &self.id.name, region, domain, home_regions);
         let may_name_own =
             own.region == *region || home_regions.is_none_or(|homes| homes.contains(&own.region));
-        if self.is_leaving() {
-            found.addresses.retain(|address| *address != own.callers);
-        } else if found.addresses.is_empty() && may_name_own && self.is_ready() {
+        if found.addresses.is_empty() && may_name_own && self.is_ready() {
             found.addresses.push(own.callers);
             found.regions.push(own.region.clone());
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -100,7 +100,7 @@
         tokio::time::Instant::now() + settings.stop_grace.saturating_sub(GRACE_PERIOD_MARGIN);
     slog::info!(gateway.log.daemon, "stopping";
         "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
-    gateway.leaving.store(true, Ordering::Relaxed);
+    gateway.begin_leaving();
     send_leaving(&gateway).await;
     sleep(STOP_ACCEPTING_DELAY.min(settings.stop_grace / 2)).await;
     stop_callers.cancel();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -153,6 +153,16 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Marks this instance as stopping, also in its own list of instances, so that it names, asks
+    /// and follows the same instances as the others, which leave it out.
+    pub(crate) fn begin_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        let incarnation = self.id.incarnation.0;
+        self.instances
+            .lock()
+            .record_message(now(), &self.id.name, incarnation, true);
+    }
+
     /// Returns this instance as it is listed in the store.
     pub fn to_listed_instance(&self) -> ListedInstance {
         ListedInstance {
