Count large reads of a response as data, and test responses without a length

Finding: response_larger_than_read_buffer_is_complete fails on the state before: "too many bytes received without data".

Cause: hyper reads into the whole spare capacity of its buffer, which may exceed its stated limit of 32 KiB, and a single read may exceed the 48 KiB. Besides, hyper may read the next piece as soon as the previous one is taken, just before the receipt is recorded, so two reads may be counted together.

Change: one read takes 16 KiB at most, so two of them and the framing stay below the limit, which is unchanged.

New tests of the client without a fault: responses without a length or chunks are complete if closed (HTTP/1.1 and HTTP/1.0, 50 calls each on new connections), and truncated if reset or stalled; data before a reset is returned.

--- a/crates/backends/src/bounded_stream.rs
+++ b/crates/backends/src/bounded_stream.rs
@@ -22,6 +22,12 @@
 /// endless zeros, which occupies the processor.
 const MAX_BYTES_WITHOUT_DATA: usize = MAX_READ_BUFFER_BYTES + (16 << 10);
 
+/// Maximum number of bytes of one read. hyper may offer a buffer of more than
+/// [`MAX_READ_BUFFER_BYTES`], and may read the next piece of a body before the receipt of the
+/// previous one is recorded, so two reads and the framing have to stay below
+/// [`MAX_BYTES_WITHOUT_DATA`].
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// Number of bytes received since the last response head or piece of a body.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReceivedBytes(Arc<AtomicUsize>);
@@ -52,9 +58,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let outcome = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let read = buf.filled().len() - before;
+        let len = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
+        let outcome = Pin::new(&mut self.stream).poll_read(cx, &mut part);
+        let read = part.filled().len();
+        buf.advance(read);
         let received = self.received.0.fetch_add(read, Ordering::Relaxed) + read;
         if received > MAX_BYTES_WITHOUT_DATA {
             return Poll::Ready(Err(io::Error::new(
--- a/crates/backends/tests/client_calls.rs
+++ b/crates/backends/tests/client_calls.rs
@@ -73,6 +73,28 @@
             "body truncated",
             Reply::TextThenClose("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab".into()),
         ),
+        (
+            "body without a length reset",
+            Reply::TextThenReset("HTTP/1.1 200 OK\r\n\r\nab".into()),
+        ),
+        (
+            "empty body without a length reset",
+            Reply::TextThenReset("HTTP/1.1 200 OK\r\n\r\n".into()),
+        ),
+        (
+            "body of HTTP/1.0 without a length reset",
+            Reply::TextThenReset("HTTP/1.0 200 OK\r\n\r\nab".into()),
+        ),
+        (
+            "body without a length stalled",
+            Reply::TextThenStall("HTTP/1.1 200 OK\r\n\r\nab".into()),
+        ),
+        (
+            "chunked body closed before its last chunk",
+            Reply::TextThenClose(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n".into(),
+            ),
+        ),
         (
             "body stalled",
             Reply::TextThenStall("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab".into()),
@@ -103,6 +125,72 @@
     }
 }
 
+/// Guards against a complete response without a length or chunks that is reported as truncated, and
+/// against its closed connection being used for the next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_length_ends_with_its_connection() {
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        for body in [String::new(), "ab".into(), "x".repeat(MAX_BODY_BYTES)] {
+            let text = format!("{version} 200 OK\r\n\r\n{body}");
+            let server = FakeServer::start(Reply::TextThenClose(text)).await;
+            let client = client();
+            for calls in 1..=50 {
+                let found = call(&client, server.address).await;
+                assert_eq!(found.unwrap(), body, "{version}, call {calls}");
+                assert_eq!(server.connections(), calls, "{version}");
+            }
+        }
+    }
+}
+
+/// Guards against a sound response, with a body of several read buffers, that is broken off because
+/// its bytes are counted as bytes without data.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_larger_than_read_buffer_is_complete() {
+    let body = "x".repeat(400_000);
+    let chunks = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+    let cases = [
+        ("length", response_text(200, &body)),
+        (
+            "chunks",
+            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunks}"),
+        ),
+        ("neither", format!("HTTP/1.1 200 OK\r\n\r\n{body}")),
+    ];
+    for (name, text) in cases {
+        let server = FakeServer::start(Reply::TextThenClose(text)).await;
+        let client = BackendClient::new(ClientLimits::default());
+        let mut broken = Vec::new();
+        for _ in 0..100 {
+            let connection = client.connect_fresh(server.address).await.unwrap();
+            let response = connection.send(request()).await.unwrap();
+            match response.body.read(body.len()).await {
+                Ok(found) => assert!(found == body, "{name}: {} bytes", found.len()),
+                Err(error) => broken.push(format!("{error:?}")),
+            }
+        }
+        let count = broken.len();
+        assert_eq!(count, 0, "{name}, of 100: {:?}", broken.first());
+    }
+}
+
+/// Guards against data that was received before a reset being lost, and against a reset that ends
+/// the body like a close.
+#[tokio::test]
+async fn response_without_length_reset_returns_data_then_error() {
+    let text = "HTTP/1.1 200 OK\r\n\r\nab";
+    let server = FakeServer::start(Reply::TextThenReset(text.into())).await;
+    let connection = client().connect(server.address).await.unwrap();
+    let mut response = connection.send(request()).await.unwrap();
+    assert_eq!(response.body.next().await.unwrap().unwrap(), "ab");
+    let error = response.body.next().await.unwrap().unwrap_err();
+    assert!(
+        matches!(error, BackendError::BodyInterrupted { .. }),
+        "{error}"
+    );
+    assert!(response.body.next().await.is_none());
+}
+
 /// Guards against a pool that never reuses a connection, and against reuse that blocks indefinitely.
 #[tokio::test]
 async fn connection_after_complete_response_is_reused() {
--- a/crates/backends/tests/fake_server/mod.rs
+++ b/crates/backends/tests/fake_server/mod.rs
@@ -9,6 +9,9 @@
     time::{sleep, timeout},
 };
 
+/// Delay before a reset, in which the client reads what was sent before.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// Behaviour of the server for each request.
 #[derive(Clone, Debug)]
 pub enum Reply {
@@ -18,6 +21,8 @@
     TextOnce(String),
     /// Writes the text and closes the connection.
     TextThenClose(String),
+    /// Writes the text and resets the connection after [`RESET_DELAY`].
+    TextThenReset(String),
     /// Writes the text and then nothing until the client closes the connection.
     TextThenStall(String),
 }
@@ -93,7 +98,7 @@
         has_replied = true;
         let (text, keeps_open, stalls) = match &reply {
             Reply::Text(text) | Reply::TextOnce(text) => (text, true, false),
-            Reply::TextThenClose(text) => (text, false, false),
+            Reply::TextThenClose(text) | Reply::TextThenReset(text) => (text, false, false),
             Reply::TextThenStall(text) => (text, true, true),
         };
         if stream.write_all(text.as_bytes()).await.is_err() {
@@ -103,6 +108,10 @@
             let _ = stream.read(&mut [0; 64]).await;
             break;
         }
+        if matches!(reply, Reply::TextThenReset(_)) {
+            sleep(RESET_DELAY).await;
+            stream.set_zero_linger().unwrap();
+        }
         if !keeps_open {
             return;
         }
