--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -153,7 +153,8 @@
     ///
     /// Returns an error if the stream was interrupted and could not be continued.
     pub(crate) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
-        if self.finished {
+        if self.attempt.is_none() {
+            self.finish("answered");
             return None;
         }
         loop {
