Treat a stream closed before its first event as broken off

Finding: stream_closed_before_first_event_is_broken_off fails on the state before: a stream with neither a length nor chunks whose server closes the connection right after the head is forwarded as a complete stream (left: "200", right: "502", complete: true).

Cause: the close of such a connection ends the response wherever it comes.

Change: in a stream from its start, with neither a length nor chunks, a close before any data is an interruption: 502, or another attempt at a resumable stream.

--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -7,7 +7,7 @@
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
 use hawthornquay_decisions::{Execution, MonotonicTime};
 use hawthornquay_traffic::{PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Method, StatusCode, header};
 use tokio::time::timeout;
 
 use crate::{
@@ -34,6 +34,9 @@
     /// Whether the response has been read to its end.
     is_complete: bool,
     body: Option<ResponseBody>,
+    /// Whether a close of the connection interrupts the response instead of ending it: nothing has
+    /// arrived yet of a stream, from its start, that has neither a length nor chunks.
+    awaits_data: bool,
 }
 
 /// Response head whose body follows.
@@ -63,6 +66,7 @@
             responded_at: None,
             is_complete: false,
             body: None,
+            awaits_data: request.route.semantics.is_stream() && last_event.is_none(),
         };
         let response = attempt.send(request, last_event, max_wait).await;
         let response = match response {
@@ -92,6 +96,7 @@
     ) -> Option<Result<Bytes, AttemptFailure>> {
         let body = self.body.as_mut()?;
         let failure = match timeout(max_wait, body.next()).await {
+            Ok(None) if self.awaits_data => AttemptFailure::unknown(AttemptCause::Broken),
             Ok(None) => {
                 self.record_response();
                 self.gateway
@@ -103,6 +108,7 @@
                 return None;
             }
             Ok(Some(Ok(data))) => {
+                self.awaits_data = false;
                 self.record_response();
                 return Some(Ok(data));
             }
@@ -208,6 +214,9 @@
             return Err(AttemptFailure::unknown(AttemptCause::Garbled));
         }
         let mut headers = head.headers;
+        let has_body = status != StatusCode::NO_CONTENT && request.method != Method::HEAD;
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        self.awaits_data &= has_body && !framing.iter().any(|name| headers.contains_key(name));
         strip_hop_headers(&mut headers);
         if status.is_success() {
             self.body = Some(body);
