Judge the silence of an instance only by messages of its listed process

What callers saw: after instances had been restarted as planned work, directories left them out, or named only the one that answered: callers crowded on few instances, and look-ups for a region whose instances had all been restarted got no address.

Cause: an instance counted as silent once its last message was 2.5 s old. A stopping instance announces that to all others, so each has a message of it; the new process sends only to the leader of its region. The same held for a leader that another one had replaced.

Change: silence counts only for the listed process, and beside the own leader's region only if no other instance of that region has sent since.

--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -399,12 +399,13 @@
         domain: &DomainName,
         home_regions: Option<&[RegionName]>,
     ) -> CallerAddresses {
+        let leads_region = self.region_led_by(now, local);
         let usable: Vec<&ListedInstance> = self
             .listed
             .iter()
             .filter(|instance| !self.is_leaving(instance))
             .filter(|instance| {
-                instance.id.name == *local || !self.is_silent(now, &instance.id.name)
+                instance.id.name == *local || !self.has_stopped_sending(now, instance, leads_region)
             })
             .collect();
         let is_near = |proximity: CallerProximity, instance: &ListedInstance| match proximity {
@@ -431,6 +432,42 @@
         .unwrap_or_default()
     }
 
+    /// Returns the region of `local` if it leads that region.
+    fn region_led_by(&self, now: MonotonicTime, local: &InstanceName) -> Option<&RegionName> {
+        let region = &self.get(local)?.region;
+        let leader = self.leader_of(now, region, local)?;
+        (leader.id.name == *local).then_some(region)
+    }
+
+    /// Returns whether the listed process of an instance has sent messages and now fails to.
+    ///
+    /// Instances send regularly to the leader of their region, here that of `leads_region`, and
+    /// otherwise only while they are leaders themselves. So the silence of an earlier process, or of
+    /// a leader that another one has replaced, does not count.
+    fn has_stopped_sending(
+        &self,
+        now: MonotonicTime,
+        instance: &ListedInstance,
+        leads_region: Option<&RegionName>,
+    ) -> bool {
+        let Some(contact) = self.contacts.get(&instance.id.name) else {
+            return false;
+        };
+        if contact.incarnation != instance.id.incarnation.0
+            || !self.is_silent(now, &instance.id.name)
+        {
+            return false;
+        }
+        leads_region == Some(&instance.region)
+            || !self.listed.iter().any(|other| {
+                let sent_at = self
+                    .contacts
+                    .get(&other.id.name)
+                    .and_then(|contact| contact.last_message_at);
+                other.region == instance.region && sent_at > contact.last_message_at
+            })
+    }
+
     fn is_leaving(&self, instance: &ListedInstance) -> bool {
         self.contacts.get(&instance.id.name).is_some_and(|contact| {
             contact.leaving && contact.incarnation == instance.id.incarnation.0
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -129,6 +129,37 @@
     assert_eq!(hosts(&list, 5_000, "a"), ["10.0.0.1:2"]);
 }
 
+/// Guards against restarted instances that stay out of the directory: their earlier processes
+/// announced that they were leaving, and the new ones send messages only to the leader.
+#[test]
+fn addresses_for_caller_include_restarted_instance_without_messages() {
+    let mut list = list();
+    list.record_message(at(0), &"b1".into(), 1, true);
+    assert!(hosts_with_homes(&list, 0, "b", Some(&[])).is_empty());
+    let mut restarted = instance("b1", "b", 3);
+    restarted.id = InstanceId::new("b1", 2);
+    let listed = vec![instance("a1", "a", 1), instance("a2", "a", 2), restarted];
+    list.apply_listing(at(1_000), 6, listed);
+    assert_eq!(hosts(&list, 10_000, "b"), ["10.0.0.3:2"]);
+}
+
+/// Guards against a former leader that stays out of the directory: it sends no more messages once
+/// another instance leads its region. The present leader's silence counts.
+#[test]
+fn addresses_for_caller_include_former_leader() {
+    let mut list = list();
+    let listed = vec![
+        instance("a1", "a", 1),
+        instance("b1", "b", 3),
+        instance("b2", "b", 4),
+    ];
+    list.apply_listing(at(0), 6, listed);
+    list.record_message(at(0), &"b1".into(), 1, false);
+    list.record_message(at(5_000), &"b2".into(), 1, false);
+    assert_eq!(hosts(&list, 6_000, "b"), ["10.0.0.3:2", "10.0.0.4:2"]);
+    assert_eq!(hosts(&list, 8_000, "b"), ["10.0.0.3:2"]);
+}
+
 /// An unreachable instance must be replaced by another one of its region until its backoff ends.
 #[test]
 fn forward_target_in_replaces_unreachable_instance() {
