Name the evidence about prompt parts that crash backend servers

Types only, without any decision: the crash of a server with the parts of the requests that it had not begun to answer, the answers that clear a part, what instances send each other, and the code of the refusal. No behaviour changes.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -17,8 +17,10 @@
 mod claim_record;
 mod claim_state;
 mod collections;
+mod crash_evidence;
 mod domain_name;
 mod domain_slots;
+mod evidence_scope;
 mod execution;
 mod failure_domain;
 mod gossip_entry;
@@ -73,6 +75,9 @@
 mod order_step;
 mod organisation;
 mod organisation_id;
+mod part_id;
+mod part_quarantine;
+mod part_start;
 mod prefix_cache;
 mod prefix_event;
 mod prefix_event_kind;
@@ -80,6 +85,9 @@
 mod prefix_hash;
 mod prefix_map;
 mod priority;
+mod quarantine_change;
+mod quarantine_update;
+mod quarantined_part;
 mod queue_class;
 mod queue_entry;
 mod queue_fair;
@@ -133,8 +141,10 @@
     claim_record::ClaimRecord,
     claim_state::ClaimState,
     collections::{Map, Set},
+    crash_evidence::CrashEvidence,
     domain_name::DomainName,
     domain_slots::DomainSlots,
+    evidence_scope::EvidenceScope,
     execution::Execution,
     failure_domain::FailureDomain,
     gossip_entry::GossipEntry,
@@ -184,12 +194,18 @@
     order_step::OrderStep,
     organisation::Organisation,
     organisation_id::OrganisationId,
+    part_id::PartId,
+    part_quarantine::PartQuarantine,
+    part_start::PartStart,
     prefix_event::PrefixEvent,
     prefix_event_kind::PrefixEventKind,
     prefix_events::PrefixEvents,
     prefix_hash::PrefixHash,
     prefix_map::PrefixMap,
     priority::Priority,
+    quarantine_change::QuarantineChange,
+    quarantine_update::QuarantineUpdate,
+    quarantined_part::QuarantinedPart,
     queue_entry::QueueEntry,
     queue_fair::FairQueue,
     refusal::Refusal,
--- a/crates/decisions/src/refusal_code.rs
+++ b/crates/decisions/src/refusal_code.rs
@@ -38,6 +38,8 @@
     NotReady,
     /// The instance that the request was forwarded to could not be reached or did not respond.
     PeerUnreachable,
+    /// A part of the prompt is quarantined, since requests with it crash backend servers.
+    PromptQuarantined,
     /// The instance has no record of the request.
     RequestUnknown,
     /// The organisation's residency does not allow this instance's region, or any region that
@@ -76,6 +78,7 @@
             Self::NoCapacity => "no-capacity",
             Self::NotReady => "not-ready",
             Self::PeerUnreachable => "peer-unreachable",
+            Self::PromptQuarantined => "prompt-quarantined",
             Self::RequestUnknown => "request-unknown",
             Self::ResidencyRefused => "residency-refused",
             Self::RouteUnknown => "route-unknown",
@@ -100,6 +103,7 @@
             | Self::HopRefused
             | Self::NoCapacity
             | Self::NotReady
+            | Self::PromptQuarantined
             | Self::ShuttingDown
             | Self::StaleBundle => 503,
             Self::DeadlineExceeded => 504,
