Refuse requests with quarantined prompt parts, exchange the evidence about crashes

An attempt whose connection breaks before the first complete event (or the complete response) makes the shared parts of the request suspects, if the server is listed, is not leaving, and refuses a connection right after; the check runs beside the retry. The first complete event or a complete response clears them. Requests with a quarantined part are refused before they are charged, when they are forwarded, and before each attempt and withdrawal from the retry budget; a request that may have run gets 502 as before, since 503 promises that it did not. Attempts that wait for their first event end when a part is quarantined. Status notices carry the evidence as ages: of the instance itself to the leader, of all from the leader. Metrics: backend_crashes_total and quarantined_parts.

Attempt::Server is boxed, since the larger variant exceeds the linter's limit.

--- a/crates/backends/src/backend_client.rs
+++ b/crates/backends/src/backend_client.rs
@@ -1,12 +1,12 @@
 //! Client of backend servers.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hawthornquay_decisions::{LoadReport, ModelName, OrderList, OrderRequest, PrefixEvents};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use serde::{Deserialize, de::DeserializeOwned};
-use tokio::time::timeout;
+use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
     BackendError, BackendRequest, ClientLimits, Connection, OrderResponse,
@@ -70,6 +70,18 @@
         Connection::open(address, Arc::clone(&self.pool)).await
     }
 
+    /// Opens a connection to check whether a server has ended; returns whether it is refused.
+    ///
+    /// Returns `false` if the connection is accepted, or is neither accepted nor refused within the
+    /// connect time-out. No data is sent.
+    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
+        let connect = TcpStream::connect(address);
+        match timeout(self.pool.limits.connect_timeout, connect).await {
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Closes the connections that have been idle for longer than [`ClientLimits::idle_timeout`].
     pub fn close_expired(&self) {
         self.pool.close_expired();
--- a/crates/backends/tests/client_calls.rs
+++ b/crates/backends/tests/client_calls.rs
@@ -1,6 +1,9 @@
 //! Tests of the client against a scripted server.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -12,16 +15,21 @@
     RequestId,
 };
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
 
 use fake_server::{FakeServer, Reply, response_text};
 
 mod fake_server;
 
 const MAX_BODY_BYTES: usize = 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 fn client() -> BackendClient {
     BackendClient::new(ClientLimits {
-        connect_timeout: Duration::from_millis(200),
+        connect_timeout: CONNECT_TIMEOUT,
         head_timeout: Duration::from_millis(200),
         body_idle_timeout: Duration::from_millis(200),
         control_call_timeout: Duration::from_millis(300),
@@ -52,6 +60,32 @@
     assert_eq!(error.execution(), Execution::NotRun);
 }
 
+/// Guards against a server that runs on, or that cannot be reached, being taken for one that has
+/// ended. The silent address belongs to a listener whose queue of connections is full.
+#[tokio::test]
+async fn refuses_connections_is_true_only_without_a_listener() {
+    let client = client();
+    assert!(client.refuses_connections(refusing_address().await).await);
+
+    let server = FakeServer::start(Reply::Text(response_text(200, "ok"))).await;
+    assert!(!client.refuses_connections(server.address).await);
+
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+    let full = socket.listen(1).unwrap();
+    let address = full.local_addr().unwrap();
+    let mut queued = Vec::new();
+    while let Ok(Ok(connection)) =
+        timeout(Duration::from_millis(100), TcpStream::connect(address)).await
+    {
+        queued.push(connection);
+    }
+    let started = Instant::now();
+    assert!(!client.refuses_connections(address).await);
+    assert!(started.elapsed() >= CONNECT_TIMEOUT, "not silent");
+    assert!(started.elapsed() < CONNECT_TIMEOUT * 5, "not bounded");
+}
+
 /// Guards against `not-run` being reported for a request that the server has received.
 #[tokio::test]
 async fn send_failure_after_first_byte_is_unknown() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 /// Attempt whose response has started, on a backend server of this region or through an instance
 /// of another region.
 pub(crate) enum Attempt<C: ControlPlane, H: HeaderMapping> {
-    Server(ServerAttempt<C, H>),
+    Server(Box<ServerAttempt<C, H>>),
     Peer(PeerAttempt),
 }
 
@@ -32,6 +32,15 @@
         }
     }
 
+    /// Records that the backend server has begun to answer.
+    pub(crate) fn record_answer_start(&mut self) {
+        match self {
+            Self::Server(attempt) => attempt.record_answer_start(),
+            // The other instance records the answers of its backend servers itself.
+            Self::Peer(_) => {}
+        }
+    }
+
     /// Counts a failure that occurred after the response head against the backend server.
     pub(crate) fn record_failure(&self, failure: &AttemptFailure, request: &AdmittedRequest) {
         match self {
--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -29,6 +29,8 @@
     WrongServer,
     /// No data arrived within the time-out.
     Silent,
+    /// The attempt was ended because a part of the prompt was quarantined.
+    Quarantined,
     /// The connection or the response ended early.
     Broken,
     /// The response is malformed, too large, unsigned, or belongs to another request.
@@ -39,6 +41,8 @@
     Peer {
         /// Code of its refusal.
         code: RefusalCode,
+        /// Message of its refusal; empty if it could not be reached.
+        message: String,
         /// Time after which the other instance expects to accept requests.
         retry_after: Option<Duration>,
     },
@@ -70,6 +74,7 @@
             AttemptCause::Rejected => "rejected",
             AttemptCause::WrongServer => "wrong-server",
             AttemptCause::Silent => "silent",
+            AttemptCause::Quarantined => "quarantined",
             AttemptCause::Broken => "broken",
             AttemptCause::Garbled => "garbled",
             AttemptCause::Error(_) => "error-answer",
--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -166,6 +166,7 @@
         .and_then(|id| configuration.organisations.get(id))
         .cloned();
     let work = head.work.clone().unwrap_or_default();
+    gateway.check_quarantine(&work)?;
     charge(
         gateway,
         organisation.as_ref(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use hawthornquay_decisions::{
     BackendName, Execution, InstanceName, MonotonicTime, Refusal, RegionName,
 };
-use hawthornquay_traffic::{ExecutionSemantics, PlacementDecision, ServerPick};
+use hawthornquay_traffic::{PlacementDecision, ServerPick};
 use http::{HeaderMap, StatusCode};
 
 use crate::{
@@ -19,15 +19,6 @@
 /// Bound on all attempts for one request, including those that reached no backend server.
 const MAX_ATTEMPTS_IN_TOTAL: u32 = 5;
 
-/// Time-out of an attempt at a repeatable request, as a multiple of the expected time to the
-/// response. Also the time-out between events of a resumable stream, as a multiple of the target gap
-/// between events of the route.
-const TIMEOUT_FACTOR: f64 = 3.0;
-
-/// Shortest time without data after which a resumable stream continues on another backend server.
-/// Callers time out after 2 s at the earliest.
-const MIN_STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_300);
-
 /// Shortest time left before the deadline with which an attempt is started.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
@@ -40,7 +31,7 @@
 pub(crate) struct Exchange<C: ControlPlane, H: HeaderMapping> {
     pub(crate) gateway: Arc<Gateway<C, H>>,
     pub(crate) request: AdmittedRequest,
-    attempt: Option<Attempt<C, H>>,
+    pub(crate) attempt: Option<Attempt<C, H>>,
     /// Whether an attempt is waiting for the response head.
     awaiting_head: bool,
     /// All attempts so far, including those that reached no backend server.
@@ -59,9 +50,9 @@
     /// Part of the memory budget for the buffered part of the response.
     memory: ResponseMemory,
     /// Time of the last event with data, or of the response head.
-    progress_at: MonotonicTime,
+    pub(crate) progress_at: MonotonicTime,
     /// Number of the last event that was delivered to the caller.
-    last_delivered_event: Option<u64>,
+    pub(crate) last_delivered_event: Option<u64>,
     /// Last error response of a backend server.
     error_response: Option<BufferedResponse>,
     /// Delay before a retry that the last refusal by another instance states.
@@ -202,6 +193,7 @@
             if self.attempts >= MAX_ATTEMPTS_IN_TOTAL {
                 return Err(self.unavailable_refusal());
             }
+            self.check_quarantine()?;
             self.awaiting_head = true;
             let opened = match self.choose_placement() {
                 PlacementDecision::Server(pick) => self.open_server_attempt(&pick, left).await,
@@ -286,7 +278,7 @@
         match opened {
             Ok((head, attempt)) => {
                 self.delivered_attempts += 1;
-                Ok((head, Attempt::Server(attempt)))
+                Ok((head, Attempt::Server(Box::new(attempt))))
             }
             Err(failure) => {
                 if failure.reached_server {
@@ -298,21 +290,6 @@
         }
     }
 
-    /// Returns the time-out for the next data of an attempt. A request that may not be retried gets
-    /// all the time left.
-    fn attempt_timeout(&self, left: Duration, expected: Duration) -> Duration {
-        if !self.request.route.semantics.is_repeatable() || self.request.max_attempts < 2 {
-            return left;
-        }
-        let timeout = self
-            .request
-            .route
-            .target_latency
-            .max(expected)
-            .mul_f64(TIMEOUT_FACTOR);
-        timeout.min(left)
-    }
-
     /// Records a failed attempt; `Ok` means that another attempt may be made.
     fn handle_failure(&mut self, failure: &AttemptFailure) -> Result<(), Refusal> {
         self.gateway.metrics.count_attempt(failure.outcome());
@@ -336,6 +313,9 @@
             AttemptCause::Peer { retry_after, .. } => self.retry_after = *retry_after,
             _ => {}
         }
+        // Checked first, so that a request that is refused anyway uses no retry budget.
+        self.check_peer_quarantine(failure)?;
+        self.check_quarantine()?;
         if self.may_retry(failure) {
             return Ok(());
         }
@@ -368,6 +348,7 @@
             };
             match attempt.next_chunk(max_wait).await {
                 None => {
+                    attempt.record_answer_start();
                     self.attempt = None;
                     return Ok(body.freeze());
                 }
@@ -418,6 +399,9 @@
         while let Some(event) = self.events.next_event() {
             if event.has_data {
                 self.progress_at = now();
+                if let Some(attempt) = &mut self.attempt {
+                    attempt.record_answer_start();
+                }
             }
             if let Some(id) = event.id {
                 if self.last_delivered_event.is_some_and(|last| id <= last) {
@@ -431,23 +415,6 @@
         (!data.is_empty()).then(|| data.freeze())
     }
 
-    /// Returns the time left for the next event with data of a stream. Other bytes, such as comment
-    /// lines, do not extend it.
-    fn stream_timeout(&self) -> Duration {
-        let time = now();
-        let left = self.request.time_left(time);
-        let limit = match self.request.route.semantics {
-            ExecutionSemantics::Stream {
-                resumable: true,
-                target_event_gap: gap,
-            } if self.last_delivered_event != self.request.last_event => {
-                MIN_STREAM_IDLE_TIMEOUT.max(gap.mul_f64(TIMEOUT_FACTOR))
-            }
-            _ => self.attempt_timeout(Duration::MAX, Duration::ZERO),
-        };
-        limit.saturating_sub(time.since(self.progress_at)).min(left)
-    }
-
     /// Returns the error response of a backend server, to be sent to the caller in place of a
     /// refusal.
     pub(crate) fn take_error_response(&mut self) -> Option<BufferedResponse> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use hawthornquay_backends::{BackendClient, ClientLimits};
 use hawthornquay_decisions::{
-    DomainName, Incarnation, InstanceId, InstanceName, Map, MonotonicTime, RegionName, RetryBudget,
-    ServiceName,
+    DomainName, Incarnation, InstanceId, InstanceName, Map, MonotonicTime, PartQuarantine,
+    RegionName, RetryBudget, ServiceName,
 };
 use hawthornquay_http::ServerLimits;
 use hawthornquay_instances::{LinkPool, LinkSecurity, LocalInstance};
@@ -36,7 +36,8 @@
 /// State of one gateway process.
 ///
 /// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`,
-/// `region_board`, `limits`, `instance_reports`, `offload`. None is held across an `await`.
+/// `region_board`, `limits`, `instance_reports`, `offload`, `quarantine`. None is held across an
+/// `await`, and no other lock is taken while `quarantine` is held.
 pub struct Gateway<C, H> {
     /// Settings of this instance.
     pub settings: GatewaySettings,
@@ -66,6 +67,10 @@
     pub(crate) offload: Mutex<Offload>,
     /// This instance's part of the retry budget of each service.
     pub(crate) retries: Mutex<Map<ServiceName, RetryBudget>>,
+    /// Prompt parts that crash backend servers, with the evidence.
+    pub(crate) quarantine: Mutex<PartQuarantine>,
+    /// Notifies the attempts that wait for an answer of changes of the quarantined parts.
+    pub(crate) quarantine_changed: watch::Sender<()>,
     /// Links to other instances.
     pub(crate) links: LinkPool,
     pub(crate) local: LocalInstance,
@@ -123,6 +128,8 @@
             instance_reports: Mutex::default(),
             offload: Mutex::default(),
             retries: Mutex::default(),
+            quarantine: Mutex::default(),
+            quarantine_changed: watch::channel(()).0,
             links: LinkPool::new(local.clone()),
             local,
             backends: BackendClient::new(limits),
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bucket bounds of the latency histograms, in seconds: fractions and multiples of the usual
@@ -25,6 +26,8 @@
     duration: Histogram,
     configuration_version: IntGauge,
     backend_servers: IntGauge,
+    backend_crashes: IntCounter,
+    quarantined_parts: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -82,6 +85,16 @@
                 "backend_servers",
                 "Backend servers in the list in use",
             )?,
+            backend_crashes: counter(
+                &registry,
+                "backend_crashes_total",
+                "Crashes of backend servers with requests that they had not begun to answer",
+            )?,
+            quarantined_parts: gauge(
+                &registry,
+                "quarantined_parts",
+                "Prompt parts whose requests are refused because they crash backend servers",
+            )?,
             registry,
         })
     }
@@ -139,6 +152,23 @@
         self.backend_servers
             .set(i64::try_from(servers).unwrap_or(i64::MAX));
     }
+
+    /// Counts a crash of a backend server that had not begun to answer a request.
+    pub fn count_backend_crash(&self) {
+        self.backend_crashes.inc();
+    }
+
+    /// Sets the number of quarantined prompt parts.
+    pub fn set_quarantined_parts(&self, parts: usize) {
+        self.quarantined_parts
+            .set(i64::try_from(parts).unwrap_or(i64::MAX));
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let metric = IntCounter::new(name, help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
 }
 
 fn counters(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,7 +17,9 @@
 mod event_reader;
 mod exchange;
 mod exchange_placement;
+mod exchange_quarantine;
 mod exchange_refusals;
+mod exchange_timeouts;
 mod gateway;
 mod gateway_error;
 mod gateway_logs;
@@ -30,6 +32,8 @@
 mod log_rate_limiter;
 mod peer_attempt;
 mod peer_handler;
+mod quarantine;
+mod quarantine_notices;
 mod response_memory;
 mod response_start;
 mod server_attempt;
@@ -60,6 +64,7 @@
     hop_headers::strip_hop_headers,
     instance_report::InstanceReport,
     log_rate_limiter::LogRateLimiter,
+    quarantine_notices::{quarantine_update, with_quarantine_update},
 };
 
 use exchange::Exchange;
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -214,6 +214,7 @@
     AttemptFailure {
         cause: AttemptCause::Peer {
             code: RefusalCode::PeerUnreachable,
+            message: String::new(),
             retry_after: None,
         },
         execution: error.execution(),
@@ -226,6 +227,7 @@
     AttemptFailure {
         cause: AttemptCause::Peer {
             code: RefusalCode::parse(&refused.code).unwrap_or(RefusalCode::BackendFailed),
+            message: refused.message.clone(),
             retry_after: (after > 0).then(|| Duration::from_millis(after)),
         },
         execution: refused.confirmed_execution(),
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -121,6 +121,19 @@
     let priority = organisation_config
         .and_then(|config| config.priority)
         .unwrap_or(route.priority);
+    let work = Work {
+        prompt_tokens: request.prompt_tokens,
+        output_tokens: request.cost,
+        parts: request
+            .prompt_parts
+            .iter()
+            .map(|part| PromptPart {
+                id: part.id,
+                tokens: part.tokens,
+            })
+            .collect(),
+    };
+    gateway.check_quarantine(&work)?;
     Ok(AdmittedRequest {
         id: RequestId::new(&request.request_id),
         organisation,
@@ -130,18 +143,7 @@
         path: request.path,
         headers: read_headers(&request.headers),
         body: request.body,
-        work: Work {
-            prompt_tokens: request.prompt_tokens,
-            output_tokens: request.cost,
-            parts: request
-                .prompt_parts
-                .iter()
-                .map(|part| PromptPart {
-                    id: part.id,
-                    tokens: part.tokens,
-                })
-                .collect(),
-        },
+        work,
         max_attempts: match request.attempts_left {
             0 => route.max_attempts,
             left => route.max_attempts.min(left),
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,165 @@
+//! Evidence about prompt parts that crash backend servers, and the check of requests against it.
+
+use std::{future, sync::Arc, time::Duration};
+
+use hawthornquay_decisions::{
+    EvidenceScope, MonotonicTime, PartId, QuarantineChange, QuarantineUpdate, Refusal, RefusalCode,
+    RequestId,
+};
+use hawthornquay_instances::Status;
+use hawthornquay_traffic::{ServerPick, Work};
+
+use crate::{ControlPlane, Gateway, HeaderMapping, gateway::now, with_quarantine_update};
+
+impl<C, H> Gateway<C, H> {
+    /// Returns the first of `parts` that is quarantined, and the time until its quarantine ends.
+    pub(crate) fn quarantined_part(
+        &self,
+        time: MonotonicTime,
+        parts: &[PartId],
+    ) -> Option<(PartId, Duration)> {
+        if parts.is_empty() {
+            return None;
+        }
+        self.quarantine.lock().quarantined(time, parts)
+    }
+
+    /// Refuses work of which a prompt part is quarantined.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with execution `NotRun` that names the part.
+    pub(crate) fn check_quarantine(&self, work: &Work) -> Result<(), Refusal> {
+        match self.quarantined_part(now(), &work.shared_part_ids()) {
+            Some((part, ends_in)) => Err(part_refusal(part, ends_in)),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits until one of `parts` is quarantined.
+    pub(crate) async fn part_quarantined(&self, parts: &[PartId]) {
+        if parts.is_empty() {
+            return future::pending().await;
+        }
+        let mut changes = self.quarantine_changed.subscribe();
+        while self.quarantined_part(now(), parts).is_none() {
+            if changes.changed().await.is_err() {
+                return future::pending().await;
+            }
+        }
+    }
+
+    /// Records that a backend server began to answer a request with `parts`.
+    pub(crate) fn record_answer_start(&self, parts: &[PartId]) {
+        if !parts.is_empty() {
+            self.quarantine.lock().record_start(now(), parts);
+        }
+    }
+
+    /// Adds the evidence of another instance.
+    pub(crate) fn apply_quarantine_update(&self, time: MonotonicTime, update: &QuarantineUpdate) {
+        if !update.is_empty() {
+            self.quarantine.lock().apply_update(time, update);
+            self.evaluate_quarantine(time);
+        }
+    }
+
+    /// Returns `status` with the evidence to send to other instances.
+    pub(crate) fn add_evidence(
+        &self,
+        status: Status,
+        time: MonotonicTime,
+        scope: EvidenceScope,
+    ) -> Status {
+        let update = self.quarantine.lock().update(time, scope);
+        with_quarantine_update(status, time, &update)
+    }
+
+    /// Decides anew which parts are quarantined. Logs the changes and ends the attempts that wait
+    /// for an answer to a request with a part that is now quarantined.
+    pub(crate) fn evaluate_quarantine(&self, time: MonotonicTime) {
+        let (changes, parts) = {
+            let mut quarantine = self.quarantine.lock();
+            let changes = quarantine.evaluate(time);
+            if changes.is_empty() {
+                return;
+            }
+            let all = quarantine.update(time, EvidenceScope::All);
+            (changes, all.quarantined.len())
+        };
+        self.metrics.set_quarantined_parts(parts);
+        for change in changes {
+            match change {
+                QuarantineChange::Quarantined { part, crashes } => {
+                    slog::warn!(self.log.requests, "prompt part quarantined";
+                        "part" => part_hex(part), "crashes" => crashes);
+                }
+                QuarantineChange::Released(part) => {
+                    slog::warn!(self.log.requests, "prompt part released";
+                        "part" => part_hex(part));
+                }
+            }
+        }
+        self.quarantine_changed.send_replace(());
+    }
+}
+
+/// Records the crash of a backend server whose connection broke before it began to answer the
+/// request `id` with `parts`, once it is confirmed that the server has ended.
+///
+/// A server that is leaving or is not listed any more ends without being at fault, and a connection
+/// may break while its server runs on. Neither is evidence against `parts`. Does not wait for the
+/// confirmation, so that it does not delay the next attempt.
+pub(crate) fn confirm_crash<C: ControlPlane, H: HeaderMapping>(
+    gateway: &Arc<Gateway<C, H>>,
+    id: &RequestId,
+    pick: &ServerPick,
+    parts: &[PartId],
+) {
+    if parts.is_empty() || !gateway.servers.lock().is_active(&pick.id) {
+        return;
+    }
+    let failed_at = now();
+    let (gateway, id, parts) = (gateway.clone(), id.clone(), parts.to_vec());
+    let (server, address) = (pick.id.clone(), pick.address);
+    tokio::spawn(async move {
+        if !gateway.backends.refuses_connections(address).await {
+            return;
+        }
+        // Several requests may fail with one crash, which is counted once.
+        let is_known = {
+            let mut quarantine = gateway.quarantine.lock();
+            let known = quarantine.update(failed_at, EvidenceScope::Local);
+            quarantine.record_crash(failed_at, &server, address, &parts);
+            known.crashes.iter().any(|crash| crash.server == server)
+        };
+        if !is_known {
+            gateway.metrics.count_backend_crash();
+        }
+        if let Some(suppressed) = gateway.log.request_log_limit.admit_line(failed_at) {
+            let parts: Vec<String> = parts.iter().map(|part| part_hex(*part)).collect();
+            slog::warn!(gateway.log.requests, "backend server crashed before it answered";
+                "id" => id.as_str(),
+                "server" => server.as_str(),
+                "address" => %address,
+                "parts" => parts.join(" "),
+                "suppressed" => suppressed,
+            );
+        }
+        gateway.evaluate_quarantine(now());
+    });
+}
+
+/// Returns the refusal of a request that has not run, for the quarantine of `part`.
+pub(crate) fn part_refusal(part: PartId, ends_in: Duration) -> Refusal {
+    let message = format!(
+        "requests with the prompt part {} crash backend servers",
+        part_hex(part)
+    );
+    Refusal::not_run(RefusalCode::PromptQuarantined, &message).with_retry_after(ends_in)
+}
+
+/// Returns a prompt part as it is written to logs.
+pub(crate) fn part_hex(part: PartId) -> String {
+    format!("{:016x}", part.0)
+}
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
-use hawthornquay_decisions::{Execution, MonotonicTime};
+use hawthornquay_decisions::{Execution, MonotonicTime, PartId};
 use hawthornquay_traffic::{PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
 use http::{HeaderMap, Method, StatusCode, header};
 use tokio::time::timeout;
@@ -13,7 +13,7 @@
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BackendRequestMetadata, BackendResponseMetadata,
     BufferedResponse, ControlPlane, Gateway, HeaderMapping, gateway::now,
-    hop_headers::strip_hop_headers, response_memory::ResponseMemory,
+    hop_headers::strip_hop_headers, quarantine::confirm_crash, response_memory::ResponseMemory,
 };
 
 /// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
@@ -33,6 +33,11 @@
     responded_at: Option<MonotonicTime>,
     /// Whether the response has been read to its end.
     is_complete: bool,
+    /// Parts of the shared prefix of the prompt.
+    parts: Vec<PartId>,
+    /// Whether the server has sent a complete event or a complete response of its own. Part of it
+    /// does not count: a server may crash while it writes the first event.
+    has_answered: bool,
     body: Option<ResponseBody>,
     /// Whether a close of the connection interrupts the response instead of ending it: nothing has
     /// arrived yet of a stream, from its start, that has neither a length nor chunks.
@@ -65,10 +70,18 @@
             started,
             responded_at: None,
             is_complete: false,
+            parts: request.work.shared_part_ids(),
+            has_answered: false,
             body: None,
             awaits_data: request.route.semantics.is_stream() && last_event.is_none(),
         };
-        let response = attempt.send(request, last_event, max_wait).await;
+        let response = tokio::select! {
+            biased;
+            response = attempt.send(request, last_event, max_wait) => response,
+            () = gateway.part_quarantined(&attempt.parts) => {
+                Err(AttemptFailure::unknown(AttemptCause::Quarantined))
+            }
+        };
         let response = match response {
             Ok(response) => response,
             Err(failure) => {
@@ -95,7 +108,19 @@
         max_wait: Duration,
     ) -> Option<Result<Bytes, AttemptFailure>> {
         let body = self.body.as_mut()?;
-        let failure = match timeout(max_wait, body.next()).await {
+        let chunk = if self.has_answered {
+            timeout(max_wait, body.next()).await
+        } else {
+            tokio::select! {
+                biased;
+                chunk = timeout(max_wait, body.next()) => chunk,
+                () = self.gateway.part_quarantined(&self.parts) => {
+                    self.body = None;
+                    return Some(Err(AttemptFailure::unknown(AttemptCause::Quarantined)));
+                }
+            }
+        };
+        let failure = match chunk {
             Ok(None) if self.awaits_data => AttemptFailure::unknown(AttemptCause::Broken),
             Ok(None) => {
                 self.record_response();
@@ -124,12 +149,24 @@
         &self.pick
     }
 
+    /// Records that the backend server has begun to answer; only the first call has an effect.
+    pub(crate) fn record_answer_start(&mut self) {
+        if !std::mem::replace(&mut self.has_answered, true) {
+            self.gateway.record_answer_start(&self.parts);
+        }
+    }
+
     /// Counts a failure against the backend server.
     pub(crate) fn record_failure(&self, failure: &AttemptFailure, request: &AdmittedRequest) {
+        if matches!(failure.cause, AttemptCause::Broken) && !self.has_answered {
+            confirm_crash(&self.gateway, &request.id, &self.pick, &self.parts);
+        }
         let mut servers = self.gateway.servers.lock();
         let kind = match failure.cause {
             AttemptCause::WrongServer => return servers.remove_replaced(&self.pick.id),
-            AttemptCause::Rejected | AttemptCause::Peer { .. } => return,
+            AttemptCause::Rejected | AttemptCause::Quarantined | AttemptCause::Peer { .. } => {
+                return;
+            }
             AttemptCause::Unreachable => ServerFailure::Unreachable,
             // A lost or late response does not show that the server is unreachable.
             AttemptCause::Silent
@@ -223,6 +260,8 @@
             return Ok(AttemptHead { status, headers });
         }
         self.record_response();
+        // An error response does not show that the server can answer the request, but it is no crash.
+        self.has_answered = true;
         let body = timeout(ERROR_BODY_TIMEOUT, read_error_body(body)).await;
         let Ok(Some(body)) = body else {
             return Err(AttemptFailure::unknown(AttemptCause::Broken));
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -7,19 +7,19 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use hawthornquay_decisions::{
-    InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, ServiceName,
+    EvidenceScope, InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName,
 };
 use hawthornquay_instances::{
-    Notice, OrganisationDemand, RegionStatus, ServerUse, ServiceAdmissions, ServiceLoad, Status,
-    ViewRequest,
+    Notice, OrganisationDemand, RegionStatus, ServerUse, ServiceLoad, Status, ViewRequest,
 };
-use hawthornquay_traffic::{Admissions, ListedInstance, RegionReport, ServerUsage, ServiceReport};
+use hawthornquay_traffic::{ListedInstance, RegionReport, ServerUsage, ServiceReport};
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceReport,
     gateway::now,
+    quarantine_update,
     view_notices::send_notice,
-    wire_views::{millis, server_usage, server_use, time_before},
+    wire_views::{admission_map, millis, server_usage, server_use, time_before, wire_admissions},
 };
 
 /// Age up to which the report of an instance is included in the sums of its region.
@@ -51,6 +51,7 @@
 /// to the instances of the region and to the leaders of the other regions.
 pub(crate) async fn send_status<C: ControlPlane, H: HeaderMapping>(gateway: &Arc<Gateway<C, H>>) {
     let time = now();
+    gateway.evaluate_quarantine(time);
     let own = own_status(gateway, time);
     if !is_leader(gateway, time) {
         if let Some(leader) = leader(gateway, time) {
@@ -66,6 +67,7 @@
         .region_board
         .lock()
         .apply_report(&gateway.settings.region, time, region);
+    let own = gateway.add_evidence(own, time, EvidenceScope::All);
     let region_uses = sum_server_usage(gateway, time, &own.uses);
     let to_members = Status {
         regions: region_statuses(gateway, time),
@@ -125,6 +127,7 @@
                 .apply_report(&name, reported_at, report);
         }
     }
+    gateway.apply_quarantine_update(time, &quarantine_update(&status, time));
     if !status.region_uses.is_empty() {
         apply_server_usage(gateway, time, &status.region_uses);
     }
@@ -226,7 +229,7 @@
         (age, changed, servers.own_usage(), servers.take_admissions())
     };
     let instances_changed_revision = gateway.instances.lock().changed_revision();
-    Status {
+    let status = Status {
         region: gateway.settings.region.to_string(),
         domain: gateway.settings.domain.to_string(),
         leaving: gateway.is_leaving(),
@@ -242,7 +245,8 @@
         instances_changed_revision,
         admissions: admissions.iter().map(wire_admissions).collect(),
         ..Status::default()
-    }
+    };
+    gateway.add_evidence(status, time, EvidenceScope::Local)
 }
 
 /// Adapts the share of the region's requests that go to other regions to the admissions that its
@@ -411,26 +415,6 @@
     }
 }
 
-fn wire_admissions((service, admissions): (&ServiceName, &Admissions)) -> ServiceAdmissions {
-    ServiceAdmissions {
-        service: service.to_string(),
-        accepted: admissions.accepted,
-        rejected: admissions.rejected,
-    }
-}
-
-fn admission_map(rows: &[ServiceAdmissions]) -> Map<ServiceName, Admissions> {
-    rows.iter()
-        .map(|row| {
-            let admissions = Admissions {
-                accepted: row.accepted,
-                rejected: row.rejected,
-            };
-            (row.service.as_str().into(), admissions)
-        })
-        .collect()
-}
-
 fn wire_region(name: &RegionName, age_ms: u64, report: &RegionReport) -> RegionStatus {
     RegionStatus {
         region: name.to_string(),
--- a/crates/gateway/src/wire_views.rs
+++ b/crates/gateway/src/wire_views.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use hawthornquay_decisions::{InstanceId, MonotonicTime};
+use hawthornquay_decisions::{InstanceId, Map, MonotonicTime, ServiceName};
 use hawthornquay_instances::{
     InstanceEntry, InstanceListChanges, ServerListChanges, ServerRecord, ServerUse,
+    ServiceAdmissions,
 };
 use hawthornquay_traffic::{
-    BackendEntry, InstanceChanges, ListedInstance, ServerChanges, ServerUsage,
+    Admissions, BackendEntry, InstanceChanges, ListedInstance, ServerChanges, ServerUsage,
 };
 
 /// Returns a duration in whole milliseconds.
@@ -127,3 +128,25 @@
             .collect(),
     }
 }
+
+pub(crate) fn wire_admissions(
+    (service, admissions): (&ServiceName, &Admissions),
+) -> ServiceAdmissions {
+    ServiceAdmissions {
+        service: service.to_string(),
+        accepted: admissions.accepted,
+        rejected: admissions.rejected,
+    }
+}
+
+pub(crate) fn admission_map(rows: &[ServiceAdmissions]) -> Map<ServiceName, Admissions> {
+    rows.iter()
+        .map(|row| {
+            let admissions = Admissions {
+                accepted: row.accepted,
+                rejected: row.rejected,
+            };
+            (row.service.as_str().into(), admissions)
+        })
+        .collect()
+}
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -12,6 +12,7 @@
 mod capacity_request;
 mod certificate_name;
 mod certified_key_pem;
+mod crash_record;
 mod digest;
 mod digest_entry;
 mod envelope;
@@ -43,6 +44,7 @@
 mod metered_stream;
 mod notice;
 mod organisation_demand;
+mod part_start_record;
 mod peer_address;
 mod peer_connection;
 mod peer_server;
@@ -50,6 +52,7 @@
 mod ping;
 mod pong;
 mod prompt_part;
+mod quarantine_record;
 mod region_status;
 mod send_queue;
 mod server_list_changes;
@@ -78,6 +81,7 @@
     capacity_request::CapacityRequest,
     certificate_name::instance_uri,
     certified_key_pem::CertifiedKeyPem,
+    crash_record::CrashRecord,
     digest::Digest,
     digest_entry::DigestEntry,
     envelope::Envelope,
@@ -108,12 +112,14 @@
     local_instance::LocalInstance,
     notice::Notice,
     organisation_demand::OrganisationDemand,
+    part_start_record::PartStartRecord,
     peer_address::PeerAddress,
     peer_server::PeerServer,
     peer_service::PeerService,
     ping::Ping,
     pong::Pong,
     prompt_part::PromptPart,
+    quarantine_record::QuarantineRecord,
     region_status::RegionStatus,
     server_list_changes::ServerListChanges,
     server_record::ServerRecord,
--- a/crates/instances/src/status.rs
+++ b/crates/instances/src/status.rs
@@ -1,6 +1,9 @@
 //! State and load of an instance and of regions.
 
-use crate::{OrganisationDemand, RegionStatus, ServerUse, ServiceAdmissions};
+use crate::{
+    CrashRecord, OrganisationDemand, PartStartRecord, QuarantineRecord, RegionStatus, ServerUse,
+    ServiceAdmissions,
+};
 
 /// State and load of an instance. The leader of a region adds the load of regions.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -56,4 +59,14 @@
     /// Requests of the sender that servers of its region accepted and rejected.
     #[prost(message, repeated, tag = "16")]
     pub admissions: Vec<ServiceAdmissions>,
+    /// Crashes of backend servers that the sender has learned of lately; an instance that is no
+    /// leader sends only those that it has observed.
+    #[prost(message, repeated, tag = "17")]
+    pub crashes: Vec<CrashRecord>,
+    /// Answers that began lately to requests with suspected prompt parts.
+    #[prost(message, repeated, tag = "18")]
+    pub part_starts: Vec<PartStartRecord>,
+    /// Quarantined prompt parts.
+    #[prost(message, repeated, tag = "19")]
+    pub quarantined_parts: Vec<QuarantineRecord>,
 }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -333,6 +333,12 @@
         }
     }
 
+    /// Returns whether a server is listed and is not leaving.
+    pub fn is_active(&self, id: &BackendName) -> bool {
+        let server = self.servers.get(id);
+        server.is_some_and(|server| !server.entry.leaving && server.kept_until.is_none())
+    }
+
     /// Removes a server because another process answers at its address.
     pub fn remove_replaced(&mut self, id: &BackendName) {
         self.servers.remove(id);
--- a/crates/traffic/src/work.rs
+++ b/crates/traffic/src/work.rs
@@ -1,5 +1,7 @@
 //! Token counts and prompt parts of a request.
 
+use hawthornquay_decisions::PartId;
+
 /// Part of a prompt that several requests may have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct PromptPart {
@@ -36,6 +38,15 @@
         Some(crate::stable_hash(&ids))
     }
 
+    /// Returns the identifiers of the parts of the shared prefix.
+    pub fn shared_part_ids(&self) -> Vec<PartId> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared]
+            .iter()
+            .map(|part| PartId(part.id))
+            .collect()
+    }
+
     /// Returns the length of the shared prefix in tokens.
     pub fn shared_tokens(&self) -> u64 {
         let shared = self.parts.len().saturating_sub(1);
