--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -8,9 +8,14 @@
 };
 use hawthornquay_instances::Status;
 use hawthornquay_traffic::{ServerPick, Work};
+use tokio::time::sleep;
 
 use crate::{ControlPlane, Gateway, HeaderMapping, gateway::now, with_quarantine_update};
 
+/// Time from the break of a connection to the check whether the server has ended. A process that
+/// ends may close its connections before its listening socket.
+const CRASH_CHECK_DELAY: Duration = Duration::from_millis(15);
+
 impl<C, H> Gateway<C, H> {
     /// Returns the first of `parts` that is quarantined, and the time until its quarantine ends.
     pub(crate) fn quarantined_part(
@@ -123,6 +128,7 @@
     let (gateway, id, parts) = (gateway.clone(), id.clone(), parts.to_vec());
     let (server, address) = (pick.id.clone(), pick.address);
     tokio::spawn(async move {
+        sleep(CRASH_CHECK_DELAY).await;
         if !gateway.backends.refuses_connections(address).await {
             return;
         }
