Find the prompt parts that crash backend servers

What callers saw: requests with one prompt part ended the backend servers one after the other, and with each server all requests that it ran.

Cause: a request whose connection breaks is tried again elsewhere, as it should be after the crash of a server, and nothing remembered which requests were at the servers that crashed.

Change: the part with most crashes that no later answer clears is quarantined, as the evidence of all instances shows; crashes that it explains do not count against others. Evidence is settled for two seconds, so that answers seen at other instances clear sound parts first. All state is bounded.

Why it works: no answer ever begins to a request with a deadly part, while sound parts, also those that deadly requests share, are cleared by the next answer.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -18,11 +18,14 @@
 mod claim_state;
 mod collections;
 mod crash_evidence;
+mod crash_log;
+mod crash_record;
 mod domain_name;
 mod domain_slots;
 mod evidence_scope;
 mod execution;
 mod failure_domain;
+mod former_quarantine;
 mod gossip_entry;
 mod gossip_load;
 mod gossip_partners;
@@ -86,6 +89,9 @@
 mod prefix_map;
 mod priority;
 mod quarantine_change;
+mod quarantine_choice;
+mod quarantine_entry;
+mod quarantine_table;
 mod quarantine_update;
 mod quarantined_part;
 mod queue_class;
@@ -127,6 +133,9 @@
 mod slot_release;
 mod slot_rules;
 mod slot_snapshot;
+mod start_log;
+mod start_record;
+mod suspect;
 
 pub use {
     backend_kind::BackendKind,
--- a/crates/decisions/src/part_quarantine.rs
+++ b/crates/decisions/src/part_quarantine.rs
@@ -3,12 +3,36 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    BackendName, EvidenceScope, MonotonicTime, PartId, QuarantineChange, QuarantineUpdate,
+    BackendName, CrashEvidence, EvidenceScope, MonotonicTime, PartId, PartStart, QuarantineChange,
+    QuarantineUpdate, Set, crash_log::CrashLog, quarantine_choice::QuarantineChoice,
+    quarantine_table::QuarantineTable, start_log::StartLog,
 };
 
+/// Time for which new evidence is sent: two rounds, and some time for a late one.
+const NEWS_DURATION: Duration = Duration::from_millis(700);
+
+/// Greatest number of crashes in an update.
+const MAX_CRASHES_PER_UPDATE: usize = 16;
+
+/// Received crashes that are older are ignored.
+///
+/// Evidence takes about a second to reach all instances. The bound ends the exchange of crashes that
+/// instances with a full list remove and receive again.
+const MAX_RECEIVED_CRASH_AGE: Duration = Duration::from_secs(5);
+
 /// Finds the prompt parts that crash backend servers, from the evidence of all instances.
+///
+/// A part is quarantined if requests with it were among those that failed with several crashes at
+/// different times and on different servers, and if no server has begun to answer a request with it
+/// since.
 #[derive(Clone, Debug, Default)]
-pub struct PartQuarantine {}
+pub struct PartQuarantine {
+    crashes: CrashLog,
+    starts: StartLog,
+    table: QuarantineTable,
+    /// Parts that were quarantined at the last evaluation.
+    reported: Set<PartId>,
+}
 
 impl PartQuarantine {
     /// Records that `server` crashed while it had not begun to answer a request with `parts`.
@@ -21,34 +45,158 @@
         address: SocketAddr,
         parts: &[PartId],
     ) {
-        let _ = (now, server, address, parts);
+        let crash = CrashEvidence {
+            server: server.clone(),
+            address,
+            at: now,
+            parts: parts.to_vec(),
+        };
+        self.add_crash(now, &crash, EvidenceScope::Local);
     }
 
     /// Records that a backend server began to answer a request with `parts`.
     pub fn record_start(&mut self, now: MonotonicTime, parts: &[PartId]) {
-        let _ = (now, parts);
+        for &part in parts {
+            self.starts.record_own(now, part, &self.crashes);
+            if self.table.clear(part, now) {
+                self.starts.announce(now, part, now);
+            }
+        }
     }
 
     /// Adds the evidence of another instance.
     pub fn apply_update(&mut self, now: MonotonicTime, update: &QuarantineUpdate) {
-        let _ = (now, update);
+        for crash in &update.crashes {
+            if now.since(crash.at) <= MAX_RECEIVED_CRASH_AGE {
+                let crash = CrashEvidence {
+                    at: crash.at.min(now),
+                    ..crash.clone()
+                };
+                self.add_crash(now, &crash, EvidenceScope::All);
+            }
+        }
+        for start in &update.starts {
+            let start = PartStart {
+                at: start.at.min(now),
+                ..*start
+            };
+            self.starts.record_received(now, start, &self.crashes);
+            if self.table.clear(start.part, start.at) {
+                self.starts.announce(now, start.part, start.at);
+            }
+        }
+        for &reported in &update.quarantined {
+            let start = self.starts.at(reported.part);
+            if let Some(at) = self.table.adopt(now, reported, start) {
+                self.starts.announce(now, reported.part, at);
+            }
+        }
     }
 
     /// Returns what was learned lately, to be sent to other instances, and all quarantined parts.
     pub fn update(&self, now: MonotonicTime, scope: EvidenceScope) -> QuarantineUpdate {
-        let _ = (now, scope);
-        QuarantineUpdate::default()
+        let mut crashes: Vec<_> = self
+            .crashes
+            .records()
+            .iter()
+            .filter_map(|record| {
+                let news_at = record.news_at(scope)?;
+                (now.since(news_at) <= NEWS_DURATION).then_some((news_at, record))
+            })
+            .collect();
+        crashes.sort_by_key(|&(news_at, _)| std::cmp::Reverse(news_at));
+        let mut crashes: Vec<_> = crashes
+            .into_iter()
+            .map(|(_, record)| CrashEvidence {
+                parts: self.suspected_parts(&record.evidence),
+                ..record.evidence.clone()
+            })
+            .filter(|crash| !crash.parts.is_empty())
+            .take(MAX_CRASHES_PER_UPDATE)
+            .collect();
+        crashes.sort_by(|a, b| (a.at, &a.server).cmp(&(b.at, &b.server)));
+        QuarantineUpdate {
+            crashes,
+            starts: self.starts.news(now, NEWS_DURATION, scope),
+            quarantined: self.table.quarantined(now),
+        }
     }
 
     /// Decides anew which parts are quarantined, and returns the changes since the last call.
     pub fn evaluate(&mut self, now: MonotonicTime) -> Vec<QuarantineChange> {
-        let _ = now;
-        Vec::new()
+        self.table.expire(now);
+        self.prune(now);
+        if !self.crashes.records().is_empty() {
+            let choice = QuarantineChoice {
+                now,
+                crashes: &self.crashes,
+                starts: &self.starts,
+                table: &self.table,
+            };
+            for (quarantined, crashes) in choice.choose() {
+                self.table.insert(quarantined, crashes);
+            }
+        }
+        self.changes()
     }
 
     /// Returns the first of `parts` that is quarantined, and the time until its quarantine ends.
     pub fn quarantined(&self, now: MonotonicTime, parts: &[PartId]) -> Option<(PartId, Duration)> {
-        let _ = (now, parts);
-        None
+        if self.table.is_empty() {
+            return None;
+        }
+        parts
+            .iter()
+            .find_map(|&part| Some((part, self.table.remaining(now, part)?)))
+    }
+
+    fn add_crash(&mut self, now: MonotonicTime, crash: &CrashEvidence, scope: EvidenceScope) {
+        let added = self.crashes.add(now, crash, scope);
+        self.starts.announce_later_than(now, &added, crash.at);
+        self.prune(now);
+    }
+
+    fn prune(&mut self, now: MonotonicTime) {
+        let Self {
+            crashes, starts, ..
+        } = self;
+        crashes.prune(now, |crash| {
+            crash
+                .parts
+                .iter()
+                .any(|&part| !starts.clears(part, crash.at))
+        });
+        starts.expire(now, crashes);
+    }
+
+    /// Returns the parts of a crash that no start has cleared since.
+    fn suspected_parts(&self, crash: &CrashEvidence) -> Vec<PartId> {
+        crash
+            .parts
+            .iter()
+            .copied()
+            .filter(|&part| !self.starts.clears(part, crash.at))
+            .collect()
+    }
+
+    fn changes(&mut self) -> Vec<QuarantineChange> {
+        let current: Vec<_> = self.table.crash_counts().collect();
+        let parts: Set<_> = current.iter().map(|&(part, _)| part).collect();
+        let mut released: Vec<_> = self.reported.difference(&parts).copied().collect();
+        released.sort_unstable();
+        let mut quarantined: Vec<_> = current
+            .into_iter()
+            .filter(|(part, _)| !self.reported.contains(part))
+            .collect();
+        quarantined.sort_unstable();
+        self.reported = parts;
+        let released = released.into_iter().map(QuarantineChange::Released);
+        released
+            .chain(
+                quarantined
+                    .into_iter()
+                    .map(|(part, crashes)| QuarantineChange::Quarantined { part, crashes }),
+            )
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/decisions/src/quarantine_table.rs
@@ -0,0 +1,190 @@
+//! Bounded list of the quarantined parts and of those that were quarantined.
+
+use std::time::Duration;
+
+use crate::{
+    Map, MonotonicTime, PartId, QuarantinedPart, Set, former_quarantine::FormerQuarantine,
+    quarantine_entry::QuarantineEntry, start_log::CLOCK_ERROR,
+};
+
+/// Greatest number of quarantined parts.
+const MAX_QUARANTINED: usize = 32;
+
+/// Greatest number of ended quarantines that are kept.
+const MAX_FORMER: usize = 64;
+
+/// A quarantine reported by another instance that began at most this much later than the known one
+/// is the same quarantine.
+const SAME_QUARANTINE: Duration = Duration::from_secs(2);
+
+/// Quarantined parts, and those whose quarantine has ended.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct QuarantineTable {
+    entries: Map<PartId, QuarantineEntry>,
+    former: Map<PartId, FormerQuarantine>,
+}
+
+impl QuarantineTable {
+    /// Returns whether no part is quarantined.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the time until the quarantine of `part` ends.
+    pub(crate) fn remaining(&self, now: MonotonicTime, part: PartId) -> Option<Duration> {
+        let since = self.entries.get(&part)?.quarantined.since;
+        QuarantineEntry::DURATION
+            .checked_sub(now.since(since))
+            .filter(|remaining| !remaining.is_zero())
+    }
+
+    /// Returns the quarantined parts in ascending order.
+    pub(crate) fn quarantined(&self, now: MonotonicTime) -> Vec<QuarantinedPart> {
+        let mut parts: Vec<_> = self
+            .entries
+            .iter()
+            .filter(|&(&part, _)| self.remaining(now, part).is_some())
+            .map(|(_, entry)| entry.quarantined)
+            .collect();
+        parts.sort_unstable_by_key(|quarantined| quarantined.part);
+        parts
+    }
+
+    /// Returns the quarantined parts and the crashes that counted against each.
+    pub(crate) fn crash_counts(&self) -> impl Iterator<Item = (PartId, usize)> {
+        self.entries
+            .iter()
+            .map(|(&part, entry)| (part, entry.crashes))
+    }
+
+    /// Returns the parts that explain the crashes that contain them.
+    ///
+    /// These are the quarantined ones and those on probation.
+    pub(crate) fn culprits(&self) -> Set<PartId> {
+        let on_probation = self
+            .former
+            .iter()
+            .filter(|(_, former)| former.cleared_at.is_none())
+            .map(|(&part, _)| part);
+        self.entries.keys().copied().chain(on_probation).collect()
+    }
+
+    /// Returns when the quarantine of each part on probation began.
+    pub(crate) fn on_probation(&self) -> Vec<QuarantinedPart> {
+        let mut parts: Vec<_> = self
+            .former
+            .values()
+            .filter(|former| former.cleared_at.is_none())
+            .map(|former| former.quarantined)
+            .collect();
+        parts.sort_unstable_by_key(|quarantined| quarantined.part);
+        parts
+    }
+
+    /// Quarantines a part.
+    pub(crate) fn insert(&mut self, quarantined: QuarantinedPart, crashes: usize) {
+        self.former.remove(&quarantined.part);
+        self.entries.insert(
+            quarantined.part,
+            QuarantineEntry {
+                quarantined,
+                crashes,
+            },
+        );
+        if self.entries.len() > MAX_QUARANTINED
+            && let Some(oldest) = self
+                .entries
+                .values()
+                .map(|entry| (entry.quarantined.since, entry.quarantined.part))
+                .min()
+        {
+            self.entries.remove(&oldest.1);
+        }
+    }
+
+    /// Adopts the quarantine of another instance; `start` is the latest known start of the part.
+    ///
+    /// Returns the start that refutes the quarantine, if there is one. A known quarantine keeps its
+    /// times: if each instance adopted the latest time of others, the time that the messages take
+    /// would prolong the quarantine without end.
+    pub(crate) fn adopt(
+        &mut self,
+        now: MonotonicTime,
+        reported: QuarantinedPart,
+        start: Option<MonotonicTime>,
+    ) -> Option<MonotonicTime> {
+        if now.since(reported.since) >= QuarantineEntry::DURATION
+            || self.entries.contains_key(&reported.part)
+        {
+            return None;
+        }
+        let cleared_by = start.filter(|&at| at > reported.first_crash_at + CLOCK_ERROR);
+        if cleared_by.is_some() {
+            return cleared_by;
+        }
+        if let Some(former) = self.former.get(&reported.part) {
+            match former.cleared_at {
+                Some(at) if reported.first_crash_at <= at => return Some(at),
+                None if reported.since <= former.quarantined.since + SAME_QUARANTINE => {
+                    return None;
+                }
+                _ => {}
+            }
+        }
+        self.insert(reported, 0);
+        None
+    }
+
+    /// Records a start of `part`; returns whether it ends a quarantine.
+    pub(crate) fn clear(&mut self, part: PartId, at: MonotonicTime) -> bool {
+        if let Some(entry) = self.entries.get(&part) {
+            if at <= entry.quarantined.first_crash_at + CLOCK_ERROR {
+                return false;
+            }
+            let quarantined = entry.quarantined;
+            self.entries.remove(&part);
+            self.add_former(FormerQuarantine {
+                quarantined,
+                cleared_at: Some(at),
+            });
+            return true;
+        }
+        if let Some(former) = self.former.get_mut(&part)
+            && former.cleared_at.is_none()
+            && at > former.quarantined.first_crash_at + CLOCK_ERROR
+        {
+            former.cleared_at = Some(at);
+        }
+        false
+    }
+
+    /// Puts the parts on probation whose quarantine has lasted its time.
+    pub(crate) fn expire(&mut self, now: MonotonicTime) {
+        let expired: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| self.remaining(now, entry.quarantined.part).is_none())
+            .map(|entry| entry.quarantined)
+            .collect();
+        for quarantined in expired {
+            self.entries.remove(&quarantined.part);
+            self.add_former(FormerQuarantine {
+                quarantined,
+                cleared_at: None,
+            });
+        }
+    }
+
+    fn add_former(&mut self, former: FormerQuarantine) {
+        self.former.insert(former.quarantined.part, former);
+        if self.former.len() > MAX_FORMER
+            && let Some(oldest) = self
+                .former
+                .values()
+                .map(|former| (former.quarantined.since, former.quarantined.part))
+                .min()
+        {
+            self.former.remove(&oldest.1);
+        }
+    }
+}
