Require more crashes while servers fail for other reasons

Cause: in the simulated fleet, kills of servers in quick succession quarantined sound parts; starts of popular parts were passed on by leaders only if the previous start was over 300 ms older.

Change: starts are compared with the announced one; crashes without the part and other suspected parts raise the number of crashes that is required; almost no answers raise it to eight.

--- a/crates/decisions/src/part_quarantine.rs
+++ b/crates/decisions/src/part_quarantine.rs
@@ -56,6 +56,7 @@
 
     /// Records that a backend server began to answer a request with `parts`.
     pub fn record_start(&mut self, now: MonotonicTime, parts: &[PartId]) {
+        self.starts.count_one(now);
         for &part in parts {
             self.starts.record_own(now, part, &self.crashes);
             if self.table.clear(part, now) {
@@ -80,6 +81,7 @@
                 at: start.at.min(now),
                 ..*start
             };
+            self.starts.count_one(start.at);
             self.starts.record_received(now, start, &self.crashes);
             if self.table.clear(start.part, start.at) {
                 self.starts.announce(now, start.part, start.at);
--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -18,9 +18,15 @@
 /// servers had the same address.
 const MIN_CRASHES_WITHOUT_CONTRAST: usize = 5;
 
-/// Crashes at different times that are enough if no server has begun any answer since the first.
+/// Crashes at different times that are enough if almost no answers have begun since the first.
 const MIN_CRASHES_WITHOUT_STARTS: usize = 8;
 
+/// Answers since the first crash that show that servers serve other requests.
+const MIN_STARTS: usize = 4;
+
+/// Crashes without a part for which one more crash with the part is required.
+const OTHER_CRASHES_PER_CRASH: usize = 4;
+
 /// Time after which a crash counts.
 ///
 /// Until then, other instances report further requests that failed with the crash and, once they know
@@ -44,22 +50,24 @@
     pub(crate) fn choose(&self) -> Vec<(QuarantinedPart, usize)> {
         let mut chosen = self.relapsed();
         let mut explained = self.crashes.with_parts(&self.table.culprits());
+        // Crashes of likely parts that cannot be decided yet; they count against no other part.
+        let mut undecided = 0;
         let suspects = self.suspects(explained);
-        while let Some((best, tied)) = self.best(&suspects, explained) {
-            let decided = if self.is_sufficient(best, &tied) {
-                self.most_likely(best, &tied)
-            } else {
-                Vec::new()
-            };
-            // Also what cannot be decided yet does not count against parts that are less likely.
-            explained |= tied
-                .iter()
-                .fold(best.crashes, |crashes, suspect| crashes | suspect.crashes);
+        while let Some((best, tied)) = Self::best(&self.remaining(&suspects, explained | undecided))
+        {
+            if !self.is_sufficient(best, &tied, &suspects, explained) {
+                undecided |= tied
+                    .iter()
+                    .fold(best.crashes, |crashes, suspect| crashes | suspect.crashes);
+                continue;
+            }
+            let likely = self.most_likely(best, &tied);
             explained |= self
                 .crashes
-                .with_parts(&decided.iter().map(|suspect| suspect.part).collect());
+                .with_parts(&likely.iter().map(|suspect| suspect.part).collect());
+            explained |= best.crashes;
             chosen.extend(
-                decided.into_iter().filter_map(|suspect| {
+                likely.into_iter().filter_map(|suspect| {
                     Some((self.quarantine(suspect)?, suspect.count() as usize))
                 }),
             );
@@ -101,13 +109,10 @@
             .filter(move |(_, record)| record.evidence.parts.binary_search(&part).is_ok())
     }
 
-    /// Returns the parts with enough crashes that no start has cleared since, in ascending order.
+    /// Returns the parts with several crashes that no start has cleared since, in ascending order.
     fn suspects(&self, explained: u64) -> Vec<Suspect> {
         let mut crashes: Map<PartId, u64> = Map::default();
-        for (index, record) in self.crashes.records().iter().enumerate() {
-            if explained & 1 << index != 0 || self.now.since(record.learned_at) < SETTLE_TIME {
-                continue;
-            }
+        for (index, record) in self.settled(!explained) {
             for &part in &record.evidence.parts {
                 if !self.starts.clears(part, record.evidence.at) {
                     *crashes.entry(part).or_default() |= 1 << index;
@@ -116,17 +121,26 @@
         }
         let mut suspects: Vec<_> = crashes
             .into_iter()
-            .filter(|(_, crashes)| crashes.count_ones() as usize >= MIN_CRASHES)
+            .filter(|(_, crashes)| crashes.count_ones() > 1)
             .map(|(part, crashes)| self.suspect(part, crashes))
             .collect();
         suspects.sort_unstable_by_key(|suspect| suspect.part);
         suspects
     }
 
+    /// Returns the suspects that have several crashes without those in `excluded`.
+    fn remaining(&self, suspects: &[Suspect], excluded: u64) -> Vec<Suspect> {
+        suspects
+            .iter()
+            .map(|suspect| self.suspect(suspect.part, suspect.crashes & !excluded))
+            .filter(|suspect| suspect.count() > 1)
+            .collect()
+    }
+
     fn suspect(&self, part: PartId, crashes: u64) -> Suspect {
         let mut events = 0;
         let mut last: Option<MonotonicTime> = None;
-        for record in self.records(crashes) {
+        for (_, record) in self.records(crashes) {
             let at = record.evidence.at;
             if last.is_none_or(|last| at.since(last) >= COMMON_CAUSE_INTERVAL) {
                 events += 1;
@@ -140,57 +154,76 @@
         }
     }
 
-    fn records(&self, crashes: u64) -> impl Iterator<Item = &CrashRecord> {
+    fn records(&self, crashes: u64) -> impl Iterator<Item = (usize, &CrashRecord)> {
         self.crashes
             .records()
             .iter()
             .enumerate()
             .filter(move |(index, _)| crashes & 1 << index != 0)
-            .map(|(_, record)| record)
     }
 
-    /// Returns the part with most unexplained crashes, and the others that have as many and share
-    /// some of them.
-    fn best(&self, suspects: &[Suspect], explained: u64) -> Option<(Suspect, Vec<Suspect>)> {
-        let open: Vec<_> = suspects
+    /// Returns those of `crashes` about which all evidence has arrived.
+    fn settled(&self, crashes: u64) -> impl Iterator<Item = (usize, &CrashRecord)> {
+        self.records(crashes)
+            .filter(|(_, record)| self.now.since(record.learned_at) >= SETTLE_TIME)
+    }
+
+    /// Returns the part with most crashes, and the others that have as many and share some of them.
+    fn best(suspects: &[Suspect]) -> Option<(Suspect, Vec<Suspect>)> {
+        let open = suspects
             .iter()
-            .map(|suspect| self.suspect(suspect.part, suspect.crashes & !explained))
-            .filter(|suspect| suspect.events >= MIN_CRASHES)
-            .collect();
+            .filter(|suspect| suspect.events >= MIN_CRASHES);
         let best = *open
-            .iter()
+            .clone()
             .max_by_key(|suspect| (suspect.count(), suspect.events, Reverse(suspect.part)))?;
         let tied = open
-            .into_iter()
             .filter(|other| {
                 other.part != best.part
                     && other.count() == best.count()
                     && other.crashes & best.crashes != 0
             })
+            .copied()
             .collect();
         Some((best, tied))
     }
 
     /// Returns whether the crashes are enough to decide.
     ///
-    /// While no server begins any answer, the cause may be something else that ends all of them.
-    fn is_sufficient(&self, best: Suspect, tied: &[Suspect]) -> bool {
+    /// If servers fail for another reason as well, a sound part may be in several of the crashes by
+    /// chance. This shows in crashes without the part and in other parts that are suspected for these,
+    /// and then more crashes with the part are required. If no server begins any answer, sound parts
+    /// are not cleared.
+    fn is_sufficient(
+        &self,
+        best: Suspect,
+        tied: &[Suspect],
+        suspects: &[Suspect],
+        explained: u64,
+    ) -> bool {
         let mut addresses: Vec<SocketAddr> = self
             .records(best.crashes)
-            .map(|record| record.evidence.address)
+            .map(|(_, record)| record.evidence.address)
             .collect();
         addresses.sort_unstable();
         addresses.dedup();
-        let required = if tied.is_empty() && addresses.len() > 1 {
+        let Some((_, first)) = self.records(best.crashes).next() else {
+            return false;
+        };
+        let first_at = first.evidence.at;
+        let events = if self.starts.count_since(first_at) < MIN_STARTS {
+            MIN_CRASHES_WITHOUT_STARTS
+        } else if tied.is_empty() && addresses.len() > 1 {
             MIN_CRASHES
         } else {
             MIN_CRASHES_WITHOUT_CONTRAST
         };
-        let has_start = self
-            .records(best.crashes)
-            .next()
-            .is_some_and(|first| self.starts.latest() > Some(first.evidence.at));
-        best.events >= required && (has_start || best.events >= MIN_CRASHES_WITHOUT_STARTS)
+        let other_crashes = self
+            .settled(!best.crashes & !explained)
+            .filter(|(_, record)| record.evidence.at > first_at)
+            .count();
+        let other_suspects = self.remaining(suspects, best.crashes | explained).len();
+        let crashes = events + other_crashes / OTHER_CRASHES_PER_CRASH + other_suspects;
+        best.events >= events && best.count() as usize >= crashes
     }
 
     /// Returns which of the parts with the same number of crashes are quarantined.
@@ -215,7 +248,7 @@
     fn quarantine(&self, suspect: Suspect) -> Option<QuarantinedPart> {
         Some(QuarantinedPart {
             part: suspect.part,
-            first_crash_at: self.records(suspect.crashes).next()?.evidence.at,
+            first_crash_at: self.records(suspect.crashes).next()?.1.evidence.at,
             since: self.now,
         })
     }
--- a/crates/decisions/src/start_log.rs
+++ b/crates/decisions/src/start_log.rs
@@ -1,6 +1,6 @@
 //! Bounded list of the latest answers by prompt part.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::{
     EvidenceScope, Map, MonotonicTime, PartId, PartStart, crash_log::CrashLog,
@@ -14,6 +14,9 @@
 /// a crash that this instance learns of later.
 const START_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Number of starts that are counted.
+const MAX_RECENT: usize = 8;
+
 /// Difference up to which the times of two instances may be wrong against each other.
 pub(crate) const CLOCK_ERROR: Duration = Duration::from_millis(300);
 
@@ -21,8 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StartLog {
     starts: Map<PartId, StartRecord>,
-    /// Latest start of any part.
-    latest: Option<MonotonicTime>,
+    /// Times at which the latest starts were recorded.
+    recent: VecDeque<MonotonicTime>,
     /// Number of starts above which the next insertion removes some.
     prune_above: usize,
 }
@@ -33,9 +36,17 @@
         self.starts.get(&part).map(|start| start.at)
     }
 
-    /// Returns the latest start of any part.
-    pub(crate) const fn latest(&self) -> Option<MonotonicTime> {
-        self.latest
+    /// Counts a start of any part.
+    pub(crate) fn count_one(&mut self, at: MonotonicTime) {
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(at);
+    }
+
+    /// Returns how many of the recent starts are later than `since`, up to a bound.
+    pub(crate) fn count_since(&self, since: MonotonicTime) -> usize {
+        self.recent.iter().filter(|&&at| at > since).count()
     }
 
     /// Returns whether an answer to a request with `part` began after a crash at `crash_at`.
@@ -46,66 +57,65 @@
     /// Records the start of a request of this instance.
     pub(crate) fn record_own(&mut self, now: MonotonicTime, part: PartId, crashes: &CrashLog) {
         let is_news = self.is_news(part, now, crashes);
-        self.insert(part, now, true, is_news.then_some(now));
+        self.insert(now, PartStart { part, at: now }, true, is_news);
         self.prune(now, crashes);
     }
 
     /// Records a start that another instance has reported.
     ///
-    /// A start that is only a little later than the known one may be the same one with a different
-    /// error; it is not passed on, so that two instances do not return it to each other.
+    /// A start that is only a little later than the announced one may be the same one with a
+    /// different error; it is not passed on, so that two instances do not return it to each other.
     pub(crate) fn record_received(
         &mut self,
         now: MonotonicTime,
         start: PartStart,
         crashes: &CrashLog,
     ) {
-        let known = self.at(start.part);
-        if known.is_some_and(|at| start.at <= at) {
+        if self.at(start.part).is_some_and(|at| start.at <= at) {
             return;
         }
-        let is_news = known.is_none_or(|at| start.at.since(at) > CLOCK_ERROR)
-            && self.is_news(start.part, start.at, crashes);
-        let news_at = is_news
-            .then_some(now)
-            .or_else(|| self.starts.get(&start.part).and_then(|known| known.news_at));
-        self.insert(start.part, start.at, false, news_at);
+        let is_news = self.is_news(start.part, start.at, crashes)
+            && self
+                .announced(start.part)
+                .is_none_or(|at| start.at.since(at) > CLOCK_ERROR);
+        self.insert(now, start, false, is_news);
         self.prune(now, crashes);
     }
 
-    /// Returns whether a start at `at` clears `part` where the known starts may not.
+    /// Returns whether a start at `at` clears `part` where the announced starts may not.
     ///
     /// Receivers see the times with an error, so that a start shortly after the crash may not clear
-    /// the part there; further starts are passed on until one is later than the error.
+    /// the part there; further starts are announced until one is later than the error.
     fn is_news(&self, part: PartId, at: MonotonicTime, crashes: &CrashLog) -> bool {
         crashes.latest(part).is_some_and(|crash_at| {
             at > crash_at
                 && self
-                    .at(part)
-                    .is_none_or(|known| known <= crash_at + CLOCK_ERROR)
+                    .announced(part)
+                    .is_none_or(|announced| announced <= crash_at + CLOCK_ERROR)
         })
     }
 
-    fn insert(
-        &mut self,
-        part: PartId,
-        at: MonotonicTime,
-        is_own: bool,
-        news_at: Option<MonotonicTime>,
-    ) {
-        self.latest = self.latest.max(Some(at));
-        let news_at = news_at.or_else(|| self.starts.get(&part).and_then(|start| start.news_at));
-        self.starts.insert(
-            part,
-            StartRecord {
-                at,
-                is_own,
-                news_at,
-            },
-        );
+    fn announced(&self, part: PartId) -> Option<MonotonicTime> {
+        self.starts.get(&part)?.announced
+    }
+
+    fn insert(&mut self, now: MonotonicTime, start: PartStart, is_own: bool, is_news: bool) {
+        let PartStart { part, at } = start;
+        let record = self.starts.entry(part).or_insert(StartRecord {
+            at,
+            is_own,
+            announced: None,
+            news_at: None,
+        });
+        record.at = at;
+        record.is_own = is_own;
+        if is_news {
+            record.announced = Some(at);
+            record.news_at = Some(now);
+        }
     }
 
-    /// Marks own starts of `parts` after a crash at `crash_at`, which others do not know yet.
+    /// Announces own starts of `parts` after a crash at `crash_at` that others do not know yet.
     pub(crate) fn announce_later_than(
         &mut self,
         now: MonotonicTime,
@@ -117,15 +127,16 @@
                 && start.is_own
                 && start.at > crash_at
             {
+                start.announced = Some(start.at);
                 start.news_at = Some(now);
             }
         }
     }
 
-    /// Marks the start that ended a quarantine, so that others end theirs.
+    /// Announces the start that ended a quarantine, so that others end theirs.
     pub(crate) fn announce(&mut self, now: MonotonicTime, part: PartId, at: MonotonicTime) {
         let at = self.at(part).map_or(at, |known| known.max(at));
-        self.insert(part, at, true, Some(now));
+        self.insert(now, PartStart { part, at }, true, true);
     }
 
     /// Returns the starts that became news within `window` before `now`, by part.
--- a/crates/decisions/src/start_record.rs
+++ b/crates/decisions/src/start_record.rs
@@ -8,6 +8,8 @@
     pub(crate) at: MonotonicTime,
     /// Whether a request of this instance was answered.
     pub(crate) is_own: bool,
+    /// Latest start that other instances were to learn of.
+    pub(crate) announced: Option<MonotonicTime>,
     /// Time from which other instances should learn of it, because it clears the part.
     pub(crate) news_at: Option<MonotonicTime>,
 }
--- /dev/null
+++ b/crates/decisions/tests/quarantine_fleet/mod.rs
@@ -0,0 +1,7 @@
+//! Simulation of instances and backend servers, some of whose requests crash servers.
+
+mod fleet;
+mod outcome;
+mod scenario;
+
+pub use scenario::{Deadly, Scenario};
--- /dev/null
+++ b/crates/decisions/tests/quarantine_fleet/outcome.rs
@@ -0,0 +1,60 @@
+//! What was seen in a simulated fleet.
+
+use std::collections::BTreeMap;
+
+use hawthornquay_decisions::PartId;
+
+/// What was seen in a simulated fleet; times are in milliseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Times at which each deadly part crashed a server.
+    pub crashes: BTreeMap<PartId, Vec<u64>>,
+    /// Times at which requests with each deadly part reached a server.
+    pub deadly_sent: BTreeMap<PartId, Vec<u64>>,
+    /// Sound parts that some instance quarantined, with the time of the first.
+    pub sound_quarantined: BTreeMap<PartId, u64>,
+    /// Deadly parts that some instance quarantined, with the time of the first.
+    pub deadly_quarantined: BTreeMap<PartId, u64>,
+    /// Deadly parts that some instance released before the quarantine expired.
+    pub deadly_released: usize,
+    /// Times at which sound requests were begun to be answered at their first attempt.
+    pub sound_begun: Vec<u64>,
+    /// Times at which sound requests arrived.
+    pub sound_arrived: Vec<u64>,
+    /// Crashes and starts in updates from the end of the messages about the last crash on.
+    pub late_entries: usize,
+    /// Greatest number of crashes and starts in updates during one second, per update.
+    pub most_entries: usize,
+}
+
+impl Outcome {
+    /// Returns the greatest number of requests with one deadly part that reached servers over 5 s
+    /// after its fifth crash.
+    pub fn deadly_late(&self) -> usize {
+        let late = |(part, crashes): (&PartId, &Vec<u64>)| {
+            let fifth = *crashes.get(4)?;
+            let sent = self.deadly_sent[part].iter();
+            Some(sent.filter(|&&at| at > fifth + 5_000).count())
+        };
+        self.crashes.iter().filter_map(late).max().unwrap_or(0)
+    }
+
+    /// Returns the number of crashes of the deadly part with fewest.
+    pub fn fewest_crashes(&self) -> usize {
+        self.crashes.values().map(Vec::len).min().unwrap_or(0)
+    }
+
+    /// Returns the share of the sound requests from `from` on that began at their first attempt.
+    pub fn sound_share(&self, from: u64) -> f64 {
+        let count = |times: &[u64]| times.iter().filter(|&&at| at >= from).count() as f64;
+        count(&self.sound_begun) / count(&self.sound_arrived).max(1.0)
+    }
+
+    /// Returns the first sound part that was quarantined among the first parts of prompts.
+    pub fn sound_first_part(&self) -> Option<PartId> {
+        self.sound_quarantined
+            .keys()
+            .copied()
+            .find(|part| part.0 < 1_000)
+    }
+}
