--- a/crates/decisions/src/quarantine_table.rs
+++ b/crates/decisions/src/quarantine_table.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Map, MonotonicTime, PartId, QuarantinedPart, Set, former_quarantine::FormerQuarantine,
-    quarantine_entry::QuarantineEntry, start_log::CLOCK_ERROR,
+    quarantine_entry::QuarantineEntry,
 };
 
 /// Greatest number of quarantined parts.
@@ -13,6 +13,12 @@
 /// Greatest number of ended quarantines that are kept.
 const MAX_FORMER: usize = 64;
 
+/// A start ends a quarantine if it is later than the first crash by this.
+///
+/// An answer may have begun just before a part became deadly. Relayed times have an error at each
+/// instance, so that it may seem several 100 ms later than it was, and the crash earlier.
+const START_MARGIN: Duration = Duration::from_secs(1);
+
 /// A quarantine reported by another instance that began at most this much later than the known one
 /// is the same quarantine.
 const SAME_QUARANTINE: Duration = Duration::from_secs(2);
@@ -118,7 +124,7 @@
         {
             return None;
         }
-        let cleared_by = start.filter(|&at| at > reported.first_crash_at + CLOCK_ERROR);
+        let cleared_by = start.filter(|&at| at > reported.first_crash_at + START_MARGIN);
         if cleared_by.is_some() {
             return cleared_by;
         }
@@ -138,7 +144,7 @@
     /// Records a start of `part`; returns whether it ends a quarantine.
     pub(crate) fn clear(&mut self, part: PartId, at: MonotonicTime) -> bool {
         if let Some(entry) = self.entries.get(&part) {
-            if at <= entry.quarantined.first_crash_at + CLOCK_ERROR {
+            if at <= entry.quarantined.first_crash_at + START_MARGIN {
                 return false;
             }
             let quarantined = entry.quarantined;
@@ -151,7 +157,7 @@
         }
         if let Some(former) = self.former.get_mut(&part)
             && former.cleared_at.is_none()
-            && at > former.quarantined.first_crash_at + CLOCK_ERROR
+            && at > former.quarantined.first_crash_at + START_MARGIN
         {
             former.cleared_at = Some(at);
         }
--- a/crates/decisions/src/start_log.rs
+++ b/crates/decisions/src/start_log.rs
@@ -18,7 +18,7 @@
 const MAX_RECENT: usize = 8;
 
 /// Difference up to which the times of two instances may be wrong against each other.
-pub(crate) const CLOCK_ERROR: Duration = Duration::from_millis(300);
+const CLOCK_ERROR: Duration = Duration::from_millis(300);
 
 /// Latest answer that began to a request with each of the recent parts.
 #[derive(Clone, Debug, Default)]
--- a/crates/decisions/tests/part_quarantine_exchange.rs
+++ b/crates/decisions/tests/part_quarantine_exchange.rs
@@ -212,11 +212,11 @@
     let mut sender = Instance::new();
     sender.quarantine(DEADLY, 0);
     let mut receiver = Instance::at(sender.now);
-    // The first crash was at 1,000,000; the receiver sees it 150 ms earlier than it was.
+    // The first crash was at 1,000,000; the receiver sees it 700 ms earlier than it was.
     receiver.now = 999_990;
     receiver.start(&[DEADLY]);
     receiver.now = sender.now;
-    receiver.receive(&sender, EvidenceScope::All, -150);
+    receiver.receive(&sender, EvidenceScope::All, -700);
     assert_eq!(receiver.quarantined(), [DEADLY]);
 }
 
