Weigh home regions in the directory by requests, among regions with usable instances

Found by review: the directory named the regions that are a home to most routes of a host, whether or not they have a usable instance. With one more idle route for one region, callers of a lost region got no address, and idle routes could outvote the one that is used.

Change: an instance counts the requests with home regions that it admits (of the route and of the organisation), and each route once. Of the regions with a usable instance, those with at least nine tenths of the best one's weight are named, never one without any. A stopping process whose list still holds its earlier process does not name itself either.

--- a/crates/gateway/src/caller_directory.rs
+++ b/crates/gateway/src/caller_directory.rs
@@ -20,21 +20,31 @@
         let now = hawthornquay_clock::now();
         let configuration = self.operators.lock().configuration().cloned();
         // Without a configuration the home regions are unknown, so callers stay in their region.
-        let home_regions = configuration
-            .as_deref()
-            .map_or(Some(&[][..]), |configuration| {
-                configuration.route_index.home_regions(host)
-            });
+        let home_regions = configuration.map(|configuration| {
+            let routes = &configuration.route_index;
+            self.home_demand.lock().home_regions(routes, host)
+        });
+        let mut found = self.instances.lock().addresses_for(
+            now,
+            &self.id.name,
+            region,
+            domain,
+            home_regions.as_ref(),
+        );
         let own = &self.settings;
-        let mut found =
-            self.instances
-                .lock()
-                .addresses_for(now, &self.id.name, region, domain, home_regions);
+        let is_near = own.region == *region;
+        let own_region = std::iter::once(&own.region).collect();
         let may_name_own =
-            own.region == *region || home_regions.is_none_or(|homes| homes.contains(&own.region));
+            is_near || home_regions.is_some_and(|homes| !homes.best_of(&own_region).is_empty());
         if found.addresses.is_empty() && may_name_own && self.is_ready() {
-            found.addresses.push(own.callers);
-            found.regions.push(own.region.clone());
+            found = CallerAddresses::new(
+                if is_near {
+                    CallerProximity::Region
+                } else {
+                    CallerProximity::OtherRegion
+                },
+                [&self.to_listed_instance()].into_iter(),
+            );
         }
         self.report_caller_addresses(now, region, domain, &found);
         found.addresses
--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -179,9 +179,13 @@
         .as_deref()
         .map_or(&[][..], |config| &config.home_regions);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let allowed = allowed_regions(&gateway.regions, &route.home_regions, home_regions);
+    if allowed.len() < gateway.regions.len() {
+        gateway.home_demand.lock().record(&head.host, &allowed);
+    }
     Ok(AdmittedRequest {
         id: head.id,
-        allowed: allowed_regions(&gateway.regions, &route.home_regions, home_regions),
+        allowed,
         priority: organisation_config
             .as_deref()
             .and_then(|config| config.priority)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,8 +15,8 @@
 use hawthornquay_instances::{LinkPool, LinkSecurity, LocalInstance};
 use hawthornquay_operators::{GatewaySettings, Logs};
 use hawthornquay_traffic::{
-    InstanceList, ListedInstance, Offload, OperatorView, OrganisationLimits, RegionTable,
-    ServerTable,
+    HomeDemand, InstanceList, ListedInstance, Offload, OperatorView, OrganisationLimits,
+    RegionTable, ServerTable,
 };
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -37,7 +37,7 @@
 ///
 /// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`,
 /// `region_board`, `limits`, `instance_reports`, `offload`, `quarantine`. None is held across an
-/// `await`, and no other lock is taken while `quarantine` is held.
+/// `await`, and no other lock is taken while `quarantine` or `home_demand` is held.
 pub struct Gateway<C, H> {
     /// Settings of this instance.
     pub settings: GatewaySettings,
@@ -57,6 +57,8 @@
     pub(crate) servers: Mutex<ServerTable>,
     /// Instances of the fleet.
     pub(crate) instances: Mutex<InstanceList>,
+    /// Requests with home regions, by host.
+    pub(crate) home_demand: Mutex<HomeDemand>,
     /// Load reports of all regions.
     pub(crate) region_board: Mutex<RegionTable>,
     /// Rate limits of the organisations.
@@ -120,6 +122,7 @@
             configuration_document: Mutex::default(),
             servers: Mutex::default(),
             instances: Mutex::default(),
+            home_demand: Mutex::default(),
             region_board: Mutex::default(),
             limits: Mutex::new(OrganisationLimits::new(
                 settings.limit_slack,
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -7,8 +7,8 @@
 };
 
 use crate::{
-    CallerAddresses, CallerProximity, InstanceChanges, ListedInstance, removal_log::RemovalLog,
-    stable_hash,
+    CallerAddresses, CallerProximity, HomeRegions, InstanceChanges, ListedInstance,
+    removal_log::RemovalLog, stable_hash,
 };
 
 /// Time without a message after which an instance counts as silent and callers are not sent to it.
@@ -388,7 +388,7 @@
 
     /// Returns the addresses for callers in a failure domain: those of the instances in the same
     /// failure domain, or else in the same region, or else in the other regions to which the callers
-    /// may be sent, which are `home_regions` if there are any.
+    /// may be sent by `home_regions`; none if that is `None`.
     ///
     /// Leaving and silent instances are left out; `local` is this instance, which is never silent.
     pub fn addresses_for(
@@ -397,7 +397,7 @@
         local: &InstanceName,
         region: &RegionName,
         domain: &DomainName,
-        home_regions: Option<&[RegionName]>,
+        home_regions: Option<&HomeRegions>,
     ) -> CallerAddresses {
         let leads_region = self.region_led_by(now, local);
         let usable: Vec<&ListedInstance> = self
@@ -405,30 +405,36 @@
             .iter()
             .filter(|instance| !self.is_leaving(instance))
             .filter(|instance| {
-                instance.id.name == *local || !self.has_stopped_sending(now, instance, leads_region)
+                if instance.id.name == *local {
+                    // The list may still hold an earlier process of this instance.
+                    return !self.contacts.get(local).is_some_and(|own| own.leaving);
+                }
+                !self.has_stopped_sending(now, instance, leads_region)
             })
             .collect();
-        let is_near = |proximity: CallerProximity, instance: &ListedInstance| match proximity {
-            CallerProximity::Domain => instance.region == *region && instance.domain == *domain,
-            CallerProximity::Region => instance.region == *region,
-            CallerProximity::OtherRegion => {
-                home_regions.is_none_or(|homes| homes.contains(&instance.region))
-            }
-            CallerProximity::Nowhere => false,
+        let named = |proximity, is_named: &dyn Fn(&ListedInstance) -> bool| {
+            let named = usable.iter().copied().filter(|instance| is_named(instance));
+            let found = CallerAddresses::new(proximity, named.take(MAX_CALLER_ADDRESSES));
+            (!found.addresses.is_empty()).then_some(found)
         };
-        [
-            CallerProximity::Domain,
-            CallerProximity::Region,
-            CallerProximity::OtherRegion,
-        ]
-        .into_iter()
-        .map(|proximity| {
-            let named = usable
-                .iter()
-                .filter(|instance| is_near(proximity, instance));
-            CallerAddresses::new(proximity, named.take(MAX_CALLER_ADDRESSES).copied())
+        let near = named(CallerProximity::Domain, &|instance| {
+            instance.region == *region && instance.domain == *domain
+        })
+        .or_else(|| {
+            named(CallerProximity::Region, &|instance| {
+                instance.region == *region
+            })
+        });
+        if let Some(found) = near {
+            return found;
+        }
+        let usable_regions = usable.iter().map(|instance| &instance.region).collect();
+        let regions = home_regions.map(|homes| homes.best_of(&usable_regions));
+        named(CallerProximity::OtherRegion, &|instance| {
+            regions
+                .as_ref()
+                .is_some_and(|regions| regions.contains(&instance.region))
         })
-        .find(|found| !found.addresses.is_empty())
         .unwrap_or_default()
     }
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -15,6 +15,8 @@
 mod engine_config;
 mod execution_semantics;
 mod fleet_demand;
+mod home_demand;
+mod home_regions;
 mod instance_changes;
 mod instance_list;
 mod latency_model;
@@ -62,6 +64,8 @@
     engine_config::EngineConfig,
     execution_semantics::ExecutionSemantics,
     fleet_demand::FleetDemand,
+    home_demand::HomeDemand,
+    home_regions::HomeRegions,
     instance_changes::InstanceChanges,
     instance_list::InstanceList,
     latency_model::{LatencyModel, PREFILL_TOKENS_PER_MS},
--- a/crates/traffic/src/route_index.rs
+++ b/crates/traffic/src/route_index.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hawthornquay_decisions::{Map, RegionName};
+use hawthornquay_decisions::Map;
 
 use crate::Route;
 
@@ -10,10 +10,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
     hosts: Map<String, Map<String, Arc<Route>>>,
-    /// Regions that are a home to most routes of a host; hosts without any are left out.
-    host_home_regions: Map<String, Vec<RegionName>>,
-    /// Regions that are a home to most routes of all hosts.
-    all_home_regions: Option<Vec<RegionName>>,
 }
 
 impl RouteIndex {
@@ -27,28 +23,22 @@
                 .entry(route.prefix.clone())
                 .or_insert_with(|| route.clone());
         }
-        let host_home_regions = hosts
-            .iter()
-            .filter_map(|(host, routes)| Some((host.clone(), main_home_regions(routes.values())?)))
-            .collect();
-        Self {
-            hosts,
-            host_home_regions,
-            all_home_regions: main_home_regions(routes.iter()),
-        }
+        Self { hosts }
     }
 
-    /// Returns the regions besides their own to which callers of `host` may be sent: those that are a
-    /// home to most of its routes, since a caller is sent there before it names a route. `None` if no
-    /// route has home regions.
-    ///
-    /// For an unknown host, the routes of all hosts count.
-    pub fn home_regions(&self, host: &str) -> Option<&[RegionName]> {
+    /// Returns the hosts that have routes.
+    pub fn hosts(&self) -> impl Iterator<Item = &str> {
+        self.hosts.keys().map(String::as_str)
+    }
+
+    /// Returns the routes of a host, or all routes if the host is unknown.
+    pub fn routes_of(&self, host: &str) -> impl Iterator<Item = &Arc<Route>> {
         let host = normalised(host);
-        if self.hosts.contains_key(&host) {
-            return self.host_home_regions.get(&host).map(Vec::as_slice);
-        }
-        self.all_home_regions.as_deref()
+        let is_known = self.hosts.contains_key(&host);
+        self.hosts
+            .iter()
+            .filter(move |(name, _)| !is_known || **name == host)
+            .flat_map(|(_, routes)| routes.values())
     }
 
     /// Returns the route with the longest prefix that matches `path`.
@@ -63,18 +53,7 @@
 }
 
 /// Returns a host in lowercase and without its port.
-fn normalised(host: &str) -> String {
+pub(crate) fn normalised(host: &str) -> String {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     name.to_ascii_lowercase()
 }
-
-/// Returns the regions that are a home to most of `routes`, or `None` if no route has home regions.
-fn main_home_regions<'a>(routes: impl Iterator<Item = &'a Arc<Route>>) -> Option<Vec<RegionName>> {
-    let mut counts: Map<&RegionName, usize> = Map::default();
-    for region in routes.flat_map(|route| &route.home_regions) {
-        *counts.entry(region).or_default() += 1;
-    }
-    let most = *counts.values().max()?;
-    counts.retain(|_, count| *count == most);
-    Some(counts.into_keys().cloned().collect())
-}
