Let a stopping instance lead its region no more

Found by review: nobody sends status to a stopping instance, so 2.5 s after SIGTERM all others are silent to it, it finds no leader, and leads. For up to 5 s it then sends sums with only its own demand and work, alternating with those of the real leader.

Change: without a leader, an instance leads only if it is not stopping.

Evidence: is_leader_is_false_for_stopping_instance; the former rule led whenever no leader was found.

--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -41,10 +41,9 @@
     gateway: &Gateway<C, H>,
     time: MonotonicTime,
 ) -> bool {
-    if gateway.instances.lock().revision() == 0 {
-        return false;
-    }
-    leader(gateway, time).is_none_or(|leader| leader.id.name == gateway.id.name)
+    let instances = gateway.instances.lock();
+    let (region, own) = (&gateway.settings.region, &gateway.id.name);
+    instances.revision() > 0 && instances.is_leader(time, region, own)
 }
 
 /// Sends the state of this instance to the leader of its region. The leader itself sends the sums
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -248,6 +248,14 @@
             .min_by_key(|one| leadership_key(one))
     }
 
+    /// Returns whether `local` leads its region; an instance that is stopping never does.
+    pub fn is_leader(&self, now: MonotonicTime, region: &RegionName, local: &InstanceName) -> bool {
+        match self.leader_of(now, region, local) {
+            Some(leader) => leader.id.name == *local,
+            None => !self.contacts.get(local).is_some_and(|own| own.leaving),
+        }
+    }
+
     /// Returns the regions that have listed instances.
     pub fn regions(&self) -> Set<RegionName> {
         self.listed
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -164,6 +164,19 @@
     assert_eq!(hosts(&list, 8_000, "b"), ["10.0.0.3:2"]);
 }
 
+/// Guards against two leaders: nobody sends to a stopping instance, so all others are silent to it
+/// after a while.
+#[test]
+fn is_leader_is_false_for_stopping_instance() {
+    let mut list = list();
+    let (region, own) = (RegionName::new("a"), InstanceName::new("a1"));
+    assert!(list.is_leader(at(0), &region, &own));
+    list.record_message(at(0), &"a2".into(), 1, false);
+    list.record_message(at(0), &own, 1, true);
+    assert!(!list.is_leader(at(0), &region, &own));
+    assert!(!list.is_leader(at(10_000), &region, &own));
+}
+
 /// An unreachable instance must be replaced by another one of its region until its backoff ends.
 #[test]
 fn forward_target_in_replaces_unreachable_instance() {
