Count silence as a leader only once the instance has led for some time

Change: their silence counts once the instance has led for 2.5 s without a break. The choice of addresses moves to a file of its own.

Evidence: addresses_for_caller_include_silent_instances_at_hand_over; the former code names one of three instances at 60.1 s.

--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -52,7 +52,9 @@
     let time = now();
     gateway.evaluate_quarantine(time);
     let own = own_status(gateway, time);
-    if !is_leader(gateway, time) {
+    let leads = is_leader(gateway, time);
+    gateway.instances.lock().record_leadership(time, leads);
+    if !leads {
         if let Some(leader) = leader(gateway, time) {
             send_notice(gateway, &leader, Notice::Status(own)).await;
         }
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -2,17 +2,12 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use hawthornquay_decisions::{
-    DomainName, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set,
-};
+use hawthornquay_decisions::{InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set};
 
-use crate::{
-    CallerAddresses, CallerProximity, HomeRegions, InstanceChanges, ListedInstance,
-    removal_log::RemovalLog, stable_hash,
-};
+use crate::{InstanceChanges, ListedInstance, removal_log::RemovalLog, stable_hash};
 
 /// Time without a message after which an instance counts as silent and callers are not sent to it.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Number of instances, besides the first by rank, that are tried at a time as the leader of a
 /// region without recent messages. The leader exchanges reports with the other regions.
@@ -26,17 +21,14 @@
 /// owner. In such a region, an owner that is cut off serves at most a sixth of the callers.
 const MIN_INSTANCES_FOR_SECOND_OWNER: usize = 6;
 
-/// Maximum number of addresses returned to a caller.
-const MAX_CALLER_ADDRESSES: usize = 64;
-
 /// Last message from an instance, and its backoff.
 #[derive(Clone, Copy, Debug, Default)]
-struct Contact {
+pub(crate) struct Contact {
     /// Time of the last message from the instance.
-    last_message_at: Option<MonotonicTime>,
+    pub(crate) last_message_at: Option<MonotonicTime>,
     backoff_until: MonotonicTime,
-    leaving: bool,
-    incarnation: u64,
+    pub(crate) leaving: bool,
+    pub(crate) incarnation: u64,
 }
 
 /// Instances of the fleet, from the store's list and the messages that they send.
@@ -48,10 +40,12 @@
     /// Store revision of the list that last added or changed each instance.
     changed_at: Map<InstanceName, u64>,
     removals: RemovalLog<InstanceName>,
-    listed: Vec<ListedInstance>,
+    pub(crate) listed: Vec<ListedInstance>,
     /// Instances that are missing from the store's list but have sent a message recently.
     unlisted: Vec<ListedInstance>,
-    contacts: Map<InstanceName, Contact>,
+    pub(crate) contacts: Map<InstanceName, Contact>,
+    /// Time since which this instance has led its region without a break.
+    pub(crate) leading_since: Option<MonotonicTime>,
 }
 
 impl InstanceList {
@@ -256,6 +250,11 @@
         }
     }
 
+    /// Records whether this instance leads its region, and so receives messages from all others.
+    pub fn record_leadership(&mut self, now: MonotonicTime, leads: bool) {
+        self.leading_since = leads.then(|| self.leading_since.unwrap_or(now));
+    }
+
     /// Returns the regions that have listed instances.
     pub fn regions(&self) -> Set<RegionName> {
         self.listed
@@ -394,95 +393,7 @@
         contact.is_some_and(|contact| now < contact.backoff_until)
     }
 
-    /// Returns the addresses for callers in a failure domain: those of the instances in the same
-    /// failure domain, or else in the same region, or else in the other regions to which the callers
-    /// may be sent by `home_regions`; none if that is `None`.
-    ///
-    /// Leaving and silent instances are left out; `local` is this instance, which is never silent.
-    pub fn addresses_for(
-        &self,
-        now: MonotonicTime,
-        local: &InstanceName,
-        region: &RegionName,
-        domain: &DomainName,
-        home_regions: Option<&HomeRegions>,
-    ) -> CallerAddresses {
-        let leads_region = self.region_led_by(now, local);
-        let usable: Vec<&ListedInstance> = self
-            .listed
-            .iter()
-            .filter(|instance| !self.is_leaving(instance))
-            .filter(|instance| {
-                if instance.id.name == *local {
-                    // The list may still hold an earlier process of this instance.
-                    return !self.contacts.get(local).is_some_and(|own| own.leaving);
-                }
-                !self.has_stopped_sending(now, instance, leads_region)
-            })
-            .collect();
-        let named = |proximity, is_named: &dyn Fn(&ListedInstance) -> bool| {
-            let named = usable.iter().copied().filter(|instance| is_named(instance));
-            let found = CallerAddresses::new(proximity, named.take(MAX_CALLER_ADDRESSES));
-            (!found.addresses.is_empty()).then_some(found)
-        };
-        let near = named(CallerProximity::Domain, &|instance| {
-            instance.region == *region && instance.domain == *domain
-        })
-        .or_else(|| {
-            named(CallerProximity::Region, &|instance| {
-                instance.region == *region
-            })
-        });
-        if let Some(found) = near {
-            return found;
-        }
-        let usable_regions = usable.iter().map(|instance| &instance.region).collect();
-        let regions = home_regions.map(|homes| homes.best_of(&usable_regions));
-        named(CallerProximity::OtherRegion, &|instance| {
-            regions
-                .as_ref()
-                .is_some_and(|regions| regions.contains(&instance.region))
-        })
-        .unwrap_or_default()
-    }
-
-    /// Returns the region of `local` if it leads that region.
-    fn region_led_by(&self, now: MonotonicTime, local: &InstanceName) -> Option<&RegionName> {
-        let region = &self.get(local)?.region;
-        let leader = self.leader_of(now, region, local)?;
-        (leader.id.name == *local).then_some(region)
-    }
-
-    /// Returns whether the listed process of an instance has sent messages and now fails to.
-    ///
-    /// Instances send regularly to the leader of their region, here that of `leads_region`, and
-    /// otherwise only while they are leaders themselves. So the silence of an earlier process, or of
-    /// a leader that another one has replaced, does not count.
-    fn has_stopped_sending(
-        &self,
-        now: MonotonicTime,
-        instance: &ListedInstance,
-        leads_region: Option<&RegionName>,
-    ) -> bool {
-        let Some(contact) = self.contacts.get(&instance.id.name) else {
-            return false;
-        };
-        if contact.incarnation != instance.id.incarnation.0
-            || !self.is_silent(now, &instance.id.name)
-        {
-            return false;
-        }
-        leads_region == Some(&instance.region)
-            || !self.listed.iter().any(|other| {
-                let sent_at = self
-                    .contacts
-                    .get(&other.id.name)
-                    .and_then(|contact| contact.last_message_at);
-                other.region == instance.region && sent_at > contact.last_message_at
-            })
-    }
-
-    fn is_leaving(&self, instance: &ListedInstance) -> bool {
+    pub(crate) fn is_leaving(&self, instance: &ListedInstance) -> bool {
         self.contacts.get(&instance.id.name).is_some_and(|contact| {
             contact.leaving && contact.incarnation == instance.id.incarnation.0
         })
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -18,6 +18,7 @@
 mod home_demand;
 mod home_regions;
 mod instance_changes;
+mod instance_directory;
 mod instance_list;
 mod latency_model;
 mod listed_instance;
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -164,6 +164,34 @@
     assert_eq!(hosts(&list, 8_000, "b"), ["10.0.0.3:2"]);
 }
 
+/// Guards against a directory that names only itself once its instance leads again: the messages of
+/// the others date from the time when it led before.
+#[test]
+fn addresses_for_caller_include_silent_instances_at_hand_over() {
+    let mut list = list();
+    let listed = vec![
+        instance("a1", "a", 1),
+        instance("a2", "a", 2),
+        instance("a3", "a", 4),
+    ];
+    list.apply_listing(at(0), 6, listed);
+    let others = ["10.0.0.2:2", "10.0.0.4:2"];
+    list.record_leadership(at(0), true);
+    for name in ["a2", "a3"] {
+        list.record_message(at(2_000), &name.into(), 1, false);
+    }
+    assert_eq!(hosts(&list, 3_000, "a")[1..], others);
+    assert_eq!(
+        hosts(&list, 6_000, "a").len(),
+        1,
+        "both are silent to the leader"
+    );
+    list.record_leadership(at(10_000), false);
+    list.record_leadership(at(60_000), true);
+    list.record_message(at(59_000), &"a2".into(), 1, false);
+    assert_eq!(hosts(&list, 60_100, "a")[1..], others);
+}
+
 /// Guards against two leaders: nobody sends to a stopping instance, so all others are silent to it
 /// after a while.
 #[test]
