Refuse a forwarded request without organisation on a route that needs one

Found by review: the receiver of a forwarded request took it without organisation, and so without the organisation's home regions, if the sender's older configuration had no organisations or an open route.

Change: sender and receiver ask the same question of their configuration; the receiver refuses as for other differences between configurations, and the request has not run.

Evidence: requires_organisation_unless_route_is_open. The refusal itself needs two instances with different configurations and is not tested with processes.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -226,7 +226,7 @@
     route: &Route,
     key: Option<&str>,
 ) -> Result<Option<OrganisationId>, Refusal> {
-    if route.open || configuration.organisations.is_empty() {
+    if !configuration.requires_organisation(route) {
         return Ok(None);
     }
     let organisation = key.and_then(|key| configuration.keys.get(key));
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -107,6 +107,12 @@
             "the organisation is not known",
         ));
     }
+    if organisation.is_none() && configuration.requires_organisation(&route) {
+        return Err(refusal(
+            RefusalCode::StaleBundle,
+            "the route needs an organisation",
+        ));
+    }
     let home_regions = organisation_config.map_or(&[][..], |config| &config.home_regions);
     let allowed = allowed_regions(&gateway.regions, &route.home_regions, home_regions);
     if !allowed.contains(&gateway.settings.region) {
--- a/crates/traffic/src/configuration.rs
+++ b/crates/traffic/src/configuration.rs
@@ -38,6 +38,11 @@
         self
     }
 
+    /// Returns whether a request on `route` needs the key of an organisation.
+    pub fn requires_organisation(&self, route: &Route) -> bool {
+        !route.open && !self.organisations.is_empty()
+    }
+
     /// Returns the configuration of a service, or `None` if the service is unknown.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceConfig> {
         self.services.get(name)
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -353,6 +353,20 @@
     assert!((0..100).all(|rank| poll_interval(rank) <= Duration::from_secs(2)));
 }
 
+/// Guards against a forwarded request without organisation, to which the receiver would not apply the
+/// organisation's home regions: only open routes and configurations without organisations need none.
+#[test]
+fn requires_organisation_unless_route_is_open() {
+    let configured = configuration(1, 1);
+    let open = Route {
+        open: true,
+        ..route("open", "/a/")
+    };
+    assert!(configured.requires_organisation(&route("closed", "/b/")));
+    assert!(!configured.requires_organisation(&open));
+    assert!(!Configuration::default().requires_organisation(&route("closed", "/b/")));
+}
+
 /// The longest prefix must win, and hosts must be compared without port and case.
 #[test]
 fn find_prefers_longest_prefix() {
