--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -231,21 +231,30 @@
 
     /// Returns which of the parts with the same number of crashes are quarantined.
     ///
-    /// A part that is known to have been served before is less likely than one that is not. Parts with
-    /// the same crashes cannot be told apart otherwise.
+    /// The latest crashes, which do not count yet, tell some of them apart. A part that is known to
+    /// have been served before is less likely than one that is not. The others are all quarantined if
+    /// they have the same crashes.
     fn most_likely(&self, best: Suspect, tied: &[Suspect]) -> Vec<Suspect> {
-        let all: Vec<_> = std::iter::once(best).chain(tied.iter().copied()).collect();
-        let mut likely: Vec<_> = all
+        let rank = |suspect: &Suspect| {
+            let crashes = self
+                .crashes_with(suspect.part)
+                .filter(|(_, record)| !self.starts.clears(suspect.part, record.evidence.at))
+                .count();
+            (crashes, self.starts.at(suspect.part).is_none())
+        };
+        let all = std::iter::once(best).chain(tied.iter().copied());
+        let ranked: Vec<_> = all.map(|suspect| (rank(&suspect), suspect)).collect();
+        let Some(&(highest, first)) = ranked
             .iter()
-            .copied()
-            .filter(|suspect| self.starts.at(suspect.part).is_none())
-            .collect();
-        if likely.is_empty() {
-            likely = all;
-        }
-        let crashes = likely[0].crashes;
-        likely.retain(|suspect| suspect.crashes == crashes);
-        likely
+            .max_by_key(|(rank, suspect)| (*rank, Reverse(suspect.part)))
+        else {
+            return Vec::new();
+        };
+        ranked
+            .into_iter()
+            .filter(|(rank, suspect)| *rank == highest && suspect.crashes == first.crashes)
+            .map(|(_, suspect)| suspect)
+            .collect()
     }
 
     fn quarantine(&self, suspect: Suspect) -> Option<QuarantinedPart> {
