--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -33,6 +33,9 @@
 /// of it, answers that have begun since: each takes up to a second.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Time before the first crash with a part in which other crashes show another cause.
+const OTHER_CRASHES_BEFORE: Duration = Duration::from_secs(5);
+
 /// Chooses the parts that explain the crashes which no known part explains.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QuarantineChoice<'a> {
@@ -221,8 +224,11 @@
             MIN_CRASHES_WITHOUT_CONTRAST
         };
         let other_crashes = self
-            .settled(!best.crashes & !explained)
-            .filter(|(_, record)| record.evidence.at > first_at)
+            .records(!explained)
+            .filter(|(_, record)| {
+                record.evidence.at + OTHER_CRASHES_BEFORE > first_at
+                    && record.evidence.parts.binary_search(&best.part).is_err()
+            })
             .count();
         let other_suspects = self.remaining(suspects, best.crashes | explained).len();
         let crashes = events + other_crashes / OTHER_CRASHES_PER_CRASH + other_suspects;
