Pass on that another region ended a request for its quarantined part

Found by review: a request that had reached a server in another region when its part was quarantined came back as a failed backend server, and the sender, which did not know of the quarantine yet, sent a resumable one to a further server.

Change: between instances the code stays prompt-quarantined, with execution unknown; the sender makes no other attempt. Callers still get 502, since 503 promises that the request has not run.

Not tested with processes: it needs a region that lacks the evidence of another one.

--- a/crates/gateway/src/exchange_quarantine.rs
+++ b/crates/gateway/src/exchange_quarantine.rs
@@ -43,13 +43,21 @@
     }
 
     /// Returns `refusal`, or one with the same message and time if the request may have run.
+    ///
+    /// The code tells another instance not to try the request elsewhere. Callers get that of a
+    /// failed backend server instead, since the status of the former promises that it has not run.
     fn quarantine_refusal(&self, refusal: Refusal) -> Refusal {
         if self.execution == Execution::NotRun {
             return refusal;
         }
+        let code = if self.request.forwarded {
+            refusal.code
+        } else {
+            RefusalCode::BackendFailed
+        };
         Refusal {
             retry_after: refusal.retry_after,
-            ..Refusal::unknown(RefusalCode::BackendFailed, &refusal.message)
+            ..Refusal::unknown(code, &refusal.message)
         }
     }
 }
