--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -14,6 +14,9 @@
 /// Crashes at different times that are enough against a part.
 const MIN_CRASHES: usize = 3;
 
+/// Crashes against a part without a known start that are enough if they were at one time fewer.
+const MIN_CRASHES_IN_FEWER_EVENTS: u32 = 5;
+
 /// Crashes at different times that are enough if another part occurs in as many of them, or if all
 /// servers had the same address.
 const MIN_CRASHES_WITHOUT_CONTRAST: usize = 5;
@@ -178,7 +181,7 @@
     fn best(suspects: &[Suspect]) -> Option<(Suspect, Vec<Suspect>)> {
         let open = suspects
             .iter()
-            .filter(|suspect| suspect.events >= MIN_CRASHES);
+            .filter(|suspect| suspect.events >= MIN_CRASHES || Self::is_dense(suspect));
         let best = *open
             .clone()
             .max_by_key(|suspect| (suspect.count(), suspect.events, Reverse(suspect.part)))?;
@@ -232,7 +235,17 @@
             .count();
         let other_suspects = self.remaining(suspects, best.crashes | explained).len();
         let crashes = events + other_crashes / OTHER_CRASHES_PER_CRASH + other_suspects;
-        best.events >= events && best.count() as usize >= crashes
+        let is_dense = Self::is_dense(&best) && self.starts.at(best.part).is_none();
+        let best_events = best.events + usize::from(is_dense);
+        best_events >= events && best.count() as usize >= crashes
+    }
+
+    /// Returns whether several crashes in quick succession, twice, count as three single ones.
+    ///
+    /// A popular part may have these while most servers fail for another reason; if it is known to
+    /// have been served, they are not enough.
+    const fn is_dense(suspect: &Suspect) -> bool {
+        suspect.events == MIN_CRASHES - 1 && suspect.count() >= MIN_CRASHES_IN_FEWER_EVENTS
     }
 
     /// Returns which of the parts with the same number of crashes are quarantined.
--- a/crates/decisions/tests/part_quarantine_fleet.rs
+++ b/crates/decisions/tests/part_quarantine_fleet.rs
@@ -107,6 +107,26 @@
     }
 }
 
+/// Guards against faults that single seeds have shown: sound parts that were on the same first servers,
+/// a start from before the first crash, and five crashes at two times only.
+#[test]
+fn deadly_part_former_failures_bounded() {
+    play_bounded(Scenario::grown(15).deadly(&[Deadly::KnownFirstPart]));
+    play_bounded(Scenario::new(3008).deadly(&[Deadly::KnownFirstPart]));
+    play_found(Scenario::new(3008).deadly(&[Deadly::NewSubject, Deadly::KnownFirstPart]));
+    let mut scenario = Scenario::new(1062);
+    scenario.prefill = 200..900;
+    play_bounded(scenario);
+    let mut scenario = Scenario::new(12_711_790_843_762_860_320).deadly(&[Deadly::NewFirstPart]);
+    scenario.servers = 36;
+    scenario.requests_per_s = 66.986_113;
+    scenario.share = 0.014_531_801_184_139_482;
+    scenario.first_parts = 2;
+    scenario.loss = 0.091_065_869;
+    scenario.clock_error = 74;
+    play_bounded(scenario);
+}
+
 /// Guards against rates at which a fixed time or number of crashes is too short or too long.
 #[test]
 fn deadly_part_any_share_bounded() {
