--- a/crates/decisions/tests/part_quarantine.rs
+++ b/crates/decisions/tests/part_quarantine.rs
@@ -211,6 +211,19 @@
     assert!(instance.changes.is_empty());
 }
 
+/// Guards against the quarantine of a sound part while another one is as suspicious, which shows that
+/// requests were on failing servers several times by chance.
+#[test]
+fn kill_other_suspect_not_quarantined() {
+    let mut instance = Instance::new();
+    for server in 0..5_u16 {
+        let subject = 10 + u64::from(server) % 2;
+        instance.crash(server, &[subject]).serve(600);
+    }
+    instance.serve(10_000);
+    assert!(instance.changes.is_empty());
+}
+
 /// Guards against a deadly part that ends more servers in a second than are kept, so that no kept
 /// crash is old enough for a decision.
 #[test]
--- a/crates/decisions/tests/part_quarantine_fleet.rs
+++ b/crates/decisions/tests/part_quarantine_fleet.rs
@@ -263,6 +263,20 @@
     }
 }
 
+/// Guards against the quarantine of sound parts that many parts in the same crashes show to be sound,
+/// when regions of a large fleet fail faster than their requests can be repeated.
+#[test]
+fn region_losses_in_quick_succession_not_quarantined() {
+    for seed in seeds(2) {
+        let mut scenario = Scenario::grown(seed);
+        scenario.kills = (0..6)
+            .flat_map(|loss| (0..30).map(move |index| (loss, 3 * index + loss % 3)))
+            .map(|(loss, server)| (8_000 + loss as u64 * 1_500, server))
+            .collect();
+        play_sound(scenario);
+    }
+}
+
 /// Guards against the quarantine of what some failing servers were asked for.
 #[test]
 fn flapping_sound_requests_not_quarantined() {
