--- a/crates/decisions/tests/part_quarantine_fleet.rs
+++ b/crates/decisions/tests/part_quarantine_fleet.rs
@@ -190,6 +190,16 @@
     }
 }
 
+/// Guards against a second deadly part that is found too late, since almost all crashes contain the
+/// first one as well.
+#[test]
+fn two_deadly_parts_one_in_many_requests_bounded() {
+    for seed in seeds(4) {
+        let pair = [Deadly::NewSubject, Deadly::KnownFirstPart];
+        play_bounded(Scenario::grown(seed).deadly(&pair));
+    }
+}
+
 /// Guards against a deadly part that is not found with the evidence of one region.
 #[test]
 fn deadly_part_regions_cut_found() {
