--- a/crates/decisions/src/crash_log.rs
+++ b/crates/decisions/src/crash_log.rs
@@ -117,7 +117,7 @@
     /// Removes expired crashes, and some of the others when there are too many.
     ///
     /// Those for which `is_relevant` is false are removed first, then those that are closest in time
-    /// to others. In a large fleet, a deadly part ends more servers in a second than are kept, and
+    /// to others. In a large fleet, a crashing part ends more servers in a second than are kept, and
     /// the evidence has to span the time that a decision needs.
     pub(crate) fn prune(
         &mut self,
--- a/crates/decisions/src/crash_record.rs
+++ b/crates/decisions/src/crash_record.rs
@@ -16,7 +16,7 @@
 
 impl CrashRecord {
     /// Returns when the record last changed for receivers of `scope`.
-    pub(crate) fn news_at(&self, scope: EvidenceScope) -> Option<MonotonicTime> {
+    pub(crate) fn sent_from(&self, scope: EvidenceScope) -> Option<MonotonicTime> {
         match scope {
             EvidenceScope::Local => self.seen_at,
             EvidenceScope::All => Some(self.grown_at),
--- a/crates/decisions/src/part_quarantine.rs
+++ b/crates/decisions/src/part_quarantine.rs
@@ -9,7 +9,7 @@
 };
 
 /// Time for which new evidence is sent: two rounds, and some time for a late one.
-const NEWS_DURATION: Duration = Duration::from_millis(700);
+const SEND_DURATION: Duration = Duration::from_millis(700);
 
 /// Greatest number of crashes in an update.
 const MAX_CRASHES_PER_UPDATE: usize = 16;
@@ -109,11 +109,11 @@
             .records()
             .iter()
             .filter_map(|record| {
-                let news_at = record.news_at(scope)?;
-                (now.since(news_at) <= NEWS_DURATION).then_some((news_at, record))
+                let sent_from = record.sent_from(scope)?;
+                (now.since(sent_from) <= SEND_DURATION).then_some((sent_from, record))
             })
             .collect();
-        crashes.sort_by_key(|&(news_at, _)| std::cmp::Reverse(news_at));
+        crashes.sort_by_key(|&(sent_from, _)| std::cmp::Reverse(sent_from));
         let mut crashes: Vec<_> = crashes
             .into_iter()
             .map(|(_, record)| CrashEvidence {
@@ -126,7 +126,7 @@
         crashes.sort_by(|a, b| (a.at, &a.server).cmp(&(b.at, &b.server)));
         QuarantineUpdate {
             crashes,
-            starts: self.starts.news(now, NEWS_DURATION, scope),
+            starts: self.starts.recent(now, SEND_DURATION, scope),
             quarantined: self.table.quarantined(now),
         }
     }
@@ -179,11 +179,11 @@
             table,
             ..
         } = self;
-        let culprits = table.culprits();
+        let known_causes = table.known_causes();
         crashes.prune(now, |crash| {
             let is_suspected = |&part| !starts.clears(part, crash.at);
-            let is_culprit = |part| culprits.contains(part);
-            crash.parts.iter().any(is_suspected) && !crash.parts.iter().any(is_culprit)
+            let is_known_cause = |part| known_causes.contains(part);
+            crash.parts.iter().any(is_suspected) && !crash.parts.iter().any(is_known_cause)
         });
         starts.expire(now, crashes);
     }
--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -55,7 +55,7 @@
     /// this is repeated for the remaining crashes.
     pub(crate) fn choose(&self) -> Vec<(QuarantinedPart, usize)> {
         let mut chosen = self.relapsed();
-        let mut explained = self.crashes.with_parts(&self.table.culprits());
+        let mut explained = self.crashes.with_parts(&self.table.known_causes());
         // Crashes of likely parts that cannot be decided yet; they count against no other part.
         let mut undecided = 0;
         let suspects = self.suspects(explained);
@@ -198,9 +198,9 @@
 
     /// Returns whether the crashes are enough to decide.
     ///
-    /// If servers fail for another reason as well, a sound part may be in several of the crashes by
+    /// If servers fail for another reason as well, a healthy part may be in several of the crashes by
     /// chance. This shows in crashes without the part and in other parts that are suspected for these,
-    /// and then more crashes with the part are required. If no server begins any answer, sound parts
+    /// and then more crashes with the part are required. If no server begins any answer, healthy parts
     /// are not cleared.
     fn is_sufficient(
         &self,
--- a/crates/decisions/src/quarantine_table.rs
+++ b/crates/decisions/src/quarantine_table.rs
@@ -15,7 +15,7 @@
 
 /// A start ends a quarantine if it is later than the first crash by this.
 ///
-/// An answer may have begun just before a part became deadly. Relayed times have an error at each
+/// An answer may have begun just before a part began to crash servers. Relayed times have an error at each
 /// instance, so that it may seem several 100 ms later than it was, and the crash earlier.
 const START_MARGIN: Duration = Duration::from_secs(1);
 
@@ -66,7 +66,7 @@
     /// Returns the parts that explain the crashes that contain them.
     ///
     /// These are the quarantined ones and those on probation.
-    pub(crate) fn culprits(&self) -> Set<PartId> {
+    pub(crate) fn known_causes(&self) -> Set<PartId> {
         let on_probation = self
             .former
             .iter()
--- a/crates/decisions/src/start_log.rs
+++ b/crates/decisions/src/start_log.rs
@@ -56,8 +56,8 @@
 
     /// Records the start of a request of this instance.
     pub(crate) fn record_own(&mut self, now: MonotonicTime, part: PartId, crashes: &CrashLog) {
-        let is_news = self.is_news(part, now, crashes);
-        self.insert(now, PartStart { part, at: now }, true, is_news);
+        let is_announced = self.is_announced(part, now, crashes);
+        self.insert(now, PartStart { part, at: now }, true, is_announced);
         self.prune(now, crashes);
     }
 
@@ -74,11 +74,11 @@
         if self.at(start.part).is_some_and(|at| start.at <= at) {
             return;
         }
-        let is_news = self.is_news(start.part, start.at, crashes)
+        let is_announced = self.is_announced(start.part, start.at, crashes)
             && self
                 .announced(start.part)
                 .is_none_or(|at| start.at.since(at) > CLOCK_ERROR);
-        self.insert(now, start, false, is_news);
+        self.insert(now, start, false, is_announced);
         self.prune(now, crashes);
     }
 
@@ -86,7 +86,7 @@
     ///
     /// Receivers see the times with an error, so that a start shortly after the crash may not clear
     /// the part there; further starts are announced until one is later than the error.
-    fn is_news(&self, part: PartId, at: MonotonicTime, crashes: &CrashLog) -> bool {
+    fn is_announced(&self, part: PartId, at: MonotonicTime, crashes: &CrashLog) -> bool {
         crashes.latest(part).is_some_and(|crash_at| {
             at > crash_at
                 && self
@@ -99,19 +99,19 @@
         self.starts.get(&part)?.announced
     }
 
-    fn insert(&mut self, now: MonotonicTime, start: PartStart, is_own: bool, is_news: bool) {
+    fn insert(&mut self, now: MonotonicTime, start: PartStart, is_own: bool, is_announced: bool) {
         let PartStart { part, at } = start;
         let record = self.starts.entry(part).or_insert(StartRecord {
             at,
             is_own,
             announced: None,
-            news_at: None,
+            sent_from: None,
         });
         record.at = at;
         record.is_own = is_own;
-        if is_news {
+        if is_announced {
             record.announced = Some(at);
-            record.news_at = Some(now);
+            record.sent_from = Some(now);
         }
     }
 
@@ -128,7 +128,7 @@
                 && start.at > crash_at
             {
                 start.announced = Some(start.at);
-                start.news_at = Some(now);
+                start.sent_from = Some(now);
             }
         }
     }
@@ -139,8 +139,8 @@
         self.insert(now, PartStart { part, at }, true, true);
     }
 
-    /// Returns the starts that became news within `window` before `now`, by part.
-    pub(crate) fn news(
+    /// Returns the starts that are sent from within `window` before `now`, by part.
+    pub(crate) fn recent(
         &self,
         now: MonotonicTime,
         window: Duration,
@@ -150,7 +150,7 @@
             .starts
             .iter()
             .filter(|(_, start)| start.is_own || scope == EvidenceScope::All)
-            .filter(|(_, start)| start.news_at.is_some_and(|at| now.since(at) <= window))
+            .filter(|(_, start)| start.sent_from.is_some_and(|at| now.since(at) <= window))
             .map(|(&part, start)| PartStart { part, at: start.at })
             .collect();
         starts.sort_unstable_by_key(|start| start.part);
@@ -183,7 +183,7 @@
     /// Removes all starts that are neither recent nor of a part with a crash.
     pub(crate) fn expire(&mut self, now: MonotonicTime, crashes: &CrashLog) {
         self.starts.retain(|&part, start| {
-            now.since(start.at.max(start.news_at.unwrap_or_default())) < START_LIFETIME
+            now.since(start.at.max(start.sent_from.unwrap_or_default())) < START_LIFETIME
                 || crashes.latest(part).is_some()
         });
         self.prune_above = 0;
--- a/crates/decisions/src/start_record.rs
+++ b/crates/decisions/src/start_record.rs
@@ -11,5 +11,5 @@
     /// Latest start that other instances were to learn of.
     pub(crate) announced: Option<MonotonicTime>,
     /// Time from which other instances should learn of it, because it clears the part.
-    pub(crate) news_at: Option<MonotonicTime>,
+    pub(crate) sent_from: Option<MonotonicTime>,
 }
--- a/crates/decisions/tests/part_quarantine.rs
+++ b/crates/decisions/tests/part_quarantine.rs
@@ -9,24 +9,24 @@
 
 const FIRST: u64 = 1;
 const SUBJECT: u64 = 2;
-const DEADLY: u64 = 100;
-const OTHER_DEADLY: u64 = 101;
+const CRASHING: u64 = 100;
+const OTHER_CRASHING: u64 = 101;
 const QUARANTINE_MS: u64 = 600_000;
 
-/// Guards against a deadly part that is found late or not at all, and against the loss of all requests
+/// Guards against a crashing part that is found late or not at all, and against the loss of all requests
 /// that share the first part or a popular subject with it.
 #[test]
-fn crash_shared_parts_only_deadly_quarantined() {
+fn crash_shared_parts_only_crashing_quarantined() {
     let mut instance = Instance::new();
     for server in 0..3 {
-        instance.crash(server, &[FIRST, DEADLY]);
+        instance.crash(server, &[FIRST, CRASHING]);
         instance.crash(server, &[FIRST, SUBJECT]);
         instance.serve(500).start(&[FIRST, SUBJECT]).serve(500);
     }
     instance.serve(DECISION_MS - 1_000);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
     let quarantined = QuarantineChange::Quarantined {
-        part: PartId(DEADLY),
+        part: PartId(CRASHING),
         crashes: 3,
     };
     assert_eq!(instance.changes, [quarantined]);
@@ -37,7 +37,7 @@
 fn crash_two_crashes_not_quarantined() {
     let mut instance = Instance::new();
     for server in 0..2 {
-        instance.crash(server, &[FIRST, DEADLY]).serve(1_000);
+        instance.crash(server, &[FIRST, CRASHING]).serve(1_000);
     }
     instance.serve(20_000);
     assert!(instance.quarantined().is_empty());
@@ -48,12 +48,12 @@
 fn crash_evidence_in_transit_not_quarantined() {
     let mut instance = Instance::new();
     for server in 0..3 {
-        instance.serve(500).crash(server, &[DEADLY]);
+        instance.serve(500).crash(server, &[CRASHING]);
     }
     instance.serve(1_800);
     assert!(instance.quarantined().is_empty());
     instance.serve(DECISION_MS - 1_800);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
 /// Guards against a part that was on a killed server and is quarantined although a retry succeeded.
@@ -93,19 +93,19 @@
     assert!(instance.changes.is_empty());
 }
 
-/// Guards against a deadly part that is never found where the service has one server.
+/// Guards against a crashing part that is never found where the service has one server.
 #[test]
 fn crash_service_with_one_server_quarantined() {
     let mut instance = Instance::new();
     for start in 0..5 {
-        instance.crash(start * 100, &[FIRST, DEADLY]).serve(1_500);
+        instance.crash(start * 100, &[FIRST, CRASHING]).serve(1_500);
         instance.start(&[FIRST]).serve(1_500);
     }
     instance.serve(DECISION_MS - 1_500);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
-/// Guards against the quarantine of sound parts while no server answers anything.
+/// Guards against the quarantine of healthy parts while no server answers anything.
 #[test]
 fn outage_no_answers_not_quarantined() {
     let mut instance = Instance::new();
@@ -116,12 +116,12 @@
     assert!(instance.changes.is_empty());
 }
 
-/// Guards against an innocent request that waits on the crashed servers beside the deadly one.
+/// Guards against an innocent request that waits on the crashed servers beside the crashing one.
 #[test]
-fn crash_several_requests_only_deadly_quarantined() {
+fn crash_several_requests_only_crashing_quarantined() {
     let mut instance = Instance::new();
     for server in 0..4_u16 {
-        instance.crash(server, &[FIRST, DEADLY]);
+        instance.crash(server, &[FIRST, CRASHING]);
         for other in 0..6 {
             let subject = 10 + u64::from(4 * server + other) % 13;
             instance.crash(server, &[FIRST, subject]);
@@ -129,7 +129,7 @@
         instance.serve(400).start(&[FIRST]).serve(300);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
 /// Guards against the quarantine of a part that was served well before, where a new part was on the
@@ -139,23 +139,23 @@
     let mut instance = Instance::new();
     instance.start(&[FIRST, SUBJECT]).serve(500);
     for server in 0..5 {
-        instance.crash(server, &[SUBJECT, DEADLY]).serve(600);
+        instance.crash(server, &[SUBJECT, CRASHING]).serve(600);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
-/// Guards against a part that became deadly only after it had been served.
+/// Guards against a part that became crashing only after it had been served.
 #[test]
 fn crash_part_served_before_quarantined() {
     let mut instance = Instance::new();
-    instance.start(&[FIRST, DEADLY]).serve(500);
+    instance.start(&[FIRST, CRASHING]).serve(500);
     for server in 0..3 {
-        instance.crash(server, &[FIRST, DEADLY]).serve(500);
+        instance.crash(server, &[FIRST, CRASHING]).serve(500);
         instance.start(&[FIRST]).serve(500);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
 /// Guards against an arbitrary choice between parts that always occur together, and against no
@@ -164,42 +164,44 @@
 fn tie_inseparable_parts_quarantined_after_five() {
     let mut instance = Instance::new();
     for server in 0..4 {
-        instance.crash(server, &[DEADLY, OTHER_DEADLY]).serve(1_000);
+        instance
+            .crash(server, &[CRASHING, OTHER_CRASHING])
+            .serve(1_000);
     }
     instance.serve(10_000);
     assert!(instance.quarantined().is_empty());
-    instance.crash(4, &[DEADLY, OTHER_DEADLY]);
+    instance.crash(4, &[CRASHING, OTHER_CRASHING]);
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [DEADLY, OTHER_DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING, OTHER_CRASHING]);
 }
 
-/// Guards against a second deadly part that the crashes of the first one hide.
+/// Guards against a second crashing part that the crashes of the first one hide.
 #[test]
-fn crash_two_deadly_parts_both_quarantined() {
+fn crash_two_crashing_parts_both_quarantined() {
     let mut instance = Instance::new();
     for pair in 0..5 {
-        instance.crash(2 * pair, &[FIRST, DEADLY]).serve(400);
-        instance.crash(2 * pair + 1, &[FIRST, OTHER_DEADLY]);
+        instance.crash(2 * pair, &[FIRST, CRASHING]).serve(400);
+        instance.crash(2 * pair + 1, &[FIRST, OTHER_CRASHING]);
         instance.serve(200).start(&[FIRST]).serve(200);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [DEADLY, OTHER_DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING, OTHER_CRASHING]);
 }
 
-/// Guards against the quarantine of parts that wait beside a deadly one that is known already.
+/// Guards against the quarantine of parts that wait beside a crashing one that is known already.
 #[test]
 fn crash_explained_by_known_part_not_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(DEADLY, 0);
+    instance.quarantine(CRASHING, 0);
     for server in 3..10 {
-        instance.crash(server, &[FIRST, SUBJECT, DEADLY]);
+        instance.crash(server, &[FIRST, SUBJECT, CRASHING]);
         instance.serve(600);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
-/// Guards against the quarantine of a sound part that is in three of many crashes by chance.
+/// Guards against the quarantine of a healthy part that is in three of many crashes by chance.
 #[test]
 fn kill_many_servers_part_in_few_not_quarantined() {
     let mut instance = Instance::new();
@@ -211,7 +213,7 @@
     assert!(instance.changes.is_empty());
 }
 
-/// Guards against the quarantine of a sound part while another one is as suspicious, which shows that
+/// Guards against the quarantine of a healthy part while another one is as suspicious, which shows that
 /// requests were on failing servers several times by chance.
 #[test]
 fn kill_other_suspect_not_quarantined() {
@@ -224,7 +226,7 @@
     assert!(instance.changes.is_empty());
 }
 
-/// Guards against a deadly part that ends more servers in a second than are kept, so that no kept
+/// Guards against a crashing part that ends more servers in a second than are kept, so that no kept
 /// crash is old enough for a decision.
 #[test]
 fn crash_hundreds_a_second_quarantined() {
@@ -232,29 +234,31 @@
     let mut server = 0;
     for _ in 0..36 {
         for _ in 0..30 {
-            instance.crash(server, &[FIRST, DEADLY, 1_000 + u64::from(server)]);
+            instance.crash(server, &[FIRST, CRASHING, 1_000 + u64::from(server)]);
             server += 1;
         }
         instance.start(&[FIRST]).serve(100);
     }
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
 /// Guards against a quarantine of the wrong part, or without an end.
 #[test]
 fn quarantined_several_parts_first_and_remaining() {
     let mut instance = Instance::new();
-    instance.quarantine(DEADLY, 0).quarantine(OTHER_DEADLY, 10);
-    let parts = ids(&[FIRST, OTHER_DEADLY, DEADLY]);
+    instance
+        .quarantine(CRASHING, 0)
+        .quarantine(OTHER_CRASHING, 10);
+    let parts = ids(&[FIRST, OTHER_CRASHING, CRASHING]);
     let (part, remaining) = instance
         .quarantine
         .quarantined(instance.clock(), &parts)
         .unwrap();
-    assert_eq!(part, PartId(OTHER_DEADLY));
+    assert_eq!(part, PartId(OTHER_CRASHING));
     assert!(remaining <= Duration::from_millis(QUARANTINE_MS));
     assert!(remaining > Duration::from_millis(QUARANTINE_MS - 10_000));
-    let sound = ids(&[FIRST, SUBJECT]);
-    let found = instance.quarantine.quarantined(instance.clock(), &sound);
+    let healthy = ids(&[FIRST, SUBJECT]);
+    let found = instance.quarantine.quarantined(instance.clock(), &healthy);
     assert_eq!(found, None);
 }
 
@@ -262,33 +266,33 @@
 #[test]
 fn expiry_after_ten_minutes_released() {
     let mut instance = Instance::new();
-    instance.quarantine(DEADLY, 0);
+    instance.quarantine(CRASHING, 0);
     instance.changes.clear();
     instance.wait(QUARANTINE_MS);
     assert!(instance.quarantined().is_empty());
     assert_eq!(
         instance.changes,
-        [QuarantineChange::Released(PartId(DEADLY))]
+        [QuarantineChange::Released(PartId(CRASHING))]
     );
 }
 
-/// Guards against three further crashes each time that the quarantine of a deadly part expires.
+/// Guards against three further crashes each time that the quarantine of a crashing part expires.
 #[test]
 fn probation_next_crash_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(DEADLY, 0).wait(QUARANTINE_MS);
-    assert!(!instance.is_quarantined(DEADLY));
-    instance.crash(50, &[FIRST, DEADLY]).evaluate();
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    instance.quarantine(CRASHING, 0).wait(QUARANTINE_MS);
+    assert!(!instance.is_quarantined(CRASHING));
+    instance.crash(50, &[FIRST, CRASHING]).evaluate();
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
-/// Guards against a part that has proved sound and is quarantined again for one crash.
+/// Guards against a part that has proved healthy and is quarantined again for one crash.
 #[test]
 fn probation_part_served_not_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(DEADLY, 0).wait(QUARANTINE_MS);
-    instance.start(&[DEADLY]).serve(1_000);
-    instance.crash(50, &[FIRST, DEADLY]).serve(10_000);
+    instance.quarantine(CRASHING, 0).wait(QUARANTINE_MS);
+    instance.start(&[CRASHING]).serve(1_000);
+    instance.crash(50, &[FIRST, CRASHING]).serve(10_000);
     assert!(instance.quarantined().is_empty());
 }
 
@@ -297,12 +301,12 @@
 fn probation_crash_explained_not_quarantined() {
     let mut instance = Instance::new();
     instance.quarantine(SUBJECT, 0).wait(QUARANTINE_MS);
-    instance.quarantine(DEADLY, 10);
-    instance.crash(50, &[SUBJECT, DEADLY]).serve(5_000);
-    assert_eq!(instance.quarantined(), [DEADLY]);
+    instance.quarantine(CRASHING, 10);
+    instance.crash(50, &[SUBJECT, CRASHING]).serve(5_000);
+    assert_eq!(instance.quarantined(), [CRASHING]);
 }
 
-/// Guards against a sound part that stays in quarantine although it was served.
+/// Guards against a healthy part that stays in quarantine although it was served.
 #[test]
 fn start_quarantined_part_released() {
     let mut instance = Instance::new();
@@ -317,14 +321,14 @@
     );
 }
 
-/// Guards against a deadly part that is not found since evidence from before a release is missing or
+/// Guards against a crashing part that is not found since evidence from before a release is missing or
 /// counts no more.
 #[test]
 fn release_further_crashes_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(DEADLY, 0);
-    instance.start(&[DEADLY]).serve(1_000);
-    instance.quarantine(DEADLY, 10);
+    instance.quarantine(CRASHING, 0);
+    instance.start(&[CRASHING]).serve(1_000);
+    instance.quarantine(CRASHING, 10);
 }
 
 /// Guards against quarantines without bound; the oldest ends first.
@@ -332,10 +336,10 @@
 fn capacity_forty_parts_newest_kept() {
     let mut instance = Instance::new();
     for index in 0..40 {
-        instance.quarantine(DEADLY + u64::from(index), 10 * index);
+        instance.quarantine(CRASHING + u64::from(index), 10 * index);
         instance.wait(1_000);
     }
-    let expected: Vec<u64> = (DEADLY + 8..DEADLY + 40).collect();
+    let expected: Vec<u64> = (CRASHING + 8..CRASHING + 40).collect();
     assert_eq!(instance.quarantined(), expected);
 }
 
--- a/crates/decisions/tests/part_quarantine_exchange.rs
+++ b/crates/decisions/tests/part_quarantine_exchange.rs
@@ -9,7 +9,7 @@
 
 const FIRST: u64 = 1;
 const SUBJECT: u64 = 2;
-const DEADLY: u64 = 100;
+const CRASHING: u64 = 100;
 
 /// Lets `ms` pass with exchanges each round, all others of region `a` led by its first instance and
 /// so on; updates are exchanged between regions if `is_connected`.
@@ -52,7 +52,7 @@
 fn evidence_spread_over_instances_quarantined_everywhere() {
     let mut regions = two_regions();
     for (region, index) in [(0, 1), (1, 2), (0, 2)] {
-        regions[region][index].crash((10 * region + index) as u16, &[FIRST, DEADLY]);
+        regions[region][index].crash((10 * region + index) as u16, &[FIRST, CRASHING]);
         exchange(&mut regions, 900, true, [100, -100]);
     }
     for instance in regions.iter_mut().flatten() {
@@ -60,7 +60,7 @@
     }
     exchange(&mut regions, DECISION_MS + 600, true, [100, -100]);
     for instance in regions.iter().flatten() {
-        assert_eq!(instance.quarantined(), [DEADLY]);
+        assert_eq!(instance.quarantined(), [CRASHING]);
     }
 }
 
@@ -98,7 +98,7 @@
     }
 }
 
-/// Guards against a sound part that one instance suspects while another serves it, also if the answer
+/// Guards against a healthy part that one instance suspects while another serves it, also if the answer
 /// began before that instance learned of the crash.
 #[test]
 fn start_at_other_instance_clears_part() {
@@ -115,39 +115,39 @@
     }
 }
 
-/// Guards against an instance that starts later and sends deadly requests to servers.
+/// Guards against an instance that starts later and sends crashing requests to servers.
 #[test]
 fn late_instance_learns_quarantine() {
     let mut leader = Instance::new();
-    leader.quarantine(DEADLY, 0).serve(60_000);
+    leader.quarantine(CRASHING, 0).serve(60_000);
     let mut late = Instance::at(500_000);
     late.receive(&leader, EvidenceScope::All, 50);
-    assert_eq!(late.quarantined(), [DEADLY]);
-    assert!(late.remaining(DEADLY).unwrap() < Duration::from_secs(541));
+    assert_eq!(late.quarantined(), [CRASHING]);
+    assert!(late.remaining(CRASHING).unwrap() < Duration::from_secs(541));
     // A leader that starts later learns it from its members.
     let mut new_leader = Instance::at(900_000);
     new_leader.receive(&late, EvidenceScope::Local, 50);
-    assert_eq!(new_leader.quarantined(), [DEADLY]);
+    assert_eq!(new_leader.quarantined(), [CRASHING]);
 }
 
-/// Guards against a deadly part that is not found behind a cut, and against a difference that stays
+/// Guards against a crashing part that is not found behind a cut, and against a difference that stays
 /// when the cut ends.
 #[test]
 fn cut_own_evidence_quarantined_then_shared() {
     let mut regions = two_regions();
     for server in 0..3 {
-        regions[0][1].crash(server, &[FIRST, DEADLY]);
+        regions[0][1].crash(server, &[FIRST, CRASHING]);
         exchange(&mut regions, 900, false, [100, -100]);
         regions[0][2].start(&[FIRST]);
     }
     exchange(&mut regions, DECISION_MS, false, [100, -100]);
-    assert_eq!(regions[0][2].quarantined(), [DEADLY]);
+    assert_eq!(regions[0][2].quarantined(), [CRASHING]);
     assert!(regions[1][2].quarantined().is_empty());
     exchange(&mut regions, 900, true, [100, -100]);
-    assert_eq!(regions[1][2].quarantined(), [DEADLY]);
+    assert_eq!(regions[1][2].quarantined(), [CRASHING]);
 }
 
-/// Guards against a sound part that stays in quarantine in one region, though the other one released
+/// Guards against a healthy part that stays in quarantine in one region, though the other one released
 /// it behind a cut.
 #[test]
 fn cut_release_behind_it_shared_afterwards() {
@@ -193,10 +193,10 @@
 #[test]
 fn expiry_exchange_not_prolonged() {
     let mut regions = two_regions();
-    regions[0][1].quarantine(DEADLY, 0);
+    regions[0][1].quarantine(CRASHING, 0);
     exchange(&mut regions, 598_500, true, [100, 100]);
     for instance in regions.iter().flatten() {
-        assert_eq!(instance.quarantined(), [DEADLY]);
+        assert_eq!(instance.quarantined(), [CRASHING]);
     }
     exchange(&mut regions, 3_000, true, [100, 100]);
     for instance in regions.iter().flatten() {
@@ -205,19 +205,19 @@
     }
 }
 
-/// Guards against the release of a deadly part by an answer before the first crash whose time seems
+/// Guards against the release of a crashing part by an answer before the first crash whose time seems
 /// later.
 #[test]
 fn start_within_clock_error_keeps_quarantine() {
     let mut sender = Instance::new();
-    sender.quarantine(DEADLY, 0);
+    sender.quarantine(CRASHING, 0);
     let mut receiver = Instance::at(sender.now);
     // The first crash was at 1,000,000; the receiver sees it 700 ms earlier than it was.
     receiver.now = 999_990;
-    receiver.start(&[DEADLY]);
+    receiver.start(&[CRASHING]);
     receiver.now = sender.now;
     receiver.receive(&sender, EvidenceScope::All, -700);
-    assert_eq!(receiver.quarantined(), [DEADLY]);
+    assert_eq!(receiver.quarantined(), [CRASHING]);
 }
 
 /// Guards against evidence that a member repeats to its leader, and against large updates.
@@ -239,27 +239,27 @@
     assert!(receiver.update(EvidenceScope::All).is_empty());
 }
 
-/// Guards against bytes for parts that are known to be sound, and starts that clear nothing.
+/// Guards against bytes for parts that are known to be healthy, and starts that clear nothing.
 #[test]
 fn update_cleared_parts_left_out() {
     let mut sender = Instance::new();
-    sender.crash(0, &[FIRST, SUBJECT, DEADLY]);
+    sender.crash(0, &[FIRST, SUBJECT, CRASHING]);
     sender.now += 100;
     sender.start(&[FIRST, SUBJECT, 500]);
     let update = sender.update(EvidenceScope::Local);
     assert_eq!(update.crashes.len(), 1);
     assert_eq!(update.crashes[0].server, name(0));
-    assert_eq!(update.crashes[0].parts, [PartId(DEADLY)]);
+    assert_eq!(update.crashes[0].parts, [PartId(CRASHING)]);
     let starts: Vec<_> = update.starts.iter().map(|start| start.part.0).collect();
     assert_eq!(starts, [FIRST, SUBJECT]);
 }
 
-/// Guards against a deadly part that is cleared or kept by times in the future, and against old crashes
+/// Guards against a crashing part that is cleared or kept by times in the future, and against old crashes
 /// that circulate.
 #[test]
 fn update_wrong_times_ignored() {
     let mut sender = Instance::new();
-    sender.crash(0, &[DEADLY]);
+    sender.crash(0, &[CRASHING]);
     let mut receiver = Instance::at(50_000);
     receiver.receive(&sender, EvidenceScope::Local, -6_000);
     assert!(receiver.update(EvidenceScope::All).is_empty());
--- a/crates/decisions/tests/part_quarantine_fleet.rs
+++ b/crates/decisions/tests/part_quarantine_fleet.rs
@@ -7,18 +7,18 @@
 use std::ops::Range;
 
 use proptest::prelude::*;
-use quarantine_fleet::{Deadly, Outcome, Scenario};
+use quarantine_fleet::{Crashing, Outcome, Scenario};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-/// Requests with a deadly part that may reach servers over 5 s after its fifth crash.
+/// Requests with a crashing part that may reach servers over 5 s after its fifth crash.
 const MAX_LATE: usize = 3;
 
-const ALL_KINDS: [Deadly; 5] = [
-    Deadly::NewSubject,
-    Deadly::KnownSubject,
-    Deadly::SubjectOfOneFirstPart,
-    Deadly::NewFirstPart,
-    Deadly::KnownFirstPart,
+const ALL_KINDS: [Crashing; 5] = [
+    Crashing::NewSubject,
+    Crashing::KnownSubject,
+    Crashing::SubjectOfOneFirstPart,
+    Crashing::NewFirstPart,
+    Crashing::KnownFirstPart,
 ];
 
 fn seeds(count: u64) -> Range<u64> {
@@ -31,43 +31,43 @@
     first..first + variable("QUARANTINE_SEEDS").unwrap_or(count)
 }
 
-/// Plays a scenario with deadly parts; all must be found and no sound part quarantined.
+/// Plays a scenario with crashing parts; all must be found and no healthy part quarantined.
 fn play_found(scenario: Scenario) -> Outcome {
     let context = format!("{scenario:?}");
     let outcome = scenario.clone().play();
-    for (index, _) in scenario.deadly.iter().enumerate() {
-        let part = scenario.deadly_part(index);
+    for (index, _) in scenario.crashing.iter().enumerate() {
+        let part = scenario.crashing_part(index);
         let crashes = outcome.crashes.get(&part).map_or(0, Vec::len);
-        let is_found = outcome.deadly_quarantined.contains_key(&part);
+        let is_found = outcome.crashing_quarantined.contains_key(&part);
         assert!(is_found || crashes < 5, "{part:?} is not found: {context}");
     }
-    assert_eq!(outcome.deadly_released, 0, "{context}");
+    assert_eq!(outcome.crashing_released, 0, "{context}");
     assert!(
-        outcome.sound_quarantined.is_empty(),
+        outcome.healthy_quarantined.is_empty(),
         "{:?}: {context}",
-        outcome.sound_quarantined
+        outcome.healthy_quarantined
     );
     outcome
 }
 
-/// Plays a scenario with deadly parts within the bound on requests after the fifth crash.
+/// Plays a scenario with crashing parts within the bound on requests after the fifth crash.
 fn play_bounded(scenario: Scenario) -> Outcome {
     let context = format!("{scenario:?}");
     let outcome = play_found(scenario);
-    let late = outcome.deadly_late();
+    let late = outcome.crashing_late();
     assert!(late <= MAX_LATE, "{late} late requests: {context}");
     outcome
 }
 
-/// Plays a scenario without deadly parts; nothing may be quarantined.
-fn play_sound(scenario: Scenario) {
-    let scenario = scenario.sound();
+/// Plays a scenario without crashing parts; nothing may be quarantined.
+fn play_healthy(scenario: Scenario) {
+    let scenario = scenario.healthy();
     let context = format!("{scenario:?}");
     let outcome = scenario.play();
     assert!(
-        outcome.sound_quarantined.is_empty(),
+        outcome.healthy_quarantined.is_empty(),
         "{:?}: {context}",
-        outcome.sound_quarantined
+        outcome.healthy_quarantined
     );
 }
 
@@ -82,42 +82,46 @@
     (0..count).map(|_| kill()).collect()
 }
 
-/// Guards against a deadly part that ends servers for long, at any place of the prompt, and against
-/// the loss of sound requests that share other parts with it.
+/// Guards against a crashing part that ends servers for long, at any place of the prompt, and against
+/// the loss of healthy requests that share other parts with it.
 #[test]
-fn deadly_part_small_fleet_bounded() {
+fn crashing_part_small_fleet_bounded() {
     for seed in seeds(4) {
         for kind in ALL_KINDS {
-            let outcome = play_bounded(Scenario::new(seed).deadly(&[kind]));
-            // Sound requests that wait on a server with a deadly one start at their second attempt.
-            if kind != Deadly::KnownFirstPart {
-                assert!(outcome.sound_share(25_000) > 0.95, "{kind:?}, seed {seed}");
+            let outcome = play_bounded(Scenario::new(seed).crashing(&[kind]));
+            // Healthy requests that wait on a server with a crashing one start at their second attempt.
+            if kind != Crashing::KnownFirstPart {
+                assert!(
+                    outcome.healthy_share(25_000) > 0.95,
+                    "{kind:?}, seed {seed}"
+                );
             }
         }
     }
 }
 
-/// Guards against a deadly part that is found too late when most servers of a large fleet are down.
+/// Guards against a crashing part that is found too late when most servers of a large fleet are down.
 #[test]
-fn deadly_part_grown_fleet_bounded() {
+fn crashing_part_grown_fleet_bounded() {
     for seed in seeds(1) {
         for kind in ALL_KINDS {
-            play_bounded(Scenario::grown(seed).deadly(&[kind]));
+            play_bounded(Scenario::grown(seed).crashing(&[kind]));
         }
     }
 }
 
-/// Guards against faults that single seeds have shown: sound parts that were on the same first servers,
+/// Guards against faults that single seeds have shown: healthy parts that were on the same first servers,
 /// a start from before the first crash, and five crashes at two times only.
 #[test]
-fn deadly_part_former_failures_bounded() {
-    play_bounded(Scenario::grown(15).deadly(&[Deadly::KnownFirstPart]));
-    play_bounded(Scenario::new(3008).deadly(&[Deadly::KnownFirstPart]));
-    play_found(Scenario::new(3008).deadly(&[Deadly::NewSubject, Deadly::KnownFirstPart]));
+fn crashing_part_former_failures_bounded() {
+    play_bounded(Scenario::grown(15).crashing(&[Crashing::KnownFirstPart]));
+    play_bounded(Scenario::new(3008).crashing(&[Crashing::KnownFirstPart]));
+    play_found(Scenario::new(3008).crashing(&[Crashing::NewSubject, Crashing::KnownFirstPart]));
     let mut scenario = Scenario::new(1062);
     scenario.prefill = 200..900;
     play_bounded(scenario);
-    let mut scenario = Scenario::new(12_711_790_843_762_860_320).deadly(&[Deadly::NewFirstPart]);
+    let mut scenario =
+        Scenario::new(12_711_790_843_762_860_320).crashing(&[Crashing::NewFirstPart]);
     scenario.servers = 36;
     scenario.requests_per_s = 66.986_113;
     scenario.share = 0.014_531_801_184_139_482;
@@ -129,7 +133,7 @@
 
 /// Guards against rates at which a fixed time or number of crashes is too short or too long.
 #[test]
-fn deadly_part_any_share_bounded() {
+fn crashing_part_any_share_bounded() {
     for seed in seeds(3) {
         for share in [0.01, 0.02, 0.1, 0.2] {
             let mut scenario = Scenario::new(seed);
@@ -142,9 +146,9 @@
     }
 }
 
-/// Guards against first parts or subjects that are always on a server with a deadly request.
+/// Guards against first parts or subjects that are always on a server with a crashing request.
 #[test]
-fn deadly_part_few_other_parts_bounded() {
+fn crashing_part_few_other_parts_bounded() {
     for seed in seeds(3) {
         let mut scenario = Scenario::new(seed);
         scenario.first_parts = 1;
@@ -153,9 +157,9 @@
     }
 }
 
-/// Guards against sound parts that fail with many crashes because requests wait for long.
+/// Guards against healthy parts that fail with many crashes because requests wait for long.
 #[test]
-fn deadly_part_slow_servers_bounded() {
+fn crashing_part_slow_servers_bounded() {
     for seed in seeds(3) {
         let mut scenario = Scenario::new(seed);
         scenario.prefill = 200..900;
@@ -165,7 +169,7 @@
 
 /// Guards against decisions that need each update or exact times.
 #[test]
-fn deadly_part_lost_updates_and_clock_errors_bounded() {
+fn crashing_part_lost_updates_and_clock_errors_bounded() {
     for seed in seeds(3) {
         let mut scenario = Scenario::new(seed);
         scenario.loss = 0.3;
@@ -174,35 +178,35 @@
     }
 }
 
-/// Guards against a second deadly part that the first one hides.
+/// Guards against a second crashing part that the first one hides.
 #[test]
-fn two_deadly_parts_both_found() {
+fn two_crashing_parts_both_found() {
     let pairs = [
-        [Deadly::NewSubject, Deadly::NewSubject],
-        [Deadly::KnownSubject, Deadly::NewFirstPart],
-        [Deadly::NewSubject, Deadly::KnownFirstPart],
+        [Crashing::NewSubject, Crashing::NewSubject],
+        [Crashing::KnownSubject, Crashing::NewFirstPart],
+        [Crashing::NewSubject, Crashing::KnownFirstPart],
     ];
     for seed in seeds(2) {
         for pair in pairs {
-            play_found(Scenario::new(seed).deadly(&pair));
+            play_found(Scenario::new(seed).crashing(&pair));
         }
-        play_bounded(Scenario::grown(seed).deadly(&pairs[0]));
+        play_bounded(Scenario::grown(seed).crashing(&pairs[0]));
     }
 }
 
-/// Guards against a second deadly part that is found too late, since almost all crashes contain the
+/// Guards against a second crashing part that is found too late, since almost all crashes contain the
 /// first one as well.
 #[test]
-fn two_deadly_parts_one_in_many_requests_bounded() {
+fn two_crashing_parts_one_in_many_requests_bounded() {
     for seed in seeds(4) {
-        let pair = [Deadly::NewSubject, Deadly::KnownFirstPart];
-        play_bounded(Scenario::grown(seed).deadly(&pair));
+        let pair = [Crashing::NewSubject, Crashing::KnownFirstPart];
+        play_bounded(Scenario::grown(seed).crashing(&pair));
     }
 }
 
-/// Guards against a deadly part that is not found with the evidence of one region.
+/// Guards against a crashing part that is not found with the evidence of one region.
 #[test]
-fn deadly_part_regions_cut_found() {
+fn crashing_part_regions_cut_found() {
     for seed in seeds(3) {
         let mut scenario = Scenario::new(seed);
         scenario.cut = 9_000..30_000;
@@ -210,9 +214,9 @@
     }
 }
 
-/// Guards against an instance that starts later and sends deadly requests to servers.
+/// Guards against an instance that starts later and sends crashing requests to servers.
 #[test]
-fn deadly_part_late_instance_bounded() {
+fn crashing_part_late_instance_bounded() {
     for seed in seeds(3) {
         let mut scenario = Scenario::new(seed);
         scenario.share = 0.2;
@@ -221,10 +225,10 @@
     }
 }
 
-/// Guards against the quarantine of sound parts beside a deadly one while servers fail for other
+/// Guards against the quarantine of healthy parts beside a crashing one while servers fail for other
 /// reasons.
 #[test]
-fn deadly_part_and_kills_found() {
+fn crashing_part_and_kills_found() {
     for seed in seeds(2) {
         let mut scenario = Scenario::new(seed);
         scenario.kills = random_kills(seed, 12, scenario.servers);
@@ -234,7 +238,7 @@
 
 /// Guards against evidence that instances exchange without end.
 #[test]
-fn deadly_part_afterwards_few_updates() {
+fn crashing_part_afterwards_few_updates() {
     for seed in seeds(3) {
         let outcome = play_bounded(Scenario::new(seed));
         // Parts that were asked for rarely are cleared late, each with a few repetitions.
@@ -242,9 +246,9 @@
     }
 }
 
-/// Guards against the quarantine of sound parts when servers are killed, one by one or at one moment.
+/// Guards against the quarantine of healthy parts when servers are killed, one by one or at one moment.
 #[test]
-fn kills_sound_requests_not_quarantined() {
+fn kills_healthy_requests_not_quarantined() {
     for seed in seeds(2) {
         for gap in [0, 1_000, 2_000] {
             let mut scenario = Scenario::new(seed);
@@ -252,28 +256,28 @@
             scenario.kills = (0..48)
                 .map(|index| (5_000 + index * gap, index as usize % servers))
                 .collect();
-            play_sound(scenario);
+            play_healthy(scenario);
         }
         let mut scenario = Scenario::grown(seed);
         scenario.kills = random_kills(seed, 100, scenario.servers);
-        play_sound(scenario);
+        play_healthy(scenario);
     }
 }
 
-/// Guards against the quarantine of sound parts when regions fail as a whole, one after the other.
+/// Guards against the quarantine of healthy parts when regions fail as a whole, one after the other.
 #[test]
-fn region_losses_sound_requests_not_quarantined() {
+fn region_losses_healthy_requests_not_quarantined() {
     for seed in seeds(3) {
         let mut scenario = Scenario::new(seed);
         scenario.kills = (0..6)
             .flat_map(|loss| (0..4).map(move |index| (loss, 3 * index + loss % 3)))
             .map(|(loss, server)| (8_000 + loss as u64 * 6_000, server))
             .collect();
-        play_sound(scenario);
+        play_healthy(scenario);
     }
 }
 
-/// Guards against the quarantine of sound parts that many parts in the same crashes show to be sound,
+/// Guards against the quarantine of healthy parts that many parts in the same crashes show to be healthy,
 /// when regions of a large fleet fail faster than their requests can be repeated.
 #[test]
 fn region_losses_in_quick_succession_not_quarantined() {
@@ -283,33 +287,33 @@
             .flat_map(|loss| (0..30).map(move |index| (loss, 3 * index + loss % 3)))
             .map(|(loss, server)| (8_000 + loss as u64 * 1_500, server))
             .collect();
-        play_sound(scenario);
+        play_healthy(scenario);
     }
 }
 
 /// Guards against the quarantine of what some failing servers were asked for.
 #[test]
-fn flapping_sound_requests_not_quarantined() {
+fn flapping_healthy_requests_not_quarantined() {
     for seed in seeds(4) {
         let mut scenario = Scenario::new(seed);
         scenario.down = 200..500;
         scenario.kills = (0..200)
             .map(|index| (5_000 + index * 170, index as usize % 4))
             .collect();
-        play_sound(scenario);
+        play_healthy(scenario);
     }
 }
 
-/// Guards against the quarantine of sound parts by planned stops with requests running.
+/// Guards against the quarantine of healthy parts by planned stops with requests running.
 #[test]
-fn stops_sound_requests_not_quarantined() {
+fn stops_healthy_requests_not_quarantined() {
     for seed in seeds(4) {
         let mut scenario = Scenario::new(seed);
         let servers = scenario.servers;
         scenario.stops = (0..60)
             .map(|index| (5_000 + index * 500, index as usize % servers))
             .collect();
-        play_sound(scenario);
+        play_healthy(scenario);
     }
 }
 
@@ -318,7 +322,7 @@
 
     /// Guards against a combination of rate, fleet and part for which the bound is not kept.
     #[test]
-    fn deadly_part_any_fleet_bounded(
+    fn crashing_part_any_fleet_bounded(
         seed: u64,
         kind in 0..5_usize,
         servers in 9..40_usize,
@@ -328,7 +332,7 @@
         loss in 0.0..0.2_f64,
         clock_error in 0..150_i64,
     ) {
-        let mut scenario = Scenario::new(seed).deadly(&[ALL_KINDS[kind]]);
+        let mut scenario = Scenario::new(seed).crashing(&[ALL_KINDS[kind]]);
         scenario.servers = servers;
         scenario.requests_per_s = requests_per_server * servers as f64;
         scenario.share = share;
--- a/crates/decisions/tests/quarantine_fleet/fleet.rs
+++ b/crates/decisions/tests/quarantine_fleet/fleet.rs
@@ -14,7 +14,7 @@
 
 use super::{
     outcome::Outcome,
-    scenario::{Deadly, Scenario},
+    scenario::{Crashing, Scenario},
 };
 
 const ROUND_MS: u64 = 300;
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug)]
 struct Request {
     parts: Vec<PartId>,
-    deadly: bool,
+    crashing: bool,
     arrived: u64,
     attempts: usize,
     tried: Vec<usize>,
@@ -68,7 +68,7 @@
     instances: Vec<PartQuarantine>,
     offsets: Vec<i64>,
     servers: Vec<Server>,
-    deadly: BTreeSet<PartId>,
+    crashing: BTreeSet<PartId>,
     outcome: Outcome,
     last_crash: u64,
 }
@@ -86,8 +86,8 @@
                 ..Server::default()
             })
             .collect();
-        let deadly = (0..scenario.deadly.len())
-            .map(|index| scenario.deadly_part(index))
+        let crashing = (0..scenario.crashing.len())
+            .map(|index| scenario.crashing_part(index))
             .collect();
         let mut fleet = Self {
             rng,
@@ -98,7 +98,7 @@
             instances: vec![PartQuarantine::default(); scenario.instances],
             offsets,
             servers,
-            deadly,
+            crashing,
             outcome: Outcome::default(),
             last_crash: 0,
             scenario,
@@ -145,8 +145,8 @@
                 let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1e3;
                 self.schedule((gap / self.scenario.requests_per_s) as u64, Event::Arrival);
                 let request = self.request();
-                if !request.deadly {
-                    self.outcome.sound_arrived.push(self.now);
+                if !request.crashing {
+                    self.outcome.healthy_arrived.push(self.now);
                 }
                 self.send(request);
             }
@@ -209,21 +209,21 @@
         // Some subjects are asked for much more often than others.
         let skewed = self.rng.random::<f64>().powi(2) * self.scenario.subjects as f64;
         let mut subject = PartId(1_000 + skewed as u64);
-        if self.now >= self.scenario.deadly_from && self.rng.random_bool(self.scenario.share) {
-            let index = self.rng.random_range(0..self.scenario.deadly.len());
-            let part = self.scenario.deadly_part(index);
-            match self.scenario.deadly[index] {
-                Deadly::NewSubject | Deadly::KnownSubject => subject = part,
-                Deadly::SubjectOfOneFirstPart => (first, subject) = (PartId(1), part),
-                Deadly::NewFirstPart | Deadly::KnownFirstPart => first = part,
+        if self.now >= self.scenario.crashing_from && self.rng.random_bool(self.scenario.share) {
+            let index = self.rng.random_range(0..self.scenario.crashing.len());
+            let part = self.scenario.crashing_part(index);
+            match self.scenario.crashing[index] {
+                Crashing::NewSubject | Crashing::KnownSubject => subject = part,
+                Crashing::SubjectOfOneFirstPart => (first, subject) = (PartId(1), part),
+                Crashing::NewFirstPart | Crashing::KnownFirstPart => first = part,
             }
         }
         let parts = vec![first, subject];
-        let deadly = self.now >= self.scenario.deadly_from
-            && parts.iter().any(|part| self.deadly.contains(part));
+        let crashing = self.now >= self.scenario.crashing_from
+            && parts.iter().any(|part| self.crashing.contains(part));
         Request {
             parts,
-            deadly,
+            crashing,
             arrived: self.now,
             attempts: 0,
             tried: Vec::new(),
@@ -278,13 +278,13 @@
         }
         request.attempts += 1;
         request.tried.push(index);
-        if request.deadly {
+        if request.crashing {
             for &part in request
                 .parts
                 .iter()
-                .filter(|part| self.deadly.contains(part))
+                .filter(|part| self.crashing.contains(part))
             {
-                let sent = self.outcome.deadly_sent.entry(part).or_default();
+                let sent = self.outcome.crashing_sent.entry(part).or_default();
                 sent.push(self.now);
             }
         }
@@ -304,9 +304,9 @@
             return;
         }
         let parts = server.waiting[&id].parts.clone();
-        let cause = parts.iter().find(|part| self.deadly.contains(part));
+        let cause = parts.iter().find(|part| self.crashing.contains(part));
         if let Some(&part) = cause
-            && self.now >= self.scenario.deadly_from
+            && self.now >= self.scenario.crashing_from
         {
             self.outcome.crashes.entry(part).or_default().push(self.now);
             self.crash(index);
@@ -314,7 +314,7 @@
         }
         let request = server.waiting.remove(&id).unwrap();
         if request.attempts == 1 {
-            self.outcome.sound_begun.push(request.arrived);
+            self.outcome.healthy_begun.push(request.arrived);
         }
         let now = self.clock(request.instance);
         self.instances[request.instance].record_start(now, &request.parts);
@@ -358,15 +358,15 @@
         for change in self.instances[instance].evaluate(now) {
             match change {
                 QuarantineChange::Quarantined { part, .. } => {
-                    let seen = if self.deadly.contains(&part) {
-                        &mut self.outcome.deadly_quarantined
+                    let seen = if self.crashing.contains(&part) {
+                        &mut self.outcome.crashing_quarantined
                     } else {
-                        &mut self.outcome.sound_quarantined
+                        &mut self.outcome.healthy_quarantined
                     };
                     seen.entry(part).or_insert(self.now);
                 }
-                QuarantineChange::Released(part) if self.deadly.contains(&part) => {
-                    self.outcome.deadly_released += 1;
+                QuarantineChange::Released(part) if self.crashing.contains(&part) => {
+                    self.outcome.crashing_released += 1;
                 }
                 QuarantineChange::Released(_) => {}
             }
--- a/crates/decisions/tests/quarantine_fleet/mod.rs
+++ b/crates/decisions/tests/quarantine_fleet/mod.rs
@@ -6,5 +6,5 @@
 
 pub use {
     outcome::Outcome,
-    scenario::{Deadly, Scenario},
+    scenario::{Crashing, Scenario},
 };
--- a/crates/decisions/tests/quarantine_fleet/outcome.rs
+++ b/crates/decisions/tests/quarantine_fleet/outcome.rs
@@ -7,39 +7,39 @@
 /// What was seen in a simulated fleet; times are in milliseconds.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    /// Times at which each deadly part crashed a server.
+    /// Times at which each crashing part crashed a server.
     pub crashes: BTreeMap<PartId, Vec<u64>>,
-    /// Times at which requests with each deadly part reached a server.
-    pub deadly_sent: BTreeMap<PartId, Vec<u64>>,
-    /// Sound parts that some instance quarantined, with the time of the first.
-    pub sound_quarantined: BTreeMap<PartId, u64>,
-    /// Deadly parts that some instance quarantined, with the time of the first.
-    pub deadly_quarantined: BTreeMap<PartId, u64>,
-    /// Deadly parts that some instance released before the quarantine expired.
-    pub deadly_released: usize,
-    /// Times at which sound requests were begun to be answered at their first attempt.
-    pub sound_begun: Vec<u64>,
-    /// Times at which sound requests arrived.
-    pub sound_arrived: Vec<u64>,
+    /// Times at which requests with each crashing part reached a server.
+    pub crashing_sent: BTreeMap<PartId, Vec<u64>>,
+    /// Healthy parts that some instance quarantined, with the time of the first.
+    pub healthy_quarantined: BTreeMap<PartId, u64>,
+    /// Crashing parts that some instance quarantined, with the time of the first.
+    pub crashing_quarantined: BTreeMap<PartId, u64>,
+    /// Crashing parts that some instance released before the quarantine expired.
+    pub crashing_released: usize,
+    /// Times at which healthy requests were begun to be answered at their first attempt.
+    pub healthy_begun: Vec<u64>,
+    /// Times at which healthy requests arrived.
+    pub healthy_arrived: Vec<u64>,
     /// Crashes and starts in all updates from 10 s after the last crash on.
     pub late_entries: usize,
 }
 
 impl Outcome {
-    /// Returns the greatest number of requests with one deadly part that reached servers over 5 s
+    /// Returns the greatest number of requests with one crashing part that reached servers over 5 s
     /// after its fifth crash.
-    pub fn deadly_late(&self) -> usize {
+    pub fn crashing_late(&self) -> usize {
         let late = |(part, crashes): (&PartId, &Vec<u64>)| {
             let fifth = *crashes.get(4)?;
-            let sent = self.deadly_sent[part].iter();
+            let sent = self.crashing_sent[part].iter();
             Some(sent.filter(|&&at| at > fifth + 5_000).count())
         };
         self.crashes.iter().filter_map(late).max().unwrap_or(0)
     }
 
-    /// Returns the share of the sound requests from `from` on that began at their first attempt.
-    pub fn sound_share(&self, from: u64) -> f64 {
+    /// Returns the share of the healthy requests from `from` on that began at their first attempt.
+    pub fn healthy_share(&self, from: u64) -> f64 {
         let count = |times: &[u64]| times.iter().filter(|&&at| at >= from).count() as f64;
-        count(&self.sound_begun) / count(&self.sound_arrived).max(1.0)
+        count(&self.healthy_begun) / count(&self.healthy_arrived).max(1.0)
     }
 }
--- a/crates/decisions/tests/quarantine_fleet/scenario.rs
+++ b/crates/decisions/tests/quarantine_fleet/scenario.rs
@@ -8,14 +8,14 @@
 
 /// Part that crashes servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Deadly {
-    /// Subject that sound requests do not have, beside any first part.
+pub enum Crashing {
+    /// Subject that healthy requests do not have, beside any first part.
     NewSubject,
     /// Subject that was served before, beside any first part.
     KnownSubject,
-    /// Subject that always follows the same first part, which sound requests share.
+    /// Subject that always follows the same first part, which healthy requests share.
     SubjectOfOneFirstPart,
-    /// First part that sound requests do not have, beside any subject.
+    /// First part that healthy requests do not have, beside any subject.
     NewFirstPart,
     /// First part that was served before.
     KnownFirstPart,
@@ -31,10 +31,10 @@
     pub requests_per_s: f64,
     pub first_parts: u64,
     pub subjects: u64,
-    /// Share of the requests that have a deadly part.
+    /// Share of the requests that have a crashing part.
     pub share: f64,
-    pub deadly: Vec<Deadly>,
-    pub deadly_from: u64,
+    pub crashing: Vec<Crashing>,
+    pub crashing_from: u64,
     pub prefill: Range<u64>,
     /// Times for which a server is down after a crash.
     pub down: Range<u64>,
@@ -54,7 +54,7 @@
 }
 
 impl Scenario {
-    /// Returns a fleet of 12 servers, with a new deadly subject in a twentieth of the requests.
+    /// Returns a fleet of 12 servers, with a new crashing subject in a twentieth of the requests.
     pub fn new(seed: u64) -> Self {
         Self {
             seed,
@@ -65,8 +65,8 @@
             first_parts: 3,
             subjects: 182,
             share: 0.05,
-            deadly: vec![Deadly::NewSubject],
-            deadly_from: 10_000,
+            crashing: vec![Crashing::NewSubject],
+            crashing_from: 10_000,
             prefill: 60..240,
             down: 2_800..3_400,
             until: 45_000,
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Returns a fleet of 90 servers, with a new deadly subject in 15% of the requests.
+    /// Returns a fleet of 90 servers, with a new crashing subject in 15% of the requests.
     pub fn grown(seed: u64) -> Self {
         Self {
             instances: 60,
@@ -92,27 +92,27 @@
         }
     }
 
-    /// Removes the deadly part.
-    pub fn sound(mut self) -> Self {
-        self.deadly.clear();
+    /// Removes the crashing part.
+    pub fn healthy(mut self) -> Self {
+        self.crashing.clear();
         self.share = 0.0;
         self
     }
 
-    /// Sets the deadly parts.
-    pub fn deadly(mut self, deadly: &[Deadly]) -> Self {
-        self.deadly = deadly.to_vec();
+    /// Sets the crashing parts.
+    pub fn crashing(mut self, crashing: &[Crashing]) -> Self {
+        self.crashing = crashing.to_vec();
         self
     }
 
-    /// Returns the deadly part number `index`.
-    pub fn deadly_part(&self, index: usize) -> PartId {
+    /// Returns the crashing part number `index`.
+    pub fn crashing_part(&self, index: usize) -> PartId {
         let number = index as u64;
-        match self.deadly[index] {
-            Deadly::NewSubject | Deadly::SubjectOfOneFirstPart => PartId(900_000 + number),
-            Deadly::KnownSubject => PartId(1_000 + 7 + number),
-            Deadly::NewFirstPart => PartId(800_000 + number),
-            Deadly::KnownFirstPart => PartId(1 + number),
+        match self.crashing[index] {
+            Crashing::NewSubject | Crashing::SubjectOfOneFirstPart => PartId(900_000 + number),
+            Crashing::KnownSubject => PartId(1_000 + 7 + number),
+            Crashing::NewFirstPart => PartId(800_000 + number),
+            Crashing::KnownFirstPart => PartId(1 + number),
         }
     }
 
--- a/crates/decisions/tests/quarantine_support/mod.rs
+++ b/crates/decisions/tests/quarantine_support/mod.rs
@@ -19,7 +19,7 @@
     pub now: u64,
     pub quarantine: PartQuarantine,
     pub changes: Vec<QuarantineChange>,
-    sound: u64,
+    healthy: u64,
 }
 
 #[allow(dead_code)]
@@ -34,7 +34,7 @@
             now,
             quarantine: PartQuarantine::default(),
             changes: Vec::new(),
-            sound: 0,
+            healthy: 0,
         }
     }
 
@@ -61,8 +61,8 @@
     pub fn serve(&mut self, ms: u64) -> &mut Self {
         let until = self.now + ms;
         while self.now < until {
-            self.sound += 1;
-            let part = 1_000_000 + self.sound;
+            self.healthy += 1;
+            let part = 1_000_000 + self.healthy;
             self.start(&[part]);
             self.wait(100.min(until - self.now));
         }
