Quarantine parts that were served before for a minute at first

Change: the first quarantine of a part that servers have answered before lasts a minute, and the time doubles with each further one, up to 10 minutes. A renewal counts only crashes after the quarantine.

Evidence: expiry_of_part_served_before_comes_early fails without the change.

--- a/crates/decisions/src/part_quarantine.rs
+++ b/crates/decisions/src/part_quarantine.rs
@@ -147,7 +147,8 @@
                 table: &self.table,
             };
             for (quarantined, crashes) in choice.choose() {
-                self.table.insert(quarantined, crashes);
+                let was_served = self.starts.at(quarantined.part).is_some();
+                self.table.insert(quarantined, crashes, was_served);
             }
         }
         self.changes()
--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -81,7 +81,8 @@
         chosen
     }
 
-    /// Returns the parts on probation with a crash, unless a quarantined part explains it.
+    /// Returns the parts on probation with a crash since the end of their quarantine, unless a
+    /// quarantined part explains it.
     fn relapsed(&self) -> Vec<(QuarantinedPart, usize)> {
         let quarantined: Set<_> = self
             .table
@@ -93,12 +94,13 @@
         self.table
             .on_probation()
             .iter()
-            .filter_map(|former| {
-                let part = former.part;
+            .filter_map(|&(part, ended_at)| {
                 let crashes = self
                     .crashes_with(part)
                     .filter(|(index, record)| {
-                        explained & 1 << index == 0 && !self.starts.clears(part, record.evidence.at)
+                        explained & 1 << index == 0
+                            && record.evidence.at >= ended_at
+                            && !self.starts.clears(part, record.evidence.at)
                     })
                     .fold(0, |crashes, (index, _)| crashes | 1 << index);
                 let suspect = self.suspect(part, crashes);
--- a/crates/decisions/src/quarantine_table.rs
+++ b/crates/decisions/src/quarantine_table.rs
@@ -38,9 +38,10 @@
 
     /// Returns the time until the quarantine of `part` ends.
     pub(crate) fn remaining(&self, now: MonotonicTime, part: PartId) -> Option<Duration> {
-        let since = self.entries.get(&part)?.quarantined.since;
-        QuarantineEntry::DURATION
-            .checked_sub(now.since(since))
+        let entry = self.entries.get(&part)?;
+        entry
+            .duration
+            .checked_sub(now.since(entry.quarantined.since))
             .filter(|remaining| !remaining.is_zero())
     }
 
@@ -75,26 +76,41 @@
         self.entries.keys().copied().chain(on_probation).collect()
     }
 
-    /// Returns when the quarantine of each part on probation began.
-    pub(crate) fn on_probation(&self) -> Vec<QuarantinedPart> {
+    /// Returns the parts on probation, each with the end of its quarantine.
+    pub(crate) fn on_probation(&self) -> Vec<(PartId, MonotonicTime)> {
         let mut parts: Vec<_> = self
             .former
             .values()
             .filter(|former| former.cleared_at.is_none())
-            .map(|former| former.quarantined)
+            .map(|former| {
+                let quarantined = former.quarantined;
+                (quarantined.part, quarantined.since + former.duration)
+            })
             .collect();
-        parts.sort_unstable_by_key(|quarantined| quarantined.part);
+        parts.sort_unstable();
         parts
     }
 
-    /// Quarantines a part.
-    pub(crate) fn insert(&mut self, quarantined: QuarantinedPart, crashes: usize) {
-        self.former.remove(&quarantined.part);
+    /// Quarantines a part; `was_served` says whether servers have answered requests with it.
+    pub(crate) fn insert(
+        &mut self,
+        quarantined: QuarantinedPart,
+        crashes: usize,
+        was_served: bool,
+    ) {
+        let duration = match self.former.remove(&quarantined.part) {
+            Some(former) if former.cleared_at.is_none() => {
+                QuarantineEntry::MAX_DURATION.min(former.duration * 2)
+            }
+            _ if was_served => QuarantineEntry::SERVED_DURATION,
+            _ => QuarantineEntry::MAX_DURATION,
+        };
         self.entries.insert(
             quarantined.part,
             QuarantineEntry {
                 quarantined,
                 crashes,
+                duration,
             },
         );
         if self.entries.len() > MAX_QUARANTINED
@@ -119,7 +135,7 @@
         reported: QuarantinedPart,
         start: Option<MonotonicTime>,
     ) -> Option<MonotonicTime> {
-        if now.since(reported.since) >= QuarantineEntry::DURATION
+        if now.since(reported.since) >= QuarantineEntry::MAX_DURATION
             || self.entries.contains_key(&reported.part)
         {
             return None;
@@ -137,7 +153,7 @@
                 _ => {}
             }
         }
-        self.insert(reported, 0);
+        self.insert(reported, 0, start.is_some());
         None
     }
 
@@ -147,10 +163,11 @@
             if at <= entry.quarantined.first_crash_at + START_MARGIN {
                 return false;
             }
-            let quarantined = entry.quarantined;
+            let (quarantined, duration) = (entry.quarantined, entry.duration);
             self.entries.remove(&part);
             self.add_former(FormerQuarantine {
                 quarantined,
+                duration,
                 cleared_at: Some(at),
             });
             return true;
@@ -170,12 +187,13 @@
             .entries
             .values()
             .filter(|entry| self.remaining(now, entry.quarantined.part).is_none())
-            .map(|entry| entry.quarantined)
+            .map(|entry| (entry.quarantined, entry.duration))
             .collect();
-        for quarantined in expired {
+        for (quarantined, duration) in expired {
             self.entries.remove(&quarantined.part);
             self.add_former(FormerQuarantine {
                 quarantined,
+                duration,
                 cleared_at: None,
             });
         }
--- a/crates/decisions/tests/part_quarantine.rs
+++ b/crates/decisions/tests/part_quarantine.rs
@@ -276,6 +276,24 @@
     );
 }
 
+/// Guards against a popular part that is refused for long after servers failed for another reason: a
+/// part that was served before is tried again after a minute, and later each time that it crashes.
+#[test]
+fn expiry_of_part_served_before_comes_early() {
+    let mut instance = Instance::new();
+    instance.start(&[FIRST]).wait(100);
+    instance.quarantine(FIRST, 0);
+    assert!(instance.remaining(FIRST).unwrap() <= Duration::from_secs(60));
+    instance.wait(60_000);
+    assert!(!instance.is_quarantined(FIRST));
+    instance.crash(50, &[FIRST]).evaluate();
+    let again = instance.remaining(FIRST).unwrap();
+    assert_eq!(again.as_secs(), 120);
+    instance.wait(120_000);
+    instance.start(&[FIRST]).crash(51, &[FIRST]).evaluate();
+    assert!(!instance.is_quarantined(FIRST));
+}
+
 /// Guards against three further crashes each time that the quarantine of a crashing part expires.
 #[test]
 fn probation_next_crash_quarantined() {
