--- a/crates/decisions/tests/part_quarantine.rs
+++ b/crates/decisions/tests/part_quarantine.rs
@@ -7,9 +7,9 @@
 use hawthornquay_decisions::{PartId, QuarantineChange};
 use quarantine_support::{DECISION_MS, Instance, ids};
 
-const FIRST: u64 = 1;
-const SUBJECT: u64 = 2;
-const CRASHING: u64 = 100;
+const FIRST_PART: u64 = 1;
+const SUBJECT_PART: u64 = 2;
+const CRASHING_PART: u64 = 100;
 const OTHER_CRASHING: u64 = 101;
 const QUARANTINE_MS: u64 = 600_000;
 
@@ -19,14 +19,17 @@
 fn crash_shared_parts_only_crashing_quarantined() {
     let mut instance = Instance::new();
     for server in 0..3 {
-        instance.crash(server, &[FIRST, CRASHING]);
-        instance.crash(server, &[FIRST, SUBJECT]);
-        instance.serve(500).start(&[FIRST, SUBJECT]).serve(500);
+        instance.crash(server, &[FIRST_PART, CRASHING_PART]);
+        instance.crash(server, &[FIRST_PART, SUBJECT_PART]);
+        instance
+            .serve(500)
+            .start(&[FIRST_PART, SUBJECT_PART])
+            .serve(500);
     }
     instance.serve(DECISION_MS - 1_000);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
     let quarantined = QuarantineChange::Quarantined {
-        part: PartId(CRASHING),
+        part: PartId(CRASHING_PART),
         crashes: 3,
     };
     assert_eq!(instance.changes, [quarantined]);
@@ -37,7 +40,9 @@
 fn crash_two_crashes_not_quarantined() {
     let mut instance = Instance::new();
     for server in 0..2 {
-        instance.crash(server, &[FIRST, CRASHING]).serve(1_000);
+        instance
+            .crash(server, &[FIRST_PART, CRASHING_PART])
+            .serve(1_000);
     }
     instance.serve(20_000);
     assert!(instance.quarantined().is_empty());
@@ -48,12 +53,12 @@
 fn crash_evidence_in_transit_not_quarantined() {
     let mut instance = Instance::new();
     for server in 0..3 {
-        instance.serve(500).crash(server, &[CRASHING]);
+        instance.serve(500).crash(server, &[CRASHING_PART]);
     }
     instance.serve(1_800);
     assert!(instance.quarantined().is_empty());
     instance.serve(DECISION_MS - 1_800);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a part that was on a killed server and is quarantined although a retry succeeded.
@@ -61,8 +66,10 @@
 fn kill_part_served_elsewhere_not_quarantined() {
     let mut instance = Instance::new();
     for server in 0..12 {
-        instance.crash(server, &[FIRST, SUBJECT]).serve(200);
-        instance.start(&[FIRST, SUBJECT]).serve(800);
+        instance
+            .crash(server, &[FIRST_PART, SUBJECT_PART])
+            .serve(200);
+        instance.start(&[FIRST_PART, SUBJECT_PART]).serve(800);
     }
     instance.serve(5_000);
     assert!(instance.changes.is_empty());
@@ -74,7 +81,7 @@
     let mut instance = Instance::new();
     instance.serve(1_000);
     for server in 0..30 {
-        instance.crash(server, &[FIRST, SUBJECT]);
+        instance.crash(server, &[FIRST_PART, SUBJECT_PART]);
         instance.now += 9;
     }
     instance.serve(20_000);
@@ -87,7 +94,9 @@
     let mut instance = Instance::new();
     for start in 0..4 {
         // The server has the same address after each start.
-        instance.crash(start * 100, &[FIRST, SUBJECT]).serve(1_000);
+        instance
+            .crash(start * 100, &[FIRST_PART, SUBJECT_PART])
+            .serve(1_000);
     }
     instance.serve(10_000);
     assert!(instance.changes.is_empty());
@@ -98,11 +107,13 @@
 fn crash_service_with_one_server_quarantined() {
     let mut instance = Instance::new();
     for start in 0..5 {
-        instance.crash(start * 100, &[FIRST, CRASHING]).serve(1_500);
-        instance.start(&[FIRST]).serve(1_500);
+        instance
+            .crash(start * 100, &[FIRST_PART, CRASHING_PART])
+            .serve(1_500);
+        instance.start(&[FIRST_PART]).serve(1_500);
     }
     instance.serve(DECISION_MS - 1_500);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against the quarantine of healthy parts while no server answers anything.
@@ -110,7 +121,9 @@
 fn outage_no_answers_not_quarantined() {
     let mut instance = Instance::new();
     for server in 0..7 {
-        instance.crash(server, &[FIRST, SUBJECT]).wait(1_000);
+        instance
+            .crash(server, &[FIRST_PART, SUBJECT_PART])
+            .wait(1_000);
     }
     instance.wait(10_000);
     assert!(instance.changes.is_empty());
@@ -121,15 +134,15 @@
 fn crash_several_requests_only_crashing_quarantined() {
     let mut instance = Instance::new();
     for server in 0..4_u16 {
-        instance.crash(server, &[FIRST, CRASHING]);
+        instance.crash(server, &[FIRST_PART, CRASHING_PART]);
         for other in 0..6 {
             let subject = 10 + u64::from(4 * server + other) % 13;
-            instance.crash(server, &[FIRST, subject]);
+            instance.crash(server, &[FIRST_PART, subject]);
         }
-        instance.serve(400).start(&[FIRST]).serve(300);
+        instance.serve(400).start(&[FIRST_PART]).serve(300);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against the quarantine of a part that was served well before, where a new part was on the
@@ -137,25 +150,29 @@
 #[test]
 fn tie_part_served_before_not_quarantined() {
     let mut instance = Instance::new();
-    instance.start(&[FIRST, SUBJECT]).serve(500);
+    instance.start(&[FIRST_PART, SUBJECT_PART]).serve(500);
     for server in 0..5 {
-        instance.crash(server, &[SUBJECT, CRASHING]).serve(600);
+        instance
+            .crash(server, &[SUBJECT_PART, CRASHING_PART])
+            .serve(600);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a part that became crashing only after it had been served.
 #[test]
 fn crash_part_served_before_quarantined() {
     let mut instance = Instance::new();
-    instance.start(&[FIRST, CRASHING]).serve(500);
+    instance.start(&[FIRST_PART, CRASHING_PART]).serve(500);
     for server in 0..3 {
-        instance.crash(server, &[FIRST, CRASHING]).serve(500);
-        instance.start(&[FIRST]).serve(500);
+        instance
+            .crash(server, &[FIRST_PART, CRASHING_PART])
+            .serve(500);
+        instance.start(&[FIRST_PART]).serve(500);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against an arbitrary choice between parts that always occur together, and against no
@@ -165,14 +182,14 @@
     let mut instance = Instance::new();
     for server in 0..4 {
         instance
-            .crash(server, &[CRASHING, OTHER_CRASHING])
+            .crash(server, &[CRASHING_PART, OTHER_CRASHING])
             .serve(1_000);
     }
     instance.serve(10_000);
     assert!(instance.quarantined().is_empty());
-    instance.crash(4, &[CRASHING, OTHER_CRASHING]);
+    instance.crash(4, &[CRASHING_PART, OTHER_CRASHING]);
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [CRASHING, OTHER_CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART, OTHER_CRASHING]);
 }
 
 /// Guards against a second crashing part that the crashes of the first one hide.
@@ -180,25 +197,27 @@
 fn crash_two_crashing_parts_both_quarantined() {
     let mut instance = Instance::new();
     for pair in 0..5 {
-        instance.crash(2 * pair, &[FIRST, CRASHING]).serve(400);
-        instance.crash(2 * pair + 1, &[FIRST, OTHER_CRASHING]);
-        instance.serve(200).start(&[FIRST]).serve(200);
+        instance
+            .crash(2 * pair, &[FIRST_PART, CRASHING_PART])
+            .serve(400);
+        instance.crash(2 * pair + 1, &[FIRST_PART, OTHER_CRASHING]);
+        instance.serve(200).start(&[FIRST_PART]).serve(200);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [CRASHING, OTHER_CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART, OTHER_CRASHING]);
 }
 
 /// Guards against the quarantine of parts that wait beside a crashing one that is known already.
 #[test]
 fn crash_explained_by_known_part_not_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(CRASHING, 0);
+    instance.quarantine(CRASHING_PART, 0);
     for server in 3..10 {
-        instance.crash(server, &[FIRST, SUBJECT, CRASHING]);
+        instance.crash(server, &[FIRST_PART, SUBJECT_PART, CRASHING_PART]);
         instance.serve(600);
     }
     instance.serve(DECISION_MS);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against the quarantine of a healthy part that is in three of many crashes by chance.
@@ -234,12 +253,15 @@
     let mut server = 0;
     for _ in 0..36 {
         for _ in 0..30 {
-            instance.crash(server, &[FIRST, CRASHING, 1_000 + u64::from(server)]);
+            instance.crash(
+                server,
+                &[FIRST_PART, CRASHING_PART, 1_000 + u64::from(server)],
+            );
             server += 1;
         }
-        instance.start(&[FIRST]).serve(100);
+        instance.start(&[FIRST_PART]).serve(100);
     }
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a quarantine of the wrong part, or without an end.
@@ -247,9 +269,9 @@
 fn quarantined_several_parts_first_and_remaining() {
     let mut instance = Instance::new();
     instance
-        .quarantine(CRASHING, 0)
+        .quarantine(CRASHING_PART, 0)
         .quarantine(OTHER_CRASHING, 10);
-    let parts = ids(&[FIRST, OTHER_CRASHING, CRASHING]);
+    let parts = ids(&[FIRST_PART, OTHER_CRASHING, CRASHING_PART]);
     let (part, remaining) = instance
         .quarantine
         .quarantined(instance.clock(), &parts)
@@ -257,7 +279,7 @@
     assert_eq!(part, PartId(OTHER_CRASHING));
     assert!(remaining <= Duration::from_millis(QUARANTINE_MS));
     assert!(remaining > Duration::from_millis(QUARANTINE_MS - 10_000));
-    let healthy = ids(&[FIRST, SUBJECT]);
+    let healthy = ids(&[FIRST_PART, SUBJECT_PART]);
     let found = instance.quarantine.quarantined(instance.clock(), &healthy);
     assert_eq!(found, None);
 }
@@ -266,13 +288,13 @@
 #[test]
 fn expiry_after_ten_minutes_released() {
     let mut instance = Instance::new();
-    instance.quarantine(CRASHING, 0);
+    instance.quarantine(CRASHING_PART, 0);
     instance.changes.clear();
     instance.wait(QUARANTINE_MS);
     assert!(instance.quarantined().is_empty());
     assert_eq!(
         instance.changes,
-        [QuarantineChange::Released(PartId(CRASHING))]
+        [QuarantineChange::Released(PartId(CRASHING_PART))]
     );
 }
 
@@ -281,36 +303,41 @@
 #[test]
 fn expiry_of_part_served_before_comes_early() {
     let mut instance = Instance::new();
-    instance.start(&[FIRST]).wait(100);
-    instance.quarantine(FIRST, 0);
-    assert!(instance.remaining(FIRST).unwrap() <= Duration::from_secs(60));
+    instance.start(&[FIRST_PART]).wait(100);
+    instance.quarantine(FIRST_PART, 0);
+    assert!(instance.remaining(FIRST_PART).unwrap() <= Duration::from_secs(60));
     instance.wait(60_000);
-    assert!(!instance.is_quarantined(FIRST));
-    instance.crash(50, &[FIRST]).evaluate();
-    let again = instance.remaining(FIRST).unwrap();
+    assert!(!instance.is_quarantined(FIRST_PART));
+    instance.crash(50, &[FIRST_PART]).evaluate();
+    let again = instance.remaining(FIRST_PART).unwrap();
     assert_eq!(again.as_secs(), 120);
     instance.wait(120_000);
-    instance.start(&[FIRST]).crash(51, &[FIRST]).evaluate();
-    assert!(!instance.is_quarantined(FIRST));
+    instance
+        .start(&[FIRST_PART])
+        .crash(51, &[FIRST_PART])
+        .evaluate();
+    assert!(!instance.is_quarantined(FIRST_PART));
 }
 
 /// Guards against three further crashes each time that the quarantine of a crashing part expires.
 #[test]
 fn probation_next_crash_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(CRASHING, 0).wait(QUARANTINE_MS);
-    assert!(!instance.is_quarantined(CRASHING));
-    instance.crash(50, &[FIRST, CRASHING]).evaluate();
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    instance.quarantine(CRASHING_PART, 0).wait(QUARANTINE_MS);
+    assert!(!instance.is_quarantined(CRASHING_PART));
+    instance.crash(50, &[FIRST_PART, CRASHING_PART]).evaluate();
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a part that has proved healthy and is quarantined again for one crash.
 #[test]
 fn probation_part_served_not_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(CRASHING, 0).wait(QUARANTINE_MS);
-    instance.start(&[CRASHING]).serve(1_000);
-    instance.crash(50, &[FIRST, CRASHING]).serve(10_000);
+    instance.quarantine(CRASHING_PART, 0).wait(QUARANTINE_MS);
+    instance.start(&[CRASHING_PART]).serve(1_000);
+    instance
+        .crash(50, &[FIRST_PART, CRASHING_PART])
+        .serve(10_000);
     assert!(instance.quarantined().is_empty());
 }
 
@@ -318,24 +345,26 @@
 #[test]
 fn probation_crash_explained_not_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(SUBJECT, 0).wait(QUARANTINE_MS);
-    instance.quarantine(CRASHING, 10);
-    instance.crash(50, &[SUBJECT, CRASHING]).serve(5_000);
-    assert_eq!(instance.quarantined(), [CRASHING]);
+    instance.quarantine(SUBJECT_PART, 0).wait(QUARANTINE_MS);
+    instance.quarantine(CRASHING_PART, 10);
+    instance
+        .crash(50, &[SUBJECT_PART, CRASHING_PART])
+        .serve(5_000);
+    assert_eq!(instance.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a healthy part that stays in quarantine although it was served.
 #[test]
 fn start_quarantined_part_released() {
     let mut instance = Instance::new();
-    instance.quarantine(SUBJECT, 0);
+    instance.quarantine(SUBJECT_PART, 0);
     instance.changes.clear();
-    instance.start(&[SUBJECT]);
-    assert!(!instance.is_quarantined(SUBJECT));
+    instance.start(&[SUBJECT_PART]);
+    assert!(!instance.is_quarantined(SUBJECT_PART));
     instance.evaluate().serve(5_000);
     assert_eq!(
         instance.changes,
-        [QuarantineChange::Released(PartId(SUBJECT))]
+        [QuarantineChange::Released(PartId(SUBJECT_PART))]
     );
 }
 
@@ -344,9 +373,9 @@
 #[test]
 fn release_further_crashes_quarantined() {
     let mut instance = Instance::new();
-    instance.quarantine(CRASHING, 0);
-    instance.start(&[CRASHING]).serve(1_000);
-    instance.quarantine(CRASHING, 10);
+    instance.quarantine(CRASHING_PART, 0);
+    instance.start(&[CRASHING_PART]).serve(1_000);
+    instance.quarantine(CRASHING_PART, 10);
 }
 
 /// Guards against quarantines without bound; the oldest ends first.
@@ -354,10 +383,10 @@
 fn capacity_forty_parts_newest_kept() {
     let mut instance = Instance::new();
     for index in 0..40 {
-        instance.quarantine(CRASHING + u64::from(index), 10 * index);
+        instance.quarantine(CRASHING_PART + u64::from(index), 10 * index);
         instance.wait(1_000);
     }
-    let expected: Vec<u64> = (CRASHING + 8..CRASHING + 40).collect();
+    let expected: Vec<u64> = (CRASHING_PART + 8..CRASHING_PART + 40).collect();
     assert_eq!(instance.quarantined(), expected);
 }
 
--- a/crates/decisions/tests/part_quarantine_exchange.rs
+++ b/crates/decisions/tests/part_quarantine_exchange.rs
@@ -7,9 +7,9 @@
 use hawthornquay_decisions::{EvidenceScope, PartId};
 use quarantine_support::{DECISION_MS, Instance, ROUND_MS, name};
 
-const FIRST: u64 = 1;
-const SUBJECT: u64 = 2;
-const CRASHING: u64 = 100;
+const FIRST_PART: u64 = 1;
+const SUBJECT_PART: u64 = 2;
+const CRASHING_PART: u64 = 100;
 
 /// Lets `ms` pass with exchanges each round, all others of region `a` led by its first instance and
 /// so on; updates are exchanged between regions if `is_connected`.
@@ -52,15 +52,15 @@
 fn evidence_spread_over_instances_quarantined_everywhere() {
     let mut regions = two_regions();
     for (region, index) in [(0, 1), (1, 2), (0, 2)] {
-        regions[region][index].crash((10 * region + index) as u16, &[FIRST, CRASHING]);
+        regions[region][index].crash((10 * region + index) as u16, &[FIRST_PART, CRASHING_PART]);
         exchange(&mut regions, 900, true, [100, -100]);
     }
     for instance in regions.iter_mut().flatten() {
-        instance.start(&[FIRST]);
+        instance.start(&[FIRST_PART]);
     }
     exchange(&mut regions, DECISION_MS + 600, true, [100, -100]);
     for instance in regions.iter().flatten() {
-        assert_eq!(instance.quarantined(), [CRASHING]);
+        assert_eq!(instance.quarantined(), [CRASHING_PART]);
     }
 }
 
@@ -71,7 +71,7 @@
     let mut regions = two_regions();
     for server in 0..2 {
         for instance in regions.iter_mut().flatten() {
-            instance.crash(server, &[FIRST, SUBJECT]);
+            instance.crash(server, &[FIRST_PART, SUBJECT_PART]);
             instance.now += 350;
         }
         exchange(&mut regions, 3_000, true, [100, -100]);
@@ -104,9 +104,9 @@
 fn start_at_other_instance_clears_part() {
     let mut regions = two_regions();
     for server in 0..6 {
-        regions[0][1].crash(server, &[FIRST, SUBJECT]);
+        regions[0][1].crash(server, &[FIRST_PART, SUBJECT_PART]);
         regions[1][2].now += 400;
-        regions[1][2].start(&[FIRST, SUBJECT]);
+        regions[1][2].start(&[FIRST_PART, SUBJECT_PART]);
         exchange(&mut regions, 900, true, [100, -100]);
     }
     exchange(&mut regions, 6_000, true, [100, -100]);
@@ -119,15 +119,15 @@
 #[test]
 fn late_instance_learns_quarantine() {
     let mut leader = Instance::new();
-    leader.quarantine(CRASHING, 0).serve(60_000);
+    leader.quarantine(CRASHING_PART, 0).serve(60_000);
     let mut late = Instance::at(500_000);
     late.receive(&leader, EvidenceScope::All, 50);
-    assert_eq!(late.quarantined(), [CRASHING]);
-    assert!(late.remaining(CRASHING).unwrap() < Duration::from_secs(541));
+    assert_eq!(late.quarantined(), [CRASHING_PART]);
+    assert!(late.remaining(CRASHING_PART).unwrap() < Duration::from_secs(541));
     // A leader that starts later learns it from its members.
     let mut new_leader = Instance::at(900_000);
     new_leader.receive(&late, EvidenceScope::Local, 50);
-    assert_eq!(new_leader.quarantined(), [CRASHING]);
+    assert_eq!(new_leader.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a crashing part that is not found behind a cut, and against a difference that stays
@@ -136,15 +136,15 @@
 fn cut_own_evidence_quarantined_then_shared() {
     let mut regions = two_regions();
     for server in 0..3 {
-        regions[0][1].crash(server, &[FIRST, CRASHING]);
+        regions[0][1].crash(server, &[FIRST_PART, CRASHING_PART]);
         exchange(&mut regions, 900, false, [100, -100]);
-        regions[0][2].start(&[FIRST]);
+        regions[0][2].start(&[FIRST_PART]);
     }
     exchange(&mut regions, DECISION_MS, false, [100, -100]);
-    assert_eq!(regions[0][2].quarantined(), [CRASHING]);
+    assert_eq!(regions[0][2].quarantined(), [CRASHING_PART]);
     assert!(regions[1][2].quarantined().is_empty());
     exchange(&mut regions, 900, true, [100, -100]);
-    assert_eq!(regions[1][2].quarantined(), [CRASHING]);
+    assert_eq!(regions[1][2].quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against a healthy part that stays in quarantine in one region, though the other one released
@@ -152,14 +152,14 @@
 #[test]
 fn cut_release_behind_it_shared_afterwards() {
     let mut regions = two_regions();
-    regions[0][1].quarantine(SUBJECT, 0);
+    regions[0][1].quarantine(SUBJECT_PART, 0);
     exchange(&mut regions, 1_500, true, [100, -100]);
-    assert_eq!(regions[1][2].quarantined(), [SUBJECT]);
+    assert_eq!(regions[1][2].quarantined(), [SUBJECT_PART]);
     exchange(&mut regions, 3_000, false, [100, -100]);
-    regions[1][1].start(&[SUBJECT]);
+    regions[1][1].start(&[SUBJECT_PART]);
     exchange(&mut regions, 30_000, false, [100, -100]);
     assert!(regions[1][2].quarantined().is_empty());
-    assert_eq!(regions[0][2].quarantined(), [SUBJECT]);
+    assert_eq!(regions[0][2].quarantined(), [SUBJECT_PART]);
     exchange(&mut regions, 3_000, true, [100, -100]);
     for instance in regions.iter().flatten() {
         assert!(instance.quarantined().is_empty());
@@ -174,10 +174,10 @@
 #[test]
 fn release_repeated_quarantine_ignored() {
     let mut sender = Instance::new();
-    sender.quarantine(SUBJECT, 0);
+    sender.quarantine(SUBJECT_PART, 0);
     let mut receiver = Instance::at(50_000);
     receiver.receive(&sender, EvidenceScope::All, 0);
-    receiver.start(&[SUBJECT]).evaluate();
+    receiver.start(&[SUBJECT_PART]).evaluate();
     for _ in 0..20 {
         receiver.serve(1_000);
         sender.serve(1_000);
@@ -193,10 +193,10 @@
 #[test]
 fn expiry_exchange_not_prolonged() {
     let mut regions = two_regions();
-    regions[0][1].quarantine(CRASHING, 0);
+    regions[0][1].quarantine(CRASHING_PART, 0);
     exchange(&mut regions, 598_500, true, [100, 100]);
     for instance in regions.iter().flatten() {
-        assert_eq!(instance.quarantined(), [CRASHING]);
+        assert_eq!(instance.quarantined(), [CRASHING_PART]);
     }
     exchange(&mut regions, 3_000, true, [100, 100]);
     for instance in regions.iter().flatten() {
@@ -210,14 +210,14 @@
 #[test]
 fn start_within_clock_error_keeps_quarantine() {
     let mut sender = Instance::new();
-    sender.quarantine(CRASHING, 0);
+    sender.quarantine(CRASHING_PART, 0);
     let mut receiver = Instance::at(sender.now);
     // The first crash was at 1,000,000; the receiver sees it 700 ms earlier than it was.
     receiver.now = 999_990;
-    receiver.start(&[CRASHING]);
+    receiver.start(&[CRASHING_PART]);
     receiver.now = sender.now;
     receiver.receive(&sender, EvidenceScope::All, -700);
-    assert_eq!(receiver.quarantined(), [CRASHING]);
+    assert_eq!(receiver.quarantined(), [CRASHING_PART]);
 }
 
 /// Guards against evidence that a member repeats to its leader, and against large updates.
@@ -225,7 +225,7 @@
 fn update_scope_and_bound_kept() {
     let mut sender = Instance::new();
     for server in 0..30 {
-        sender.crash(server, &[FIRST, 1_000 + u64::from(server)]);
+        sender.crash(server, &[FIRST_PART, 1_000 + u64::from(server)]);
         sender.now += 5;
     }
     let update = sender.update(EvidenceScope::Local);
@@ -243,15 +243,15 @@
 #[test]
 fn update_cleared_parts_left_out() {
     let mut sender = Instance::new();
-    sender.crash(0, &[FIRST, SUBJECT, CRASHING]);
+    sender.crash(0, &[FIRST_PART, SUBJECT_PART, CRASHING_PART]);
     sender.now += 100;
-    sender.start(&[FIRST, SUBJECT, 500]);
+    sender.start(&[FIRST_PART, SUBJECT_PART, 500]);
     let update = sender.update(EvidenceScope::Local);
     assert_eq!(update.crashes.len(), 1);
     assert_eq!(update.crashes[0].server, name(0));
-    assert_eq!(update.crashes[0].parts, [PartId(CRASHING)]);
+    assert_eq!(update.crashes[0].parts, [PartId(CRASHING_PART)]);
     let starts: Vec<_> = update.starts.iter().map(|start| start.part.0).collect();
-    assert_eq!(starts, [FIRST, SUBJECT]);
+    assert_eq!(starts, [FIRST_PART, SUBJECT_PART]);
 }
 
 /// Guards against a crashing part that is cleared or kept by times in the future, and against old crashes
@@ -259,7 +259,7 @@
 #[test]
 fn update_wrong_times_ignored() {
     let mut sender = Instance::new();
-    sender.crash(0, &[CRASHING]);
+    sender.crash(0, &[CRASHING_PART]);
     let mut receiver = Instance::at(50_000);
     receiver.receive(&sender, EvidenceScope::Local, -6_000);
     assert!(receiver.update(EvidenceScope::All).is_empty());
