--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use hawthornquay_decisions::MonotonicTime;
 use hawthornquay_instances::Notice;
-use hawthornquay_traffic::poll_interval;
+use hawthornquay_traffic::{StoreRevision, poll_interval};
 use rand::Rng;
 use tokio::{
     task::JoinHandle,
@@ -67,14 +68,17 @@
 async fn watch_operator_state<C: ControlPlane, H: HeaderMapping>(gateway: Arc<Gateway<C, H>>) {
     let mut health = StoreHealth::new("orders");
     let mut read_all_at = now();
+    let mut must_read_all = false;
+    let mut history_lost_at: Option<MonotonicTime> = None;
     loop {
         let started = now();
         let revision = gateway.operators.lock().revision();
         let leads = is_leader(&gateway, started);
-        let must_read_all = revision == 0 || (leads && started >= read_all_at);
-        let outcome = if must_read_all {
+        let reads_all = must_read_all || !revision.is_known() || (leads && started >= read_all_at);
+        let outcome = if reads_all {
             read_operator_state(&gateway).await.inspect(|()| {
                 read_all_at = now() + FULL_READ_INTERVAL;
+                must_read_all = false;
             })
         } else if leads {
             watch_operator_state_changes(&gateway, revision, WATCH_TIMEOUT).await
@@ -86,8 +90,15 @@
         };
         if let Err(ControlError::HistoryLost) = outcome {
             slog::info!(gateway.log.platform, "change history discarded, reading all data again";
-                "revision" => revision);
-            read_all_at = now();
+                "revision" => %revision);
+            // The first read follows at once, because requests may depend on the lost changes.
+            let is_repeated =
+                history_lost_at.is_some_and(|at| started.since(at) < STORE_RETRY_DELAY);
+            history_lost_at = Some(now());
+            must_read_all = true;
+            if is_repeated {
+                wait_before_retry().await;
+            }
             continue;
         }
         if health.record(&gateway, outcome).is_err() {
@@ -107,7 +118,7 @@
 
 async fn watch_operator_state_changes<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
-    revision: u64,
+    revision: StoreRevision,
     wait: Duration,
 ) -> Result<(), ControlError> {
     let requested_at = now();
@@ -230,6 +241,7 @@
         if sent.is_err() {
             slog::debug!(gateway.log.links, "sending the status notice timed out");
         }
+        gateway.end_grace();
         let time = now();
         let (regions, count) = {
             let instances = gateway.instances.lock();
@@ -281,10 +293,10 @@
 ) -> bool {
     let rank = {
         let instances = gateway.instances.lock();
-        match instances.revision() {
+        match instances.revision().is_known() {
             // Without a list of instances, this one does not read for others.
-            0 => usize::MAX,
-            _ => instances.leadership_rank(&gateway.settings.region, &gateway.id.name),
+            false => usize::MAX,
+            true => instances.leadership_rank(&gateway.settings.region, &gateway.id.name),
         }
     };
     age.is_none_or(|age| age >= poll_interval(rank))
@@ -300,7 +312,7 @@
 /// Result of the last request of one kind to the store, to log only changes.
 struct StoreHealth {
     purpose: &'static str,
-    failing_since: Option<hawthornquay_decisions::MonotonicTime>,
+    failing_since: Option<MonotonicTime>,
 }
 
 impl StoreHealth {
--- a/crates/gateway/src/control_plane.rs
+++ b/crates/gateway/src/control_plane.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hawthornquay_decisions::DomainName;
-use hawthornquay_traffic::{Configuration, ListedInstance, ServerListing};
+use hawthornquay_traffic::{Configuration, ListedInstance, ServerListing, StoreRevision};
 
 use crate::ControlError;
 
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct OperatorState {
     /// Store revision at which the data was read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Encoded configuration; `None` if none has been written.
     pub configuration: Option<Bytes>,
     /// Failure domains whose backend servers receive no requests.
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct OperatorStateChanges {
     /// Store revision up to which the changes are complete.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Latest encoded configuration, if it changed.
     pub configuration: Option<Bytes>,
     /// Failure domains whose evacuation started (`true`) or ended (`false`), oldest change first.
@@ -34,7 +34,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct InstanceListing {
     /// Store revision at which the data was read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Registered instances.
     pub instances: Vec<ListedInstance>,
 }
@@ -52,9 +52,14 @@
 
     /// Waits for at most `wait` for changes of the configuration and the evacuations after the
     /// revision `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ControlError::HistoryLost`] if the store no longer has these changes, or is in
+    /// another era than `after`.
     fn operator_state_changes(
         &self,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<OperatorStateChanges, ControlError>> + Send;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -155,7 +155,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_leaving()
             && self.operators.lock().configuration().is_some()
-            && self.servers.lock().revision() > 0
+            && self.servers.lock().revision().is_known()
     }
 
     /// Returns whether the process is stopping.
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -12,7 +12,9 @@
 use hawthornquay_instances::{
     Notice, OrganisationDemand, RegionStatus, ServerUse, ServiceLoad, Status, ViewRequest,
 };
-use hawthornquay_traffic::{ListedInstance, RegionReport, ServerUsage, ServiceReport};
+use hawthornquay_traffic::{
+    ListedInstance, RegionReport, ServerUsage, ServiceReport, StoreRevision,
+};
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceReport,
@@ -43,7 +45,7 @@
 ) -> bool {
     let instances = gateway.instances.lock();
     let (region, own) = (&gateway.settings.region, &gateway.id.name);
-    instances.revision() > 0 && instances.is_leader(time, region, own)
+    instances.revision().is_known() && instances.is_leader(time, region, own)
 }
 
 /// Sends the state of this instance to the leader of its region. The leader itself sends the sums
@@ -147,11 +149,12 @@
     {
         let mut operators = gateway.operators.lock();
         let same_version = status.configuration_version == operators.version();
-        if same_version && status.operator_revision == operators.revision() {
+        let theirs = StoreRevision::new(status.operator_era, status.operator_revision);
+        if same_version && theirs == operators.revision() {
             let read_at = time_before(time, status.operator_age_ms);
-            operators.confirm(status.operator_revision, read_at);
+            operators.confirm(theirs, read_at);
         } else if status.configuration_version > operators.version()
-            || status.operator_revision > operators.revision()
+            || theirs > operators.revision()
         {
             behind = true;
         }
@@ -160,22 +163,22 @@
         let mut servers = gateway.servers.lock();
         let read_at = time_before(time, status.servers_age_ms);
         let own = servers.revision();
-        if status.servers_revision == own {
+        let theirs = StoreRevision::new(status.servers_era, status.servers_revision);
+        let changed = StoreRevision::new(status.servers_era, status.servers_changed_revision);
+        if theirs == own {
             servers.confirm(read_at);
-        } else if is_unchanged(
-            own,
-            status.servers_revision,
-            status.servers_changed_revision,
-        ) {
-            servers.confirm_revision(status.servers_revision, read_at);
-        } else if status.servers_revision > own {
+        } else if is_unchanged(own, theirs, changed) {
+            servers.confirm_revision(theirs, read_at);
+        } else if theirs > own {
             behind = true;
         }
     }
     {
         let mut instances = gateway.instances.lock();
-        let (own, theirs) = (instances.revision(), status.instances_revision);
-        if is_unchanged(own, theirs, status.instances_changed_revision) {
+        let own = instances.revision();
+        let theirs = StoreRevision::new(status.instances_era, status.instances_revision);
+        let changed = StoreRevision::new(status.instances_era, status.instances_changed_revision);
+        if is_unchanged(own, theirs, changed) {
             instances.confirm_revision(theirs);
         } else if theirs > own {
             behind = true;
@@ -193,25 +196,30 @@
 
 /// Returns whether the list of revision `own` has not changed up to the newer revision `theirs`.
 ///
-/// `changed` is the revision of its last change; zero if that is unknown.
-const fn is_unchanged(own: u64, theirs: u64, changed: u64) -> bool {
-    changed > 0 && own >= changed && theirs > own
+/// `changed` is the revision of its last change, of the same era as `theirs`.
+fn is_unchanged(own: StoreRevision, theirs: StoreRevision, changed: StoreRevision) -> bool {
+    changed.is_known() && own >= changed && theirs > own
 }
 
 /// Returns a request for a view that is newer than that of this instance.
 pub(crate) fn view_request<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
 ) -> ViewRequest {
-    let (configuration_version, operator_revision) = {
+    let (configuration_version, operators) = {
         let operators = gateway.operators.lock();
         (operators.version(), operators.revision())
     };
+    let servers = gateway.servers.lock().revision();
+    let instances = gateway.instances.lock().revision();
     ViewRequest {
         configuration_version,
-        operator_revision,
-        servers_revision: gateway.servers.lock().revision(),
+        operator_era: operators.era,
+        operator_revision: operators.revision,
+        servers_era: servers.era,
+        servers_revision: servers.revision,
         accepts_changes: true,
-        instances_revision: gateway.instances.lock().revision(),
+        instances_era: instances.era,
+        instances_revision: instances.revision,
     }
 }
 
@@ -224,26 +232,29 @@
     let operator_age = gateway.operators.lock().age(time);
     // Takes one lock at a time. A lock taken within the struct expression below would be held until
     // the end of the expression.
-    let (servers_age, servers_changed_revision, usage, admissions) = {
+    let (servers_age, servers_changed, usage, admissions) = {
         let mut servers = gateway.servers.lock();
         let (age, changed) = (servers.age(time), servers.changed_revision());
         (age, changed, servers.own_usage(), servers.take_admissions())
     };
-    let instances_changed_revision = gateway.instances.lock().changed_revision();
+    let instances_changed = gateway.instances.lock().changed_revision();
     let status = Status {
         region: gateway.settings.region.to_string(),
         domain: gateway.settings.domain.to_string(),
         leaving: gateway.is_leaving(),
         configuration_version: request.configuration_version,
+        operator_era: request.operator_era,
         operator_revision: request.operator_revision,
         operator_age_ms: operator_age.map_or(u64::MAX, millis),
+        servers_era: request.servers_era,
         servers_revision: request.servers_revision,
         servers_age_ms: servers_age.map_or(u64::MAX, millis),
         demands: wire_demands(demands.iter().map(|(id, rate)| (id, *rate))),
         uses: usage.iter().map(server_use).collect(),
-        servers_changed_revision,
+        servers_changed_revision: servers_changed.revision,
+        instances_era: request.instances_era,
         instances_revision: request.instances_revision,
-        instances_changed_revision,
+        instances_changed_revision: instances_changed.revision,
         admissions: admissions.iter().map(wire_admissions).collect(),
         ..Status::default()
     };
--- a/crates/gateway/src/view_notices.rs
+++ b/crates/gateway/src/view_notices.rs
@@ -4,7 +4,7 @@
 
 use hawthornquay_decisions::{DomainName, InstanceId};
 use hawthornquay_instances::{Notice, PeerAddress, ViewRequest, ViewUpdate};
-use hawthornquay_traffic::{ListedInstance, ServerListing};
+use hawthornquay_traffic::{ListedInstance, ServerListing, StoreRevision};
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceListing,
@@ -24,11 +24,13 @@
     let mut update = ViewUpdate::default();
     {
         let operators = gateway.operators.lock();
-        if operators.revision() > request.operator_revision {
-            update.operator_revision = operators.revision();
+        let revision = operators.revision();
+        if revision > StoreRevision::new(request.operator_era, request.operator_revision) {
+            update.operator_era = revision.era;
+            update.operator_revision = revision.revision;
             update.operator_age_ms = operators.age(time).map_or(u64::MAX, millis);
             update.evacuated = operators
-                .evacuated()
+                .stored_evacuations()
                 .iter()
                 .map(ToString::to_string)
                 .collect();
@@ -51,20 +53,22 @@
 fn add_servers<C, H>(gateway: &Gateway<C, H>, request: &ViewRequest, update: &mut ViewUpdate) {
     let time = now();
     let servers = gateway.servers.lock();
-    if servers.revision() <= request.servers_revision {
+    let known = StoreRevision::new(request.servers_era, request.servers_revision);
+    if servers.revision() <= known {
         return;
     }
     let age_ms = servers.age(time).map_or(u64::MAX, millis);
     let changes = request
         .accepts_changes
-        .then(|| servers.changes_since(time, request.servers_revision))
+        .then(|| servers.changes_since(time, known))
         .flatten();
     if let Some(changes) = changes {
         update.server_changes = Some(wire_server_changes(&changes, age_ms));
         return;
     }
     let listing = servers.listing(time);
-    update.servers_revision = listing.revision;
+    update.servers_era = listing.revision.era;
+    update.servers_revision = listing.revision.revision;
     update.servers_age_ms = age_ms;
     update.servers = listing.servers.iter().map(server_record).collect();
 }
@@ -72,17 +76,20 @@
 /// Adds the list of instances, or its changes, if the requester's is older.
 fn add_instances<C, H>(gateway: &Gateway<C, H>, request: &ViewRequest, update: &mut ViewUpdate) {
     let instances = gateway.instances.lock();
+    let revision = instances.revision();
     if request.accepts_changes {
-        if instances.revision() <= request.instances_revision {
+        let known = StoreRevision::new(request.instances_era, request.instances_revision);
+        if revision <= known {
             return;
         }
-        if let Some(changes) = instances.changes_since(request.instances_revision) {
+        if let Some(changes) = instances.changes_since(known) {
             update.instance_changes = Some(wire_instance_changes(&changes));
             return;
         }
     }
-    update.instances_revision = instances.revision();
-    update.instances = instances.all().iter().map(instance_entry).collect();
+    update.instances_era = revision.era;
+    update.instances_revision = revision.revision;
+    update.instances = instances.stored().map(instance_entry).collect();
 }
 
 /// Responds to a request for a newer view.
@@ -110,21 +117,19 @@
         gateway.install_configuration(update.configuration.clone(), source);
     }
     if update.operator_revision > 0 {
+        let revision = StoreRevision::new(update.operator_era, update.operator_revision);
         let evacuated = update.evacuated.iter().map(|name| DomainName::new(name));
-        gateway.apply_evacuated(update.operator_revision, evacuated.collect(), source);
+        gateway.apply_evacuated(revision, evacuated.collect(), source);
         // The revision covers the configuration as well, so it is confirmed only if this instance
         // has that version of it.
         if gateway.operators.lock().version() >= update.configuration_version {
             let read_at = time_before(time, update.operator_age_ms);
-            gateway
-                .operators
-                .lock()
-                .confirm(update.operator_revision, read_at);
+            gateway.operators.lock().confirm(revision, read_at);
         }
     }
     if update.servers_revision > 0 {
         let listing = ServerListing {
-            revision: update.servers_revision,
+            revision: StoreRevision::new(update.servers_era, update.servers_revision),
             servers: update.servers.iter().filter_map(backend_entry).collect(),
         };
         gateway.apply_servers(time_before(time, update.servers_age_ms), &listing, source);
@@ -138,7 +143,7 @@
     }
     if update.instances_revision > 0 {
         let listing = InstanceListing {
-            revision: update.instances_revision,
+            revision: StoreRevision::new(update.instances_era, update.instances_revision),
             instances: update
                 .instances
                 .iter()
--- a/crates/gateway/src/view_updates.rs
+++ b/crates/gateway/src/view_updates.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use hawthornquay_decisions::{DomainName, MonotonicTime};
 use hawthornquay_http::ServerLimits;
-use hawthornquay_traffic::{Configuration, InstanceChanges, ServerChanges, ServerListing};
+use hawthornquay_traffic::{
+    Configuration, InstanceChanges, ServerChanges, ServerListing, StoreRevision,
+};
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceListing, OperatorState, OperatorStateChanges,
@@ -39,7 +41,7 @@
         if let Some(document) = changes.configuration {
             self.install_configuration(document, "store");
         }
-        let mut evacuated: Vec<DomainName> = self.operators.lock().evacuated().to_vec();
+        let mut evacuated = self.operators.lock().stored_evacuations().to_vec();
         for (domain, is_evacuated) in changes.evacuations {
             evacuated.retain(|name| *name != domain);
             if is_evacuated {
@@ -117,12 +119,12 @@
         changes: &[String],
         changed: bool,
         count: usize,
-        revision: u64,
+        revision: StoreRevision,
         source: &str,
     ) {
         if !changes.is_empty() {
             slog::info!(self.log.routing, "backend servers changed";
-                "changes" => changes.join(", "), "revision" => revision, "source" => source);
+                "changes" => changes.join(", "), "revision" => %revision, "source" => source);
             self.metrics.set_backend_servers(count);
         }
         if changed || !changes.is_empty() {
@@ -151,14 +153,14 @@
     }
 
     /// Logs the instances, and passes their changes on if this instance leads.
-    fn report_instances(&self, revision: u64, source: &str) {
+    fn report_instances(&self, revision: StoreRevision, source: &str) {
         let names: Vec<String> = {
             let instances = self.instances.lock();
             let names = instances.all().iter().map(|one| one.id.name.to_string());
             names.collect()
         };
         slog::info!(self.log.membership, "instances changed";
-            "instances" => names.join(", "), "revision" => revision, "source" => source);
+            "instances" => names.join(", "), "revision" => %revision, "source" => source);
         self.view_changed.notify_one();
     }
 
@@ -168,21 +170,49 @@
     }
 
     /// Applies the evacuated failure domains at a store revision, unless a newer one is known.
-    pub(crate) fn apply_evacuated(&self, revision: u64, evacuated: Vec<DomainName>, source: &str) {
+    pub(crate) fn apply_evacuated(
+        &self,
+        revision: StoreRevision,
+        evacuated: Vec<DomainName>,
+        source: &str,
+    ) {
         let changed = self
             .operators
             .lock()
-            .set_evacuated(revision, evacuated.clone());
-        if !changed {
-            return;
+            .set_evacuated(now(), revision, &evacuated);
+        if changed {
+            self.apply_evacuations(source);
         }
+    }
+
+    /// Applies the evacuations in effect to the backend servers.
+    fn apply_evacuations(&self, source: &str) {
+        let (evacuated, revision) = {
+            let operators = self.operators.lock();
+            (operators.evacuated(), operators.revision())
+        };
         let names: Vec<&str> = evacuated.iter().map(DomainName::as_str).collect();
         slog::info!(self.log.rollout, "evacuated failure domains changed";
-            "evacuated" => names.join(", "), "revision" => revision, "source" => source);
+            "evacuated" => names.join(", "), "revision" => %revision, "source" => source);
         self.servers.lock().set_evacuated(&evacuated);
         self.view_changed.notify_one();
     }
 
+    /// Ends the use of entries that the store has lost and that were not written again within the
+    /// grace period.
+    pub(crate) fn end_grace(&self) {
+        if self.operators.lock().end_grace(now()) {
+            self.apply_evacuations("grace period");
+        }
+        let revision = {
+            let mut instances = self.instances.lock();
+            instances.end_grace(now()).then(|| instances.revision())
+        };
+        if let Some(revision) = revision {
+            self.report_instances(revision, "grace period");
+        }
+    }
+
     /// Applies a configuration to the backend servers, the rate limits and the limits for callers.
     fn apply_configuration(&self, configuration: &Configuration) {
         self.servers.lock().configure(configuration);
--- a/crates/gateway/src/wire_views.rs
+++ b/crates/gateway/src/wire_views.rs
@@ -9,6 +9,7 @@
 };
 use hawthornquay_traffic::{
     Admissions, BackendEntry, InstanceChanges, ListedInstance, ServerChanges, ServerUsage,
+    StoreRevision,
 };
 
 /// Returns a duration in whole milliseconds.
@@ -90,8 +91,9 @@
 
 pub(crate) fn wire_server_changes(changes: &ServerChanges, age_ms: u64) -> ServerListChanges {
     ServerListChanges {
-        base: changes.base,
-        revision: changes.revision,
+        base: changes.base.revision,
+        revision: changes.revision.revision,
+        era: changes.revision.era,
         age_ms,
         changed: changes.changed.iter().map(server_record).collect(),
         removed: changes.removed.iter().map(ToString::to_string).collect(),
@@ -100,8 +102,8 @@
 
 pub(crate) fn server_changes(wire: &ServerListChanges) -> ServerChanges {
     ServerChanges {
-        base: wire.base,
-        revision: wire.revision,
+        base: StoreRevision::new(wire.era, wire.base),
+        revision: StoreRevision::new(wire.era, wire.revision),
         changed: wire.changed.iter().filter_map(backend_entry).collect(),
         removed: wire.removed.iter().map(|id| id.as_str().into()).collect(),
     }
@@ -109,8 +111,9 @@
 
 pub(crate) fn wire_instance_changes(changes: &InstanceChanges) -> InstanceListChanges {
     InstanceListChanges {
-        base: changes.base,
-        revision: changes.revision,
+        base: changes.base.revision,
+        revision: changes.revision.revision,
+        era: changes.revision.era,
         changed: changes.changed.iter().map(instance_entry).collect(),
         removed: changes.removed.iter().map(ToString::to_string).collect(),
     }
@@ -118,8 +121,8 @@
 
 pub(crate) fn instance_changes(wire: &InstanceListChanges) -> InstanceChanges {
     InstanceChanges {
-        base: wire.base,
-        revision: wire.revision,
+        base: StoreRevision::new(wire.era, wire.base),
+        revision: StoreRevision::new(wire.era, wire.revision),
         changed: wire.changed.iter().filter_map(listed_instance).collect(),
         removed: wire
             .removed
--- a/crates/instances/src/instance_list_changes.rs
+++ b/crates/instances/src/instance_list_changes.rs
@@ -17,4 +17,7 @@
     /// Names of the instances that are no longer listed.
     #[prost(string, repeated, tag = "4")]
     pub removed: Vec<String>,
+    /// Era of the revisions.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
--- a/crates/instances/src/server_list_changes.rs
+++ b/crates/instances/src/server_list_changes.rs
@@ -20,4 +20,7 @@
     /// Identifiers of the servers that are no longer listed.
     #[prost(string, repeated, tag = "5")]
     pub removed: Vec<String>,
+    /// Era of the revisions.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
--- a/crates/instances/src/status.rs
+++ b/crates/instances/src/status.rs
@@ -69,4 +69,13 @@
     /// Quarantined prompt parts.
     #[prost(message, repeated, tag = "19")]
     pub quarantined_parts: Vec<QuarantineRecord>,
+    /// Era of the revision of the operators' configuration and evacuations.
+    #[prost(uint64, tag = "20")]
+    pub operator_era: u64,
+    /// Era of the revisions of the list of backend servers.
+    #[prost(uint64, tag = "21")]
+    pub servers_era: u64,
+    /// Era of the revisions of the list of instances.
+    #[prost(uint64, tag = "22")]
+    pub instances_era: u64,
 }
--- a/crates/instances/src/view_request.rs
+++ b/crates/instances/src/view_request.rs
@@ -18,4 +18,13 @@
     /// Store revision of the sender's list of instances.
     #[prost(uint64, tag = "5")]
     pub instances_revision: u64,
+    /// Era of the revision of the configuration and evacuations.
+    #[prost(uint64, tag = "6")]
+    pub operator_era: u64,
+    /// Era of the revision of the list of backend servers.
+    #[prost(uint64, tag = "7")]
+    pub servers_era: u64,
+    /// Era of the revision of the list of instances.
+    #[prost(uint64, tag = "8")]
+    pub instances_era: u64,
 }
--- a/crates/instances/src/view_update.rs
+++ b/crates/instances/src/view_update.rs
@@ -41,4 +41,13 @@
     /// Changes of the list of instances, in place of the complete list.
     #[prost(message, optional, tag = "12")]
     pub instance_changes: Option<InstanceListChanges>,
+    /// Era of the revision of the evacuations and the configuration.
+    #[prost(uint64, tag = "13")]
+    pub operator_era: u64,
+    /// Era of the revision of the list of backend servers.
+    #[prost(uint64, tag = "14")]
+    pub servers_era: u64,
+    /// Era of the revision of the list of instances.
+    #[prost(uint64, tag = "15")]
+    pub instances_era: u64,
 }
--- a/crates/instances/tests/quarantine_records.rs
+++ b/crates/instances/tests/quarantine_records.rs
@@ -20,7 +20,7 @@
     region: String,
     #[prost(message, repeated, tag = "17")]
     crashes: Vec<LaterCrash>,
-    #[prost(string, tag = "20")]
+    #[prost(string, tag = "100")]
     more: String,
 }
 
--- a/crates/traffic/src/instance_changes.rs
+++ b/crates/traffic/src/instance_changes.rs
@@ -2,15 +2,15 @@
 
 use hawthornquay_decisions::InstanceName;
 
-use crate::ListedInstance;
+use crate::{ListedInstance, StoreRevision};
 
 /// Changes of the list of instances after the store revision `base`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct InstanceChanges {
     /// Store revision after which the changes are complete.
-    pub base: u64,
+    pub base: StoreRevision,
     /// Store revision of the list that results.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Instances that were added or changed.
     pub changed: Vec<ListedInstance>,
     /// Instances that are no longer listed.
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -4,7 +4,10 @@
 
 use hawthornquay_decisions::{InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set};
 
-use crate::{InstanceChanges, ListedInstance, removal_log::RemovalLog, stable_hash};
+use crate::{
+    InstanceChanges, ListedInstance, RECOVERY_GRACE, StoreRevision, removal_log::RemovalLog,
+    stable_hash,
+};
 
 /// Time without a message after which an instance counts as silent and callers are not sent to it.
 pub(crate) const SILENCE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -34,13 +37,18 @@
 /// Instances of the fleet, from the store's list and the messages that they send.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceList {
-    revision: u64,
-    /// Store revision of the last list that differed from the one before.
-    changed_revision: u64,
+    revision: StoreRevision,
+    /// Store revision of the last list that differed from the one before, or of the first list of an
+    /// era.
+    changed_revision: StoreRevision,
     /// Store revision of the list that last added or changed each instance.
-    changed_at: Map<InstanceName, u64>,
+    changed_at: Map<InstanceName, StoreRevision>,
     removals: RemovalLog<InstanceName>,
     pub(crate) listed: Vec<ListedInstance>,
+    /// Instances in `listed` whose registrations the store has lost; they stay listed until
+    /// `lost_until`.
+    lost: Set<InstanceName>,
+    lost_until: MonotonicTime,
     /// Instances that are missing from the store's list but have sent a message recently.
     unlisted: Vec<ListedInstance>,
     pub(crate) contacts: Map<InstanceName, Contact>,
@@ -50,7 +58,7 @@
 
 impl InstanceList {
     /// Returns the store revision of the current list, or zero before the first list.
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -58,54 +66,101 @@
     ///
     /// A list of an older revision is ignored. An instance that is missing from the list but still
     /// sends messages may have lost only its connection to the store. It is kept in a separate
-    /// list, because its only updates are then the status messages of the other instances.
+    /// list, because its only updates are then the status messages of the other instances. In the
+    /// first lists of an era, instances are missing that have not registered again yet; they stay
+    /// listed for a grace period.
     pub fn apply_listing(
         &mut self,
         now: MonotonicTime,
-        revision: u64,
-        mut listed: Vec<ListedInstance>,
+        revision: StoreRevision,
+        mut stored: Vec<ListedInstance>,
     ) -> bool {
         if revision < self.revision {
             return false;
         }
+        let is_new_era = self.revision.is_replaced_by(revision);
+        if is_new_era {
+            self.lost_until = now + RECOVERY_GRACE;
+        }
         self.revision = revision;
-        listed.sort_by(|a, b| a.id.cmp(&b.id));
-        let changed = listed != self.listed;
+        stored.sort_by(|a, b| a.id.cmp(&b.id));
         self.removals.start(revision);
-        if changed {
-            self.record_changes(revision, &listed);
+        if is_new_era || !self.stored().eq(&stored) {
+            self.record_changes(revision, &stored);
         }
+        let (lost, missing): (Vec<_>, Vec<_>) = self
+            .listed
+            .iter()
+            .filter(|one| !stored.iter().any(|entry| entry.id.name == one.id.name))
+            .cloned()
+            .partition(|one| now < self.lost_until && !self.is_leaving(one));
+        self.lost = lost.iter().map(|one| one.id.name.clone()).collect();
+        let mut listed = stored;
+        listed.extend(lost);
+        listed.sort_by(|a, b| a.id.cmp(&b.id));
+        self.replace_listed(now, listed, missing)
+    }
+
+    /// Replaces the listed instances; `missing` are those that are no longer listed.
+    fn replace_listed(
+        &mut self,
+        now: MonotonicTime,
+        listed: Vec<ListedInstance>,
+        missing: Vec<ListedInstance>,
+    ) -> bool {
         let mut unlisted = std::mem::take(&mut self.unlisted);
-        unlisted.append(&mut self.listed);
-        unlisted.retain(|missing| {
-            !listed.iter().any(|entry| entry.id.name == missing.id.name)
-                && self.is_responsive(now, &missing.id.name)
-                && !self.is_leaving(missing)
+        unlisted.extend(missing);
+        unlisted.retain(|one| {
+            !listed.iter().any(|entry| entry.id.name == one.id.name)
+                && self.is_responsive(now, &one.id.name)
+                && !self.is_leaving(one)
         });
         self.unlisted = unlisted;
+        let changed = listed != self.listed;
         self.listed = listed;
         changed
     }
 
+    /// Removes instances that have not registered again within the grace period after the store
+    /// lost their registrations; returns whether there were any.
+    pub fn end_grace(&mut self, now: MonotonicTime) -> bool {
+        if now < self.lost_until || self.lost.is_empty() {
+            return false;
+        }
+        let lost = std::mem::take(&mut self.lost);
+        let (missing, listed) = std::mem::take(&mut self.listed)
+            .into_iter()
+            .partition(|one| lost.contains(&one.id.name));
+        self.replace_listed(now, listed, missing);
+        true
+    }
+
+    /// Returns the instances in the store's list, to be sent to other instances.
+    pub fn stored(&self) -> impl Iterator<Item = &ListedInstance> {
+        self.listed
+            .iter()
+            .filter(|one| !self.lost.contains(&one.id.name))
+    }
+
     /// Applies the changes since an earlier list, and returns whether the instances changed.
     ///
     /// Changes that do not continue the current list, or lead to an older one, are ignored.
     pub fn apply_changes(&mut self, now: MonotonicTime, changes: &InstanceChanges) -> bool {
-        if changes.base > self.revision || self.revision == 0 {
+        if changes.base > self.revision || !self.revision.is_known() {
             return false;
         }
         let replaced = |name: &InstanceName| {
             changes.removed.contains(name) || changes.changed.iter().any(|one| one.id.name == *name)
         };
-        let kept = self.listed.iter().filter(|one| !replaced(&one.id.name));
+        let kept = self.stored().filter(|one| !replaced(&one.id.name));
         let listed = kept.chain(&changes.changed).cloned().collect();
         self.apply_listing(now, changes.revision, listed)
     }
 
     /// Returns the changes after the list of `revision`, or `None` if they are not known so far
-    /// back.
-    pub fn changes_since(&self, revision: u64) -> Option<InstanceChanges> {
-        let is_listed = |name: &InstanceName| self.listed.iter().any(|one| one.id.name == *name);
+    /// back, as in another era.
+    pub fn changes_since(&self, revision: StoreRevision) -> Option<InstanceChanges> {
+        let is_listed = |name: &InstanceName| self.stored().any(|one| one.id.name == *name);
         let removed = self.removals.since(revision)?;
         let removed: Set<&InstanceName> = removed.filter(|name| !is_listed(name)).collect();
         let is_changed = |name: &InstanceName| {
@@ -116,8 +171,7 @@
             base: revision,
             revision: self.revision,
             changed: self
-                .listed
-                .iter()
+                .stored()
                 .filter(|one| is_changed(&one.id.name))
                 .cloned()
                 .collect(),
@@ -126,29 +180,31 @@
     }
 
     /// Returns the store revision of the last list that differed from the one before.
-    pub const fn changed_revision(&self) -> u64 {
+    pub const fn changed_revision(&self) -> StoreRevision {
         self.changed_revision
     }
 
     /// Records that the list has not changed up to the store revision `revision`.
-    pub fn confirm_revision(&mut self, revision: u64) {
+    pub fn confirm_revision(&mut self, revision: StoreRevision) {
         self.revision = self.revision.max(revision);
     }
 
-    /// Records how `listed`, the list of `revision`, differs from the current one.
-    fn record_changes(&mut self, revision: u64, listed: &[ListedInstance]) {
+    /// Records how `stored`, the store's list of `revision`, differs from the current one.
+    fn record_changes(&mut self, revision: StoreRevision, stored: &[ListedInstance]) {
         self.changed_revision = revision;
-        let before: Map<&InstanceName, &ListedInstance> =
-            self.listed.iter().map(|one| (&one.id.name, one)).collect();
-        for one in listed {
-            if before.get(&one.id.name) != Some(&one) {
+        let before: Map<InstanceName, ListedInstance> = self
+            .stored()
+            .map(|one| (one.id.name.clone(), one.clone()))
+            .collect();
+        for one in stored {
+            if before.get(&one.id.name) != Some(one) {
                 self.changed_at.insert(one.id.name.clone(), revision);
             }
         }
-        let names: Set<&InstanceName> = listed.iter().map(|one| &one.id.name).collect();
+        let names: Set<&InstanceName> = stored.iter().map(|one| &one.id.name).collect();
         for name in before.into_keys().filter(|name| !names.contains(name)) {
-            self.removals.record(revision, name.clone());
-            self.changed_at.remove(name);
+            self.changed_at.remove(&name);
+            self.removals.record(revision, name);
         }
     }
 
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -43,6 +43,7 @@
 mod server_listing;
 mod server_load;
 mod server_pick;
+mod server_reports;
 mod server_selection;
 mod server_table;
 mod server_usage;
@@ -50,9 +51,12 @@
 mod service_report;
 mod slot_time;
 mod stable_hash;
+mod store_revision;
 mod token_bucket;
 mod work;
 
+use server_table::RECOVERY_GRACE;
+
 pub use {
     admissions::Admissions,
     backend_entry::BackendEntry,
@@ -96,6 +100,7 @@
     service_report::ServiceReport,
     slot_time::SlotTime,
     stable_hash::stable_hash,
+    store_revision::StoreRevision,
     token_bucket::TokenBucket,
     work::{PromptPart, Work},
 };
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     BackendEntry, ColdStartLimiter, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
-    RecentPrefixes, ServerHealth, ServerLoad, ServerPick, SlotTime,
+    RecentPrefixes, ServerHealth, ServerLoad, ServerPick, SlotTime, StoreRevision,
 };
 
 /// Share of a server's slots in use above which its score gets a penalty. Filling the last slots of
@@ -33,7 +33,7 @@
     /// may not have registered again yet; `None` for a listed server.
     pub(crate) kept_until: Option<MonotonicTime>,
     /// Store revision of the list that last added or changed the server.
-    pub(crate) changed_at: u64,
+    pub(crate) changed_at: StoreRevision,
 }
 
 impl ListedServer {
--- a/crates/traffic/src/removal_log.rs
+++ b/crates/traffic/src/removal_log.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use crate::StoreRevision;
+
 /// Maximum number of logged removals; a receiver that has missed more gets the complete list.
 const MAX_REMOVALS: usize = 256;
 
@@ -9,8 +11,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RemovalLog<N> {
     /// Revision since which the log is complete; `None` before the first list.
-    complete_since: Option<u64>,
-    removals: VecDeque<(u64, N)>,
+    complete_since: Option<StoreRevision>,
+    removals: VecDeque<(StoreRevision, N)>,
 }
 
 impl<N> Default for RemovalLog<N> {
@@ -23,13 +25,19 @@
 }
 
 impl<N> RemovalLog<N> {
-    /// Starts the log at the revision of the first list; later calls have no effect.
-    pub(crate) fn start(&mut self, revision: u64) {
-        self.complete_since.get_or_insert(revision);
+    /// Starts the log at the revision of the first list of an era; later calls have no effect.
+    pub(crate) fn start(&mut self, revision: StoreRevision) {
+        if self
+            .complete_since
+            .is_none_or(|since| since.era != revision.era)
+        {
+            self.complete_since = Some(revision);
+            self.removals.clear();
+        }
     }
 
     /// Records that the list of `revision` lacks `name`.
-    pub(crate) fn record(&mut self, revision: u64, name: N) {
+    pub(crate) fn record(&mut self, revision: StoreRevision, name: N) {
         self.removals.push_back((revision, name));
         if self.removals.len() > MAX_REMOVALS
             && let Some((oldest, _)) = self.removals.pop_front()
@@ -39,7 +47,7 @@
     }
 
     /// Returns the names removed after `revision`, or `None` if the log does not reach back so far.
-    pub(crate) fn since(&self, revision: u64) -> Option<impl Iterator<Item = &N>> {
+    pub(crate) fn since(&self, revision: StoreRevision) -> Option<impl Iterator<Item = &N>> {
         self.complete_since.filter(|since| revision >= *since)?;
         let removals = self.removals.iter();
         Some(
--- a/crates/traffic/src/server_listing.rs
+++ b/crates/traffic/src/server_listing.rs
@@ -1,12 +1,12 @@
 //! List of backend servers at one store revision.
 
-use crate::BackendEntry;
+use crate::{BackendEntry, StoreRevision};
 
 /// List of backend servers at one store revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ServerListing {
     /// Store revision of the list.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Listed backend servers.
     pub servers: Vec<BackendEntry>,
 }
--- /dev/null
+++ b/crates/traffic/src/server_reports.rs
@@ -0,0 +1,71 @@
+//! Use and load of the backend servers, as instances report them to each other.
+
+use std::time::Duration;
+
+use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName};
+
+use crate::{ServerTable, ServerUsage, ServiceReport};
+
+impl ServerTable {
+    /// Returns this instance's use of each server.
+    pub fn own_usage(&self) -> Vec<ServerUsage> {
+        self.servers
+            .iter()
+            .filter(|(_, server)| server.load.own_requests > 0)
+            .map(|(id, server)| ServerUsage {
+                id: id.clone(),
+                requests: server.load.own_requests,
+                pending_tokens: server.load.own_pending,
+            })
+            .collect()
+    }
+
+    /// Records the total use of each server by the `peers` other instances of the region; servers
+    /// without a row are unused.
+    pub fn apply_peer_usage(&mut self, now: MonotonicTime, peers: u32, rows: &[ServerUsage]) {
+        let rows: Map<&BackendName, &ServerUsage> = rows.iter().map(|row| (&row.id, row)).collect();
+        for (id, server) in &mut self.servers {
+            let (requests, pending) = rows
+                .get(id)
+                .map_or((0, 0), |row| (row.requests, row.pending_tokens));
+            // Most requests to plain services end within a status interval, so the peers' requests
+            // since their last report are not estimated.
+            let engine = self.engines.contains(&server.entry.service);
+            let estimated_peers = if engine { peers } else { 0 };
+            server
+                .load
+                .apply_peer_usage(now, estimated_peers, requests, pending);
+        }
+    }
+
+    /// Returns the load of each service, over the usable servers in the failure domains for which
+    /// `is_local` returns true.
+    pub fn service_reports(
+        &self,
+        now: MonotonicTime,
+        is_local: impl Fn(&DomainName) -> bool,
+    ) -> Map<ServiceName, ServiceReport> {
+        let mut reports: Map<ServiceName, ServiceReport> = Map::default();
+        for server in self.servers.values() {
+            let domain = &server.entry.domain;
+            if !is_local(domain) || self.evacuated.contains(domain) || !server.is_usable(now) {
+                continue;
+            }
+            // A cold server accepts too few requests to be offered to other regions.
+            if server.cold.is_cold(now) {
+                continue;
+            }
+            let expected_ms = server.empty_prompt_ms(now, self.slot_time(&server.entry.service));
+            let requests = server.load.requests(now);
+            let report = reports
+                .entry(server.entry.service.clone())
+                .or_insert_with(ServiceReport::empty);
+            report.servers += 1;
+            report.free_slots += server.entry.slots.saturating_sub(requests);
+            report.expected_latency = report
+                .expected_latency
+                .min(Duration::from_secs_f64(expected_ms / 1_000.0));
+        }
+        reports
+    }
+}
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -7,13 +7,12 @@
 use crate::{
     Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes,
     ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad,
-    ServerPick, ServerUsage, ServiceReport, SlotTime, listed_server::ListedServer,
-    removal_log::RemovalLog,
+    ServerPick, SlotTime, StoreRevision, listed_server::ListedServer, removal_log::RemovalLog,
 };
 
-/// Time after the store's recovery during which servers missing from its list stay in use. Servers
-/// that are alive have registered again by then.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2_400);
+/// Time after the store's recovery during which what is missing from it stays in use. What is still
+/// valid has been written again by then.
+pub(crate) const RECOVERY_GRACE: Duration = Duration::from_millis(2_400);
 
 /// Minimum time between two reads of the list for the store to count as having been unavailable.
 const STORE_OUTAGE_AGE: Duration = Duration::from_millis(2_500);
@@ -24,14 +23,15 @@
 /// Listed backend servers with their load and health, and the evacuated failure domains.
 #[derive(Default)]
 pub struct ServerTable {
-    revision: u64,
-    /// Store revision of the last list that differed from the one before.
-    changed_revision: u64,
+    revision: StoreRevision,
+    /// Store revision of the last list that differed from the one before, or of the first list of an
+    /// era.
+    changed_revision: StoreRevision,
     removals: RemovalLog<BackendName>,
     pub(crate) servers: Map<BackendName, ListedServer>,
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
-    engines: Set<ServiceName>,
+    pub(crate) engines: Set<ServiceName>,
     /// Number of requests, running or queued, with which a full engine of each service has last
     /// rejected another one, or more if one has accepted more since.
     pub(crate) full_levels: Map<ServiceName, u32>,
@@ -49,7 +49,7 @@
 
 impl ServerTable {
     /// Returns the store revision of the current list, or zero before the first list.
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -78,6 +78,11 @@
             return Vec::new();
         }
         self.record_read(read_at);
+        if self.revision.is_replaced_by(listing.revision) {
+            // The older copy may lack servers that have not registered again yet.
+            self.recovered_at = Some(now);
+            self.changed_revision = listing.revision;
+        }
         self.revision = listing.revision;
         self.removals.start(listing.revision);
         let mut changes = Vec::new();
@@ -98,7 +103,10 @@
         read_at: MonotonicTime,
         changes: &ServerChanges,
     ) -> Vec<String> {
-        if changes.base > self.revision || changes.revision < self.revision || self.revision == 0 {
+        if changes.base > self.revision
+            || changes.revision < self.revision
+            || !self.revision.is_known()
+        {
             return Vec::new();
         }
         self.record_read(read_at);
@@ -123,8 +131,12 @@
     }
 
     /// Returns the changes after the list of `revision`, or `None` if they are not known so far
-    /// back.
-    pub fn changes_since(&self, now: MonotonicTime, revision: u64) -> Option<ServerChanges> {
+    /// back, as in another era.
+    pub fn changes_since(
+        &self,
+        now: MonotonicTime,
+        revision: StoreRevision,
+    ) -> Option<ServerChanges> {
         let is_listed = |id: &BackendName| {
             let server = self.servers.get(id);
             server.is_some_and(|server| server.kept_until.is_none())
@@ -142,13 +154,13 @@
     }
 
     /// Returns the store revision of the last list that differed from the one before.
-    pub const fn changed_revision(&self) -> u64 {
+    pub const fn changed_revision(&self) -> StoreRevision {
         self.changed_revision
     }
 
     /// Records that the list has not changed up to the store revision `revision`, and was still
     /// current at `read_at`.
-    pub fn confirm_revision(&mut self, revision: u64, read_at: MonotonicTime) {
+    pub fn confirm_revision(&mut self, revision: StoreRevision, read_at: MonotonicTime) {
         self.revision = self.revision.max(revision);
         self.record_read(read_at);
     }
@@ -367,68 +379,6 @@
         }
     }
 
-    /// Returns this instance's use of each server.
-    pub fn own_usage(&self) -> Vec<ServerUsage> {
-        self.servers
-            .iter()
-            .filter(|(_, server)| server.load.own_requests > 0)
-            .map(|(id, server)| ServerUsage {
-                id: id.clone(),
-                requests: server.load.own_requests,
-                pending_tokens: server.load.own_pending,
-            })
-            .collect()
-    }
-
-    /// Records the total use of each server by the `peers` other instances of the region; servers
-    /// without a row are unused.
-    pub fn apply_peer_usage(&mut self, now: MonotonicTime, peers: u32, rows: &[ServerUsage]) {
-        let rows: Map<&BackendName, &ServerUsage> = rows.iter().map(|row| (&row.id, row)).collect();
-        for (id, server) in &mut self.servers {
-            let (requests, pending) = rows
-                .get(id)
-                .map_or((0, 0), |row| (row.requests, row.pending_tokens));
-            // Most requests to plain services end within a status interval, so the peers' requests
-            // since their last report are not estimated.
-            let engine = self.engines.contains(&server.entry.service);
-            let estimated_peers = if engine { peers } else { 0 };
-            server
-                .load
-                .apply_peer_usage(now, estimated_peers, requests, pending);
-        }
-    }
-
-    /// Returns the load of each service, over the usable servers in the failure domains for which
-    /// `is_local` returns true.
-    pub fn service_reports(
-        &self,
-        now: MonotonicTime,
-        is_local: impl Fn(&DomainName) -> bool,
-    ) -> Map<ServiceName, ServiceReport> {
-        let mut reports: Map<ServiceName, ServiceReport> = Map::default();
-        for server in self.servers.values() {
-            let domain = &server.entry.domain;
-            if !is_local(domain) || self.evacuated.contains(domain) || !server.is_usable(now) {
-                continue;
-            }
-            // A cold server accepts too few requests to be offered to other regions.
-            if server.cold.is_cold(now) {
-                continue;
-            }
-            let expected_ms = server.empty_prompt_ms(now, self.slot_time(&server.entry.service));
-            let requests = server.load.requests(now);
-            let report = reports
-                .entry(server.entry.service.clone())
-                .or_insert_with(ServiceReport::empty);
-            report.servers += 1;
-            report.free_slots += server.entry.slots.saturating_sub(requests);
-            report.expected_latency = report
-                .expected_latency
-                .min(Duration::from_secs_f64(expected_ms / 1_000.0));
-        }
-        reports
-    }
-
     /// Returns the number of servers in the table.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -9,7 +9,7 @@
 };
 use hawthornquay_traffic::{
     BackendEntry, Configuration, EngineConfig, ExecutionSemantics, OrganisationConfig,
-    PlacementRequest, PromptPart, Route, ServerListing, ServiceConfig, Work,
+    PlacementRequest, PromptPart, Route, ServerListing, ServiceConfig, StoreRevision, Work,
 };
 
 /// Latency target of all routes and requests.
@@ -84,9 +84,14 @@
     }
 }
 
+/// Returns a revision of a store that has never come back from an older copy.
+pub const fn rev(revision: u64) -> StoreRevision {
+    StoreRevision::new(0, revision)
+}
+
 pub fn listing(revision: u64, servers: &[BackendEntry]) -> ServerListing {
     ServerListing {
-        revision,
+        revision: rev(revision),
         servers: servers.to_vec(),
     }
 }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -240,7 +240,7 @@
         link_mbps: 0,
     };
     let mut list = InstanceList::default();
-    list.apply_listing(at(0), 1, vec![instance.clone()]);
+    list.apply_listing(at(0), common::rev(1), vec![instance.clone()]);
     let excluded = [instance.id.name.clone()];
     assert!(
         list.forward_target_in(at(0), &region, &"a".into(), &excluded)
--- a/crates/traffic/tests/view_changes.rs
+++ b/crates/traffic/tests/view_changes.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use common::{at, listing, server};
+use common::{at, listing, rev, server};
 use hawthornquay_decisions::{DomainName, InstanceId, RegionName};
 use hawthornquay_traffic::{BackendEntry, InstanceList, ListedInstance, ServerTable};
 use proptest::prelude::*;
@@ -59,7 +59,7 @@
             } else if received[index] {
                 let changes = sender.changes_since(at(0), receiver.revision()).unwrap();
                 receiver.apply_changes(at(0), at(0), &changes);
-                prop_assert_eq!(receiver.revision(), revision);
+                prop_assert_eq!(receiver.revision(), rev(revision));
                 prop_assert_eq!(entries(&receiver), entries(&sender));
             }
             // What the status says of the last change must never hide one from the receiver.
@@ -79,13 +79,13 @@
         for (index, listed) in lists.iter().enumerate() {
             let revision = 10 + 3 * index as u64;
             let listed: Vec<_> = listed.iter().map(|(id, link)| instance(*id, *link)).collect();
-            sender.apply_listing(at(0), revision, listed.clone());
+            sender.apply_listing(at(0), rev(revision), listed.clone());
             if index == 0 {
-                receiver.apply_listing(at(0), revision, listed);
+                receiver.apply_listing(at(0), rev(revision), listed);
             } else if received[index] {
                 let changes = sender.changes_since(receiver.revision()).unwrap();
                 receiver.apply_changes(at(0), &changes);
-                prop_assert_eq!(receiver.revision(), revision);
+                prop_assert_eq!(receiver.revision(), rev(revision));
                 prop_assert_eq!(receiver.all(), sender.all());
             }
             if receiver.revision() >= sender.changed_revision() {
@@ -103,19 +103,27 @@
     sender.apply_listing(at(0), at(0), &listing(6, &[entry(1, 1), entry(2, 1)]));
     sender.apply_listing(at(0), at(0), &listing(7, &[entry(2, 1)]));
     let mut empty = ServerTable::default();
-    let changes = sender.changes_since(at(0), 5).unwrap();
+    let changes = sender.changes_since(at(0), rev(5)).unwrap();
     empty.apply_changes(at(0), at(0), &changes);
-    assert_eq!(empty.revision(), 0, "no list that the changes continue");
+    assert_eq!(
+        empty.revision(),
+        rev(0),
+        "no list that the changes continue"
+    );
     let mut older = ServerTable::default();
     older.apply_listing(at(0), at(0), &listing(4, &[entry(3, 1)]));
     older.apply_changes(at(0), at(0), &changes);
-    assert_eq!(older.revision(), 4, "changes before the fifth are unknown");
-    assert!(sender.changes_since(at(0), 4).is_none());
+    assert_eq!(
+        older.revision(),
+        rev(4),
+        "changes before the fifth are unknown"
+    );
+    assert!(sender.changes_since(at(0), rev(4)).is_none());
     let mut newer = ServerTable::default();
     newer.apply_listing(at(0), at(0), &listing(9, &[entry(4, 1)]));
     newer.apply_changes(at(0), at(0), &changes);
     assert_eq!(entries(&newer).len(), 1);
-    assert_eq!(newer.revision(), 9);
+    assert_eq!(newer.revision(), rev(9));
 }
 
 /// Guards against changes that are sent again and again though nothing has changed, and against a
@@ -129,11 +137,11 @@
     let mut sender = ServerTable::default();
     sender.apply_listing(at(0), at(0), &listing(5, &[entry(1, 1)]));
     sender.apply_listing(at(700), at(700), &listing(8, &[entry(1, 1)]));
-    assert_eq!(sender.changed_revision(), 5);
-    let changes = sender.changes_since(at(700), 5).unwrap();
+    assert_eq!(sender.changed_revision(), rev(5));
+    let changes = sender.changes_since(at(700), rev(5)).unwrap();
     assert!(changes.changed.is_empty() && changes.removed.is_empty());
     sender.apply_listing(at(1_400), at(1_400), &listing(9, &[cold]));
-    let changes = sender.changes_since(at(1_400), 8).unwrap();
+    let changes = sender.changes_since(at(1_400), rev(8)).unwrap();
     assert_eq!(changes.changed[0].cold_remaining, Duration::from_secs(3));
 }
 
@@ -164,7 +172,7 @@
         instance(7, 200),
         instance(8, 200),
     ];
-    list.apply_listing(at(0), 1, listed);
+    list.apply_listing(at(0), rev(1), listed);
     let leader = |list: &InstanceList, ms| {
         let leader = list.leader_of(at(ms), &region, &"a1".into());
         leader.unwrap().id.name.to_string()
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use common::{at, configuration, route};
+use common::{at, configuration, rev, route};
 use hawthornquay_decisions::{
     DomainName, InstanceId, InstanceName, OrganisationId, RegionName, ServiceName,
 };
@@ -33,7 +33,7 @@
         instance("a2", "a", 2),
         instance("b1", "b", 3),
     ];
-    assert!(list.apply_listing(at(0), 5, listed));
+    assert!(list.apply_listing(at(0), rev(5), listed));
     list
 }
 
@@ -75,19 +75,19 @@
 #[test]
 fn set_evacuated_ignores_older_revision() {
     let mut view = OperatorView::default();
-    assert!(view.set_evacuated(10, vec!["a-a".into()]));
-    assert!(!view.set_evacuated(9, Vec::new()));
+    assert!(view.set_evacuated(at(0), rev(10), &["a-a".into()]));
+    assert!(!view.set_evacuated(at(0), rev(9), &[]));
     assert_eq!(view.evacuated().len(), 1);
-    assert!(view.set_evacuated(11, Vec::new()));
+    assert!(view.set_evacuated(at(0), rev(11), &[]));
 }
 
 /// Confirming an older revision must not reset the age of a newer view.
 #[test]
 fn confirm_older_revision_does_not_reset_age() {
     let mut view = OperatorView::default();
-    view.set_evacuated(10, Vec::new());
-    view.confirm(10, at(0));
-    view.confirm(9, at(5_000));
+    view.set_evacuated(at(0), rev(10), &[]);
+    view.confirm(rev(10), at(0));
+    view.confirm(rev(9), at(5_000));
     assert_eq!(view.age(at(6_000)), Some(Duration::from_secs(6)));
 }
 
@@ -127,7 +127,7 @@
     assert_eq!(hosts(&list, 1, "a"), ["10.0.0.1:2"]);
     let mut restarted = instance("a2", "a", 2);
     restarted.id = InstanceId::new("a2", 2);
-    list.apply_listing(at(0), 6, vec![instance("a1", "a", 1), restarted]);
+    list.apply_listing(at(0), rev(6), vec![instance("a1", "a", 1), restarted]);
     list.record_message(at(2), &"a2".into(), 2, false);
     assert_eq!(hosts(&list, 2, "a").len(), 2);
     assert_eq!(hosts(&list, 5_000, "a"), ["10.0.0.1:2"]);
@@ -143,7 +143,7 @@
     let mut restarted = instance("b1", "b", 3);
     restarted.id = InstanceId::new("b1", 2);
     let listed = vec![instance("a1", "a", 1), instance("a2", "a", 2), restarted];
-    list.apply_listing(at(1_000), 6, listed);
+    list.apply_listing(at(1_000), rev(6), listed);
     assert_eq!(hosts(&list, 10_000, "b"), ["10.0.0.3:2"]);
 }
 
@@ -157,7 +157,7 @@
         instance("b1", "b", 3),
         instance("b2", "b", 4),
     ];
-    list.apply_listing(at(0), 6, listed);
+    list.apply_listing(at(0), rev(6), listed);
     list.record_message(at(0), &"b1".into(), 1, false);
     list.record_message(at(5_000), &"b2".into(), 1, false);
     assert_eq!(hosts(&list, 6_000, "b"), ["10.0.0.3:2", "10.0.0.4:2"]);
@@ -174,7 +174,7 @@
         instance("a2", "a", 2),
         instance("a3", "a", 4),
     ];
-    list.apply_listing(at(0), 6, listed);
+    list.apply_listing(at(0), rev(6), listed);
     let others = ["10.0.0.2:2", "10.0.0.4:2"];
     list.record_leadership(at(0), true);
     for name in ["a2", "a3"] {
@@ -236,7 +236,7 @@
 fn leader_candidates_in_silent_region_include_all_in_turn() {
     let mut list = InstanceList::default();
     let listed = (1..6).map(|n| instance(&format!("a{n}"), "a", n)).collect();
-    list.apply_listing(at(0), 5, listed);
+    list.apply_listing(at(0), rev(5), listed);
     let region = RegionName::new("a");
     let names = |list: &InstanceList, now_ms: u64, turn: usize| -> Vec<String> {
         list.leader_candidates_in(at(now_ms), &region, turn)
@@ -262,7 +262,7 @@
     let region = RegionName::new("a");
     let mut list = list();
     list.record_message(at(1_000), &"a2".into(), 1, false);
-    list.apply_listing(at(2_000), 6, vec![instance("a1", "a", 1)]);
+    list.apply_listing(at(2_000), rev(6), vec![instance("a1", "a", 1)]);
     let names = |list: &InstanceList, ms| -> Vec<String> {
         list.status_receivers_in(at(ms), &region)
             .map(|instance| instance.id.name.to_string())
@@ -275,7 +275,7 @@
         ["10.0.0.1:2"],
         "callers get listed instances only"
     );
-    list.apply_listing(at(3_000), 7, vec![instance("a1", "a", 1)]);
+    list.apply_listing(at(3_000), rev(7), vec![instance("a1", "a", 1)]);
     assert_eq!(names(&list, 3_000), ["a1", "a2"], "kept after another list");
     assert_eq!(names(&list, 4_000), ["a1"], "dropped when silent");
 }
@@ -288,7 +288,7 @@
     let mut reordered = InstanceList::default();
     reordered.apply_listing(
         at(0),
-        5,
+        rev(5),
         vec![instance("a2", "a", 2), instance("a1", "a", 1)],
     );
     for n in 0..20 {
@@ -311,7 +311,7 @@
 fn pool_owners_in_large_region_are_two() {
     let mut list = InstanceList::default();
     let listed = (0..6).map(|n| instance(&format!("a{n}"), "a", n)).collect();
-    list.apply_listing(at(0), 1, listed);
+    list.apply_listing(at(0), rev(1), listed);
     let organisation = OrganisationId::new("o");
     let owners = list.pool_owners_in(&RegionName::new("a"), &organisation);
     assert_eq!(owners.len(), 2);
