Tie a registration to the era in which it was written

What operators see: after the store came back from an older copy, it assigns the identifiers of leases again. An instance whose registration was lost went on renewing a lease of that identifier, which now was another instance's, so it stayed out of the list until its restart; when it stopped, it ended that lease and with it the registration of the other.

Cause: the identifier of a lease was used without the history in which it was assigned.

Change: a registration is the revision, with its era, and the lease. An instance registers again as soon as it has data of a later era, since nothing tells it whether its registration was in the copy. It removes its registration by deleting its own key at the revision that it wrote, and no longer by ending the lease: a key of that name at that revision is its own in any era.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -174,7 +174,7 @@
             return;
         }
         let ttl = gateway.settings.registration_ttl;
-        if registration.is_none() || now().since(renewed_at) >= ttl.mul_f64(RENEWAL_SHARE_OF_TTL) {
+        if must_renew(&gateway, registration, renewed_at) {
             let started = now();
             let outcome = renew_or_register(&gateway, &mut registration, ttl).await;
             if health.record(&gateway, outcome).is_err() {
@@ -202,6 +202,21 @@
     }
 }
 
+/// Returns whether the registration has to be renewed or written again: also at once in a new era of
+/// the store, which may have lost it.
+fn must_renew<C: ControlPlane, H: HeaderMapping>(
+    gateway: &Gateway<C, H>,
+    registration: Option<Registration>,
+    renewed_at: MonotonicTime,
+) -> bool {
+    let Some(registration) = registration else {
+        return true;
+    };
+    let ttl = gateway.settings.registration_ttl;
+    registration.revision.era < gateway.store_era()
+        || now().since(renewed_at) >= ttl.mul_f64(RENEWAL_SHARE_OF_TTL)
+}
+
 /// Renews the registration, or registers again if it has expired.
 async fn renew_or_register<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
@@ -218,7 +233,8 @@
         .control
         .register(&gateway.to_listed_instance(), ttl)
         .await?;
-    slog::info!(gateway.log.membership, "registered"; "entry" => created.0);
+    slog::info!(gateway.log.membership, "registered";
+        "lease" => created.lease, "revision" => %created.revision);
     *registration = Some(created);
     Ok(())
 }
@@ -227,9 +243,13 @@
     gateway: &Gateway<C, H>,
     registration: Registration,
 ) {
-    if let Err(error) = gateway.control.unregister(registration).await {
+    if let Err(error) = gateway
+        .control
+        .unregister(&gateway.id.name, registration)
+        .await
+    {
         slog::warn!(gateway.log.membership, "cannot remove the registration; it will expire";
-            "entry" => registration.0, "error" => %error);
+            "lease" => registration.lease, "error" => %error);
     }
 }
 
--- a/crates/gateway/src/control_plane.rs
+++ b/crates/gateway/src/control_plane.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
-use hawthornquay_decisions::DomainName;
+use hawthornquay_decisions::{DomainName, InstanceName};
 use hawthornquay_traffic::{Configuration, ListedInstance, ServerListing, StoreRevision};
 
 use crate::ControlError;
@@ -39,9 +39,14 @@
     pub instances: Vec<ListedInstance>,
 }
 
-/// Identifier of the registration of this instance, which expires unless it is renewed.
+/// Registration of this instance, which expires unless it is renewed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Registration(pub u64);
+pub struct Registration {
+    /// Store revision at which it was written.
+    pub revision: StoreRevision,
+    /// Identifier of its lease, which the store may assign again in another era.
+    pub lease: u64,
+}
 
 /// Client of the platform's store.
 ///
@@ -80,16 +85,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ControlError::Lapsed`] if the registration has expired; the instance has to
-    /// register again.
+    /// Returns [`ControlError::Lapsed`] if the registration has expired or was written in another
+    /// era, since its lease may be another instance's by now; the instance has to register again.
     fn renew(
         &self,
         registration: Registration,
     ) -> impl Future<Output = Result<(), ControlError>> + Send;
 
-    /// Removes the registration.
+    /// Removes the registration of the instance `name`, unless it has been replaced.
     fn unregister(
         &self,
+        name: &InstanceName,
         registration: Registration,
     ) -> impl Future<Output = Result<(), ControlError>> + Send;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -158,6 +158,14 @@
             && self.servers.lock().revision().is_known()
     }
 
+    /// Returns the latest era of the store that this instance has data of.
+    pub(crate) fn store_era(&self) -> u64 {
+        let operators = self.operators.lock().revision().era;
+        let servers = self.servers.lock().revision().era;
+        let instances = self.instances.lock().revision().era;
+        operators.max(servers).max(instances)
+    }
+
     /// Returns whether the process is stopping.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
