Take entries of an older copy for no newer than what is known

What callers would see: after the store came back from an older copy, requests go to servers that have left since the copy was made, as the copy lists them again until their entries are removed again; a server that had announced its stop is listed as ready; and a cold server that started again under its name counts as warm, as the copy lists its former process.

Cause: an entry was compared with the list in use only. What was known of a removed server, or of a later process of the same name, was dropped.

Change: servers that were removed are remembered for a minute. A process that was leaving when it was removed stays so, whatever a later list says. For 2.4 s after the store came back, by when the servers have written their entries again, any other removed process gets no requests, and an entry of an earlier process than the known one is ignored.

Evidence: on the commit before, three of the new tests of store_eras.rs fail: 'left: 2, right: 1' usable servers twice, and 'the cold server counts as warm'.

--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,7 @@
 mod cold_start_limiter;
 mod configuration;
 mod demand_history;
+mod departed_servers;
 mod engine_config;
 mod execution_semantics;
 mod fleet_demand;
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -32,6 +32,9 @@
     /// End of the grace period of a server that is missing from the list after a store outage and
     /// may not have registered again yet; `None` for a listed server.
     pub(crate) kept_until: Option<MonotonicTime>,
+    /// Time before which the server gets no requests: its entry may be of an older copy of the store
+    /// and the server gone.
+    pub(crate) usable_from: MonotonicTime,
     /// Store revision of the list that last added or changed the server.
     pub(crate) changed_at: StoreRevision,
 }
@@ -40,6 +43,7 @@
     /// Returns whether the server accepts new requests.
     pub(crate) fn is_usable(&self, now: MonotonicTime) -> bool {
         !self.entry.leaving
+            && now >= self.usable_from
             && !self.health.in_backoff(now)
             && self.kept_until.is_none_or(|until| now < until)
     }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -7,7 +7,8 @@
 use crate::{
     Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes,
     ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad,
-    ServerPick, SlotTime, StoreRevision, listed_server::ListedServer, removal_log::RemovalLog,
+    ServerPick, SlotTime, StoreRevision, departed_servers::DepartedServers,
+    listed_server::ListedServer, removal_log::RemovalLog,
 };
 
 /// Time after the store's recovery during which what is missing from it stays in use. What is still
@@ -28,6 +29,9 @@
     /// era.
     changed_revision: StoreRevision,
     removals: RemovalLog<BackendName>,
+    departed: DepartedServers,
+    /// End of the time in which entries may be those of an older copy of the store.
+    copy_until: MonotonicTime,
     pub(crate) servers: Map<BackendName, ListedServer>,
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
@@ -81,15 +85,18 @@
         if self.revision.is_replaced_by(listing.revision) {
             // The older copy may lack servers that have not registered again yet.
             self.recovered_at = Some(now);
+            self.copy_until = now + RECOVERY_GRACE;
             self.changed_revision = listing.revision;
         }
         self.revision = listing.revision;
         self.removals.start(listing.revision);
         let mut changes = Vec::new();
-        for entry in &listing.servers {
+        let current = listing.servers.iter();
+        let current: Vec<_> = current.filter(|one| !self.is_former(now, one)).collect();
+        for entry in &current {
             self.apply_entry(now, entry, &mut changes);
         }
-        let listed: Set<&BackendName> = listing.servers.iter().map(|s| &s.id).collect();
+        let listed: Set<&BackendName> = current.iter().map(|entry| &entry.id).collect();
         self.remove_missing(now, |id| listed.contains(id), &mut changes);
         changes
     }
@@ -188,6 +195,7 @@
             let kept = server.kept_until.is_some_and(|until| now < until);
             if !kept {
                 changes.push(format!("{id} gone"));
+                self.departed.record(now, &server.entry);
             }
             kept
         });
@@ -400,6 +408,13 @@
         self.read_at = self.read_at.max(Some(read_at));
     }
 
+    /// Returns whether an entry is that of an earlier process than the known one, as an older copy of
+    /// the store may hold.
+    fn is_former(&self, now: MonotonicTime, entry: &BackendEntry) -> bool {
+        let known = self.servers.get(&entry.id);
+        now < self.copy_until && known.is_some_and(|one| entry.started_ms < one.entry.started_ms)
+    }
+
     /// Adds or updates a listed server; a restarted one starts without load and health data.
     fn apply_entry(&mut self, now: MonotonicTime, entry: &BackendEntry, changes: &mut Vec<String>) {
         let engine = self.engines.contains(&entry.service);
@@ -425,6 +440,7 @@
             server.cold.extend(now, entry.cold_remaining);
             return;
         }
+        let departed = self.departed.find(entry);
         changes.push(format!("{} at {}", entry.id, entry.address));
         let mut cold = ColdStartLimiter::default();
         cold.extend(now, entry.cold_remaining);
@@ -432,8 +448,10 @@
         let server = ListedServer {
             entry: BackendEntry {
                 cold_remaining: Duration::ZERO,
+                leaving: entry.leaving || departed == Some(true),
                 ..entry.clone()
             },
+            usable_from: departed.map_or(MonotonicTime(0), |_| self.copy_until),
             load: ServerLoad::default(),
             health: ServerHealth::default(),
             cold,
--- a/crates/traffic/tests/store_eras.rs
+++ b/crates/traffic/tests/store_eras.rs
@@ -173,3 +173,79 @@
     list.apply_listing(at(1_000), restored(60), vec![instance("a1", 1)]);
     assert_eq!(names(&list), ["a1"]);
 }
+
+/// Returns the number of servers that get requests.
+fn usable(table: &ServerTable, ms: u64) -> u32 {
+    let reports = table.service_reports(at(ms), |_| true);
+    reports.values().map(|report| report.servers).sum()
+}
+
+/// Guards against requests to a server that has left: the copy lists it until its entry is removed
+/// again. One that is still listed after that is in use.
+#[test]
+fn server_gone_since_copy_is_used_after_grace_period_only() {
+    let mut table = ServerTable::default();
+    let entries = [server("s1", "home-a"), server("s2", "home-a")];
+    table.apply_listing(at(0), at(0), &listing(100, &entries));
+    table.apply_listing(at(700), at(700), &listing(101, &entries[..1]));
+    assert_eq!(table.len(), 1);
+    table.apply_listing(at(1_400), at(1_400), &restored_listing(60, &entries));
+    assert_eq!(usable(&table, 1_400), 1);
+    table.apply_listing(at(2_100), at(2_100), &restored_listing(61, &entries));
+    assert_eq!(usable(&table, 2_100), 1);
+    assert_eq!(usable(&table, 1_400 + GRACE_END_MS), 2);
+}
+
+/// Guards against requests to a server that has announced its stop and whose entry is listed as
+/// ready again after its removal.
+#[test]
+fn leaving_server_gone_since_copy_stays_leaving() {
+    let mut table = ServerTable::default();
+    let entries = [server("s1", "home-a"), server("s2", "home-a")];
+    table.apply_listing(at(0), at(0), &listing(100, &entries));
+    let leaving = BackendEntry {
+        leaving: true,
+        ..server("s2", "home-a")
+    };
+    let announced = listing(101, &[entries[0].clone(), leaving]);
+    table.apply_listing(at(700), at(700), &announced);
+    table.apply_listing(at(1_400), at(1_400), &listing(102, &entries[..1]));
+    table.apply_listing(at(2_100), at(2_100), &restored_listing(60, &entries));
+    assert_eq!(usable(&table, 9_000), 1);
+    let restarted = BackendEntry {
+        started_ms: entries[1].started_ms + 5_000,
+        ..entries[1].clone()
+    };
+    let again = restored_listing(70, &[entries[0].clone(), restarted]);
+    table.apply_listing(at(9_000), at(9_000), &again);
+    assert_eq!(usable(&table, 9_000), 2);
+}
+
+/// Guards against a cold server that gets the load of a warm one: the copy lists its former process,
+/// which was warm, at the same name.
+#[test]
+fn former_process_in_copy_does_not_replace_present_one() {
+    let mut table = ServerTable::default();
+    let former = server("s1", "home-a");
+    table.apply_listing(at(0), at(0), &listing(100, std::slice::from_ref(&former)));
+    let present = BackendEntry {
+        started_ms: former.started_ms + 5_000,
+        cold_remaining: Duration::from_secs(10),
+        ..former.clone()
+    };
+    table.apply_listing(
+        at(700),
+        at(700),
+        &listing(101, std::slice::from_ref(&present)),
+    );
+    table.apply_listing(at(1_400), at(1_400), &restored_listing(60, &[former]));
+    assert_eq!(usable(&table, 1_400), 0, "the cold server counts as warm");
+    assert!(!table.is_empty());
+    let after = BackendEntry {
+        cold_remaining: Duration::from_secs(9),
+        ..present
+    };
+    table.apply_listing(at(2_100), at(2_100), &restored_listing(61, &[after]));
+    table.apply_listing(at(4_500), at(4_500), &restored_listing(62, &[]));
+    assert!(table.is_empty(), "it was listed again and is gone now");
+}
