Keep a silent server's request unless another attempt can be made

Callers saw a resumable stream cut in its middle, or a 502 in place of the answer of a safe request, when the server was silent for longer than 1.3 s (streams) or three times the target latency (answers) and no other attempt could be made: no other server, a route with one attempt, the retry budget used up, or the others too busy to be expected in time. The server was sound and would have gone on.

Cause: the time-out of an attempt ended the attempt first, and only then it was checked whether another one may be made. A stream was also timed out on a route that allows one attempt, and so at the instance to which a request was forwarded.

The check now comes first. While no attempt can take its place, the silent one is kept until the deadline and the check is repeated every 200 ms. The placement that the check found is used for the attempt that follows, so the two cannot differ.

Failed before: silent_server_stream_without_other_server_goes_on ("BeforeHead /resumable/x: HTTP/1.1 502"), ..._without_retry_budget_goes_on (stream ends after "data: e2"), silent_server_safe_request_without_other_ server_is_answered ("BeforeHead: HTTP/1.1 502"). All pass now, with silences of 1.8 s. The two other tests of the file passed before: a request that may not be repeated is kept, and one that can be moved is moved.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthornquay_decisions::{BackendName, InstanceName};
 
 use crate::{
     AdmittedRequest, AttemptFailure, ControlPlane, HeaderMapping, peer_attempt::PeerAttempt,
@@ -16,12 +17,29 @@
     Peer(PeerAttempt),
 }
 
+/// Backend server or instance to which an attempt was sent.
+#[derive(Clone, Copy)]
+pub(crate) enum AttemptDestination<'a> {
+    Server(&'a BackendName),
+    Instance(&'a InstanceName),
+}
+
 impl<C: ControlPlane, H: HeaderMapping> Attempt<C, H> {
+    /// Returns the backend server or instance to which the attempt was sent.
+    pub(crate) fn destination(&self) -> AttemptDestination<'_> {
+        match self {
+            Self::Server(attempt) => AttemptDestination::Server(&attempt.pick().id),
+            Self::Peer(attempt) => AttemptDestination::Instance(&attempt.peer),
+        }
+    }
+
     /// Returns the next chunk of the response body, or `None` at its end.
     ///
     /// # Errors
     ///
-    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`.
+    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`. In the second
+    /// case, whose cause is [`AttemptCause::Silent`](crate::AttemptCause::Silent), the attempt may
+    /// still be continued.
     pub(crate) async fn next_chunk(
         &mut self,
         max_wait: Duration,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,16 +8,22 @@
 };
 use hawthornquay_traffic::{PlacementDecision, ServerPick};
 use http::{HeaderMap, StatusCode};
+use parking_lot::Mutex;
 
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, EventReader,
-    Gateway, HeaderMapping, ResponseStart, attempt::Attempt, gateway::now,
-    peer_attempt::PeerAttempt, response_memory::ResponseMemory, server_attempt::ServerAttempt,
+    Gateway, HeaderMapping, ResponseStart,
+    attempt::{Attempt, AttemptDestination},
+    gateway::now,
+    peer_attempt::PeerAttempt,
+    response_memory::ResponseMemory,
+    server_attempt::ServerAttempt,
+    silence_limit::SilenceLimit,
     wire_views::millis,
 };
 
 /// Bound on all attempts for one request, including those that reached no backend server.
-const MAX_ATTEMPTS_IN_TOTAL: u32 = 5;
+pub(crate) const MAX_ATTEMPTS_IN_TOTAL: u32 = 5;
 
 /// Shortest time left before the deadline with which an attempt is started.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
@@ -35,7 +41,7 @@
     /// Whether an attempt is waiting for the response head.
     awaiting_head: bool,
     /// All attempts so far, including those that reached no backend server.
-    attempts: u32,
+    pub(crate) attempts: u32,
     /// Attempts that reached or may have reached a backend server, here or in another region.
     pub(crate) delivered_attempts: u32,
     /// Whether any attempt may have run the request.
@@ -51,6 +57,10 @@
     memory: ResponseMemory,
     /// Time of the last event with data, or of the response head.
     pub(crate) progress_at: MonotonicTime,
+    /// Time until which the current attempt is kept although it is silent.
+    pub(crate) kept_until: MonotonicTime,
+    /// Placement of the attempt that is to replace a silent one.
+    pub(crate) replacement: Mutex<Option<PlacementDecision>>,
     /// Number of the last event that was delivered to the caller.
     pub(crate) last_delivered_event: Option<u64>,
     /// Last error response of a backend server.
@@ -85,6 +95,8 @@
             events: EventReader::default(),
             memory: ResponseMemory::default(),
             progress_at: MonotonicTime(0),
+            kept_until: MonotonicTime(0),
+            replacement: Mutex::new(None),
             last_delivered_event,
             error_response: None,
             retry_after: None,
@@ -195,7 +207,8 @@
             }
             self.check_quarantine()?;
             self.awaiting_head = true;
-            let opened = match self.choose_placement() {
+            let replacement = self.replacement.get_mut().take();
+            let opened = match replacement.unwrap_or_else(|| self.choose_placement(None)) {
                 PlacementDecision::Server(pick) => self.open_server_attempt(&pick, left).await,
                 PlacementDecision::Region { name, .. } => {
                     let receiver = {
@@ -213,14 +226,19 @@
                     };
                     self.attempts += 1;
                     let _ = write!(self.attempt_trace, "{}@{} ", receiver.id.name, name);
-                    let max_wait = self.attempt_timeout(left, Duration::ZERO);
+                    let current = AttemptDestination::Instance(&receiver.id.name);
+                    let limit = SilenceLimit {
+                        max_silence: self.attempt_timeout(left, Duration::ZERO),
+                        deadline: self.request.deadline,
+                        can_replace: &|| self.can_replace(current, self.delivered_attempts + 1),
+                    };
                     let opened = PeerAttempt::open(
                         &self.gateway,
                         &self.request,
                         &name,
                         &receiver,
                         self.last_delivered_event,
-                        max_wait,
+                        &limit,
                     )
                     .await;
                     match &opened {
@@ -266,13 +284,18 @@
         if self.delivered_attempts == 0 {
             self.gateway.deposit_retry(&self.request.service);
         }
-        let max_wait = self.attempt_timeout(left, pick.expected_latency);
+        let current = AttemptDestination::Server(&pick.id);
+        let limit = SilenceLimit {
+            max_silence: self.attempt_timeout(left, pick.expected_latency),
+            deadline: self.request.deadline,
+            can_replace: &|| self.can_replace(current, self.delivered_attempts + 1),
+        };
         let opened = ServerAttempt::open(
             &self.gateway,
             &self.request,
             pick,
             self.last_delivered_event,
-            max_wait,
+            &limit,
         )
         .await;
         match opened {
@@ -342,7 +365,7 @@
     async fn read_response_body(&mut self) -> Result<Bytes, AttemptFailure> {
         let mut body = BytesMut::new();
         loop {
-            let max_wait = self.attempt_timeout(self.request.time_left(now()), Duration::ZERO);
+            let max_wait = self.body_timeout();
             let Some(attempt) = &mut self.attempt else {
                 return Err(AttemptFailure::unknown(AttemptCause::Broken));
             };
@@ -356,9 +379,11 @@
                     if body.len() + part.len() <= MAX_RESPONSE_BYTES
                         && self.memory.try_hold(body.len() + part.len()) =>
                 {
+                    self.kept_until = MonotonicTime(0);
                     body.extend_from_slice(&part);
                 }
                 Some(Ok(_)) => return Err(AttemptFailure::unknown(AttemptCause::Garbled)),
+                Some(Err(failure)) if self.keeps_silent_attempt(&failure) => {}
                 Some(Err(failure)) => return Err(failure),
             }
         }
@@ -388,6 +413,7 @@
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
                 }
+                Some(Err(failure)) if self.keeps_silent_attempt(&failure) => {}
                 Some(Err(failure)) => return Err(failure),
             }
         }
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -2,15 +2,17 @@
 
 use std::fmt::Write;
 
-use hawthornquay_decisions::{Execution, InstanceName, RefusalCode, RegionName};
+use hawthornquay_decisions::{BackendName, Execution, InstanceName, RefusalCode, RegionName};
 use hawthornquay_traffic::{PlacementDecision, PlacementOptions, PlacementRequest, place};
 
 use crate::{AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, gateway::now};
 
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
-    /// Chooses a backend server or a region for the next attempt.
-    pub(crate) fn choose_placement(&self) -> PlacementDecision {
+    /// Chooses a backend server or a region for the next attempt; never the server `silent`.
+    pub(crate) fn choose_placement(&self, silent: Option<&BackendName>) -> PlacementDecision {
         let gateway = &self.gateway;
+        let mut excluded_servers = self.excluded_servers.clone();
+        excluded_servers.extend(silent.cloned());
         let time = now();
         let members = gateway.region_instances();
         let req = PlacementRequest {
@@ -19,7 +21,7 @@
             work: &self.request.work,
             target_latency: self.request.route.target_latency,
             time_left: self.request.time_left(time),
-            excluded_servers: &self.excluded_servers,
+            excluded_servers: &excluded_servers,
             instance: &gateway.id.name,
             region_instances: &members,
             is_local: &|domain| gateway.is_local(domain),
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
-use hawthornquay_traffic::ExecutionSemantics;
+use hawthornquay_traffic::{ExecutionSemantics, PlacementDecision};
 
-use crate::{ControlPlane, Exchange, HeaderMapping, gateway::now};
+use crate::{
+    AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping,
+    attempt::AttemptDestination,
+    exchange::{MAX_ATTEMPTS_IN_TOTAL, MIN_ATTEMPT_TIME},
+    gateway::now,
+    silence_limit::SILENCE_CHECK_INTERVAL,
+};
 
 /// Time-out of an attempt at a repeatable request, as a multiple of the expected time to the
 /// response. Also the time-out between events of a resumable stream, as a multiple of the target gap
@@ -45,6 +51,82 @@
             }
             _ => self.attempt_timeout(Duration::MAX, Duration::ZERO),
         };
-        limit.saturating_sub(time.since(self.progress_at)).min(left)
+        limit
+            .saturating_sub(time.since(self.progress_at))
+            .max(self.kept_until.since(time))
+            .min(left)
+    }
+
+    /// Returns the time left for the next part of a response body that is not a stream.
+    pub(crate) fn body_timeout(&self) -> Duration {
+        let time = now();
+        let left = self.request.time_left(time);
+        let kept = self.kept_until.since(time);
+        if kept.is_zero() {
+            self.attempt_timeout(left, Duration::ZERO)
+        } else {
+            kept.min(left)
+        }
+    }
+
+    /// Returns whether the current attempt is kept after `failure`, because it is only silent and
+    /// cannot be replaced.
+    pub(crate) fn keeps_silent_attempt(&mut self, failure: &AttemptFailure) -> bool {
+        let time = now();
+        if !matches!(failure.cause, AttemptCause::Silent)
+            || self.request.time_left(time) < MIN_ATTEMPT_TIME
+        {
+            return false;
+        }
+        let Some(attempt) = &self.attempt else {
+            return false;
+        };
+        if self.can_replace(attempt.destination(), self.delivered_attempts) {
+            return false;
+        }
+        self.kept_until = time + SILENCE_CHECK_INTERVAL;
+        true
+    }
+
+    /// Returns whether another attempt can be made in place of the one at `current`, which is
+    /// silent; `delivered` attempts have reached a server, this one included.
+    ///
+    /// If so, the placement is kept for the next attempt.
+    pub(crate) fn can_replace(&self, current: AttemptDestination<'_>, delivered: u32) -> bool {
+        let request = &self.request;
+        let time = now();
+        if !request.route.semantics.is_repeatable()
+            || self.attempts >= MAX_ATTEMPTS_IN_TOTAL
+            || delivered >= request.max_attempts
+            || !self.gateway.has_retry(&request.service)
+            || self
+                .gateway
+                .quarantined_part(time, &request.work.shared_part_ids())
+                .is_some()
+        {
+            return false;
+        }
+        let (server, instance) = match current {
+            AttemptDestination::Server(id) => (Some(id), None),
+            AttemptDestination::Instance(name) => (None, Some(name)),
+        };
+        let placement = self.choose_placement(server);
+        let can_replace = match &placement {
+            PlacementDecision::Server(_) => true,
+            PlacementDecision::Region { name, .. } => {
+                let mut excluded = self.excluded_instances.clone();
+                excluded.extend(instance.cloned());
+                let own = &self.gateway.id.name;
+                let instances = self.gateway.instances.lock();
+                instances
+                    .forward_target_in(time, name, own, &excluded)
+                    .is_some()
+            }
+            PlacementDecision::Unavailable | PlacementDecision::Overloaded { .. } => false,
+        };
+        if can_replace {
+            *self.replacement.lock() = Some(placement);
+        }
+        can_replace
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -199,6 +199,11 @@
         self.with_retry_budget(service, RetryBudget::withdraw)
     }
 
+    /// Returns whether this instance's part of the retry budget of a service has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        self.with_retry_budget(service, |budget| budget.has_retry())
+    }
+
     /// Adds a fraction of a retry to the retry budget of a service, for a request that is sent to a
     /// backend server.
     pub(crate) fn deposit_retry(&self, service: &ServiceName) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod response_memory;
 mod response_start;
 mod server_attempt;
+mod silence_limit;
 mod status_notices;
 mod view_notices;
 mod view_updates;
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, Gateway,
-    HeaderMapping, gateway::now, server_attempt::AttemptHead,
+    HeaderMapping, gateway::now, server_attempt::AttemptHead, silence_limit::SilenceLimit,
 };
 
 /// Longest time to enqueue a request on a link, which may have to be opened first: two round trips
@@ -31,14 +31,14 @@
 }
 
 impl PeerAttempt {
-    /// Forwards a request and waits for the response head for at most `max_wait`.
+    /// Forwards a request and waits for the response head within `limit`.
     pub(crate) async fn open<C: ControlPlane, H: HeaderMapping>(
         gateway: &Arc<Gateway<C, H>>,
         request: &AdmittedRequest,
         region: &RegionName,
         receiver: &ListedInstance,
         last_event: Option<u64>,
-        max_wait: Duration,
+        limit: &SilenceLimit<'_>,
     ) -> Result<(AttemptHead, Self), AttemptFailure> {
         let address = PeerAddress {
             name: receiver.id.name.clone(),
@@ -58,7 +58,7 @@
                     peer: receiver.id.name.clone(),
                     stream,
                 };
-                match attempt.read_head(max_wait).await {
+                match attempt.read_head(limit).await {
                     Ok(head) => Ok((head, attempt)),
                     Err(failure) => Err(failure),
                 }
@@ -86,7 +86,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`.
+    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`. In the second
+    /// case, whose cause is [`AttemptCause::Silent`], the attempt may still be continued.
     pub(crate) async fn next_chunk(
         &mut self,
         max_wait: Duration,
@@ -102,15 +103,15 @@
         }
     }
 
-    async fn read_head(&mut self, max_wait: Duration) -> Result<AttemptHead, AttemptFailure> {
-        let event = match timeout(max_wait, self.stream.next()).await {
-            Ok(Some(Ok(event))) => event,
-            Ok(Some(Err(error))) => return Err(link_failure(&error)),
-            Ok(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
-            Err(_) => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
+    async fn read_head(&mut self, limit: &SilenceLimit<'_>) -> Result<AttemptHead, AttemptFailure> {
+        let event = match limit.wait(self.stream.next()).await {
+            Some(Some(Ok(event))) => event,
+            Some(Some(Err(error))) => return Err(link_failure(&error)),
+            Some(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
+            None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
         };
         match event {
-            ForwardEvent::Head(head) => self.read_response_head(head, max_wait).await,
+            ForwardEvent::Head(head) => self.read_response_head(head, limit.max_silence).await,
             ForwardEvent::Refused(refused) => Err(refused_failure(&refused)),
             ForwardEvent::Data(_) | ForwardEvent::End(_) => {
                 Err(AttemptFailure::unknown(AttemptCause::Broken))
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -14,6 +14,7 @@
     AdmittedRequest, AttemptCause, AttemptFailure, BackendRequestMetadata, BackendResponseMetadata,
     BufferedResponse, ControlPlane, Gateway, HeaderMapping, gateway::now,
     hop_headers::strip_hop_headers, quarantine::confirm_crash, response_memory::ResponseMemory,
+    silence_limit::SilenceLimit,
 };
 
 /// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
@@ -51,13 +52,13 @@
 }
 
 impl<C: ControlPlane, H: HeaderMapping> ServerAttempt<C, H> {
-    /// Sends a request and waits for the response head for at most `max_wait`.
+    /// Sends a request and waits for the response head within `limit`.
     pub(crate) async fn open(
         gateway: &Arc<Gateway<C, H>>,
         request: &AdmittedRequest,
         pick: &ServerPick,
         last_event: Option<u64>,
-        max_wait: Duration,
+        limit: &SilenceLimit<'_>,
     ) -> Result<(AttemptHead, Self), AttemptFailure> {
         let started = now();
         gateway
@@ -77,7 +78,7 @@
         };
         let response = tokio::select! {
             biased;
-            response = attempt.send(request, last_event, max_wait) => response,
+            response = attempt.send(request, last_event, limit) => response,
             () = gateway.part_quarantined(&attempt.parts) => {
                 Err(AttemptFailure::unknown(AttemptCause::Quarantined))
             }
@@ -102,7 +103,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`.
+    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`. In the second
+    /// case, whose cause is [`AttemptCause::Silent`], the attempt may still be continued.
     pub(crate) async fn next_chunk(
         &mut self,
         max_wait: Duration,
@@ -138,7 +140,7 @@
                 return Some(Ok(data));
             }
             Ok(Some(Err(_))) => AttemptFailure::unknown(AttemptCause::Broken),
-            Err(_) => AttemptFailure::unknown(AttemptCause::Silent),
+            Err(_) => return Some(Err(AttemptFailure::unknown(AttemptCause::Silent))),
         };
         self.body = None;
         Some(Err(failure))
@@ -181,7 +183,7 @@
         &self,
         request: &AdmittedRequest,
         last_event: Option<u64>,
-        max_wait: Duration,
+        limit: &SilenceLimit<'_>,
     ) -> Result<BackendResponse, AttemptFailure> {
         let gateway = &self.gateway;
         let connection = gateway
@@ -203,8 +205,11 @@
         let req = BackendRequest::new(request.method.clone(), &request.path)
             .headers(headers)
             .body(request.body.clone())
-            .head_timeout(max_wait);
-        connection.send(req).await.map_err(|error| AttemptFailure {
+            .head_timeout(request.time_left(now()));
+        let Some(response) = limit.wait(connection.send(req)).await else {
+            return Err(AttemptFailure::unknown(AttemptCause::Silent));
+        };
+        response.map_err(|error| AttemptFailure {
             execution: error.execution(),
             reached_server: error.execution() != Execution::NotRun,
             cause: match error {
