Wait for the body of an error response as for other data

Callers got a 502 of the gateway in place of the error response of a server that was silent for over 0.5 s between the head and the body.

Cause: the body had 500 ms in any case. It now has the limit of every other wait for the attempt: the time left for a request that may not be repeated, otherwise until another attempt can be made. Its size stays bounded (endless_response_ends_within_bounded_memory_and_time passes).

Failed before: silent_server_error_response_is_forwarded ("BeforeFirstPart: HTTP/1.1 502 Bad Gateway"); passes now.

--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -20,9 +20,6 @@
 /// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
 const MAX_ERROR_BODY_BYTES: usize = 8 << 20;
 
-/// Longest time to read the body of an error response.
-const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Attempt to run a request on a backend server.
 ///
 /// Dropping it resets the connection, which cancels the request at the server.
@@ -90,7 +87,7 @@
                 return Err(failure);
             }
         };
-        match attempt.read_head(request, response).await {
+        match attempt.read_head(request, response, limit).await {
             Ok(head) => Ok((head, attempt)),
             Err(failure) => {
                 attempt.record_failure(&failure, request);
@@ -226,6 +223,7 @@
         &mut self,
         request: &AdmittedRequest,
         response: BackendResponse,
+        limit: &SilenceLimit<'_>,
     ) -> Result<AttemptHead, AttemptFailure> {
         let BackendResponse { head, body } = response;
         let metadata = self.gateway.header_mapping.read_response(&head);
@@ -267,9 +265,10 @@
         self.record_response();
         // An error response does not show that the server can answer the request, but it is no crash.
         self.has_answered = true;
-        let body = timeout(ERROR_BODY_TIMEOUT, read_error_body(body)).await;
-        let Ok(Some(body)) = body else {
-            return Err(AttemptFailure::unknown(AttemptCause::Broken));
+        let body = match limit.wait(read_error_body(body)).await {
+            Some(Some(body)) => body,
+            Some(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
+            None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
         };
         let response = BufferedResponse {
             status,
