Read on after a refusal that comes before the request's body

A caller whose request is refused before its body is read (404, 401, 503 without a configuration) saw a reset while it still sent the body, and could lose the refusal: neither an answer nor a refusal. It depends on the configuration in force, so it comes with changes of routes and keys.

Cause: the body was dropped unread. hyper then closes the connection after the response, and a close with unread bytes resets it. A body above the size limit was discarded, but not one that is refused for any other reason; the same held for 408 and for 503 for lack of memory.

Bodies of all refused requests are now read and discarded, at most 2 s and 32 MB.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,7 +9,7 @@
 pub use {
     http_server::HttpServer,
     json_response::{empty_response, json_response},
-    read_body::{read_body, read_body_with_budget},
+    read_body::{discard_body, read_body, read_body_with_budget},
     read_error::ReadError,
     server_limits::ServerLimits,
 };
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -9,7 +9,7 @@
 
 use crate::{Body, ReadError};
 
-/// Maximum time for which the rest of a body above the size limit is read and discarded.
+/// Maximum time for which the rest of a body that is not needed is read and discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum number of bytes of such a body that are read and discarded.
@@ -21,10 +21,18 @@
 ///
 /// Returns an error if the body is larger than `limit`, does not arrive within `timeout`, or the
 /// connection fails.
-pub async fn read_body(body: Body, limit: usize, timeout: Duration) -> Result<Bytes, ReadError> {
-    tokio::time::timeout(timeout, read_all(body, limit))
+pub async fn read_body(
+    mut body: Body,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, ReadError> {
+    let read = tokio::time::timeout(timeout, read_all(&mut body, limit))
         .await
-        .map_err(|_| ReadError::Timeout)?
+        .unwrap_or(Err(ReadError::Timeout));
+    if read.is_err() {
+        discard_body(body);
+    }
+    read
 }
 
 /// Reads a complete body like [`read_body`] and charges its bytes to a memory budget.
@@ -37,7 +45,7 @@
 /// Returns [`ReadError::MemoryExhausted`] if `memory` has too few permits left, and otherwise the
 /// errors of [`read_body`].
 pub async fn read_body_with_budget(
-    body: Body,
+    mut body: Body,
     limit: usize,
     timeout: Duration,
     memory: &'static Semaphore,
@@ -45,13 +53,20 @@
     let mut permits = memory
         .try_acquire_many(0)
         .map_err(|_| ReadError::MemoryExhausted)?;
-    let data = tokio::time::timeout(timeout, read_charged(body, limit, memory, &mut permits))
+    let reading = read_charged(&mut body, limit, memory, &mut permits);
+    let read = tokio::time::timeout(timeout, reading)
         .await
-        .map_err(|_| ReadError::Timeout)??;
-    Ok(Bytes::from_owner(ChargedBody {
-        data,
-        _permits: permits,
-    }))
+        .unwrap_or(Err(ReadError::Timeout));
+    match read {
+        Ok(data) => Ok(Bytes::from_owner(ChargedBody {
+            data,
+            _permits: permits,
+        })),
+        Err(error) => {
+            discard_body(body);
+            Err(error)
+        }
+    }
 }
 
 /// Body together with the permits for its bytes.
@@ -66,13 +81,13 @@
     }
 }
 
-async fn read_all(body: Body, limit: usize) -> Result<Bytes, ReadError> {
+async fn read_all(body: &mut Body, limit: usize) -> Result<Bytes, ReadError> {
     let buf = read_frames(body, limit, |_| Ok(())).await?;
     Ok(buf.freeze())
 }
 
 async fn read_charged(
-    body: Body,
+    body: &mut Body,
     limit: usize,
     memory: &'static Semaphore,
     charged: &mut SemaphorePermit<'static>,
@@ -87,14 +102,13 @@
 }
 
 async fn read_frames(
-    mut body: Body,
+    body: &mut Body,
     limit: usize,
     mut charge: impl FnMut(usize) -> Result<(), ReadError>,
 ) -> Result<BytesMut, ReadError> {
     // A declared length above the limit is rejected before any of the body is read.
     let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if declared > limit {
-        tokio::spawn(discard(body));
         return Err(ReadError::TooLarge { limit });
     }
     // The declared length is reserved up front: a buffer that grows by doubling could take up twice
@@ -105,7 +119,6 @@
             continue;
         };
         if buf.len() + data.len() > limit {
-            tokio::spawn(discard(body));
             return Err(ReadError::TooLarge { limit });
         }
         charge(data.len())?;
@@ -114,12 +127,16 @@
     Ok(buf)
 }
 
-/// Reads and discards the rest of a body, within bounds.
+/// Reads and discards the rest of a body in the background, within bounds.
 ///
-/// If the server closes the connection while the client is still writing, TCP resets the connection
-/// and the client may never receive the error response.
-async fn discard(mut body: Body) {
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, async {
+/// Use this for a body that is not needed because its request is refused. If the server closes the
+/// connection while the client is still writing, TCP resets the connection and the client may never
+/// receive the response.
+pub fn discard_body(mut body: Body) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, async move {
         let mut left = MAX_DISCARDED_BYTES;
         while let Some(Ok(frame)) = body.frame().await {
             let len = frame.data_ref().map_or(0, Bytes::len);
@@ -128,6 +145,5 @@
             }
             left -= len;
         }
-    })
-    .await;
+    }));
 }
