Apply a raised idle limit to open connections

After a change that raises the idle limit, a caller's request on a kept connection could meet its close: callers use connections again that have been idle for up to four fifths of the limit in force, but a connection was closed after the limit with which it began.

Cause: hyper takes the time-out when a connection is accepted. Its timer now compares with the present limit when it expires, and goes on if that is higher. A lowered limit applies to new connections only, as before.

Failed before: raised_idle_limit_open_connection_is_kept ("closed after """); passes now. The other tests of the file guard cases that nothing guarded and pass without the fix as well: requests in progress (whole, half-sent, forwarded) while routes, keys, servers, time-outs and limits change; storms of changes, large ones too; signals in series; a request that arrives while the process is paused past the idle limit.

--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -21,7 +21,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::ServerLimits;
+use crate::{ServerLimits, limit_timer::LimitTimer};
 
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -61,7 +61,8 @@
 
     /// Takes the limits from `limits` instead: each new connection uses the latest value.
     ///
-    /// `max_connections` is read once, when [`HttpServer::serve`] starts.
+    /// A raised `header_timeout` applies to open connections, too. `max_connections` is read once,
+    /// when [`HttpServer::serve`] starts.
     #[must_use]
     pub fn with_limit_updates(mut self, limits: watch::Receiver<ServerLimits>) -> Self {
         self.limits = limits;
@@ -136,7 +137,7 @@
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
             .http1()
-            .timer(TokioTimer::new())
+            .timer(LimitTimer::new(self.limits.clone(), limits.header_timeout))
             .header_read_timeout(limits.header_timeout)
             .max_buf_size(limits.max_buffer_bytes);
         builder
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod http_server;
 mod json_response;
+mod limit_timer;
 mod read_body;
 mod read_error;
 mod server_limits;
