Deliver what has arrived of a stream before breaking it off

Callers of a stream from another region could get no byte at all, neither an answer nor a refusal, when the stream broke off soon after its first events.

Cause: the messages of a forwarded response are queued, so the head, the events and the failure may be read in one go. hyper then discards the head and the events that it has buffered when the body fails. It writes them while the body is pending, which it now is once before the failure.

Failed before: forwarded_broken_stream_first_events_reach_caller (stream 1: ""); passes now. The test without another region passed before: there the failure is never ready together with the events.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -364,6 +364,11 @@
                 Some(first) => Ok(first),
                 None => exchange.next_events().await?,
             };
+            if data.is_err() {
+                // hyper discards what it has not written yet when a body fails. It writes while
+                // the body is pending.
+                tokio::task::yield_now().await;
+            }
             Some((data.map(hyper::body::Frame::data), (exchange, None)))
         },
     );
