--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -14,14 +14,12 @@
     AdmittedRequest, AttemptCause, AttemptFailure, BackendRequestMetadata, BackendResponseMetadata,
     BufferedResponse, ControlPlane, Gateway, HeaderMapping, gateway::now,
     hop_headers::strip_hop_headers, quarantine::confirm_crash, response_memory::ResponseMemory,
+    silence_limit::SilenceLimit,
 };
 
 /// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
 const MAX_ERROR_BODY_BYTES: usize = 8 << 20;
 
-/// Longest time to read the body of an error response.
-const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Attempt to run a request on a backend server.
 ///
 /// Dropping it resets the connection, which cancels the request at the server.
@@ -51,13 +49,13 @@
 }
 
 impl<C: ControlPlane, H: HeaderMapping> ServerAttempt<C, H> {
-    /// Sends a request and waits for the response head for at most `max_wait`.
+    /// Sends a request and waits for the response head within `limit`.
     pub(crate) async fn open(
         gateway: &Arc<Gateway<C, H>>,
         request: &AdmittedRequest,
         pick: &ServerPick,
         last_event: Option<u64>,
-        max_wait: Duration,
+        limit: &SilenceLimit<'_>,
     ) -> Result<(AttemptHead, Self), AttemptFailure> {
         let started = now();
         gateway
@@ -77,7 +75,7 @@
         };
         let response = tokio::select! {
             biased;
-            response = attempt.send(request, last_event, max_wait) => response,
+            response = attempt.send(request, last_event, limit) => response,
             () = gateway.part_quarantined(&attempt.parts) => {
                 Err(AttemptFailure::unknown(AttemptCause::Quarantined))
             }
@@ -89,7 +87,7 @@
                 return Err(failure);
             }
         };
-        match attempt.read_head(request, response).await {
+        match attempt.read_head(request, response, limit).await {
             Ok(head) => Ok((head, attempt)),
             Err(failure) => {
                 attempt.record_failure(&failure, request);
@@ -102,7 +100,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`.
+    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`. In the second
+    /// case, whose cause is [`AttemptCause::Silent`], the attempt may still be continued.
     pub(crate) async fn next_chunk(
         &mut self,
         max_wait: Duration,
@@ -138,7 +137,7 @@
                 return Some(Ok(data));
             }
             Ok(Some(Err(_))) => AttemptFailure::unknown(AttemptCause::Broken),
-            Err(_) => AttemptFailure::unknown(AttemptCause::Silent),
+            Err(_) => return Some(Err(AttemptFailure::unknown(AttemptCause::Silent))),
         };
         self.body = None;
         Some(Err(failure))
@@ -181,7 +180,7 @@
         &self,
         request: &AdmittedRequest,
         last_event: Option<u64>,
-        max_wait: Duration,
+        limit: &SilenceLimit<'_>,
     ) -> Result<BackendResponse, AttemptFailure> {
         let gateway = &self.gateway;
         let connection = gateway
@@ -203,8 +202,11 @@
         let req = BackendRequest::new(request.method.clone(), &request.path)
             .headers(headers)
             .body(request.body.clone())
-            .head_timeout(max_wait);
-        connection.send(req).await.map_err(|error| AttemptFailure {
+            .head_timeout(request.time_left(now()));
+        let Some(response) = limit.wait(connection.send(req)).await else {
+            return Err(AttemptFailure::unknown(AttemptCause::Silent));
+        };
+        response.map_err(|error| AttemptFailure {
             execution: error.execution(),
             reached_server: error.execution() != Execution::NotRun,
             cause: match error {
@@ -221,6 +223,7 @@
         &mut self,
         request: &AdmittedRequest,
         response: BackendResponse,
+        limit: &SilenceLimit<'_>,
     ) -> Result<AttemptHead, AttemptFailure> {
         let BackendResponse { head, body } = response;
         let metadata = self.gateway.header_mapping.read_response(&head);
@@ -262,9 +265,10 @@
         self.record_response();
         // An error response does not show that the server can answer the request, but it is no crash.
         self.has_answered = true;
-        let body = timeout(ERROR_BODY_TIMEOUT, read_error_body(body)).await;
-        let Ok(Some(body)) = body else {
-            return Err(AttemptFailure::unknown(AttemptCause::Broken));
+        let body = match limit.wait(read_error_body(body)).await {
+            Some(Some(body)) => body,
+            Some(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
+            None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
         };
         let response = BufferedResponse {
             status,
