--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -262,6 +262,7 @@
             slog::debug!(gateway.log.links, "sending the status notice timed out");
         }
         gateway.end_grace();
+        gateway.metrics.set_store_era(gateway.store_era());
         let time = now();
         let (regions, count) = {
             let instances = gateway.instances.lock();
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -25,6 +25,7 @@
     first_part: Histogram,
     duration: Histogram,
     configuration_version: IntGauge,
+    store_era: IntGauge,
     backend_servers: IntGauge,
     backend_crashes: IntCounter,
     quarantined_parts: IntGauge,
@@ -80,6 +81,11 @@
                 "configuration_version",
                 "Version of the configuration in force",
             )?,
+            store_era: gauge(
+                &registry,
+                "store_era",
+                "Era of the store's data in use; rises each time the store comes back from an older copy",
+            )?,
             backend_servers: gauge(
                 &registry,
                 "backend_servers",
@@ -147,6 +153,11 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
+    /// Sets the era of the store's data in use.
+    pub fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of backend servers in the list.
     pub fn set_backend_servers(&self, servers: usize) {
         self.backend_servers
