Send a server nothing more once it announces that it is leaving

Any answer, an error or a refusal too, now marks the server as leaving at once, unless another process than the expected one answered. Instances pass announcements of the last 3 s on with their status, with the start of the process, so the region knows within about 0.6 s without the store. A later listing as ready does not end it, a restart does; running streams go on.

--- a/crates/gateway/src/header_mapping.rs
+++ b/crates/gateway/src/header_mapping.rs
@@ -64,6 +64,8 @@
     pub load: Option<ReportedLoad>,
     /// Remaining warm-up time of the server.
     pub cold: Option<Duration>,
+    /// Whether the server announces that it is leaving.
+    pub leaving: bool,
 }
 
 /// Translation of headers between the gateway and its callers and backend servers.
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -290,6 +290,10 @@
         if let Some(cold) = metadata.cold {
             servers.record_cold_report(now(), &self.pick.id, cold);
         }
+        if metadata.leaving && servers.record_leaving(now(), &self.pick.id) {
+            slog::info!(self.gateway.log.routing, "backend server announced that it is leaving";
+                "server" => self.pick.id.as_str());
+        }
     }
 
     fn record_response(&mut self) {
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -21,7 +21,10 @@
     gateway::now,
     quarantine_update,
     view_notices::send_notice,
-    wire_views::{admission_map, millis, server_usage, server_use, time_before, wire_admissions},
+    wire_views::{
+        admission_map, leaving_record, leaving_server, millis, server_usage, server_use,
+        time_before, wire_admissions,
+    },
 };
 
 /// Age up to which the report of an instance is included in the sums of its region.
@@ -131,6 +134,12 @@
         }
     }
     gateway.apply_quarantine_update(time, &quarantine_update(&status, time));
+    {
+        let mut servers = gateway.servers.lock();
+        for leaving in &status.leaving_servers {
+            servers.apply_leaving(time, &leaving_server(leaving));
+        }
+    }
     if !status.region_uses.is_empty() {
         apply_server_usage(gateway, time, &status.region_uses);
     }
@@ -232,10 +241,12 @@
     let operator_age = gateway.operators.lock().age(time);
     // Takes one lock at a time. A lock taken within the struct expression below would be held until
     // the end of the expression.
-    let (servers_age, servers_changed, usage, admissions) = {
+    let (servers_age, servers_changed, usage, admissions, leaving) = {
         let mut servers = gateway.servers.lock();
         let (age, changed) = (servers.age(time), servers.changed_revision());
-        (age, changed, servers.own_usage(), servers.take_admissions())
+        let leaving = servers.announced_leaving(time);
+        let (usage, admissions) = (servers.own_usage(), servers.take_admissions());
+        (age, changed, usage, admissions, leaving)
     };
     let instances_changed = gateway.instances.lock().changed_revision();
     let status = Status {
@@ -256,6 +267,7 @@
         instances_revision: request.instances_revision,
         instances_changed_revision: instances_changed.revision,
         admissions: admissions.iter().map(wire_admissions).collect(),
+        leaving_servers: leaving.iter().map(leaving_record).collect(),
         ..Status::default()
     };
     gateway.add_evidence(status, time, EvidenceScope::Local)
--- a/crates/gateway/src/wire_views.rs
+++ b/crates/gateway/src/wire_views.rs
@@ -4,12 +4,12 @@
 
 use hawthornquay_decisions::{InstanceId, Map, MonotonicTime, ServiceName};
 use hawthornquay_instances::{
-    InstanceEntry, InstanceListChanges, ServerListChanges, ServerRecord, ServerUse,
-    ServiceAdmissions,
+    InstanceEntry, InstanceListChanges, LeavingServerRecord, ServerListChanges, ServerRecord,
+    ServerUse, ServiceAdmissions,
 };
 use hawthornquay_traffic::{
-    Admissions, BackendEntry, InstanceChanges, ListedInstance, ServerChanges, ServerUsage,
-    StoreRevision,
+    Admissions, BackendEntry, InstanceChanges, LeavingServer, ListedInstance, ServerChanges,
+    ServerUsage, StoreRevision,
 };
 
 /// Returns a duration in whole milliseconds.
@@ -153,3 +153,17 @@
         })
         .collect()
 }
+
+pub(crate) fn leaving_record(leaving: &LeavingServer) -> LeavingServerRecord {
+    LeavingServerRecord {
+        server: leaving.id.to_string(),
+        started_ms: leaving.started_ms,
+    }
+}
+
+pub(crate) fn leaving_server(record: &LeavingServerRecord) -> LeavingServer {
+    LeavingServer {
+        id: record.server.as_str().into(),
+        started_ms: record.started_ms,
+    }
+}
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -31,6 +31,7 @@
 mod hello;
 mod instance_entry;
 mod instance_list_changes;
+mod leaving_server_record;
 mod link;
 mod link_counters;
 mod link_error;
@@ -99,6 +100,7 @@
     hello::Hello,
     instance_entry::InstanceEntry,
     instance_list_changes::InstanceListChanges,
+    leaving_server_record::LeavingServerRecord,
     link_counters::LinkCounters,
     link_error::LinkError,
     link_pool::LinkPool,
--- a/crates/instances/src/status.rs
+++ b/crates/instances/src/status.rs
@@ -1,8 +1,8 @@
 //! State and load of an instance and of regions.
 
 use crate::{
-    CrashRecord, OrganisationDemand, PartStartRecord, QuarantineRecord, RegionStatus, ServerUse,
-    ServiceAdmissions,
+    CrashRecord, LeavingServerRecord, OrganisationDemand, PartStartRecord, QuarantineRecord,
+    RegionStatus, ServerUse, ServiceAdmissions,
 };
 
 /// State and load of an instance. The leader of a region adds the load of regions.
@@ -78,4 +78,7 @@
     /// Era of the revisions of the list of instances.
     #[prost(uint64, tag = "22")]
     pub instances_era: u64,
+    /// Backend servers that have announced lately that they are leaving.
+    #[prost(message, repeated, tag = "23")]
+    pub leaving_servers: Vec<LeavingServerRecord>,
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -22,6 +22,7 @@
 mod instance_directory;
 mod instance_list;
 mod latency_model;
+mod leaving_servers;
 mod listed_instance;
 mod listed_server;
 mod offload;
@@ -75,6 +76,7 @@
     instance_changes::InstanceChanges,
     instance_list::InstanceList,
     latency_model::{LatencyModel, PREFILL_TOKENS_PER_MS},
+    leaving_servers::LeavingServer,
     listed_instance::ListedInstance,
     offload::Offload,
     operator_view::OperatorView,
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -5,9 +5,9 @@
 use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
 
 use crate::{
-    Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, RecentPrefixes,
-    ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing, ServerLoad,
-    ServerPick, SlotTime, StoreRevision, departed_servers::DepartedServers,
+    Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, LeavingServer,
+    RecentPrefixes, ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing,
+    ServerLoad, ServerPick, SlotTime, StoreRevision, departed_servers::DepartedServers,
     listed_server::ListedServer, removal_log::RemovalLog,
 };
 
@@ -30,6 +30,7 @@
     changed_revision: StoreRevision,
     removals: RemovalLog<BackendName>,
     departed: DepartedServers,
+    pub(crate) announced: Vec<(MonotonicTime, LeavingServer)>,
     /// End of the time in which entries may be those of an older copy of the store.
     copy_until: MonotonicTime,
     pub(crate) servers: Map<BackendName, ListedServer>,
