--- a/crates/hawthornquay/tests/support/fault_relay.rs
+++ b/crates/hawthornquay/tests/support/fault_relay.rs
@@ -1,7 +1,7 @@
 //! TCP relay that injects faults into connections.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -47,11 +47,17 @@
 impl FaultRelay {
     /// Starts a relay to `target` without a fault.
     pub async fn start(target: SocketAddr) -> Self {
+        Self::start_on(Ipv4Addr::LOCALHOST.into(), target).await
+    }
+
+    /// Starts a relay to `target` on a local IP address, which other tests do not use: on a shared
+    /// one, another process may take the port while the relay refuses connections.
+    pub async fn start_on(ip: IpAddr, target: SocketAddr) -> Self {
         // This socket is bound but does not listen. It keeps the port reserved while connections
         // are refused.
         let reserved = TcpSocket::new_v4().unwrap();
         reserved.set_reuseaddr(true).unwrap();
-        reserved.bind((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+        reserved.bind((ip, 0).into()).unwrap();
         let address = reserved.local_addr().unwrap();
         let listener = TcpListener::bind(address).await.unwrap();
         let (fault, faults) = watch::channel(RelayFault::None);
