--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod http_server;
 mod json_response;
+mod limit_timer;
 mod read_body;
 mod read_error;
 mod server_limits;
@@ -9,7 +10,7 @@
 pub use {
     http_server::HttpServer,
     json_response::{empty_response, json_response},
-    read_body::{read_body, read_body_with_budget},
+    read_body::{discard_body, read_body, read_body_with_budget},
     read_error::ReadError,
     server_limits::ServerLimits,
 };
