Read the servers once more before the grace period ends

Cause: missing servers are back in the list about 2 s after the return. The list is read every 0.7 s, so the last read before the end of the grace period may come before that, and the next one after it.

The instance that leads a region reads the list once more 2.05 s after the return if servers are missing. A longer period would keep servers that are gone in use for longer.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -141,7 +141,12 @@
 async fn read_servers<C: ControlPlane, H: HeaderMapping>(gateway: Arc<Gateway<C, H>>) {
     let mut health = StoreHealth::new("servers");
     loop {
-        if !must_read(&gateway, gateway.servers.lock().age(now())) {
+        let (age, is_last_read_due) = {
+            let servers = gateway.servers.lock();
+            (servers.age(now()), servers.is_last_read_due(now()))
+        };
+        let is_due = is_last_read_due && is_leader(&gateway, now());
+        if !is_due && !must_read(&gateway, age) {
             sleep(VIEW_CHECK_INTERVAL).await;
             continue;
         }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -15,6 +15,10 @@
 /// valid has been written again by then.
 pub(crate) const RECOVERY_GRACE: Duration = Duration::from_millis(2_400);
 
+/// Time before the end of the grace period at which the list is read once more. Servers that have
+/// registered again by then are found before they would be dropped.
+const LAST_READ_LEAD: Duration = Duration::from_millis(350);
+
 /// Minimum time between two reads of the list for the store to count as having been unavailable.
 const STORE_OUTAGE_AGE: Duration = Duration::from_millis(2_500);
 
@@ -63,6 +67,17 @@
         self.read_at.map(|at| now.since(at))
     }
 
+    /// Returns whether the list has to be read before the grace period of missing servers ends.
+    pub fn is_last_read_due(&self, now: MonotonicTime) -> bool {
+        let Some(recovered_at) = self.recovered_at else {
+            return false;
+        };
+        let due = recovered_at + (RECOVERY_GRACE - LAST_READ_LEAD);
+        now >= due
+            && self.read_at < Some(due)
+            && self.servers.values().any(|one| one.kept_until.is_some())
+    }
+
     /// Records that the list was still current at `read_at`.
     pub fn confirm(&mut self, read_at: MonotonicTime) {
         self.record_read(read_at);
--- a/crates/traffic/tests/store_eras.rs
+++ b/crates/traffic/tests/store_eras.rs
@@ -249,3 +249,20 @@
     table.apply_listing(at(4_500), at(4_500), &restored_listing(62, &[]));
     assert!(table.is_empty(), "it was listed again and is gone now");
 }
+
+/// Guards against sound servers that are dropped for a moment: they register again shortly before the
+/// grace period ends, and the list would be read shortly after.
+#[test]
+fn list_is_read_once_more_before_grace_period_ends() {
+    let mut table = ServerTable::default();
+    let entries = [server("s1", "home-a"), server("s2", "home-a")];
+    table.apply_listing(at(0), at(0), &listing(100, &entries));
+    table.apply_listing(at(700), at(700), &restored_listing(60, &entries[..1]));
+    table.apply_listing(at(2_600), at(2_600), &restored_listing(61, &entries[..1]));
+    // Servers are back 2 s after the return of the store.
+    assert!(!table.is_last_read_due(at(2_700)));
+    assert!(table.is_last_read_due(at(2_800)));
+    table.apply_listing(at(2_800), at(2_800), &restored_listing(62, &entries));
+    assert!(!table.is_last_read_due(at(2_900)));
+    assert_eq!(usable(&table, 700 + GRACE_END_MS), 2);
+}
