Believe a refusal only if it names the request

What callers saw: a server that wrote an earlier refusal again and then ran the request caused a second run at another server, or a 503 that promises that the request has not run.

Cause: the statement "not executed" and the status 421 were evaluated before the request identifier of the response was compared, and a missing identifier matched. Load and admission of such a response were recorded as well.

Fix: a response is compared with the request first. A refusal has to name exactly this request, in one header; a success that states that it has not run contradicts itself. Other responses are malformed: the outcome is unknown, so that a request that may run only once is answered with 502. New connections alone do not suffice, since the server may write at any time after the connection was opened.

--- a/crates/gateway/src/header_mapping.rs
+++ b/crates/gateway/src/header_mapping.rs
@@ -52,7 +52,7 @@
 /// Values from the head of a backend server's response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct BackendResponseMetadata {
-    /// Identifier of the request that the response belongs to.
+    /// Identifier of the request that the response belongs to; empty if it states several.
     pub request_id: Option<String>,
     /// Whether the response has the signature header that only backend servers set.
     pub signed: bool,
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -224,6 +224,9 @@
     ) -> Result<AttemptHead, AttemptFailure> {
         let BackendResponse { head, body } = response;
         let metadata = self.gateway.header_mapping.read_response(&head);
+        if !belongs_to(request, head.status, &metadata) {
+            return Err(AttemptFailure::unknown(AttemptCause::Garbled));
+        }
         self.record_metadata(&metadata);
         if !metadata.wrong_server {
             let accepted = !metadata.not_run;
@@ -242,14 +245,7 @@
                 reached_server: true,
             });
         }
-        let id_matches = metadata
-            .request_id
-            .as_deref()
-            .is_none_or(|id| id == request.id.as_str());
         let status = head.status;
-        if !id_matches || (status.is_success() && !metadata.signed) {
-            return Err(AttemptFailure::unknown(AttemptCause::Garbled));
-        }
         let mut headers = head.headers;
         let has_body = status != StatusCode::NO_CONTENT && request.method != Method::HEAD;
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
@@ -301,6 +297,24 @@
     }
 }
 
+/// Returns whether a response is one to `request`, and does not contradict itself.
+///
+/// A faulty server may write a refusal of an earlier request again. A refusal counts only if it
+/// names the request, because the request would otherwise be run once more or reported as not run
+/// while the server runs it.
+fn belongs_to(
+    request: &AdmittedRequest,
+    status: StatusCode,
+    metadata: &BackendResponseMetadata,
+) -> bool {
+    let refuses = metadata.not_run || metadata.wrong_server;
+    let names_request = match &metadata.request_id {
+        Some(id) => id == request.id.as_str(),
+        None => !refuses,
+    };
+    names_request && (!status.is_success() || (metadata.signed && !refuses))
+}
+
 /// Reads the complete body of an error response; `None` if it breaks off, is too large or does not
 /// fit into the memory budget.
 async fn read_error_body(mut body: ResponseBody) -> Option<Bytes> {
