Replace a status that wrongly promises that a request has not run

What callers saw: a 503, 429 or 408 of a server that had run a request that may run only once, and did not state the contrary, was passed on. Callers take these statuses as a promise and send the request again.

Cause: every complete error response was passed on unchanged.

Repeatable requests still get the server's response.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,14 @@
 /// Largest response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Statuses that promise to callers that a request has not run and never will.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Processing of one admitted request.
 ///
 /// Dropping it cancels the request at the backend server.
@@ -417,8 +425,13 @@
 
     /// Returns the error response of a backend server, to be sent to the caller in place of a
     /// refusal.
+    ///
+    /// A server that has run a request that may run only once may still answer with a status that
+    /// promises to the caller that it has not run. Such a response is not returned.
     pub(crate) fn take_error_response(&mut self) -> Option<BufferedResponse> {
-        self.error_response.take()
+        let is_repeatable = self.request.route.semantics.is_repeatable();
+        let response = self.error_response.take();
+        response.filter(|response| is_repeatable || !PROMISES.contains(&response.status))
     }
 
     /// Returns whether the request may have run.
