Continue a broken stream only with the events that come next

What callers saw: after a resumable stream had broken off, the body of the next server's response was appended whatever it was: text and JSON with status 200, events of a run that began anew or left a number out, events without numbers, encoded bodies. An empty response, one with status 204 and one of comments only ended the stream as if it were complete. A head of another response inside a stream was passed on as an event. A stream without numbers was sent twice.

Cause: the head of a further run was not looked at, and of its events only those with a number that the caller already has were left out.

Fix: a further run has to have the status and media type that the caller has received, and no encoding. Its first event has to be the next one, if the numbers have risen by one each so far; on a resumable route a run that repeats events that the caller has is not a continuation. A run that continues a stream has at least one event, or the stream breaks off. Blocks without number, data or comment end a numbered stream. A stream with unnumbered data is not resumed. A run that fails one of these counts as failed, so that another server may continue the stream, or it ends without its last chunk.

The functions on streams move to exchange_streams.rs, and what has been delivered to stream_progress.rs.

Errors with other statuses were never appended (sound before).

--- a/crates/gateway/src/event_reader.rs
+++ b/crates/gateway/src/event_reader.rs
@@ -8,6 +8,10 @@
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data:";
 
+/// Beginnings of lines that carry no content: comments, the type of an event and the time after
+/// which to connect again.
+const CONTROL_LINES: [&[u8]; 3] = [b":", b"event:", b"retry:"];
+
 /// Event of a stream in its received encoding.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -19,6 +23,18 @@
     pub has_data: bool,
 }
 
+impl Event {
+    /// Returns whether the event has only comments, fields without content for the caller and blank
+    /// lines.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.raw.split(|byte| *byte == b'\n');
+        lines.all(|line| {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            line.is_empty() || CONTROL_LINES.iter().any(|start| line.starts_with(start))
+        })
+    }
+}
+
 /// Splits the bytes of a stream into events.
 #[derive(Debug, Default)]
 pub struct EventReader {
@@ -51,6 +67,13 @@
         Some(Event { raw, id, has_data })
     }
 
+    /// Puts back an event that was removed last.
+    pub fn put_back(&mut self, event: &Event) {
+        let rest = std::mem::replace(&mut self.buf, BytesMut::from(&event.raw[..]));
+        self.buf.extend_from_slice(&rest);
+        (self.searched, self.line_start) = (0, 0);
+    }
+
     /// Returns the length of the first event with its blank line. Bytes are searched only once.
     fn find_event_end(&mut self) -> Option<usize> {
         for index in self.searched..self.buf.len() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Processing of one admitted request: attempts, retries and the response.
 
-use std::{fmt::Write, io, sync::Arc, time::Duration};
+use std::{fmt::Write, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use hawthornquay_decisions::{
@@ -13,7 +13,7 @@
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, EventReader,
     Gateway, HeaderMapping, ResponseStart, attempt::Attempt, gateway::now,
     peer_attempt::PeerAttempt, response_memory::ResponseMemory, server_attempt::ServerAttempt,
-    wire_views::millis,
+    stream_progress::StreamProgress, wire_views::millis,
 };
 
 /// Bound on all attempts for one request, including those that reached no backend server.
@@ -54,13 +54,13 @@
     pub(crate) excluded_instances: Vec<InstanceName>,
     /// Regions without capacity for the request or without an instance that accepts it.
     pub(crate) excluded_regions: Vec<RegionName>,
-    events: EventReader,
+    pub(crate) events: EventReader,
+    /// Which events the caller has received, and which come next.
+    pub(crate) progress: StreamProgress,
     /// Part of the memory budget for the buffered part of the response.
-    memory: ResponseMemory,
+    pub(crate) memory: ResponseMemory,
     /// Time of the last event with data, or of the response head.
     pub(crate) progress_at: MonotonicTime,
-    /// Number of the last event that was delivered to the caller.
-    pub(crate) last_delivered_event: Option<u64>,
     /// Last error response of a backend server.
     error_response: Option<BufferedResponse>,
     /// Delay before a retry that the last refusal by another instance states.
@@ -70,15 +70,16 @@
     /// Time from the arrival of the request to the first events of a stream.
     first_part: Option<Duration>,
     /// Time at which the last events were delivered.
-    last_events_at: Option<MonotonicTime>,
+    pub(crate) last_events_at: Option<MonotonicTime>,
     /// Longest time between two deliveries of events to the caller.
-    longest_pause: Duration,
+    pub(crate) longest_pause: Duration,
     finished: bool,
 }
 
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
     pub(crate) fn new(gateway: Arc<Gateway<C, H>>, request: AdmittedRequest) -> Self {
-        let last_delivered_event = request.last_event;
+        let is_resumable = request.route.semantics.is_repeatable();
+        let progress = StreamProgress::new(request.last_event, is_resumable);
         Self {
             gateway,
             request,
@@ -91,9 +92,9 @@
             excluded_instances: Vec::new(),
             excluded_regions: Vec::new(),
             events: EventReader::default(),
+            progress,
             memory: ResponseMemory::default(),
             progress_at: MonotonicTime(0),
-            last_delivered_event,
             error_response: None,
             retry_after: None,
             attempt_trace: String::new(),
@@ -120,6 +121,7 @@
             if self.request.route.semantics.is_stream() {
                 match self.read_events().await {
                     Ok(first) => {
+                        self.progress.set_head(status, &headers);
                         self.first_part = Some(now().since(self.request.arrived_at));
                         self.last_events_at = Some(now());
                         return Ok(ResponseStart::Stream {
@@ -146,52 +148,8 @@
         }
     }
 
-    /// Returns the next events of a stream; `None` at its end.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the stream was interrupted and could not be continued.
-    pub(crate) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
-        if self.attempt.is_none() {
-            self.finish("answered");
-            return None;
-        }
-        loop {
-            let failure = match self.read_events().await {
-                Ok(Some(data)) => {
-                    self.record_pause();
-                    return Some(Ok(data));
-                }
-                Ok(None) => {
-                    self.finish("answered");
-                    return None;
-                }
-                Err(failure) => failure,
-            };
-            let mut retried = self.handle_failure(&failure);
-            while retried.is_ok() {
-                match self.open_attempt().await {
-                    // The caller has already received the head of the first response.
-                    Ok(_) => break,
-                    Err(refusal) => retried = Err(refusal),
-                }
-            }
-            if let Err(refusal) = retried {
-                self.finish("broken-off");
-                return Some(Err(io::Error::other(refusal)));
-            }
-        }
-    }
-
-    fn record_pause(&mut self) {
-        let time = now();
-        if let Some(previous) = self.last_events_at.replace(time) {
-            self.longest_pause = self.longest_pause.max(time.since(previous));
-        }
-    }
-
     /// Makes attempts until one returns a response head.
-    async fn open_attempt(&mut self) -> Result<(StatusCode, HeaderMap), Refusal> {
+    pub(crate) async fn open_attempt(&mut self) -> Result<(StatusCode, HeaderMap), Refusal> {
         loop {
             let time = now();
             let left = self.request.time_left(time);
@@ -227,7 +185,7 @@
                         &self.request,
                         &name,
                         &receiver,
-                        self.last_delivered_event,
+                        self.progress.last_event(),
                         max_wait,
                     )
                     .await;
@@ -256,6 +214,7 @@
                     self.gateway.metrics.count_attempt("answered");
                     self.attempt = Some(attempt);
                     self.progress_at = now();
+                    self.progress.start_run();
                     return Ok((head.status, head.headers));
                 }
                 Err(failure) => self.handle_failure(&failure)?,
@@ -279,7 +238,7 @@
             &self.gateway,
             &self.request,
             pick,
-            self.last_delivered_event,
+            self.progress.last_event(),
             max_wait,
         )
         .await;
@@ -299,7 +258,7 @@
     }
 
     /// Records a failed attempt; `Ok` means that another attempt may be made.
-    fn handle_failure(&mut self, failure: &AttemptFailure) -> Result<(), Refusal> {
+    pub(crate) fn handle_failure(&mut self, failure: &AttemptFailure) -> Result<(), Refusal> {
         self.gateway.metrics.count_attempt(failure.outcome());
         let _ = write!(self.attempt_trace, "{} ", failure.outcome());
         if let Some(attempt) = self.attempt.take() {
@@ -343,6 +302,7 @@
             return !failure.reached_server || self.gateway.try_withdraw_retry(service);
         }
         self.request.route.semantics.is_repeatable()
+            && self.progress.can_resume()
             && self.delivered_attempts < self.request.max_attempts
             && self.gateway.try_withdraw_retry(service)
     }
@@ -372,57 +332,6 @@
         }
     }
 
-    /// Reads until complete events that were not delivered before are available; `None` at the end
-    /// of the stream.
-    async fn read_events(&mut self) -> Result<Option<Bytes>, AttemptFailure> {
-        loop {
-            if let Some(data) = self.take_events() {
-                return Ok(Some(data));
-            }
-            let max_wait = self.stream_timeout();
-            let Some(attempt) = &mut self.attempt else {
-                return Err(AttemptFailure::unknown(AttemptCause::Broken));
-            };
-            match attempt.next_chunk(max_wait).await {
-                None if self.events.has_partial_event() => {
-                    return Err(AttemptFailure::unknown(AttemptCause::Broken));
-                }
-                None => {
-                    self.attempt = None;
-                    return Ok(None);
-                }
-                Some(Ok(part)) => {
-                    if !self.events.push(&part) || !self.memory.try_hold(self.events.len()) {
-                        return Err(AttemptFailure::unknown(AttemptCause::Garbled));
-                    }
-                }
-                Some(Err(failure)) => return Err(failure),
-            }
-        }
-    }
-
-    /// Removes the buffered complete events, skipping those that the caller already has.
-    fn take_events(&mut self) -> Option<Bytes> {
-        let mut data = BytesMut::new();
-        while let Some(event) = self.events.next_event() {
-            if event.has_data {
-                self.progress_at = now();
-                if let Some(attempt) = &mut self.attempt {
-                    attempt.record_answer_start();
-                }
-            }
-            if let Some(id) = event.id {
-                if self.last_delivered_event.is_some_and(|last| id <= last) {
-                    continue;
-                }
-                self.last_delivered_event = Some(id);
-            }
-            data.extend_from_slice(&event.raw);
-        }
-        self.memory.try_hold(self.events.len());
-        (!data.is_empty()).then(|| data.freeze())
-    }
-
     /// Returns the error response of a backend server, to be sent to the caller in place of a
     /// refusal.
     ///
--- /dev/null
+++ b/crates/gateway/src/exchange_streams.rs
@@ -0,0 +1,119 @@
+//! Delivery of the events of a stream, which several attempts may produce.
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+
+use crate::{
+    AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, gateway::now,
+    stream_progress::EventFate,
+};
+
+impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
+    /// Returns the next events of a stream; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream was interrupted and could not be continued.
+    pub(crate) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
+        if self.attempt.is_none() {
+            self.finish("answered");
+            return None;
+        }
+        loop {
+            let failure = match self.read_events().await {
+                Ok(Some(data)) => {
+                    self.record_pause();
+                    return Some(Ok(data));
+                }
+                Ok(None) => {
+                    self.finish("answered");
+                    return None;
+                }
+                Err(failure) => failure,
+            };
+            let mut retried = self.handle_failure(&failure);
+            while retried.is_ok() {
+                match self.open_attempt().await {
+                    Ok((status, headers)) if self.progress.continues_head(status, &headers) => {
+                        break;
+                    }
+                    Ok(_) => {
+                        let failure = AttemptFailure::unknown(AttemptCause::Garbled);
+                        retried = self.handle_failure(&failure);
+                    }
+                    Err(refusal) => retried = Err(refusal),
+                }
+            }
+            if let Err(refusal) = retried {
+                self.finish("broken-off");
+                return Some(Err(io::Error::other(refusal)));
+            }
+        }
+    }
+
+    fn record_pause(&mut self) {
+        let time = now();
+        if let Some(previous) = self.last_events_at.replace(time) {
+            self.longest_pause = self.longest_pause.max(time.since(previous));
+        }
+    }
+
+    /// Reads until complete events that were not delivered before are available; `None` at the end
+    /// of the stream.
+    pub(crate) async fn read_events(&mut self) -> Result<Option<Bytes>, AttemptFailure> {
+        loop {
+            if let Some(data) = self.take_events()? {
+                return Ok(Some(data));
+            }
+            let max_wait = self.stream_timeout();
+            let Some(attempt) = &mut self.attempt else {
+                return Err(AttemptFailure::unknown(AttemptCause::Broken));
+            };
+            match attempt.next_chunk(max_wait).await {
+                None if self.events.has_partial_event() || !self.progress.may_end() => {
+                    return Err(AttemptFailure::unknown(AttemptCause::Broken));
+                }
+                None => {
+                    self.attempt = None;
+                    return Ok(None);
+                }
+                Some(Ok(part)) => {
+                    if !self.events.push(&part) || !self.memory.try_hold(self.events.len()) {
+                        return Err(AttemptFailure::unknown(AttemptCause::Garbled));
+                    }
+                }
+                Some(Err(failure)) => return Err(failure),
+            }
+        }
+    }
+
+    /// Removes the buffered complete events, skipping those that the caller already has.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the first of them does not belong to the stream.
+    fn take_events(&mut self) -> Result<Option<Bytes>, AttemptFailure> {
+        let mut data = BytesMut::new();
+        while let Some(event) = self.events.next_event() {
+            match self.progress.record(&event) {
+                EventFate::Deliver => data.extend_from_slice(&event.raw),
+                EventFate::Skip => {}
+                // The events before it are delivered first.
+                EventFate::Reject if !data.is_empty() => {
+                    self.events.put_back(&event);
+                    break;
+                }
+                EventFate::Reject => return Err(AttemptFailure::unknown(AttemptCause::Garbled)),
+            }
+            if event.has_data {
+                self.progress_at = now();
+                if let Some(attempt) = &mut self.attempt {
+                    attempt.record_answer_start();
+                }
+            }
+        }
+        self.memory.try_hold(self.events.len());
+        Ok((!data.is_empty()).then(|| data.freeze()))
+    }
+}
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -40,7 +40,7 @@
             ExecutionSemantics::Stream {
                 resumable: true,
                 target_event_gap: gap,
-            } if self.last_delivered_event != self.request.last_event => {
+            } if self.progress.last_event() != self.request.last_event => {
                 MIN_STREAM_IDLE_TIMEOUT.max(gap.mul_f64(TIMEOUT_FACTOR))
             }
             _ => self.attempt_timeout(Duration::MAX, Duration::ZERO),
