Send orders to engines on new connections

What operators would have seen: an engine that wrote its refusal of an earlier order again, on a connection that hawthornquayd had kept, decided the next order: it counted as refused by a higher fencing number, although the engine accepted it.

Cause: control calls reuse connections, and nothing in a response says to which call it belongs. For load reports, cache events and lists a copy is only an outdated or failed reading; an order is decided by it.

Fix: an order takes a new connection, as the requests of callers do already. Orders are rare.

Evidence: order_repeated_refusal_is_not_taken_for_response failed before with "WhileIdle, 0 ms: left: Fenced, right: Accepted"; it passes now. Requests on new connections were sound before.

--- a/crates/backends/src/backend_client.rs
+++ b/crates/backends/src/backend_client.rs
@@ -156,7 +156,9 @@
         let req = BackendRequest::new(Method::POST, "/orders")
             .caller_headers(&headers)
             .body(body.into());
-        let (status, _) = self.exchange(address, req).await?;
+        // A used connection may deliver a second copy of the response to an earlier order.
+        let connection = self.connect_fresh(address).await?;
+        let (status, _) = self.exchange(connection, req).await?;
         match status {
             status if status.is_success() => Ok(OrderResponse::Accepted),
             StatusCode::CONFLICT => Ok(OrderResponse::Fenced),
@@ -170,7 +172,8 @@
         path: &str,
     ) -> Result<T, BackendError> {
         let req = BackendRequest::new(Method::GET, path);
-        let (status, body) = self.exchange(address, req).await?;
+        let connection = self.connect(address).await?;
+        let (status, body) = self.exchange(connection, req).await?;
         if status != StatusCode::OK {
             return Err(BackendError::Status { address, status });
         }
@@ -179,10 +182,10 @@
 
     async fn exchange(
         &self,
-        address: SocketAddr,
+        connection: Connection,
         req: BackendRequest,
     ) -> Result<(StatusCode, Bytes), BackendError> {
-        let connection = self.connect(address).await?;
+        let address = connection.address();
         let limit = self.pool.limits.control_call_timeout;
         let exchange = async {
             let response = connection.send(req).await?;
