Keep notices off the links of forwarded requests

A request forwarded to another region was cut, with its sound server and without any fault, when a large notice to the same instance took longer than the receive time-out of 1.5 s on the path: the heartbeat waits behind the notice, the peer's reply does not come, and the link ends with all its calls. A configuration of up to 1 MB is such a notice; it is sent between the leaders of regions after a change, over one of the links that carry forwarded requests.

The first link to an instance is now for notices and calls only, and forwarded requests use the others. It costs one more link between instances that do both.

Open: the notice's own link still ends on such a path and the notice is sent anew; the receiver reads the store itself when its copy gets old.

--- a/crates/instances/src/link_pool.rs
+++ b/crates/instances/src/link_pool.rs
@@ -25,6 +25,12 @@
 /// A call is sent again, on another link, only if its link ended before the call was written.
 const MAX_SEND_ATTEMPTS: usize = 2;
 
+/// Slot of the link for notices and calls.
+///
+/// Forwarded requests use other links: heartbeats wait behind a large notice, such as a
+/// configuration, and on a slow path its link may reach the receive time-out.
+const CONTROL_SLOT: usize = 0;
+
 /// Place for one link; locked while the link is being opened.
 type LinkSlot = Arc<tokio::sync::Mutex<Option<Arc<Link>>>>;
 
@@ -32,7 +38,7 @@
 pub struct LinkPool {
     local: LocalInstance,
     sequence: AtomicU64,
-    /// Link slots by peer. Only forwarded requests use slots other than the first.
+    /// Link slots by peer: [`CONTROL_SLOT`], and those for forwarded requests.
     slots: Mutex<Map<InstanceName, Vec<LinkSlot>>>,
     closed: CancellationToken,
 }
@@ -62,7 +68,9 @@
         let deadline = Instant::now() + timeout;
         let body = check_frame_size(request.into())?;
         for attempt in 1.. {
-            let link = self.link(peer, &self.slot(peer, 0), deadline).await?;
+            let link = self
+                .link(peer, &self.slot(peer, CONTROL_SLOT), deadline)
+                .await?;
             let outcome = link
                 .call(self.next_sequence(), body.clone(), deadline)
                 .await;
@@ -86,7 +94,9 @@
     pub async fn send(&self, peer: &PeerAddress, notice: Notice) -> Result<(), LinkError> {
         let deadline = Instant::now() + self.local.settings.connect_timeout;
         let body = check_frame_size(notice.into())?;
-        let link = self.link(peer, &self.slot(peer, 0), deadline).await?;
+        let link = self
+            .link(peer, &self.slot(peer, CONTROL_SLOT), deadline)
+            .await?;
         match timeout_at(deadline, link.send(body)).await {
             Ok(sent) => sent,
             Err(_) => Err(deadline_exceeded(peer)),
@@ -138,7 +148,7 @@
         peer_slots[index].clone()
     }
 
-    /// Returns the slot whose link has the fewest calls in flight.
+    /// Returns the slot for forwarded requests whose link has the fewest calls in flight.
     ///
     /// If no open link is idle, it opens a further one in the background, so that no request has to
     /// wait for a handshake.
@@ -146,7 +156,7 @@
         let mut best: Option<(usize, LinkSlot)> = None;
         let mut unopened = None;
         for index in 0..self.local.settings.forwarding_links.max(1) {
-            let slot = self.slot(peer, index);
+            let slot = self.slot(peer, CONTROL_SLOT + 1 + index);
             let calls = slot.try_lock().ok().and_then(|current| {
                 let link = current.as_ref().filter(|link| link.is_usable_for(peer))?;
                 Some(link.open_calls())
@@ -160,7 +170,7 @@
             }
         }
         let Some((calls, slot)) = best else {
-            return self.slot(peer, 0);
+            return self.slot(peer, CONTROL_SLOT + 1);
         };
         if let Some(unopened) = unopened.filter(|_| calls > 0) {
             self.open_in_background(peer, unopened);
--- a/crates/instances/tests/support/relay.rs
+++ b/crates/instances/tests/support/relay.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use tokio::{
@@ -27,10 +28,15 @@
     HalfOpen,
     /// Stops reading from both sockets.
     Stall,
+    /// Limits the data from the client to the server to [`SLOW_BYTES_PER_S`].
+    SlowToServer,
     /// Closes both sockets.
     Cut,
 }
 
+/// Throughput of one connection between regions with small windows.
+pub const SLOW_BYTES_PER_S: usize = 400 << 10;
+
 struct Shared {
     target: SocketAddr,
     connections: Vec<watch::Sender<Fault>>,
@@ -127,6 +133,10 @@
         if current == dropping || current == Fault::HalfOpen {
             continue;
         }
+        if current == Fault::SlowToServer && dropping == Fault::DropToServer {
+            let took = Duration::from_secs(1).mul_f64(len as f64 / SLOW_BYTES_PER_S as f64);
+            tokio::time::sleep(took).await;
+        }
         if to.write_all(&buf[..len]).await.is_err() {
             return;
         }
