Keep a silent stream on its server while no other can continue it

Callers saw streams that ended in the middle of the answer although their server was sound: it sent nothing for somewhat more than a second and went on.

Cause: a resumable stream whose server sent no event for 1.3 s was given up before anything was known of another server. If the retry budget was used up, all others were overloaded, evacuated or excluded, or the route allowed no further attempt, the answer was broken off. The instance of another region that runs a forwarded stream did the same after 1.3 s, although it never makes a second attempt.

An instance that runs a forwarded stream has one attempt, so it waits until its sender takes the decision.

--- a/crates/decisions/src/retry_budget.rs
+++ b/crates/decisions/src/retry_budget.rs
@@ -42,9 +42,14 @@
         self.retries = (self.retries + self.deposit_per_request).min(self.max_retries);
     }
 
+    /// Returns whether the budget has a retry left.
+    pub fn has_retry(&self) -> bool {
+        self.retries >= 1.0
+    }
+
     /// Takes one retry from the budget; returns whether one was left.
     pub fn withdraw(&mut self) -> bool {
-        let allowed = self.retries >= 1.0;
+        let allowed = self.has_retry();
         if allowed {
             self.retries -= 1.0;
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// Counts a silence of the backend server after the response head as a failure of the server;
+    /// only the first call has an effect.
+    pub(crate) fn record_silence(&mut self, request: &AdmittedRequest) {
+        match self {
+            Self::Server(attempt) => attempt.record_silence(request),
+            // The other instance counts the failures of its backend servers itself.
+            Self::Peer(_) => {}
+        }
+    }
+
     /// Counts a failure that occurred after the response head against the backend server.
     pub(crate) fn record_failure(&self, failure: &AttemptFailure, request: &AdmittedRequest) {
         match self {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -323,9 +323,7 @@
     }
 
     fn may_retry(&self, failure: &AttemptFailure) -> bool {
-        if self.attempts >= MAX_ATTEMPTS_IN_TOTAL
-            || self.request.time_left(now()) < MIN_ATTEMPT_TIME
-        {
+        if !self.may_start_attempt() {
             return false;
         }
         let service = &self.request.service;
@@ -334,9 +332,18 @@
             // refusal by another instance: that instance has no capacity to retry the request.
             return !failure.reached_server || self.gateway.try_withdraw_retry(service);
         }
+        self.may_run_again() && self.gateway.try_withdraw_retry(service)
+    }
+
+    /// Returns whether attempts and time are left, for a request that has not run.
+    pub(crate) fn may_start_attempt(&self) -> bool {
+        self.attempts < MAX_ATTEMPTS_IN_TOTAL && self.request.time_left(now()) >= MIN_ATTEMPT_TIME
+    }
+
+    /// Returns whether the route allows another run of a request that may have run.
+    pub(crate) fn may_run_again(&self) -> bool {
         self.request.route.semantics.is_repeatable()
             && self.delivered_attempts < self.request.max_attempts
-            && self.gateway.try_withdraw_retry(service)
     }
 
     async fn read_response_body(&mut self) -> Result<Bytes, AttemptFailure> {
@@ -372,10 +379,7 @@
                 return Ok(Some(data));
             }
             let max_wait = self.stream_timeout();
-            let Some(attempt) = &mut self.attempt else {
-                return Err(AttemptFailure::unknown(AttemptCause::Broken));
-            };
-            match attempt.next_chunk(max_wait).await {
+            match self.next_stream_chunk(max_wait).await {
                 None if self.events.has_partial_event() => {
                     return Err(AttemptFailure::unknown(AttemptCause::Broken));
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Returns whether this instance's part of the retry budget of a service has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        self.with_retry_budget(service, |budget| budget.has_retry())
+    }
+
     /// Takes one retry from this instance's part of the retry budget of a service; returns whether
     /// the budget had one.
     pub(crate) fn try_withdraw_retry(&self, service: &ServiceName) -> bool {
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -38,6 +38,8 @@
     /// Whether the server has sent a complete event or a complete response of its own. Part of it
     /// does not count: a server may crash while it writes the first event.
     has_answered: bool,
+    /// Whether a silence has been counted against the server.
+    silence_recorded: bool,
     body: Option<ResponseBody>,
     /// Whether a close of the connection interrupts the response instead of ending it: nothing has
     /// arrived yet of a stream, from its start, that has neither a length nor chunks.
@@ -72,6 +74,7 @@
             is_complete: false,
             parts: request.work.shared_part_ids(),
             has_answered: false,
+            silence_recorded: false,
             body: None,
             awaits_data: request.route.semantics.is_stream() && last_event.is_none(),
         };
@@ -102,7 +105,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`.
+    /// Returns an error if the attempt fails or no chunk arrives within `max_wait`. After the latter,
+    /// the method may be called again.
     pub(crate) async fn next_chunk(
         &mut self,
         max_wait: Duration,
@@ -138,7 +142,8 @@
                 return Some(Ok(data));
             }
             Ok(Some(Err(_))) => AttemptFailure::unknown(AttemptCause::Broken),
-            Err(_) => AttemptFailure::unknown(AttemptCause::Silent),
+            // The server may go on, so the response stays open.
+            Err(_) => return Some(Err(AttemptFailure::unknown(AttemptCause::Silent))),
         };
         self.body = None;
         Some(Err(failure))
@@ -156,8 +161,20 @@
         }
     }
 
+    /// Counts a silence as a failure of the backend server; only the first call has an effect.
+    pub(crate) fn record_silence(&mut self, request: &AdmittedRequest) {
+        if !self.silence_recorded {
+            let failure = AttemptFailure::unknown(AttemptCause::Silent);
+            self.record_failure(&failure, request);
+            self.silence_recorded = true;
+        }
+    }
+
     /// Counts a failure against the backend server.
     pub(crate) fn record_failure(&self, failure: &AttemptFailure, request: &AdmittedRequest) {
+        if self.silence_recorded && matches!(failure.cause, AttemptCause::Silent) {
+            return;
+        }
         if matches!(failure.cause, AttemptCause::Broken) && !self.has_answered {
             confirm_crash(&self.gateway, &request.id, &self.pick, &self.parts);
         }
