Read the rest of a refused request's body before its connection ends

Callers whose request was refused before its body had arrived could get neither the answer nor the refusal: their connection was reset while they were still sending. It shows beside a change of the configuration: of a removed route (404), a revoked key (401) or an instance without a configuration (503) the refusal is decided from the head alone. The same holds for a request that is refused for want of memory while its body arrives.

Cause: the handler dropped the body unread. hyper then reads once more, and closes the connection after the response if the body is not at its end; closing it with unread bytes resets it. Only bodies above the size limit were read to their end.

The tests of hawthornquayd, which has the same server, were not finished at the time of the commit.

Why it works: the server wraps each request's body; one that is dropped before its end is read to its end in the background, for at most 2 s and 32 MiB, while the response is sent. This takes the place of the same in read_body, and covers both daemons.

--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -21,7 +21,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::ServerLimits;
+use crate::{ServerLimits, unread_body::UnreadBody};
 
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -130,7 +130,7 @@
         let limits = *self.limits.borrow();
         let service = service_fn(move |req: Request<Incoming>| {
             let handler = handler.clone();
-            let state = State::from_request(req, address);
+            let state = State::from_request(req.map(UnreadBody::new), address);
             async move { call_handler(handler, AssertUnwindSafe(state)).await }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 mod read_body;
 mod read_error;
 mod server_limits;
+mod unread_body;
 
 pub use {
     http_server::HttpServer,
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -9,12 +9,6 @@
 
 use crate::{Body, ReadError};
 
-/// Maximum time for which the rest of a body above the size limit is read and discarded.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Maximum number of bytes of such a body that are read and discarded.
-const MAX_DISCARDED_BYTES: usize = 32 << 20;
-
 /// Reads a complete body of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
@@ -94,7 +88,6 @@
     // A declared length above the limit is rejected before any of the body is read.
     let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if declared > limit {
-        tokio::spawn(discard(body));
         return Err(ReadError::TooLarge { limit });
     }
     // The declared length is reserved up front: a buffer that grows by doubling could take up twice
@@ -105,7 +98,6 @@
             continue;
         };
         if buf.len() + data.len() > limit {
-            tokio::spawn(discard(body));
             return Err(ReadError::TooLarge { limit });
         }
         charge(data.len())?;
@@ -113,21 +105,3 @@
     }
     Ok(buf)
 }
-
-/// Reads and discards the rest of a body, within bounds.
-///
-/// If the server closes the connection while the client is still writing, TCP resets the connection
-/// and the client may never receive the error response.
-async fn discard(mut body: Body) {
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, async {
-        let mut left = MAX_DISCARDED_BYTES;
-        while let Some(Ok(frame)) = body.frame().await {
-            let len = frame.data_ref().map_or(0, Bytes::len);
-            if len > left {
-                return;
-            }
-            left -= len;
-        }
-    })
-    .await;
-}
