Let the stand-in store come back from an older copy

What was written since is gone, leases too; revisions and lease numbers are given out again.

The stand-in of the platform now plays this: `Platform::copy_store` and `restore_store`, or `POST /admin/store/copy` and `/admin/store/restore`. Every response has the header `Store-Era`, which rises by one each time and starts at 0. A watch after a revision that the store does not have, or one that waits while the store goes back, is answered with 410. A call in progress meanwhile loses its connection, because its response could belong to either history.

--- a/crates/standins/src/kv_lease.rs
+++ b/crates/standins/src/kv_lease.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 /// Lease and the keys that are deleted when it ends.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct KvLease {
     pub(crate) ttl: Duration,
     pub(crate) expires_at: Instant,
--- a/crates/standins/src/kv_store.rs
+++ b/crates/standins/src/kv_store.rs
@@ -12,7 +12,7 @@
 ///
 /// A deleted key is kept as a tombstone without a time limit, so that a watch from any earlier
 /// revision returns the deletion.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct KvStore {
     entries: BTreeMap<String, KvEntry>,
     /// Key by the revision of its latest change.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -45,6 +45,19 @@
         self.core.set_faults(faults);
     }
 
+    /// Keeps a copy of the store, which replaces an earlier copy.
+    pub fn copy_store(&self) {
+        self.core.with_state(|state, _| state.copy_store());
+    }
+
+    /// Returns the store to its last copy, as after a loss of acknowledged writes, and begins a new
+    /// era; returns false if no copy was made.
+    ///
+    /// Calls in progress lose their connection, and waiting watches are refused.
+    pub fn restore_store(&self) -> bool {
+        self.core.restore_store()
+    }
+
     /// Sets the record of an instance; its `state_age_ms` is ignored.
     pub fn set_instance(&self, record: InstanceRecord) {
         let name = record.name.to_string();
--- a/crates/standins/src/platform_core.rs
+++ b/crates/standins/src/platform_core.rs
@@ -35,10 +35,10 @@
     pub(crate) fn with_state<T>(&self, action: impl FnOnce(&mut PlatformState, Instant) -> T) -> T {
         let mut state = self.state.lock();
         let now = Instant::now();
-        let (revision, faults) = (state.store.revision(), state.faults);
+        let before = (state.era, state.store.revision(), state.faults);
         state.store.expire_leases(now);
         let result = action(&mut state, now);
-        if (state.store.revision(), state.faults) != (revision, faults) {
+        if (state.era, state.store.revision(), state.faults) != before {
             self.changed.send_replace(());
         }
         result
@@ -48,6 +48,14 @@
         self.with_state(|state, _| state.faults = faults);
     }
 
+    /// Returns the store to its last copy; returns false without a copy.
+    pub(crate) fn restore_store(&self) -> bool {
+        let restored = self.with_state(|state, _| state.restore_store());
+        // The restored leases may expire earlier than those that the expiry task waits for.
+        self.lease_granted.notify_one();
+        restored
+    }
+
     /// Returns a receiver that is notified of every change to the store or the faults.
     pub(crate) fn subscribe(&self) -> watch::Receiver<()> {
         self.changed.subscribe()
--- a/crates/standins/src/platform_counters.rs
+++ b/crates/standins/src/platform_counters.rs
@@ -33,4 +33,6 @@
     pub keys: u64,
     /// Revision of the store.
     pub revision: u64,
+    /// Number of times that the store came back from a copy.
+    pub era: u64,
 }
--- a/crates/standins/src/platform_endpoint.rs
+++ b/crates/standins/src/platform_endpoint.rs
@@ -4,12 +4,13 @@
 
 use hawthornquay_decisions::InstanceRecord;
 use hawthornquay_http::{Body, empty_response, json_response};
-use http::{HeaderValue, Method, Response, StatusCode, header};
+use http::{HeaderName, HeaderValue, Method, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, StreamBody};
 use serde_json::{Value, json};
 
 use crate::{
     StandinRequest,
+    chat_response::aborted_response,
     endpoint::Endpoint,
     error_response::{error_response, invalid_json_response, unknown_resource_response},
     pause::pause,
@@ -20,6 +21,9 @@
 
 pub(crate) const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
+/// Header of every response: the number of times that the store came back from a copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+
 /// Handles the calls to the platform.
 #[derive(Debug)]
 pub(crate) struct PlatformEndpoint {
@@ -47,6 +51,17 @@
                 }
                 Err(err) => invalid_json_response(&err),
             },
+            (&Method::POST, ["store", "copy"]) => {
+                self.core.with_state(|state, _| state.copy_store());
+                empty_response(StatusCode::NO_CONTENT)
+            }
+            (&Method::POST, ["store", "restore"]) => {
+                if self.core.restore_store() {
+                    empty_response(StatusCode::NO_CONTENT)
+                } else {
+                    error_response(StatusCode::CONFLICT, "no-copy", "no copy was made")
+                }
+            }
             (&Method::PUT, ["instances", name]) => self.set_instance(name, req),
             (&Method::DELETE, ["instances", name]) => {
                 self.core
@@ -126,8 +141,29 @@
         let path = req.path.trim_start_matches('/');
         let segments: Vec<&str> = path.split('/').collect();
         if let ["admin", rest @ ..] = segments.as_slice() {
-            return self.admin(&req, rest).await;
+            let res = self.admin(&req, rest).await;
+            return with_era(res, self.era());
         }
+        let era = self.era();
+        let res = self.respond(&req, path, &segments).await;
+        let delay_ms = self.core.with_state(|state, _| state.faults.delay_ms);
+        pause(Duration::from_millis(delay_ms)).await;
+        let current = self.era();
+        // The response may describe the former history or the present one, so it states neither.
+        // A refused watch is refused in both.
+        if era != current && res.status() != StatusCode::GONE {
+            return aborted_response();
+        }
+        with_era(res, current)
+    }
+}
+
+impl PlatformEndpoint {
+    fn era(&self) -> u64 {
+        self.core.with_state(|state, _| state.era)
+    }
+
+    async fn respond(&self, req: &StandinRequest, path: &str, segments: &[&str]) -> Response<Body> {
         let in_outage = self.core.with_state(|state, _| {
             state.counters.outage_refusals += u64::from(state.faults.outage);
             state.faults.outage
@@ -135,24 +171,26 @@
         if in_outage {
             return outage_response();
         }
-        let res = match (&req.method, segments.as_slice()) {
+        match (&req.method, segments) {
             (_, ["kv", ..] | ["leases", ..]) | (&Method::GET, ["list"] | ["watch"]) => {
-                self.store.handle(&req, &segments).await
+                self.store.handle(req, segments).await
             }
             (&Method::GET, ["instances"]) => self.instances(),
             (&Method::GET | &Method::PUT, ["directory", ..]) => {
                 let name = path.strip_prefix("directory/").unwrap_or_default();
-                self.directory(&req, name)
+                self.directory(req, name)
             }
             (&Method::GET, ["weights", _]) => self.weights(),
             _ => unknown_resource_response(),
-        };
-        let delay_ms = self.core.with_state(|state, _| state.faults.delay_ms);
-        pause(Duration::from_millis(delay_ms)).await;
-        res
+        }
     }
 }
 
+fn with_era(mut res: Response<Body>, era: u64) -> Response<Body> {
+    res.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+    res
+}
+
 pub(crate) fn ok(value: &Value) -> Response<Body> {
     json_response(StatusCode::OK, value)
 }
--- a/crates/standins/src/store_endpoint.rs
+++ b/crates/standins/src/store_endpoint.rs
@@ -152,15 +152,19 @@
         let _waiting = WatchGuard::begin(&self.core);
         let mut changed = self.core.subscribe();
         let mut after = req.number("after").unwrap_or_default();
+        let began_in = self.core.with_state(|state, _| state.era);
         loop {
             changed.mark_unchanged();
-            let (faults, revision, entries) = self.core.with_state(|state, _| {
+            let (faults, era, revision, entries) = self.core.with_state(|state, _| {
                 let entries = state.store.changes(&prefix, after);
-                (state.faults, state.store.revision(), entries)
+                (state.faults, state.era, state.store.revision(), entries)
             });
             if faults.outage {
                 return outage_response();
             }
+            if (era != began_in || after > revision) && !faults.hold_watches {
+                return history_discarded_response();
+            }
             let ready = !entries.is_empty() || Instant::now() >= end;
             if ready && !faults.hold_watches {
                 return ok(&json!({"revision": revision, "entries": entries}));
@@ -216,6 +220,14 @@
     req.path.strip_prefix("/kv/").unwrap_or_default()
 }
 
+fn history_discarded_response() -> Response<Body> {
+    error_response(
+        StatusCode::GONE,
+        "history-discarded",
+        "the store does not have the history after this revision; read all data again",
+    )
+}
+
 fn not_found(message: &str) -> Response<Body> {
     error_response(StatusCode::NOT_FOUND, "not-found", message)
 }
--- a/crates/standins/tests/platform_store.rs
+++ b/crates/standins/tests/platform_store.rs
@@ -297,3 +297,87 @@
     platform.set_faults(PlatformFaults::default());
     assert_eq!(watching.await["entries"][0]["key"], "a");
 }
+
+/// Returns the status and the era header of the response to a read of `path`.
+async fn era_of(platform: &Platform, path: &str) -> (u16, String) {
+    let res = common::send(platform.address(), "GET", path, &[], "")
+        .await
+        .unwrap();
+    let era = res.headers().get("store-era").map(|era| era.to_str());
+    let era = era.unwrap_or(Ok("absent")).unwrap().to_owned();
+    (res.status().as_u16(), era)
+}
+
+/// Guards against a drill that loses less than everything since the copy, such as a revision counter
+/// or lease numbers that are not given out again, and against responses without the era.
+#[tokio::test]
+async fn restored_store_returns_to_its_copy_in_a_new_era() {
+    let platform = platform().await;
+    let address = platform.address();
+    assert!(!platform.restore_store(), "no copy was made");
+    let lease = async || {
+        let (_, answer) = call(address, "POST", "/leases", &[], r#"{"ttl_ms":60000}"#).await;
+        answer["lease"].as_u64().unwrap()
+    };
+    let kept = lease().await;
+    put_leased(&platform, "a", "kept", json!(0), json!(kept)).await;
+    put(&platform, "b", "old", json!(0)).await;
+    platform.copy_store();
+    put(&platform, "b", "new", json!(2)).await;
+    let lost = lease().await;
+    put_leased(&platform, "c", "lost", json!(0), json!(lost)).await;
+    call(address, "DELETE", "/kv/a", &[], "").await;
+    assert_eq!(era_of(&platform, "/kv/b").await, (200, "0".to_owned()));
+    assert!(platform.restore_store());
+
+    for (path, status) in [("/kv/b", 200), ("/kv/c", 404), ("/list", 200)] {
+        assert_eq!(
+            era_of(&platform, path).await,
+            (status, "1".to_owned()),
+            "{path}"
+        );
+    }
+    let list = get(address, "/list?prefix=").await;
+    let values: Vec<&Value> = list["entries"].as_array().unwrap().iter().collect();
+    assert_eq!(list["revision"], 2);
+    assert_eq!(values.len(), 2);
+    assert_eq!(
+        (&values[0]["value"], &values[0]["lease"]),
+        (&json!(value("kept")), &json!(kept))
+    );
+    assert_eq!(values[1]["value"], value("old"));
+    let (status, _) = put_leased(&platform, "c", "x", json!(0), json!(lost)).await;
+    assert_eq!(status, 404, "the lease granted since the copy is gone");
+    assert_eq!(lease().await, lost, "its number is given out again");
+    let (status, answer) = put(&platform, "d", "x", json!(0)).await;
+    assert_eq!((status, &answer["revision"]), (200, &json!(3)));
+    call(address, "POST", "/admin/store/restore", &[], "").await;
+    assert_eq!(platform.counters().era, 2);
+}
+
+/// Guards against a watch of a discarded history that is answered as if nothing had changed, both
+/// one that waits during the drill and one that starts after it.
+#[tokio::test]
+async fn watch_of_discarded_history_is_refused() {
+    let platform = platform().await;
+    put(&platform, "a", "1", json!(0)).await;
+    call(platform.address(), "POST", "/admin/store/copy", &[], "").await;
+    put(&platform, "a", "2", json!(1)).await;
+    let path = "/watch?prefix=a&after=2&wait_ms=60000";
+    let restore = async {
+        eventually("the watch is waiting", async || {
+            platform.counters().waiting_watches == 1
+        })
+        .await;
+        platform.restore_store();
+    };
+    let ((waiting, _), ()) = tokio::join!(call(platform.address(), "GET", path, &[], ""), restore);
+    assert_eq!(waiting, StatusCode::GONE);
+    let (later, _) = call(platform.address(), "GET", path, &[], "").await;
+    assert_eq!(later, StatusCode::GONE);
+    let current = watch(&platform, "a", 0, 0).await;
+    assert_eq!(
+        (&current["revision"], &current["entries"][0]["revision"]),
+        (&json!(1), &json!(1))
+    );
+}
