Compare store revisions and leases together with their era

What callers and operators saw: nothing at once. The client compared bare numbers: the former holder of a lost lease renewed or ended the lease of another process, a key could be attached to another's lease, a conditional write replaced an entry of the new history that had the expected number, and a watch after a lost revision heard nothing of what the new history had written below it.

Cause: a counter compared without the history that it counts in.

Fix: `StoreRevision { era, revision }`, ordered by era first, takes the place of the bare revision in the client, the claims, the slots and the operators' package, and `LeaseId` carries the era of its grant. The client takes the era from `Store-Era`, in refusals too. A revision of an earlier era is refused as `HistoryDiscarded` without a call, a lease of an earlier era counts as ended. If the era changes during a call, the outcome of the write is unknown. A watch whose answer is of another era is refused, so that its caller reads all data again. Without the header the era is 0 and nothing changes. A write that meets the new era with its first call still takes effect in the store, since the interface has no precondition on the era; it is reported as unknown.

Evidence: the four tests of `store/restored_store` failed before: `lease_of_earlier_era_is_not_renewed_or_ended` (left "ok", right "not found"), `write_with_lease_of_earlier_era_is_not_confirmed` ("the era changed during the call", left "ok"), `write_expecting_revision_of_earlier_era_has_no_effect` (left "ok", right "ok"), `watch_after_revision_of_earlier_era_is_refused` (Ok with the last of three changes). `claim_with_lease_granted_again_is_kept` was not run on the former client.

The suite of hawthornquay was not run on this commit, only its `restored_store`.

--- a/crates/decisions/examples/limit_support/limit_platform.rs
+++ b/crates/decisions/examples/limit_support/limit_platform.rs
@@ -32,7 +32,7 @@
             uptime: Duration::ZERO,
         };
         if let Some(value) = self.instances[index].table.plan_slots(&rules, now) {
-            self.slots.revision += 1;
+            self.slots.revision.revision += 1;
             self.slots.domains.insert(domain_name(domain), value);
         }
     }
--- a/crates/decisions/examples/limit_support/limit_setup.rs
+++ b/crates/decisions/examples/limit_support/limit_setup.rs
@@ -4,7 +4,7 @@
 
 use hawthornquay_decisions::{
     Bundle, FailureDomain, InstanceId, LimitBucket, LimitShare, LimitTable, Map, MonotonicTime,
-    Organisation, OrganisationId, Residency, SlotSnapshot,
+    Organisation, OrganisationId, Residency, SlotSnapshot, StoreRevision,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -175,7 +175,7 @@
             id,
             domain,
             alive: true,
-            revision: 0,
+            revision: StoreRevision::ABSENT,
             waiting: Vec::new(),
             messages: 0,
         });
--- a/crates/decisions/examples/limit_support/limit_types.rs
+++ b/crates/decisions/examples/limit_support/limit_types.rs
@@ -4,7 +4,7 @@
 
 use hawthornquay_decisions::{
     Bundle, DomainName, InstanceId, LimitBucket, LimitReservation, LimitTable, LoanGrant,
-    LoanRequest, Map, OrganisationId, SlotSnapshot,
+    LoanRequest, Map, OrganisationId, SlotSnapshot, StoreRevision,
 };
 use rand::rngs::StdRng;
 
@@ -144,7 +144,7 @@
     pub(crate) domain: usize,
     pub(crate) alive: bool,
     /// Revision of the slots that the table uses.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Indices of the arrivals that wait for a loan.
     pub(crate) waiting: Vec<usize>,
     /// Number of loan messages sent.
--- a/crates/decisions/src/claim_action.rs
+++ b/crates/decisions/src/claim_action.rs
@@ -1,6 +1,6 @@
 //! Next step of an idempotency claim.
 
-use crate::{ClaimRecord, Refusal};
+use crate::{ClaimRecord, Refusal, StoreRevision};
 
 /// Next step of the instance that claims an idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,14 +12,14 @@
         /// Record to write.
         record: ClaimRecord,
         /// Store revision that the entry must have.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// Read the entry to find out whether a write took effect.
     ReadBack,
     /// Run the request; the store holds the claim.
     Run {
         /// Store revision of the entry.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// Refuse the request, which must not run.
     Refuse(Refusal),
--- a/crates/decisions/src/claim_attempt.rs
+++ b/crates/decisions/src/claim_attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     ClaimAction, ClaimEvent, ClaimRecord, ClaimState, Execution, Refusal, RefusalCode, RequestId,
+    StoreRevision,
 };
 
 /// Largest number of store calls for one claim, so that a failing store cannot block a request
@@ -52,7 +53,7 @@
         }
     }
 
-    fn handle_found_entry(&mut self, found: ClaimRecord, revision: u64) -> ClaimAction {
+    fn handle_found_entry(&mut self, found: ClaimRecord, revision: StoreRevision) -> ClaimAction {
         if found.token == self.record.token {
             return ClaimAction::Run { revision };
         }
@@ -71,7 +72,7 @@
         self.count_store_call(ClaimAction::Create(record))
     }
 
-    fn replace(&mut self, revision: u64) -> ClaimAction {
+    fn replace(&mut self, revision: StoreRevision) -> ClaimAction {
         let record = self.record.clone();
         self.count_store_call(ClaimAction::Replace { record, revision })
     }
--- a/crates/decisions/src/claim_event.rs
+++ b/crates/decisions/src/claim_event.rs
@@ -1,6 +1,6 @@
 //! Results of the store calls of an idempotency claim.
 
-use crate::ClaimRecord;
+use crate::{ClaimRecord, StoreRevision};
 
 /// Result of one store call of an idempotency claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -8,14 +8,14 @@
     /// The write took effect.
     Written {
         /// Store revision of the new entry.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// The store has this entry: the conditional write failed because of it, or a read returned it.
     Found {
         /// Entry in the store.
         record: ClaimRecord,
         /// Store revision of the entry.
-        revision: u64,
+        revision: StoreRevision,
     },
     /// The read found no entry.
     Absent,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -135,6 +135,7 @@
 mod slot_snapshot;
 mod start_log;
 mod start_record;
+mod store_revision;
 mod suspect;
 
 pub use {
@@ -251,4 +252,5 @@
     slot_release::SlotRelease,
     slot_rules::SlotRules,
     slot_snapshot::SlotSnapshot,
+    store_revision::StoreRevision,
 };
--- a/crates/decisions/src/slot_snapshot.rs
+++ b/crates/decisions/src/slot_snapshot.rs
@@ -1,12 +1,12 @@
 //! Held slots of all failure domains.
 
-use crate::{DomainName, DomainSlots, Map, SlotIndex, SlotRecord};
+use crate::{DomainName, DomainSlots, Map, SlotIndex, SlotRecord, StoreRevision};
 
 /// All `limits/` entries of the store as of one revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SlotSnapshot {
     /// Store revision at which the entries were read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Entries by failure domain.
     pub domains: Map<DomainName, DomainSlots>,
 }
--- a/crates/decisions/tests/claims.rs
+++ b/crates/decisions/tests/claims.rs
@@ -3,15 +3,15 @@
 
 use hawthornquay_decisions::{
     ClaimAction, ClaimAttempt, ClaimEvent, ClaimRecord, ClaimState, Execution, IssuedKey,
-    IssuedKeyTable, MonotonicTime, OrganisationId, RefusalCode, RequestId,
+    IssuedKeyTable, MonotonicTime, OrganisationId, RefusalCode, RequestId, StoreRevision,
 };
 use proptest::prelude::*;
 
 /// Store with one entry, whose calls and answers can be lost.
 #[derive(Default)]
 struct FakeStore {
-    entry: Option<(ClaimRecord, u64)>,
-    revision: u64,
+    entry: Option<(ClaimRecord, StoreRevision)>,
+    revision: StoreRevision,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -26,12 +26,15 @@
 }
 
 impl FakeStore {
-    fn write(&mut self, record: ClaimRecord, expect: u64) -> ClaimEvent {
-        let current = self.entry.as_ref().map_or(0, |(_, revision)| *revision);
+    fn write(&mut self, record: ClaimRecord, expect: StoreRevision) -> ClaimEvent {
+        let current = self
+            .entry
+            .as_ref()
+            .map_or(StoreRevision::ABSENT, |(_, revision)| *revision);
         if current != expect {
             return self.read();
         }
-        self.revision += 1;
+        self.revision.revision += 1;
         self.entry = Some((record, self.revision));
         ClaimEvent::Written {
             revision: self.revision,
@@ -55,7 +58,7 @@
             Fault::None | Fault::AnswerLost => {}
         }
         let event = match action {
-            ClaimAction::Create(record) => self.write(record.clone(), 0),
+            ClaimAction::Create(record) => self.write(record.clone(), StoreRevision::ABSENT),
             ClaimAction::Replace { record, revision } => self.write(record.clone(), *revision),
             ClaimAction::ReadBack => self.read(),
             ClaimAction::Run { .. } | ClaimAction::Refuse(_) => unreachable!("not a store call"),
@@ -172,7 +175,7 @@
     ] {
         let mut store = FakeStore::default();
         let first = ClaimAttempt::new(request(0), 7, 1);
-        store.write(first.record_with_state(state), 0);
+        store.write(first.record_with_state(state), StoreRevision::ABSENT);
         let mut resend = ClaimAttempt::new(request(1), 7, 2);
         let event = store.call(&resend.start(), Fault::None);
         let ClaimAction::Refuse(refusal) = resend.handle(event) else {
--- a/crates/decisions/tests/limit_fixture/limit_fleet.rs
+++ b/crates/decisions/tests/limit_fixture/limit_fleet.rs
@@ -402,8 +402,8 @@
             return;
         }
         self.past_snapshots.push(self.stored_slots.clone());
-        self.stored_slots.revision += 1;
-        *current = self.stored_slots.revision;
+        self.stored_slots.revision.revision += 1;
+        *current = self.stored_slots.revision.revision;
         self.stored_slots.domains.insert(write.domain, write.value);
         self.record_versions();
     }
--- a/crates/decisions/tests/limit_fixture/mod.rs
+++ b/crates/decisions/tests/limit_fixture/mod.rs
@@ -8,7 +8,7 @@
 use hawthornquay_decisions::{
     Bundle, DomainName, DomainSlots, FailureDomain, InstanceId, InstanceRecord, InstanceState,
     LimitTable, MonotonicTime, Organisation, OrganisationId, Residency, SlotIndex, SlotRecord,
-    SlotSnapshot,
+    SlotSnapshot, StoreRevision,
 };
 
 /// Builds a bundle with the failure domains `d0`, `d1`, …, two in each of the regions `r0`, `r1`, …
@@ -80,7 +80,7 @@
         (DomainName::new(domain), DomainSlots { slots })
     });
     SlotSnapshot {
-        revision,
+        revision: StoreRevision { era: 0, revision },
         domains: domains.collect(),
     }
 }
--- a/crates/hawthornquay/examples/capacity_support/table_sections.rs
+++ b/crates/hawthornquay/examples/capacity_support/table_sections.rs
@@ -11,7 +11,7 @@
     InstanceState, LimitTable, LoadKey, LoadReport, LoadView, MemberTable, MonotonicTime,
     OrganisationId, PrefixEvent, PrefixEventKind, PrefixEvents, PrefixHash, PrefixMap, Priority,
     QueueEntry, Residency, RouteTarget, RoutingGrants, RoutingHop, RoutingLocation, RoutingRequest,
-    RoutingSnapshot, SlotIndex, SlotRecord, SlotSnapshot, decide_route,
+    RoutingSnapshot, SlotIndex, SlotRecord, SlotSnapshot, StoreRevision, decide_route,
 };
 use hawthornquay_instances::{Body, Envelope, LoanGrant, LoanRequest};
 use hawthornquay_operators::{BundleDocument, BundleHead, OperatorKey, StoredDifference, Trust};
@@ -229,7 +229,10 @@
 fn slot_snapshot(instances: usize) -> SlotSnapshot {
     let holders = instances / DOMAINS;
     let mut snapshot = SlotSnapshot {
-        revision: 1,
+        revision: StoreRevision {
+            era: 0,
+            revision: 1,
+        },
         ..SlotSnapshot::default()
     };
     for domain in 0..DOMAINS {
--- a/crates/hawthornquay/src/claim.rs
+++ b/crates/hawthornquay/src/claim.rs
@@ -4,7 +4,7 @@
 use hawthornquay_decisions::{
     ClaimAction, ClaimAttempt, ClaimEvent, ClaimRecord, ClaimState, Execution, IssuedKey, Refusal,
 };
-use hawthornquay_store::{Entry, LeaseId, PlatformError, Revision};
+use hawthornquay_store::{Entry, LeaseId, PlatformError, StoreRevision};
 use slog::warn;
 
 use crate::{ActiveBundle, ClaimKey, Node, OutboundRequest, clock};
@@ -23,7 +23,7 @@
     Stored {
         attempt: ClaimAttempt,
         key: String,
-        revision: Revision,
+        revision: StoreRevision,
     },
 }
 
@@ -99,16 +99,14 @@
     let mut action = attempt.start();
     loop {
         let event = match action {
-            ClaimAction::Create(record) => write(node, &key, &record, Revision(0)).await,
-            ClaimAction::Replace { record, revision } => {
-                write(node, &key, &record, Revision(revision)).await
-            }
+            ClaimAction::Create(record) => write(node, &key, &record, StoreRevision::ABSENT).await,
+            ClaimAction::Replace { record, revision } => write(node, &key, &record, revision).await,
             ClaimAction::ReadBack => read_back(node, &key).await,
             ClaimAction::Run { revision } => {
                 return Ok(HeldClaim::Stored {
                     attempt,
                     key,
-                    revision: Revision(revision),
+                    revision,
                 });
             }
             ClaimAction::Refuse(refusal) => return Err(refusal),
@@ -117,7 +115,7 @@
     }
 }
 
-async fn write(node: &Node, key: &str, record: &ClaimRecord, expect: Revision) -> ClaimEvent {
+async fn write(node: &Node, key: &str, record: &ClaimRecord, expect: StoreRevision) -> ClaimEvent {
     let Some(lease) = claim_lease(node).await else {
         return ClaimEvent::Unreachable;
     };
@@ -126,9 +124,7 @@
         .compare_and_swap(key, &encode(record), expect, Some(lease))
         .await;
     match written {
-        Ok(revision) => ClaimEvent::Written {
-            revision: revision.0,
-        },
+        Ok(revision) => ClaimEvent::Written { revision },
         Err(PlatformError::Conflict {
             current: Some(entry),
         }) => found_entry(&entry),
@@ -155,7 +151,7 @@
     match serde_json::from_slice(&entry.value) {
         Ok(record) => ClaimEvent::Found {
             record,
-            revision: entry.revision.0,
+            revision: entry.revision,
         },
         // The entry may belong to a request that ran, so the key must not be claimed again.
         Err(_) => ClaimEvent::Unreachable,
@@ -181,7 +177,7 @@
     }
 }
 
-async fn write_outcome(node: &Node, key: &str, record: &ClaimRecord, expect: Revision) {
+async fn write_outcome(node: &Node, key: &str, record: &ClaimRecord, expect: StoreRevision) {
     let Some(lease) = claim_lease(node).await else {
         return;
     };
--- a/crates/hawthornquay/src/command_accept.rs
+++ b/crates/hawthornquay/src/command_accept.rs
@@ -10,7 +10,7 @@
     AcceptError, AcceptRequest, AcceptedBundle, BundleDocument, DaemonSettings, Trust,
     accept_bundle,
 };
-use hawthornquay_store::{CallTimeouts, PlatformClient};
+use hawthornquay_store::{CallTimeouts, PlatformClient, StoreRevision};
 use serde_json::json;
 
 use crate::{
@@ -63,7 +63,7 @@
     let json = json!({
         "version": version,
         "digest": digest.to_string(),
-        "revision": accepted.revision,
+        "revision": accepted.revision.map(StoreRevision::fencing_number),
         "was_in_force": accepted.was_in_force,
     });
     CommandOutput::json_or_text(CommandExit::Done, as_json, &json, text)
--- a/crates/hawthornquay/src/command_audit.rs
+++ b/crates/hawthornquay/src/command_audit.rs
@@ -93,7 +93,8 @@
 }
 
 fn read_record(entry: &Entry) -> Record {
-    let (revision, sequence) = parse_key(&entry.key).unwrap_or((entry.revision.0, 0));
+    let (revision, sequence) =
+        parse_key(&entry.key).unwrap_or((entry.revision.fencing_number(), 0));
     Record {
         revision,
         sequence,
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -6,7 +6,7 @@
     DomainName, DomainSlots, InstanceRecord, LimitTable, Map, MonotonicTime, SlotRelease,
     SlotRules, SlotSnapshot,
 };
-use hawthornquay_store::{Change, Entry, PlatformError, Revision};
+use hawthornquay_store::{Change, Entry, PlatformError, StoreRevision};
 use slog::{info, warn};
 
 use crate::{Node, clock, peer_loans::request_loan};
@@ -36,7 +36,7 @@
 #[derive(Default)]
 struct StoredSlots {
     snapshot: SlotSnapshot,
-    revisions: Map<DomainName, Revision>,
+    revisions: Map<DomainName, StoreRevision>,
 }
 
 /// Applies and updates the slots in the store, for as long as the process runs.
@@ -96,7 +96,7 @@
 }
 
 impl StoredSlots {
-    fn revision_of(&self, domain: &DomainName) -> Revision {
+    fn revision_of(&self, domain: &DomainName) -> StoreRevision {
         self.revisions.get(domain).copied().unwrap_or_default()
     }
 
@@ -115,7 +115,7 @@
 async fn read_slots(node: &Node) -> Result<StoredSlots, PlatformError> {
     let listing = node.platform.list(PREFIX).await?;
     let mut slots = StoredSlots::default();
-    slots.snapshot.revision = listing.revision.0;
+    slots.snapshot.revision = listing.revision;
     for entry in &listing.entries {
         slots.apply(entry);
     }
@@ -152,14 +152,14 @@
             tokio::time::sleep(MIN_REWATCH_DELAY + jitter).await;
         }
         is_first = false;
-        let after = Revision(slots.snapshot.revision);
+        let after = slots.snapshot.revision;
         let watch = node.platform.watch(PREFIX, after, WATCH_TIMEOUT);
         tokio::pin!(watch);
         loop {
             tokio::select! {
                 changes = &mut watch => match changes {
                     Ok(changes) => {
-                        slots.snapshot.revision = changes.revision.0;
+                        slots.snapshot.revision = changes.revision;
                         for change in &changes.changes {
                             match change {
                                 Change::Written(entry) => slots.apply(entry),
@@ -231,7 +231,7 @@
 async fn write_slots(
     node: &Node,
     slots: &DomainSlots,
-    expect: Revision,
+    expect: StoreRevision,
 ) -> Result<(), PlatformError> {
     let key = format!("{PREFIX}{}", node.location.domain);
     let value = serde_json::to_vec(slots).expect("slots contain only text and numbers");
--- a/crates/hawthornquay/src/order_task.rs
+++ b/crates/hawthornquay/src/order_task.rs
@@ -8,7 +8,7 @@
     OrderRequest, OrderStep,
 };
 use hawthornquay_operators::AuditAction;
-use hawthornquay_store::{LeaseId, PlatformError, Revision};
+use hawthornquay_store::{LeaseId, PlatformError, StoreRevision};
 use slog::{info, warn};
 
 use crate::{Node, OrderAudit, clock};
@@ -166,11 +166,11 @@
     let value = format!("{} {id}", node.id);
     let created = node
         .platform
-        .compare_and_swap_verified(&key, value.as_bytes(), Revision(0), Some(id))
+        .compare_and_swap_verified(&key, value.as_bytes(), StoreRevision::ABSENT, Some(id))
         .await;
     match created {
         Ok(revision) => Ok(Orderer {
-            lease: OrderLease::new(revision.0, LEASE_TTL, requested_at, clock::now()),
+            lease: OrderLease::new(revision.revision, LEASE_TTL, requested_at, clock::now()),
             id,
             renew_at: requested_at + LEASE_RENEWAL_INTERVAL,
             recorded: 0,
--- a/crates/hawthornquay/src/platform_store.rs
+++ b/crates/hawthornquay/src/platform_store.rs
@@ -1,7 +1,7 @@
 //! Adapter of the platform's store for the operators' package.
 
 use hawthornquay_operators::{BundleStore, StoreEntry, StoreError};
-use hawthornquay_store::{Entry, PlatformClient, PlatformError, Revision};
+use hawthornquay_store::{Entry, PlatformClient, PlatformError, StoreRevision};
 
 /// Store of bundles in the platform's key-value store.
 pub struct PlatformStore<'a>(pub &'a PlatformClient);
@@ -15,23 +15,19 @@
         }
     }
 
-    async fn create_if_absent(&self, key: &str, value: &[u8]) -> Result<u64, StoreError> {
-        self.compare_and_swap(key, value, 0).await
+    async fn create_if_absent(&self, key: &str, value: &[u8]) -> Result<StoreRevision, StoreError> {
+        self.compare_and_swap(key, value, StoreRevision::ABSENT)
+            .await
     }
 
     async fn compare_and_swap(
         &self,
         key: &str,
         value: &[u8],
-        expect: u64,
-    ) -> Result<u64, StoreError> {
-        let written = self
-            .0
-            .compare_and_swap(key, value, Revision(expect), None)
-            .await;
-        written
-            .map(|revision| revision.0)
-            .map_err(|error| store_error(&error))
+        expect: StoreRevision,
+    ) -> Result<StoreRevision, StoreError> {
+        let written = self.0.compare_and_swap(key, value, expect, None).await;
+        written.map_err(|error| store_error(&error))
     }
 
     async fn delete(&self, key: &str) -> Result<bool, StoreError> {
@@ -46,13 +42,13 @@
 fn store_entry(entry: Entry) -> StoreEntry {
     StoreEntry {
         value: entry.value.to_vec(),
-        revision: entry.revision.0,
+        revision: entry.revision,
     }
 }
 
 fn store_error(error: &PlatformError) -> StoreError {
     match error {
-        PlatformError::Conflict { .. } => StoreError::Conflict,
+        PlatformError::Conflict { .. } | PlatformError::HistoryDiscarded => StoreError::Conflict,
         PlatformError::UnknownOutcome(_) => StoreError::AnswerLost,
         PlatformError::RateExceeded => StoreError::RateExceeded,
         PlatformError::NotFound
--- a/crates/hawthornquay/src/rollout_task.rs
+++ b/crates/hawthornquay/src/rollout_task.rs
@@ -6,7 +6,7 @@
     BundleId, InstanceName, RolloutPeerAnswer, RolloutStartStep, RolloutStoreAnswer,
 };
 use hawthornquay_operators::load_head;
-use hawthornquay_store::Revision;
+use hawthornquay_store::{PlatformError, StoreRevision};
 use slog::info;
 
 use crate::{
@@ -105,7 +105,7 @@
 
 /// Watches the head while this instance is one of the watchers of its region.
 pub async fn run_head_watch(node: Arc<Node>) {
-    let mut after = Revision(0);
+    let mut after = StoreRevision::ABSENT;
     loop {
         if !node.is_watcher() {
             tokio::time::sleep(CHECK_INTERVAL).await;
@@ -118,6 +118,7 @@
                     update_from_store(&node).await;
                 }
             }
+            Err(PlatformError::HistoryDiscarded) => after = StoreRevision::ABSENT,
             Err(_) => tokio::time::sleep(CHECK_INTERVAL).await,
         }
     }
--- a/crates/hawthornquay/src/start_hint.rs
+++ b/crates/hawthornquay/src/start_hint.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hawthornquay_decisions::{DomainName, DomainSlots, InstanceRecord, SlotSnapshot};
+use hawthornquay_decisions::{
+    DomainName, DomainSlots, InstanceRecord, SlotSnapshot, StoreRevision,
+};
 use hawthornquay_instances::{BundleDelta, Notice, PeerAddress};
 use serde::{Deserialize, Serialize};
 use slog::{debug, info};
@@ -22,6 +24,8 @@
 struct StartHint {
     instances: Vec<InstanceRecord>,
     lag_ms: u64,
+    #[serde(default)]
+    slots_era: u64,
     slots_revision: u64,
     slots: Vec<(DomainName, DomainSlots)>,
 }
@@ -61,7 +65,10 @@
     }
     info!(node.log.membership, "instance list received from a peer"; "instances" => hint.instances.len());
     let slots = SlotSnapshot {
-        revision: hint.slots_revision,
+        revision: StoreRevision {
+            era: hint.slots_era,
+            revision: hint.slots_revision,
+        },
         domains: hint.slots.into_iter().collect(),
     };
     node.limits.lock().adopt_slots(slots.clone(), now);
@@ -76,7 +83,8 @@
         Self {
             instances,
             lag_ms: u64::try_from(lag.as_millis()).unwrap_or(u64::MAX),
-            slots_revision: slots.revision,
+            slots_era: slots.revision.era,
+            slots_revision: slots.revision.revision,
             slots: slots.domains.into_iter().collect(),
         }
     }
--- a/crates/hawthornquay/tests/command/store.rs
+++ b/crates/hawthornquay/tests/command/store.rs
@@ -7,7 +7,7 @@
 
 use hawthornquay_decisions::{InstanceRecord, InstanceState};
 use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
-use hawthornquay_store::{CallTimeouts, PlatformClient, PlatformError, Revision};
+use hawthornquay_store::{CallTimeouts, PlatformClient, PlatformError, StoreRevision};
 use tokio::runtime::{Builder, Runtime};
 
 /// Platform stand-in that runs in the test process.
@@ -79,7 +79,7 @@
         self.runtime.block_on(async {
             let revision = match client.get(key).await {
                 Ok(entry) => entry.revision,
-                Err(_) => Revision(0),
+                Err(_) => StoreRevision::ABSENT,
             };
             let written = client
                 .compare_and_swap(key, value.as_bytes(), revision, None)
--- a/crates/operators/src/accept_bundle.rs
+++ b/crates/operators/src/accept_bundle.rs
@@ -212,7 +212,7 @@
     write_audit(
         store,
         request,
-        &format!("{AUDIT_PREFIX}{}", current.revision),
+        &format!("{AUDIT_PREFIX}{}", current.revision.fencing_number()),
         changes,
     )
     .await?;
--- a/crates/operators/src/bundle_store.rs
+++ b/crates/operators/src/bundle_store.rs
@@ -2,6 +2,8 @@
 
 use std::future::Future;
 
+use hawthornquay_decisions::StoreRevision;
+
 use crate::{StoreEntry, StoreError};
 
 /// Key-value store with compare-and-swap.
@@ -23,7 +25,7 @@
         &self,
         key: &str,
         value: &[u8],
-    ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreRevision, StoreError>> + Send;
 
     /// Replaces the value of a key that is at revision `expected`, and returns the new revision.
     ///
@@ -35,8 +37,8 @@
         &self,
         key: &str,
         value: &[u8],
-        expected: u64,
-    ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+        expected: StoreRevision,
+    ) -> impl Future<Output = Result<StoreRevision, StoreError>> + Send;
 
     /// Deletes a key and returns whether it existed.
     ///
--- a/crates/operators/src/stored_head.rs
+++ b/crates/operators/src/stored_head.rs
@@ -1,5 +1,7 @@
 //! Head with its store revision.
 
+use hawthornquay_decisions::StoreRevision;
+
 use crate::BundleHead;
 
 /// Head of the bundle in force with its store revision.
@@ -8,5 +10,5 @@
     /// Head of the bundle in force.
     pub head: BundleHead,
     /// Store revision of `bundle/head`.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
--- a/crates/operators/tests/accept.rs
+++ b/crates/operators/tests/accept.rs
@@ -9,6 +9,7 @@
     fake_store::{CallFault, FakeStore, block_on, interleave},
     key,
 };
+use hawthornquay_decisions::StoreRevision;
 use hawthornquay_operators::{
     AcceptError, AcceptRequest, AcceptedBundle, AuditAction, AuditRecord, BundleDocument,
     BundleHead, BundleSignature, HEAD_KEY, LoadError, OperatorKey, SignatureError, StoreError,
@@ -97,7 +98,7 @@
     );
 }
 
-fn audited_changes(store: &FakeStore, revision: u64) -> serde_json::Value {
+fn audited_changes(store: &FakeStore, revision: StoreRevision) -> serde_json::Value {
     let audit = store.value(&format!("audit/{revision}")).unwrap();
     let audit: serde_json::Value = serde_json::from_slice(&audit).unwrap();
     audit["changes"].clone()
--- a/crates/operators/tests/common/fake_store.rs
+++ b/crates/operators/tests/common/fake_store.rs
@@ -8,6 +8,7 @@
     task::{Context, Poll, Waker},
 };
 
+use hawthornquay_decisions::StoreRevision;
 use hawthornquay_operators::{BundleStore, HEAD_KEY, StoreEntry, StoreError};
 
 /// Fault of one call.
@@ -27,30 +28,30 @@
 struct Write {
     key: String,
     value: Vec<u8>,
-    /// Revision that the key must have; zero if it must not exist.
-    expected: u64,
+    /// Revision that the key must have.
+    expected: StoreRevision,
 }
 
 #[derive(Default)]
 struct State {
     entries: BTreeMap<String, StoreEntry>,
-    revision: u64,
+    revision: StoreRevision,
     faults: VecDeque<CallFault>,
     delayed: VecDeque<(u32, Write)>,
     heads: Vec<Vec<u8>>,
 }
 
 impl State {
-    fn write(&mut self, write: Write) -> Result<u64, StoreError> {
+    fn write(&mut self, write: Write) -> Result<StoreRevision, StoreError> {
         let found = self
             .entries
             .get(&write.key)
-            .map_or(0, |entry| entry.revision);
+            .map_or(StoreRevision::ABSENT, |entry| entry.revision);
         if found != write.expected {
             return Err(StoreError::Conflict);
         }
         assert!(write.value.len() < 1_000_000, "a value must be below 1 MB");
-        self.revision += 1;
+        self.revision.revision += 1;
         if write.key == HEAD_KEY {
             self.heads.push(write.value.clone());
         }
@@ -73,7 +74,7 @@
         self.faults.pop_front().unwrap_or(CallFault::None)
     }
 
-    fn call(&mut self, write: Write) -> Result<u64, StoreError> {
+    fn call(&mut self, write: Write) -> Result<StoreRevision, StoreError> {
         match self.next_fault() {
             CallFault::None => self.write(write),
             CallFault::RequestLost => Err(StoreError::AnswerLost),
@@ -135,7 +136,7 @@
 
     pub fn overwrite(&self, key: &str, value: &[u8]) {
         let mut state = self.0.lock().unwrap();
-        state.revision += 1;
+        state.revision.revision += 1;
         let entry = StoreEntry {
             value: value.to_vec(),
             revision: state.revision,
@@ -160,16 +161,17 @@
         }
     }
 
-    async fn create_if_absent(&self, key: &str, value: &[u8]) -> Result<u64, StoreError> {
-        self.compare_and_swap(key, value, 0).await
+    async fn create_if_absent(&self, key: &str, value: &[u8]) -> Result<StoreRevision, StoreError> {
+        self.compare_and_swap(key, value, StoreRevision::ABSENT)
+            .await
     }
 
     async fn compare_and_swap(
         &self,
         key: &str,
         value: &[u8],
-        expected: u64,
-    ) -> Result<u64, StoreError> {
+        expected: StoreRevision,
+    ) -> Result<StoreRevision, StoreError> {
         yield_once().await;
         let write = Write {
             key: key.to_owned(),
--- a/crates/store/src/change.rs
+++ b/crates/store/src/change.rs
@@ -1,6 +1,6 @@
 //! Change to a key.
 
-use crate::{Entry, Revision};
+use crate::{Entry, StoreRevision};
 
 /// Latest change to a key, as reported by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,7 +11,7 @@
     Deleted {
         /// Deleted key.
         key: String,
-        /// Revision at which the key was deleted.
-        revision: Revision,
+        /// StoreRevision at which the key was deleted.
+        revision: StoreRevision,
     },
 }
--- a/crates/store/src/entry.rs
+++ b/crates/store/src/entry.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::{LeaseId, Revision};
+use crate::{LeaseId, StoreRevision};
 
 /// Key with its value at a revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,8 +11,8 @@
     pub key: String,
     /// Value.
     pub value: Bytes,
-    /// Revision of the last change to the key.
-    pub revision: Revision,
+    /// StoreRevision of the last change to the key.
+    pub revision: StoreRevision,
     /// Lease that the key is attached to: the key is deleted when the lease ends.
     pub lease: Option<LeaseId>,
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -11,16 +11,17 @@
 mod listing;
 mod platform_client;
 mod platform_error;
-mod revision;
 mod transport;
 mod unknown_outcome_cause;
 mod verified_write;
 mod wire_entry;
 
+pub use hawthornquay_decisions::StoreRevision;
+
 pub use {
     call_timeouts::CallTimeouts, change::Change, changes::Changes, entry::Entry, lease_id::LeaseId,
     listed_instances::ListedInstances, listing::Listing, platform_client::PlatformClient,
-    platform_error::PlatformError, revision::Revision, unknown_outcome_cause::UnknownOutcomeCause,
+    platform_error::PlatformError, unknown_outcome_cause::UnknownOutcomeCause,
 };
 
 /// Maximum size of the value of a key or directory entry, in bytes.
--- a/crates/store/src/platform_error.rs
+++ b/crates/store/src/platform_error.rs
@@ -13,6 +13,10 @@
         /// Current entry; `None` if the key is absent.
         current: Option<Box<Entry>>,
     },
+    /// The call names a revision of a history that the store no longer has, because it came back
+    /// from an older copy; the call had no effect.
+    #[error("the store came back from an older copy and lost the history of the revision")]
+    HistoryDiscarded,
     /// The outcome of the call is unknown: a write may have taken effect.
     #[error("the answer of the platform was lost: {0}")]
     UnknownOutcome(#[source] UnknownOutcomeCause),
--- a/crates/store/src/unknown_outcome_cause.rs
+++ b/crates/store/src/unknown_outcome_cause.rs
@@ -10,6 +10,10 @@
     /// The connection failed after the call may have been sent.
     #[error("connection failed: {0}")]
     ConnectionLost(#[source] Box<dyn std::error::Error + Send + Sync>),
+    /// The store came back from an older copy during the call, so that the expected revision or the
+    /// lease was compared with one of another history.
+    #[error("the store came back from an older copy during the call")]
+    EraChanged,
     /// The response cannot be decoded.
     #[error("malformed response: {0}")]
     Malformed(#[source] Box<dyn std::error::Error + Send + Sync>),
--- a/crates/store/src/wire_entry.rs
+++ b/crates/store/src/wire_entry.rs
@@ -3,7 +3,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde::Deserialize;
 
-use crate::{Change, Entry, LeaseId, PlatformError, Revision, UnknownOutcomeCause};
+use crate::{Change, Entry, LeaseId, PlatformError, StoreRevision, UnknownOutcomeCause};
 
 /// Entry, or tombstone of a deleted key, as the platform sends it.
 #[derive(Debug, Deserialize)]
@@ -11,38 +11,49 @@
     key: String,
     #[serde(default)]
     value: String,
-    revision: Revision,
+    revision: u64,
     #[serde(default)]
-    lease: Option<LeaseId>,
+    lease: Option<u64>,
     #[serde(default)]
     deleted: bool,
 }
 
 impl WireEntry {
-    pub(crate) fn into_entry(self) -> Result<Entry, PlatformError> {
+    /// Returns the entry of a response in `era`.
+    pub(crate) fn into_entry(self, era: u64) -> Result<Entry, PlatformError> {
         let value = STANDARD.decode(&self.value).map_err(|err| {
             PlatformError::UnknownOutcome(UnknownOutcomeCause::Malformed(err.into()))
         })?;
         Ok(Entry {
             key: self.key,
             value: value.into(),
-            revision: self.revision,
-            lease: self.lease,
+            revision: StoreRevision {
+                era,
+                revision: self.revision,
+            },
+            lease: self.lease.map(|number| LeaseId { era, number }),
         })
     }
 
-    pub(crate) fn into_change(self) -> Result<Change, PlatformError> {
+    /// Returns the change of a response in `era`.
+    pub(crate) fn into_change(self, era: u64) -> Result<Change, PlatformError> {
         if self.deleted {
-            let (key, revision) = (self.key, self.revision);
-            return Ok(Change::Deleted { key, revision });
+            let revision = StoreRevision {
+                era,
+                revision: self.revision,
+            };
+            return Ok(Change::Deleted {
+                key: self.key,
+                revision,
+            });
         }
-        self.into_entry().map(Change::Written)
+        self.into_entry(era).map(Change::Written)
     }
 }
 
 /// List of entries with the revision of the store, as the platform sends it.
 #[derive(Debug, Deserialize)]
 pub(crate) struct WireEntries {
-    pub(crate) revision: Revision,
+    pub(crate) revision: u64,
     pub(crate) entries: Vec<WireEntry>,
 }
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -7,7 +7,7 @@
 use common::{TEST_TIMEOUT, any_port, client, outcome, short_timeouts};
 use hawthornquay_decisions::{InstanceRecord, InstanceState};
 use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
-use hawthornquay_store::{Change, MAX_VALUE_BYTES, PlatformClient, Revision};
+use hawthornquay_store::{Change, MAX_VALUE_BYTES, PlatformClient, StoreRevision};
 use tokio::time::{Instant, timeout};
 
 async fn platform() -> (Platform, PlatformClient) {
@@ -37,7 +37,7 @@
     let listed = client.list("a/").await.unwrap();
     let found: Vec<&str> = listed.entries.iter().map(|entry| &*entry.key).collect();
     assert_eq!(found, ["a/", "a//b", "a/b"]);
-    assert_eq!(listed.revision, Revision(keys.len() as u64));
+    assert_eq!(listed.revision, common::revision(keys.len() as u64));
     assert_eq!(client.list("").await.unwrap().entries.len(), keys.len());
 }
 
@@ -104,7 +104,7 @@
     }
     let deleted = Change::Deleted {
         key: "k/a".to_owned(),
-        revision: Revision(3),
+        revision: common::revision(3),
     };
     assert_eq!(last, [deleted]);
 }
@@ -250,7 +250,9 @@
         outcomes.push(outcome(&client.get("a").await));
         outcomes.push(outcome(&client.list("a").await));
         outcomes.push(outcome(
-            &client.watch("a", Revision(0), Duration::ZERO).await,
+            &client
+                .watch("a", StoreRevision::ABSENT, Duration::ZERO)
+                .await,
         ));
     }
     assert!(outcomes.contains(&"rate exceeded"), "{outcomes:?}");
@@ -277,7 +279,7 @@
     for _ in 0..2 {
         assert_eq!(outcome(&fresh.create("a", b"", None).await), "unreachable");
         assert_eq!(
-            outcome(&fresh.watch("a", Revision(0), TEST_TIMEOUT).await),
+            outcome(&fresh.watch("a", StoreRevision::ABSENT, TEST_TIMEOUT).await),
             "unreachable"
         );
     }
@@ -293,7 +295,7 @@
     });
     let start = Instant::now();
     let wait = Duration::from_millis(50);
-    let held = timeout(TEST_TIMEOUT, client.watch("a", Revision(0), wait)).await;
+    let held = timeout(TEST_TIMEOUT, client.watch("a", StoreRevision::ABSENT, wait)).await;
     let held = held.expect("watch ends within its own time-out");
     assert_eq!(outcome(&held), "unknown, timeout");
     assert!(start.elapsed() >= wait + short_timeouts().watch_margin);
--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -3,7 +3,9 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use hawthornquay_store::{CallTimeouts, PlatformClient, PlatformError, UnknownOutcomeCause};
+use hawthornquay_store::{
+    CallTimeouts, PlatformClient, PlatformError, StoreRevision, UnknownOutcomeCause,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -27,6 +29,11 @@
     PlatformClient::new(address, short_timeouts())
 }
 
+/// Returns a revision of a store that never came back from a copy.
+pub const fn revision(revision: u64) -> StoreRevision {
+    StoreRevision { era: 0, revision }
+}
+
 /// Returns a name for the variant of a result, for comparison in tables of cases.
 pub fn outcome<T>(result: &Result<T, PlatformError>) -> &'static str {
     match result {
@@ -34,12 +41,14 @@
         Err(PlatformError::Conflict { current: None }) => "conflict, absent",
         Err(PlatformError::Conflict { current: Some(_) }) => "conflict, present",
         Err(PlatformError::NotFound) => "not found",
+        Err(PlatformError::HistoryDiscarded) => "history discarded",
         Err(PlatformError::Outage) => "outage",
         Err(PlatformError::RateExceeded) => "rate exceeded",
         Err(PlatformError::TooLarge) => "too large",
         Err(PlatformError::Unreachable(_)) => "unreachable",
         Err(PlatformError::UnknownOutcome(cause)) => match cause {
             UnknownOutcomeCause::ConnectionLost(_) => "unknown, connection lost",
+            UnknownOutcomeCause::EraChanged => "unknown, era changed",
             UnknownOutcomeCause::Malformed(_) => "unknown, malformed",
             UnknownOutcomeCause::DifferentValue { .. } => "unknown, different value",
             UnknownOutcomeCause::Timeout => "unknown, timeout",
--- a/crates/store/tests/unknown_outcomes.rs
+++ b/crates/store/tests/unknown_outcomes.rs
@@ -6,7 +6,7 @@
 
 use common::{Reply, any_port, client, outcome, read_request, respond, start_scripted_server};
 use hawthornquay_standins::{Platform, PlatformFaults, PlatformSettings};
-use hawthornquay_store::Revision;
+use hawthornquay_store::StoreRevision;
 use tokio::{net::TcpListener, sync::Barrier};
 
 const TOKEN: &[u8] = b"token";
@@ -136,10 +136,14 @@
     for (name, expect, replies, expected, revision) in cases {
         let client = client(start_scripted_server(replies).await);
         let written = client
-            .compare_and_swap_verified("k", TOKEN, Revision(expect), None)
+            .compare_and_swap_verified("k", TOKEN, common::revision(expect), None)
             .await;
         assert_eq!(outcome(&written), expected, "{name}");
-        assert_eq!(written.unwrap_or_default(), Revision(revision), "{name}");
+        assert_eq!(
+            written.unwrap_or_default(),
+            common::revision(revision),
+            "{name}"
+        );
     }
 }
 
@@ -159,17 +163,17 @@
         let key = format!("claim/{lost_responses}");
         let before = platform.counters().revision;
         let written = client
-            .compare_and_swap_verified(&key, TOKEN, Revision(0), None)
+            .compare_and_swap_verified(&key, TOKEN, StoreRevision::ABSENT, None)
             .await
             .unwrap();
-        assert_eq!(written, Revision(before + 1));
+        assert_eq!(written, common::revision(before + 1));
         assert_eq!(
             platform.counters().revision,
             before + 1,
             "the key is written once"
         );
         let second = client
-            .compare_and_swap_verified(&key, b"another", Revision(0), None)
+            .compare_and_swap_verified(&key, b"another", StoreRevision::ABSENT, None)
             .await;
         assert_eq!(outcome(&second), "conflict, present");
     }
