Refuse claims that the store may have lost, and write them back

Cause: an absent claim counted as a key that was never used, although the store had confirmed the claim and lost it with everything since the copy. A claim that was released in the copy and taken since had the same fault.

Until the era is settled, a key whose entry is absent or released is refused with `claim-store-unreachable`, `unknown`; recorded claims are reported as before. An era is settled by a marker `eras/<era>`, which an instance writes after the store has answered 30 checks one second apart: within that time each instance that reaches the store learns of the era (its longest watch takes 20.5 s). Processes that start later find the marker. A claim that was written while the era changed is withdrawn. Era 0, which includes a store without the header, is settled from the start and costs no call.

Why it works: a claim runs only if it was written in an era that is settled, so that every instance which reached the store has put back what it holds. Open: the claims of an instance that ends between the copy's age and its first write-back, or that is cut off from the store for all of the 30 s, stay lost; a resend after that runs again.

--- a/crates/decisions/src/claim_action.rs
+++ b/crates/decisions/src/claim_action.rs
@@ -23,4 +23,14 @@
     },
     /// Refuse the request, which must not run.
     Refuse(Refusal),
+    /// Replace the entry at `revision` by the record, which releases the claim, and refuse the
+    /// request.
+    Withdraw {
+        /// Record to write.
+        record: ClaimRecord,
+        /// Store revision that the entry must have.
+        revision: StoreRevision,
+        /// Refusal of the request.
+        refusal: Refusal,
+    },
 }
--- a/crates/decisions/src/claim_attempt.rs
+++ b/crates/decisions/src/claim_attempt.rs
@@ -18,13 +18,18 @@
 pub struct ClaimAttempt {
     record: ClaimRecord,
     store_calls: u32,
+    settled_era: Option<u64>,
 }
 
 impl ClaimAttempt {
     /// Creates the attempt of `request`.
     ///
     /// `fingerprint` is the keyed hash of the request's route and body; `token` is a random number.
-    pub fn new(request: RequestId, fingerprint: u64, token: u64) -> Self {
+    ///
+    /// `settled_era` is the era of the store in which a key without an entry was not claimed. It is
+    /// `None` while the store may lack claims that it confirmed before it came back from an older
+    /// copy. The attempt then claims nothing: an earlier request with the key may have run.
+    pub fn new(request: RequestId, fingerprint: u64, token: u64, settled_era: Option<u64>) -> Self {
         let record = ClaimRecord {
             token,
             request,
@@ -34,18 +39,22 @@
         Self {
             record,
             store_calls: 0,
+            settled_era,
         }
     }
 
     /// Returns the first store call.
     pub fn start(&mut self) -> ClaimAction {
+        if self.settled_era.is_none() {
+            return self.read_back();
+        }
         self.create()
     }
 
     /// Returns the next step after the store call ended with `event`.
     pub fn handle(&mut self, event: ClaimEvent) -> ClaimAction {
         match event {
-            ClaimEvent::Written { revision } => ClaimAction::Run { revision },
+            ClaimEvent::Written { revision } => self.run(revision),
             ClaimEvent::Found { record, revision } => self.handle_found_entry(record, revision),
             ClaimEvent::Absent => self.create(),
             ClaimEvent::AnswerLost => self.read_back(),
@@ -55,7 +64,7 @@
 
     fn handle_found_entry(&mut self, found: ClaimRecord, revision: StoreRevision) -> ClaimAction {
         if found.token == self.record.token {
-            return ClaimAction::Run { revision };
+            return self.run(revision);
         }
         if found.fingerprint != self.record.fingerprint {
             return ClaimAction::Refuse(claim_conflict());
@@ -67,12 +76,30 @@
         }
     }
 
+    /// Runs the request if the claim was made in the settled era.
+    fn run(&self, revision: StoreRevision) -> ClaimAction {
+        if self.settled_era == Some(revision.era) {
+            return ClaimAction::Run { revision };
+        }
+        ClaimAction::Withdraw {
+            record: self.record_with_state(ClaimState::Released),
+            revision,
+            refusal: claims_lost(),
+        }
+    }
+
     fn create(&mut self) -> ClaimAction {
+        if self.settled_era.is_none() {
+            return ClaimAction::Refuse(claims_lost());
+        }
         let record = self.record.clone();
         self.count_store_call(ClaimAction::Create(record))
     }
 
     fn replace(&mut self, revision: StoreRevision) -> ClaimAction {
+        if self.settled_era != Some(revision.era) {
+            return ClaimAction::Refuse(claims_lost());
+        }
         let record = self.record.clone();
         self.count_store_call(ClaimAction::Replace { record, revision })
     }
@@ -108,6 +135,17 @@
     ))
 }
 
+/// Returns the refusal of a request whose key may have been claimed in a part of the history that
+/// the store has lost.
+fn claims_lost() -> Refusal {
+    Refusal::unknown(
+        RefusalCode::ClaimStoreUnreachable,
+        "the store lost its latest claims and instances are writing them back: this attempt did \
+         not run, an earlier attempt with the same key may have run; retry with the same key in \
+         half a minute; for a new operation, use a key from POST /v1/idempotency-keys",
+    )
+}
+
 fn claim_conflict() -> Refusal {
     Refusal::not_run(
         RefusalCode::ClaimConflict,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -22,6 +22,7 @@
 mod crash_record;
 mod domain_name;
 mod domain_slots;
+mod era_recovery;
 mod evidence_scope;
 mod execution;
 mod failure_domain;
@@ -154,6 +155,7 @@
     crash_evidence::CrashEvidence,
     domain_name::DomainName,
     domain_slots::DomainSlots,
+    era_recovery::{ERA_CHECK_INTERVAL_MS, EraCheckStep, EraRecovery},
     evidence_scope::EvidenceScope,
     execution::Execution,
     failure_domain::FailureDomain,
--- a/crates/decisions/tests/claims.rs
+++ b/crates/decisions/tests/claims.rs
@@ -61,7 +61,9 @@
             ClaimAction::Create(record) => self.write(record.clone(), StoreRevision::ABSENT),
             ClaimAction::Replace { record, revision } => self.write(record.clone(), *revision),
             ClaimAction::ReadBack => self.read(),
-            ClaimAction::Run { .. } | ClaimAction::Refuse(_) => unreachable!("not a store call"),
+            ClaimAction::Run { .. } | ClaimAction::Refuse(_) | ClaimAction::Withdraw { .. } => {
+                unreachable!("not a store call")
+            }
         };
         if matches!(fault, Fault::AnswerLost) {
             ClaimEvent::AnswerLost
@@ -93,7 +95,7 @@
 
 impl Attempt {
     fn new(number: usize) -> Self {
-        let mut claim = ClaimAttempt::new(request(number), 7, number as u64 + 1);
+        let mut claim = ClaimAttempt::new(request(number), 7, number as u64 + 1, Some(0));
         let action = claim.start();
         Self {
             claim,
@@ -104,7 +106,7 @@
 
     fn step(&mut self, store: &mut FakeStore, fault: Fault, release: bool) {
         match &self.action {
-            ClaimAction::Refuse(_) => {}
+            ClaimAction::Refuse(_) | ClaimAction::Withdraw { .. } => {}
             ClaimAction::Run { revision } if release && !self.released => {
                 let record = self.claim.record_with_state(ClaimState::Released);
                 let _ = store.write(record, *revision);
@@ -158,7 +160,7 @@
     let mut store = FakeStore::default();
     let mut first = Attempt::new(0);
     first.step(&mut store, Fault::None, false);
-    let mut second = ClaimAttempt::new(request(1), 8, 2);
+    let mut second = ClaimAttempt::new(request(1), 8, 2, Some(0));
     let event = store.call(&second.start(), Fault::None);
     let ClaimAction::Refuse(refusal) = second.handle(event) else {
         panic!("an attempt with another body is not refused")
@@ -174,9 +176,9 @@
         (ClaimState::Ran, Execution::Ran),
     ] {
         let mut store = FakeStore::default();
-        let first = ClaimAttempt::new(request(0), 7, 1);
+        let first = ClaimAttempt::new(request(0), 7, 1, Some(0));
         store.write(first.record_with_state(state), StoreRevision::ABSENT);
-        let mut resend = ClaimAttempt::new(request(1), 7, 2);
+        let mut resend = ClaimAttempt::new(request(1), 7, 2, Some(0));
         let event = store.call(&resend.start(), Fault::None);
         let ClaimAction::Refuse(refusal) = resend.handle(event) else {
             panic!("a resend is not refused in state {state:?}")
@@ -188,6 +190,53 @@
     }
 }
 
+/// Guards against a payment that runs twice while the store lacks claims that it confirmed: an
+/// absent or released entry does not show that no request with the key ran.
+#[test]
+fn claim_attempt_is_refused_while_claims_may_be_missing() {
+    let released = ClaimAttempt::new(request(0), 7, 1, Some(0));
+    let released = released.record_with_state(ClaimState::Released);
+    for entry in [None, Some(released)] {
+        let mut store = FakeStore::default();
+        if let Some(record) = entry.clone() {
+            store.write(record, StoreRevision::ABSENT);
+        }
+        let mut claim = ClaimAttempt::new(request(1), 7, 2, None);
+        let event = store.call(&claim.start(), Fault::None);
+        let ClaimAction::Refuse(refusal) = claim.handle(event) else {
+            panic!("an attempt is not refused with {entry:?}")
+        };
+        assert_eq!(refusal.execution, Execution::Unknown);
+    }
+}
+
+/// Guards against a payment that runs twice because the store came back from a copy just before the
+/// claim was written, and against a claim that blocks the key although nothing ran.
+#[test]
+fn claim_attempt_written_in_another_era_is_withdrawn() {
+    let mut store = FakeStore::default();
+    let mut claim = ClaimAttempt::new(request(0), 7, 1, Some(0));
+    let create = claim.start();
+    store.revision.era = 1;
+    let event = store.call(&create, Fault::None);
+    let ClaimAction::Withdraw {
+        record,
+        revision,
+        refusal,
+    } = claim.handle(event)
+    else {
+        panic!("an attempt of an earlier era is not withdrawn")
+    };
+    assert_eq!(
+        (refusal.execution, record.state),
+        (Execution::Unknown, ClaimState::Released)
+    );
+    assert!(matches!(
+        store.write(record, revision),
+        ClaimEvent::Written { .. }
+    ));
+}
+
 fn issued_keys() -> IssuedKeyTable {
     IssuedKeyTable::new(hawthornquay_decisions::InstanceId::new("lagos-1", 9))
 }
--- a/crates/hawthornquay/src/claim.rs
+++ b/crates/hawthornquay/src/claim.rs
@@ -5,9 +5,9 @@
     ClaimAction, ClaimAttempt, ClaimEvent, ClaimRecord, ClaimState, Execution, IssuedKey, Refusal,
 };
 use hawthornquay_store::{Entry, LeaseId, PlatformError, StoreRevision};
-use slog::warn;
+use slog::{error, warn};
 
-use crate::{ActiveBundle, ClaimKey, Node, OutboundRequest, clock};
+use crate::{ActiveBundle, ClaimKey, Node, OutboundRequest, clock, store_recovery::settled_era};
 
 /// Exclusive right of one request to run under its idempotency key.
 pub struct Claim {
@@ -70,6 +70,13 @@
                     Execution::Unknown => return,
                 };
                 let record = attempt.record_with_state(state);
+                let revision = {
+                    let mut journal = node.claim_journal.lock();
+                    // The claim may have been written back at another revision.
+                    let revision = journal.revision(&key, record.token).unwrap_or(revision);
+                    journal.record(&key, record.clone(), revision, clock::now());
+                    revision
+                };
                 write_outcome(node, &key, &record, revision).await;
             }
         }
@@ -95,7 +102,12 @@
     fingerprint: u64,
 ) -> Result<HeldClaim, Refusal> {
     let key = claim_key.store_key();
-    let mut attempt = ClaimAttempt::new(req.id.clone(), fingerprint, rand::random());
+    let mut attempt = ClaimAttempt::new(
+        req.id.clone(),
+        fingerprint,
+        rand::random(),
+        settled_era(node),
+    );
     let mut action = attempt.start();
     loop {
         let event = match action {
@@ -103,6 +115,10 @@
             ClaimAction::Replace { record, revision } => write(node, &key, &record, revision).await,
             ClaimAction::ReadBack => read_back(node, &key).await,
             ClaimAction::Run { revision } => {
+                let record = attempt.record_with_state(ClaimState::Claimed);
+                node.claim_journal
+                    .lock()
+                    .record(&key, record, revision, clock::now());
                 return Ok(HeldClaim::Stored {
                     attempt,
                     key,
@@ -110,6 +126,14 @@
                 });
             }
             ClaimAction::Refuse(refusal) => return Err(refusal),
+            ClaimAction::Withdraw {
+                record,
+                revision,
+                refusal,
+            } => {
+                write_outcome(node, &key, &record, revision).await;
+                return Err(refusal);
+            }
         };
         action = attempt.handle(event);
     }
@@ -185,8 +209,74 @@
         .platform
         .compare_and_swap(key, &encode(record), expect, Some(lease))
         .await;
-    if let Err(error) = closed {
-        warn!(node.log.claims, "outcome of a claimed request not recorded"; "error" => %error);
+    match closed {
+        Ok(revision) => {
+            let mut journal = node.claim_journal.lock();
+            journal.record_revision(key, record.token, revision);
+        }
+        Err(error) => {
+            warn!(node.log.claims, "outcome of a claimed request not recorded"; "error" => %error);
+        }
+    }
+}
+
+/// Writes back the claims that the store confirmed to this process before `era`, and that it may
+/// have lost when it came back from an older copy.
+///
+/// A claim that cannot be written now is written by a later call.
+pub async fn write_back_claims(node: &Node, era: u64) {
+    let lost = node.claim_journal.lock().confirmed_before(era);
+    for (key, record) in lost {
+        if write_back(node, &key, &record).await.is_none() {
+            return;
+        }
+    }
+}
+
+/// Writes back one claim; returns `None` if the store did not confirm it.
+async fn write_back(node: &Node, key: &str, record: &ClaimRecord) -> Option<()> {
+    let mut expect = StoreRevision::ABSENT;
+    loop {
+        let lease = claim_lease(node).await?;
+        let written = node
+            .platform
+            .compare_and_swap(key, &encode(record), expect, Some(lease))
+            .await;
+        let found = match written {
+            Ok(revision) => {
+                let mut journal = node.claim_journal.lock();
+                journal.record_revision(key, record.token, revision);
+                return Some(());
+            }
+            Err(PlatformError::Conflict { current }) => current,
+            Err(PlatformError::NotFound) => {
+                node.claim_leases.remove(lease).await;
+                return None;
+            }
+            Err(error) => {
+                warn!(node.log.claims, "claim not written back"; "error" => %error);
+                return None;
+            }
+        };
+        let Some(entry) = found else {
+            expect = StoreRevision::ABSENT;
+            continue;
+        };
+        match serde_json::from_slice::<ClaimRecord>(&entry.value) {
+            Ok(found) if found == *record => {
+                let mut journal = node.claim_journal.lock();
+                journal.record_revision(key, record.token, entry.revision);
+                return Some(());
+            }
+            Ok(found) if found.token == record.token || found.state == ClaimState::Released => {
+                expect = entry.revision;
+            }
+            _ => {
+                error!(node.log.claims, "claim not written back, another request has its key"; "request" => %record.request);
+                node.claim_journal.lock().remove(key);
+                return Some(());
+            }
+        }
     }
 }
 
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -33,6 +33,7 @@
     operator_router,
     order_task::run_orders,
     rollout_task::{install_first_bundle, run_head_reads, run_head_watch},
+    store_recovery::run_store_recovery,
 };
 
 /// Longest time for which a shutdown waits for the requests in flight.
@@ -173,6 +174,7 @@
     let queue = Arc::clone(node);
     let rollout = Arc::clone(node);
     vec![
+        tokio::spawn(run_store_recovery(Arc::clone(node))),
         tokio::spawn(gossip::run_membership(Arc::clone(node))),
         tokio::spawn(async move {
             install_first_bundle(&rollout).await;
@@ -261,6 +263,8 @@
         routing: Mutex::new(RoutingState::default()),
         queue: RequestQueue::default(),
         requests: RequestLog::default(),
+        era_recovery: Mutex::default(),
+        claim_journal: Mutex::default(),
         claim_leases: crate::ClaimLeases::default(),
         drain: Arc::new(Drain::default()),
         gossip_partners: Mutex::default(),
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_gateway;
 mod chat_body;
 mod claim;
+mod claim_journal;
 mod claim_key;
 mod claim_leases;
 use hawthornquay_clock as clock;
@@ -74,6 +75,7 @@
 mod service_request;
 mod serving_instance;
 mod start_hint;
+mod store_recovery;
 mod token_use;
 
 pub use {
@@ -85,6 +87,7 @@
     caller_gateway::CallerGateway,
     chat_body::ChatBody,
     claim::Claim,
+    claim_journal::ClaimJournal,
     claim_key::ClaimKey,
     claim_leases::ClaimLeases,
     command_authority::AuthorityError,
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -11,8 +11,9 @@
 use arc_swap::ArcSwapOption;
 use hawthornquay_backends::BackendClient;
 use hawthornquay_decisions::{
-    DomainName, InstanceId, InstanceName, InstanceRecord, IssuedKeyTable, LimitTable, Map,
-    MemberTable, MonotonicTime, RequestId, Rollout, RouteTarget, RoutingLocation, SlotSnapshot,
+    DomainName, EraRecovery, InstanceId, InstanceName, InstanceRecord, IssuedKeyTable, LimitTable,
+    Map, MemberTable, MonotonicTime, RequestId, Rollout, RouteTarget, RoutingLocation,
+    SlotSnapshot,
 };
 use hawthornquay_instances::{LinkCounters, LinkPool};
 use hawthornquay_operators::DaemonSettings;
@@ -21,8 +22,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    BundleTable, ClaimLeases, Drain, Metrics, PartLogs, RequestLog, RequestQueue, RoutingState,
-    clock,
+    BundleTable, ClaimJournal, ClaimLeases, Drain, Metrics, PartLogs, RequestLog, RequestQueue,
+    RoutingState, clock,
 };
 
 /// State of one instance, shared by its requests and background tasks.
@@ -63,6 +64,10 @@
     pub queue: RequestQueue,
     /// Log of recent requests.
     pub requests: RequestLog,
+    /// Recovery of the store after it came back from an older copy.
+    pub era_recovery: Mutex<EraRecovery>,
+    /// Recent claims, which are written back if the store loses them.
+    pub claim_journal: Mutex<ClaimJournal>,
     /// Store leases of claims.
     pub claim_leases: ClaimLeases,
     /// Instances that received a digest in the last gossip round.
--- /dev/null
+++ b/crates/hawthornquay/src/store_recovery.rs
@@ -0,0 +1,74 @@
+//! Recovery after the store came back from an older copy.
+
+use std::{sync::Arc, time::Duration};
+
+use hawthornquay_decisions::{ERA_CHECK_INTERVAL_MS, EraCheckStep};
+use hawthornquay_store::PlatformError;
+use slog::{info, warn};
+
+use crate::{Node, claim::write_back_claims};
+
+/// Prefix of the keys that mark an era as settled; the era follows.
+const MARKER_PREFIX: &str = "eras/";
+
+/// Interval at which the task looks for a new era.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Number of polls between two checks of the marker of an era.
+const POLLS_PER_CHECK: u64 = ERA_CHECK_INTERVAL_MS / POLL_INTERVAL.as_millis() as u64;
+
+/// Returns the era of the store if nothing is missing in it that the store confirmed earlier.
+pub fn settled_era(node: &Node) -> Option<u64> {
+    let mut recovery = node.era_recovery.lock();
+    recovery.observe(node.platform.era());
+    recovery.is_settled().then_some(recovery.era())
+}
+
+/// Writes back what the store has lost, whenever it comes back from an older copy, for as long as
+/// the process runs.
+pub async fn run_store_recovery(node: Arc<Node>) {
+    let mut polls = 0;
+    loop {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let (began, era, settled) = {
+            let mut recovery = node.era_recovery.lock();
+            let began = recovery.observe(node.platform.era());
+            (began, recovery.era(), recovery.is_settled())
+        };
+        if began {
+            warn!(node.log.platform, "store came back from an older copy, writing back what it lost"; "era" => era);
+            polls = 0;
+        }
+        if era == 0 {
+            continue;
+        }
+        write_back_claims(&node, era).await;
+        if !settled && polls % POLLS_PER_CHECK == 0 {
+            check_marker(&node, era).await;
+        }
+        polls += 1;
+    }
+}
+
+/// Reads the marker of the era, and writes it when all instances had time to write back.
+async fn check_marker(node: &Node, era: u64) {
+    let key = format!("{MARKER_PREFIX}{era}");
+    let marker_exists = match node.platform.get(&key).await {
+        Ok(_) => true,
+        Err(PlatformError::NotFound) => false,
+        Err(_) => return,
+    };
+    // A marker that the response names belongs to the present history only if the era is the same.
+    if node.platform.era() != era {
+        return;
+    }
+    let step = node.era_recovery.lock().record_check(era, marker_exists);
+    if marker_exists {
+        info!(node.log.platform, "store is settled"; "era" => era);
+    }
+    if step == EraCheckStep::WriteMarker
+        && let Err(error) = node.platform.create(&key, b"settled", None).await
+    {
+        info!(node.log.platform, "era not marked as settled"; "error" => %error);
+    }
+}
--- a/crates/hawthornquay/tests/restored_store.rs
+++ b/crates/hawthornquay/tests/restored_store.rs
@@ -6,11 +6,62 @@
 
 use http::StatusCode;
 use support::{Caller, Fleet, FleetBuilder};
+use tokio::time::Instant;
+
+/// Time within which each instance has to write back what the store lost.
+const WRITE_BACK_BOUND: Duration = Duration::from_secs(5);
+
+/// Time within which a store that came back from a copy has to be settled.
+const SETTLING_BOUND: Duration = Duration::from_secs(50);
+
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 fn total_runs(fleet: &Fleet) -> u64 {
     fleet.runs().values().sum()
 }
 
+/// Guards against a booking that runs twice, because the store lost the claim of its key: sent again
+/// to a running instance, to one that starts in between, and after the store is settled.
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_whose_claim_was_lost_runs_once() {
+    let mut fleet = FleetBuilder::default().start().await;
+    let caller = Caller::new(Some("key-kolanut"));
+    fleet.platform.copy_store();
+    let first = caller.book(fleet.callers(0), Some("own-1"), "n1").await;
+    assert_eq!(first.status, StatusCode::OK, "{}", first.text());
+    fleet.platform.restore_store();
+    let resent = caller.book(fleet.callers(1), Some("own-1"), "n1").await;
+    assert_eq!(total_runs(&fleet), 1, "{}", resent.text());
+    assert_ne!(resent.execution(), "not-run", "{}", resent.text());
+
+    fleet.abort_instance(2).await;
+    fleet.start_instance(2).await;
+    let end = Instant::now() + WRITE_BACK_BOUND;
+    loop {
+        let resent = caller.book(fleet.callers(2), Some("own-1"), "n1").await;
+        assert_eq!(total_runs(&fleet), 1, "{}", resent.text());
+        if resent.execution() == "ran" {
+            break;
+        }
+        assert!(Instant::now() < end, "not written back: {}", resent.text());
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+
+    let end = Instant::now() + SETTLING_BOUND;
+    loop {
+        let new = caller.book(fleet.callers(0), Some("own-2"), "n2").await;
+        if new.status == StatusCode::OK {
+            break;
+        }
+        assert_eq!(new.execution(), "unknown", "{}", new.text());
+        assert!(Instant::now() < end, "not settled: {}", new.text());
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    let resent = caller.book(fleet.callers(1), Some("own-1"), "n1").await;
+    assert_eq!(resent.execution(), "ran", "{}", resent.text());
+    assert_eq!(total_runs(&fleet), 2);
+}
+
 /// Guards against a booking that runs twice, because its claim is attached to a lease that the store
 /// lost and granted again to another process, and that ends with that lease.
 #[tokio::test(flavor = "multi_thread")]
