Let fencing numbers rise when the store comes back from a copy

Cause: the fencing number was the bare revision of the lease key, which is lower in the new history than numbers that engines had already seen. A former holder of the lost history had the higher number. An audit record of an order whose number was given out again was taken for one already written.

Not tested: two orderers with real processes, and the audit record.

--- a/crates/decisions/src/order_lease.rs
+++ b/crates/decisions/src/order_lease.rs
@@ -25,7 +25,8 @@
 }
 
 impl OrderLease {
-    /// Returns a lease whose key in the store has revision `fence`.
+    /// Returns a lease with the fencing number `fence`, which is that of the revision of its key in the
+    /// store.
     ///
     /// `requested_at` is when the lease was requested and `confirmed_at` when the store answered.
     pub fn new(
--- a/crates/hawthornquay/src/order_audit.rs
+++ b/crates/hawthornquay/src/order_audit.rs
@@ -49,7 +49,7 @@
     /// Queues the record of an action taken under the lease with fencing number `fence`.
     ///
     /// `sequence` numbers the actions of the lease. The record's key contains the fencing number,
-    /// which is the store revision of the lease key, so that it sorts among the records of bundles.
+    /// which follows the store revision of the lease key, so that it sorts among the records of bundles.
     /// Only the holder of the lease writes to these keys, so a conflict on a repeated write means
     /// that an earlier attempt has stored the record.
     pub fn record(&self, fence: u64, sequence: u64, action: AuditAction) {
--- a/crates/hawthornquay/src/order_task.rs
+++ b/crates/hawthornquay/src/order_task.rs
@@ -170,7 +170,12 @@
         .await;
     match created {
         Ok(revision) => Ok(Orderer {
-            lease: OrderLease::new(revision.revision, LEASE_TTL, requested_at, clock::now()),
+            lease: OrderLease::new(
+                revision.fencing_number(),
+                LEASE_TTL,
+                requested_at,
+                clock::now(),
+            ),
             id,
             renew_at: requested_at + LEASE_RENEWAL_INTERVAL,
             recorded: 0,
--- a/crates/hawthornquay/tests/restored_store.rs
+++ b/crates/hawthornquay/tests/restored_store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{InstanceState, OrganisationId, SlotIndex};
+use hawthornquay_standins::EngineSettings;
 use http::StatusCode;
 use support::{Caller, Fleet, FleetBuilder, wait_until};
 use tokio::time::Instant;
@@ -140,3 +141,48 @@
         .filter(|organisation| limits.holds_slot(organisation))
         .count()
 }
+
+/// Guards against engines that refuse all orders after the store came back from a copy, because the
+/// fencing numbers of the new history are lower than those of the lost one.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_after_restored_store_are_not_fenced() {
+    let engine = EngineSettings {
+        models: Vec::new(),
+        ..EngineSettings::default()
+    };
+    let mut fleet = FleetBuilder::default().engine(engine).prepare().await;
+    fleet.platform.copy_store();
+    for number in 0..300 {
+        let key = format!("lost/{number}");
+        fleet.store_client.create(&key, b"", None).await.unwrap();
+    }
+    fleet.start_all(None).await;
+    wait_for_model(&fleet, "ledger-7b").await;
+    fleet.platform.restore_store();
+    fleet.bundle_text = fleet
+        .bundle_text
+        .replace("models = ledger-7b", "models = ledger-7b, ledger-8b");
+    let end = Instant::now() + SETTLING_BOUND;
+    while let Err(error) = fleet.accept(2).await {
+        assert!(Instant::now() < end, "not accepted: {error}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    wait_for_model(&fleet, "ledger-8b").await;
+}
+
+/// Waits until every engine serves a model.
+async fn wait_for_model(fleet: &Fleet, model: &str) {
+    let observer = Caller::new(None);
+    let end = Instant::now() + Duration::from_secs(20);
+    for engine in &fleet.engines {
+        while !observer
+            .get(engine.address(), "/v1/models")
+            .await
+            .text()
+            .contains(model)
+        {
+            assert!(Instant::now() < end, "{model} was not loaded within 20 s");
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
--- a/crates/operators/src/audit_action.rs
+++ b/crates/operators/src/audit_action.rs
@@ -27,7 +27,7 @@
         domain: DomainName,
         /// Instance that sends the orders from now on.
         instance: InstanceName,
-        /// Fencing token: the store revision of the lease key.
+        /// Fencing token, which follows the store revision of the lease key.
         fence: u64,
     },
     /// An order was sent to an engine; recorded whether or not the engine accepts it.
