Write back a bundle that the store has lost

Running instances kept it, but the store stayed behind for good: instances that were replaced took the older bundle, and the change, a revoked key among them, was lost without a word. The same version could then be accepted again with other content, so that instances differed under one version number.

Cause: no instance compared the head of a new era with the bundle that it has in force, and `bundle accept` took the version of the copy for the last one.

Fix: an instance that reads a head below its bundle, in an era above 0, puts the content, the difference where the stale head is the predecessor, and the signed head back, conditional on the head that it read, with an audit record `bundle-restored`. Readers verify the signatures as before.

Not run: body_memory and capacity_page of hawthornquay, the suites of the gateway and of platform.

Open: a bundle that the store lost before any instance read it; a region where all instances start meanwhile runs the older bundle until a digest or the head reaches it; two bundles of one version if only instances that were cut off until the era was settled had the first.

--- a/crates/hawthornquay/src/command_audit.rs
+++ b/crates/hawthornquay/src/command_audit.rs
@@ -115,7 +115,8 @@
 /// Returns the version of the bundle if the record is about an accepted bundle.
 fn version(record: &Record) -> Option<u64> {
     match record.content.as_ref().ok()?.action {
-        AuditAction::BundleAccepted { version, .. } => Some(version),
+        AuditAction::BundleAccepted { version, .. }
+        | AuditAction::BundleRestored { version, .. } => Some(version),
         AuditAction::OrdererChanged { .. } | AuditAction::OrderSent { .. } => None,
     }
 }
@@ -136,6 +137,9 @@
                 digest.to_string(),
             )
         }
+        AuditAction::BundleRestored { version, digest } => {
+            (version.to_string(), none(), digest.to_string())
+        }
         AuditAction::OrdererChanged {
             domain,
             instance,
--- a/crates/hawthornquay/src/rollout_install.rs
+++ b/crates/hawthornquay/src/rollout_install.rs
@@ -1,10 +1,11 @@
 //! Verification and installation of bundles.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::SystemTime};
 
 use hawthornquay_decisions::{BundleId, RolloutOffer, RolloutStep};
 use hawthornquay_operators::{
-    BundleDocument, BundleHead, StoredDifference, Trust, load_content, load_differences, load_head,
+    BundleDocument, BundleHead, StoredDifference, StoredHead, Trust, load_content,
+    load_differences, load_head, restore_bundle,
 };
 use slog::{info, warn};
 
@@ -114,8 +115,13 @@
     let store = PlatformStore(&node.platform);
     let requested_at = clock::now();
     let head = match load_head(&store).await {
-        Ok(Some(stored)) => stored.head,
-        Ok(None) => return true,
+        Ok(stored) => {
+            write_back_if_lost(node, &store, stored.as_ref()).await;
+            match stored {
+                Some(stored) => stored.head,
+                None => return true,
+            }
+        }
         Err(error) => {
             warn!(node.log.rollout, "bundle head not read"; "error" => %error);
             return false;
@@ -138,6 +144,35 @@
     true
 }
 
+/// Writes the bundle in force back to a store that came back from an older copy without it.
+///
+/// Several instances may try; the write of the head is conditional on the head that was read. In
+/// era 0 the store has lost nothing, and an older head is that of a late response.
+async fn write_back_if_lost(
+    node: &Arc<Node>,
+    store: &PlatformStore<'_>,
+    stored: Option<&StoredHead>,
+) {
+    let Some(held) = node.bundle.active() else {
+        return;
+    };
+    let version = stored.map_or(0, |stored| stored.head.version);
+    if node.platform.era() == 0 || version >= held.version() {
+        return;
+    }
+    let who = node.id.to_string();
+    let when = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+    let when_ms = u64::try_from(when.as_millis()).unwrap_or(u64::MAX);
+    match restore_bundle(store, &held.head, &held.document, stored, &who, when_ms).await {
+        Ok(()) => {
+            warn!(node.log.rollout, "bundle written back, the store had lost it"; "version" => held.version());
+        }
+        Err(error) => {
+            info!(node.log.rollout, "bundle not written back"; "version" => held.version(), "error" => %error);
+        }
+    }
+}
+
 /// Installs the differences from version `first` up to `head`; returns whether `head` is installed.
 async fn install_differences(
     node: &Arc<Node>,
--- a/crates/hawthornquay/src/store_recovery.rs
+++ b/crates/hawthornquay/src/store_recovery.rs
@@ -3,14 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use hawthornquay_decisions::{ERA_CHECK_INTERVAL_MS, EraCheckStep};
+use hawthornquay_operators::era_marker_key;
 use hawthornquay_store::PlatformError;
 use slog::{info, warn};
 
 use crate::{Node, claim::write_back_claims};
 
-/// Prefix of the keys that mark an era as settled; the era follows.
-const MARKER_PREFIX: &str = "eras/";
-
 /// Interval at which the task looks for a new era.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -69,7 +67,7 @@
 
 /// Reads whether an era is marked as settled; `None` if the store does not answer in this era.
 async fn read_marker(node: &Node, era: u64) -> Option<bool> {
-    let key = marker_key(era);
+    let key = era_marker_key(era);
     let marker_exists = match node.platform.get(&key).await {
         Ok(_) => true,
         Err(PlatformError::NotFound) => false,
@@ -78,10 +76,6 @@
     (node.platform.era() == era).then_some(marker_exists)
 }
 
-fn marker_key(era: u64) -> String {
-    format!("{MARKER_PREFIX}{era}")
-}
-
 /// Reads the marker of the era, and writes it when all instances had time to write back.
 async fn check_marker(node: &Node, era: u64) {
     let Some(marker_exists) = read_marker(node, era).await else {
@@ -94,7 +88,7 @@
     if step == EraCheckStep::WriteMarker
         && let Err(error) = node
             .platform
-            .create(&marker_key(era), b"settled", None)
+            .create(&era_marker_key(era), b"settled", None)
             .await
     {
         info!(node.log.platform, "era not marked as settled"; "error" => %error);
--- a/crates/hawthornquay/tests/restored_store.rs
+++ b/crates/hawthornquay/tests/restored_store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornquay_decisions::{InstanceState, OrganisationId, SlotIndex};
+use hawthornquay_operators::BundleHead;
 use hawthornquay_standins::EngineSettings;
 use http::StatusCode;
 use support::{Caller, Fleet, FleetBuilder, wait_until};
@@ -186,3 +187,73 @@
         }
     }
 }
+
+/// Returns the head of the bundle in the store.
+async fn stored_head(fleet: &Fleet) -> BundleHead {
+    let entry = fleet.store_client.get("bundle/head").await.unwrap();
+    serde_json::from_slice(&entry.value).unwrap()
+}
+
+async fn wait_for_version(fleet: &Fleet, version: u64) {
+    wait_until(Duration::from_secs(4), "bundle at all instances", || {
+        let mut running = fleet.daemons.iter().flatten();
+        running.all(|daemon| daemon.node().bundle.version() == version)
+    })
+    .await;
+}
+
+/// Guards against an accepted change that is lost silently when all instances have been replaced,
+/// because the store came back without it.
+#[tokio::test(flavor = "multi_thread")]
+async fn bundle_lost_by_the_store_is_written_back() {
+    let mut fleet = FleetBuilder::default().start().await;
+    fleet.platform.copy_store();
+    fleet.accept(2).await.unwrap();
+    wait_for_version(&fleet, 2).await;
+    let accepted = stored_head(&fleet).await;
+    fleet.platform.restore_store();
+    assert_eq!(stored_head(&fleet).await.version, 1);
+    let end = Instant::now() + WRITE_BACK_BOUND;
+    loop {
+        let head = stored_head(&fleet).await;
+        if head == accepted {
+            break;
+        }
+        assert!(
+            Instant::now() < end,
+            "the store has version {}",
+            head.version
+        );
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    for instance in 0..3 {
+        fleet.abort_instance(instance).await;
+    }
+    for instance in 0..3 {
+        fleet.start_instance(instance).await;
+    }
+    let end = Instant::now() + SETTLING_BOUND;
+    while !(0..3).all(|index| fleet.node(index).bundle.version() == 2) {
+        assert!(Instant::now() < end, "version 2 is not in force");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against two bundles of one version in force at the same time: the store lost the first,
+/// and another one is accepted in its place.
+#[tokio::test(flavor = "multi_thread")]
+async fn version_lost_by_the_store_is_not_accepted_with_other_content() {
+    let mut fleet = FleetBuilder::default().start().await;
+    fleet.platform.copy_store();
+    fleet.accept(2).await.unwrap();
+    wait_for_version(&fleet, 2).await;
+    fleet.platform.restore_store();
+    fleet.bundle_text = fleet
+        .bundle_text
+        .replace("idempotency_key = optional", "idempotency_key = required");
+    let accepted = fleet.accept(2).await;
+    assert!(
+        accepted.is_err(),
+        "version 2 was accepted twice with different content"
+    );
+}
--- a/crates/operators/src/accept_bundle.rs
+++ b/crates/operators/src/accept_bundle.rs
@@ -8,7 +8,7 @@
     StoredDifference, StoredHead, Trust,
     load_bundle::{get_with_retries, load_content_by_digest},
     load_content, load_differences, load_head,
-    store_keys::{AUDIT_PREFIX, HEAD_KEY, content_key, difference_key},
+    store_keys::{AUDIT_PREFIX, HEAD_KEY, content_key, difference_key, era_marker_key},
 };
 
 /// Size of one stored part of the content; the store limits a value to 1 MB.
@@ -41,6 +41,7 @@
         if current.head.version >= document.version() {
             return Err(conflict_error(store, current, document).await);
         }
+        check_settled(store, current).await?;
     }
     let (head, changes) = check_and_store_content(store, request, predecessor.as_ref()).await?;
     let changes = Some(changes);
@@ -93,16 +94,12 @@
     predecessor: Option<&StoredHead>,
 ) -> Result<(BundleHead, BundleChanges), AcceptError> {
     let document = request.document;
-    let parts: Vec<&[u8]> = document
-        .canonical()
-        .as_bytes()
-        .chunks(CONTENT_PART_BYTES)
-        .collect();
+    let parts = content_parts(document).len();
     let head = BundleHead {
         version: document.version(),
         digest: document.digest(),
         previous: predecessor.map(|current| current.head.digest),
-        parts: u32::try_from(parts.len()).unwrap_or(u32::MAX),
+        parts: u32::try_from(parts).unwrap_or(u32::MAX),
         signatures: request.signatures.to_vec(),
     };
     let (difference, changes) = match predecessor {
@@ -131,10 +128,9 @@
             (Some(difference), changes)
         }
     };
-    for (part, value) in (0..).zip(parts) {
-        let key = content_key(&head.digest, part);
-        put(store, &key, value).await.map_err(AcceptError::Store)?;
-    }
+    put_content(store, document)
+        .await
+        .map_err(AcceptError::Store)?;
     if let Some(difference) = difference {
         let key = difference_key(head.version, &head.digest);
         put(store, &key, &to_json(&difference))
@@ -144,6 +140,43 @@
     Ok((head, changes))
 }
 
+/// Splits the content of a bundle into the parts in which it is stored.
+fn content_parts(document: &BundleDocument) -> Vec<&[u8]> {
+    let content = document.canonical().as_bytes();
+    content.chunks(CONTENT_PART_BYTES).collect()
+}
+
+/// Stores the content of a bundle.
+pub(crate) async fn put_content<S: BundleStore>(
+    store: &S,
+    document: &BundleDocument,
+) -> Result<(), StoreError> {
+    let digest = document.digest();
+    for (part, value) in (0..).zip(content_parts(document)) {
+        put(store, &content_key(&digest, part), value).await?;
+    }
+    Ok(())
+}
+
+/// Refuses an accept while the store may lack a bundle that it confirmed before it came back from
+/// an older copy. Instances write it back in that time.
+async fn check_settled<S: BundleStore>(
+    store: &S,
+    predecessor: &StoredHead,
+) -> Result<(), AcceptError> {
+    let era = predecessor.revision.era;
+    if era == 0 {
+        return Ok(());
+    }
+    match get_with_retries(store, &era_marker_key(era)).await {
+        Ok(Some(_)) => Ok(()),
+        Ok(None) => Err(AcceptError::StoreUnsettled {
+            current: predecessor.head.version,
+        }),
+        Err(error) => Err(AcceptError::Store(error)),
+    }
+}
+
 /// Counts the changes made by a bundle that is already in force.
 ///
 /// Returns `None` if the content of the predecessor is missing or damaged, so that the audit record
@@ -288,7 +321,11 @@
 }
 
 /// Sets `key` to `value`, whether or not the key exists.
-async fn put<S: BundleStore>(store: &S, key: &str, value: &[u8]) -> Result<(), StoreError> {
+pub(crate) async fn put<S: BundleStore>(
+    store: &S,
+    key: &str,
+    value: &[u8],
+) -> Result<(), StoreError> {
     let mut last = StoreError::AnswerLost;
     for _ in 0..WRITE_ATTEMPTS {
         match store.create_if_absent(key, value).await {
@@ -308,6 +345,6 @@
     Err(last)
 }
 
-fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
+pub(crate) fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).expect("values with string keys always serialise to JSON")
 }
--- a/crates/operators/src/accept_error.rs
+++ b/crates/operators/src/accept_error.rs
@@ -39,6 +39,16 @@
     /// The store returned an error before the head was written; the bundle was not accepted.
     #[error("the bundle was not accepted: {0}")]
     Store(StoreError),
+    /// The store came back from an older copy, and instances may still write back a later bundle; the
+    /// bundle was not accepted.
+    #[error(
+        "the store came back from an older copy and has version {current}; instances may still \
+         write back a later one; run the command again in half a minute"
+    )]
+    StoreUnsettled {
+        /// Version that the store has.
+        current: u64,
+    },
     /// The version is not one above the version in force.
     #[error("version {version} does not follow version {current}; write `version = {}`", current + 1)]
     VersionGap {
@@ -53,7 +63,10 @@
     /// Returns whether a call to the store failed, so that a later attempt may succeed.
     pub const fn is_unreachable(&self) -> bool {
         match self {
-            Self::AuditMissing { .. } | Self::OutcomeUnknown { .. } | Self::Store(_) => true,
+            Self::AuditMissing { .. }
+            | Self::OutcomeUnknown { .. }
+            | Self::Store(_)
+            | Self::StoreUnsettled { .. } => true,
             Self::Load(error) => error.is_unreachable(),
             Self::Conflict(_) | Self::Signatures(_) | Self::VersionGap { .. } => false,
         }
--- a/crates/operators/src/audit_action.rs
+++ b/crates/operators/src/audit_action.rs
@@ -20,6 +20,13 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         changes: Option<BundleChanges>,
     },
+    /// An instance wrote back a bundle that the store lost when it came back from an older copy.
+    BundleRestored {
+        /// Version of the bundle.
+        version: u64,
+        /// Digest of the bundle.
+        digest: BundleDigest,
+    },
     /// Another instance, or the same one with a new lease, now sends the orders to the engines of a
     /// failure domain.
     OrdererChanged {
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -41,6 +41,7 @@
 mod operator_key;
 mod random_bytes;
 mod request_history;
+mod restore_bundle;
 mod section_change;
 mod section_kind;
 mod section_reader;
@@ -87,12 +88,13 @@
     logs::{LoggerAlreadySet, Logs},
     operator_key::OperatorKey,
     request_history::RequestHistory,
+    restore_bundle::restore_bundle,
     section_change::SectionChange,
     section_kind::SectionKind,
     signature_error::SignatureError,
     store_entry::StoreEntry,
     store_error::StoreError,
-    store_keys::{AUDIT_PREFIX, HEAD_KEY},
+    store_keys::{AUDIT_PREFIX, HEAD_KEY, era_marker_key},
     stored_difference::StoredDifference,
     stored_head::StoredHead,
     tls_settings::TlsSettings,
--- a/crates/operators/src/store_keys.rs
+++ b/crates/operators/src/store_keys.rs
@@ -19,3 +19,9 @@
 pub(crate) fn difference_key(version: u64, digest: &BundleDigest) -> String {
     format!("bundle/delta/{version}/{digest}")
 }
+
+/// Returns the key that exists once instances had time to write back what the store lost when
+/// `era` began.
+pub fn era_marker_key(era: u64) -> String {
+    format!("eras/{era}")
+}
--- a/crates/operators/tests/accept.rs
+++ b/crates/operators/tests/accept.rs
@@ -13,7 +13,7 @@
 use hawthornquay_operators::{
     AcceptError, AcceptRequest, AcceptedBundle, AuditAction, AuditRecord, BundleDocument,
     BundleHead, BundleSignature, HEAD_KEY, LoadError, OperatorKey, SignatureError, StoreError,
-    accept_bundle, load_content, load_differences, load_head,
+    accept_bundle, era_marker_key, load_content, load_differences, load_head, restore_bundle,
 };
 use proptest::prelude::*;
 
@@ -460,3 +460,48 @@
         prop_assert_eq!(block_on(load_content(&store, last)).unwrap().digest(), last.digest);
     }
 }
+
+/// Guards against two bundles of one version: the store came back from an older copy, and its head
+/// is not the last one that was accepted.
+#[test]
+fn accept_waits_until_the_era_is_settled() {
+    let store = store_with_accepted(&document(7));
+    store.begin_era();
+    let new = document_with_rate(8, 5);
+    let error = block_on(accept(&store, &new, "ada")).unwrap_err();
+    assert_eq!(error, AcceptError::StoreUnsettled { current: 7 });
+    assert!(error.is_unreachable());
+    assert_eq!(heads(&store).len(), 1);
+    store.overwrite(&era_marker_key(1), b"settled");
+    block_on(accept(&store, &new, "ada")).unwrap();
+    assert_eq!(heads(&store).len(), 2);
+}
+
+/// Guards against a written-back bundle that readers cannot load or verify, and against one that
+/// replaces a head which was accepted since.
+#[test]
+fn restored_bundle_is_complete_and_replaces_only_the_stale_head() {
+    let (first, second) = (document(7), document_with_rate(8, 5));
+    let complete = store_with_accepted(&first);
+    block_on(accept(&complete, &second, "ada")).unwrap();
+    let lost = block_on(load_head(&complete)).unwrap().unwrap().head;
+    let store = store_with_accepted(&first);
+    store.begin_era();
+    let stale = block_on(load_head(&store)).unwrap().unwrap();
+    let restore = || restore_bundle(&store, &lost, &second, Some(&stale), "lagos-1", 1);
+    block_on(restore()).unwrap();
+    let head = block_on(load_head(&store)).unwrap().unwrap();
+    assert_eq!(head.head, lost);
+    let content = block_on(load_content(&store, &head.head)).unwrap();
+    assert_eq!(content.digest(), second.digest());
+    let differences = block_on(load_differences(&store, &head.head, 7)).unwrap();
+    assert!(differences[0].verify_and_apply(&first).is_ok());
+    let key = format!("audit/{}", head.revision.fencing_number());
+    let audit: AuditRecord = serde_json::from_slice(&store.value(&key).unwrap()).unwrap();
+    let expected = AuditAction::BundleRestored {
+        version: 8,
+        digest: second.digest(),
+    };
+    assert_eq!((audit.who.as_str(), audit.action), ("lagos-1", expected));
+    assert_eq!(block_on(restore()).unwrap_err(), StoreError::Conflict);
+}
--- a/crates/operators/tests/common/fake_store.rs
+++ b/crates/operators/tests/common/fake_store.rs
@@ -144,6 +144,16 @@
         state.entries.insert(key.to_owned(), entry);
     }
 
+    /// Begins a new era, in which the present entries keep their revisions.
+    pub fn begin_era(&self) {
+        let mut state = self.0.lock().unwrap();
+        state.revision.era += 1;
+        let era = state.revision.era;
+        for entry in state.entries.values_mut() {
+            entry.revision.era = era;
+        }
+    }
+
     pub fn remove(&self, key: &str) {
         self.0.lock().unwrap().entries.remove(key);
     }
