--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -6,10 +6,14 @@
     DomainName, DomainSlots, InstanceRecord, LimitTable, Map, MonotonicTime, SlotRelease,
     SlotRules, SlotSnapshot,
 };
-use hawthornquay_store::{Change, Entry, PlatformError, Revision};
+use hawthornquay_store::{Change, Entry, PlatformError, StoreRevision};
 use slog::{info, warn};
 
-use crate::{Node, clock, peer_loans::request_loan};
+use crate::{
+    Node, clock,
+    peer_loans::request_loan,
+    store_recovery::{refresh_marker, settled_era},
+};
 
 /// Prefix of the keys of slots in the store; the name of the failure domain follows.
 const PREFIX: &str = "limits/";
@@ -36,7 +40,7 @@
 #[derive(Default)]
 struct StoredSlots {
     snapshot: SlotSnapshot,
-    revisions: Map<DomainName, Revision>,
+    revisions: Map<DomainName, StoreRevision>,
 }
 
 /// Applies and updates the slots in the store, for as long as the process runs.
@@ -96,7 +100,7 @@
 }
 
 impl StoredSlots {
-    fn revision_of(&self, domain: &DomainName) -> Revision {
+    fn revision_of(&self, domain: &DomainName) -> StoreRevision {
         self.revisions.get(domain).copied().unwrap_or_default()
     }
 
@@ -115,13 +119,24 @@
 async fn read_slots(node: &Node) -> Result<StoredSlots, PlatformError> {
     let listing = node.platform.list(PREFIX).await?;
     let mut slots = StoredSlots::default();
-    slots.snapshot.revision = listing.revision.0;
+    slots.snapshot.revision = listing.revision;
     for entry in &listing.entries {
         slots.apply(entry);
     }
     Ok(slots)
 }
 
+/// Updates whether the era of the store is settled; returns whether it could be determined.
+async fn update_settled_era(node: &Node) -> bool {
+    if settled_era(node).is_none() && !refresh_marker(node).await {
+        return false;
+    }
+    if let Some(era) = settled_era(node) {
+        node.limits.lock().settle_era(era, clock::now());
+    }
+    true
+}
+
 /// Applies changes of the slots and writes this instance's plan, until the slots must be read
 /// again.
 ///
@@ -129,6 +144,11 @@
 async fn watch_slots(node: &Arc<Node>, mut slots: StoredSlots) {
     let mut is_first = true;
     loop {
+        // An era must be known to be settled or not before its slots are adopted.
+        if !update_settled_era(node).await {
+            tokio::time::sleep(RETRY_DELAY).await;
+            return;
+        }
         node.limits
             .lock()
             .adopt_slots(slots.snapshot.clone(), clock::now());
@@ -152,14 +172,14 @@
             tokio::time::sleep(MIN_REWATCH_DELAY + jitter).await;
         }
         is_first = false;
-        let after = Revision(slots.snapshot.revision);
+        let after = slots.snapshot.revision;
         let watch = node.platform.watch(PREFIX, after, WATCH_TIMEOUT);
         tokio::pin!(watch);
         loop {
             tokio::select! {
                 changes = &mut watch => match changes {
                     Ok(changes) => {
-                        slots.snapshot.revision = changes.revision.0;
+                        slots.snapshot.revision = changes.revision;
                         for change in &changes.changes {
                             match change {
                                 Change::Written(entry) => slots.apply(entry),
@@ -184,6 +204,11 @@
 
 /// Writes the slots that this instance plans, if they differ; returns whether it wrote them.
 async fn write_planned_slots(node: &Arc<Node>, slots: &StoredSlots) -> Result<bool, PlatformError> {
+    // The marker must be read after the slots. If the era is settled later, another instance may
+    // claim a slot, and the write of this plan then conflicts.
+    if !update_settled_era(node).await {
+        return Ok(false);
+    }
     let last_list = node.instance_list.lock().clone();
     let has_plan = with_rules(node, &last_list.0, last_list.1, LimitTable::has_slot_plan);
     if !has_plan {
@@ -231,7 +256,7 @@
 async fn write_slots(
     node: &Node,
     slots: &DomainSlots,
-    expect: Revision,
+    expect: StoreRevision,
 ) -> Result<(), PlatformError> {
     let key = format!("{PREFIX}{}", node.location.domain);
     let value = serde_json::to_vec(slots).expect("slots contain only text and numbers");
--- a/crates/operators/src/audit_action.rs
+++ b/crates/operators/src/audit_action.rs
@@ -20,6 +20,13 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         changes: Option<BundleChanges>,
     },
+    /// An instance wrote back a bundle that the store lost when it came back from an older copy.
+    BundleRestored {
+        /// Version of the bundle.
+        version: u64,
+        /// Digest of the bundle.
+        digest: BundleDigest,
+    },
     /// Another instance, or the same one with a new lease, now sends the orders to the engines of a
     /// failure domain.
     OrdererChanged {
@@ -27,7 +34,7 @@
         domain: DomainName,
         /// Instance that sends the orders from now on.
         instance: InstanceName,
-        /// Fencing token: the store revision of the lease key.
+        /// Fencing token, which follows the store revision of the lease key.
         fence: u64,
     },
     /// An order was sent to an engine; recorded whether or not the engine accepts it.
