--- a/crates/decisions/src/store_revision.rs
+++ b/crates/decisions/src/store_revision.rs
@@ -31,6 +31,17 @@
         revision: 0,
     };
 
+    /// Returns a revision of an era.
+    pub const fn new(era: u64, revision: u64) -> Self {
+        Self { era, revision }
+    }
+
+    /// Returns whether `next` belongs to another era than this revision, which is not that of an
+    /// absent key.
+    pub const fn is_replaced_by(self, next: Self) -> bool {
+        !self.is_absent() && self.era != next.era
+    }
+
     /// Returns whether this stands for an absent key.
     pub const fn is_absent(self) -> bool {
         self.revision == 0
--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -74,7 +74,7 @@
         let started = now();
         let revision = gateway.operators.lock().revision();
         let leads = is_leader(&gateway, started);
-        let reads_all = must_read_all || !revision.is_known() || (leads && started >= read_all_at);
+        let reads_all = must_read_all || revision.is_absent() || (leads && started >= read_all_at);
         let outcome = if reads_all {
             read_operator_state(&gateway).await.inspect(|()| {
                 read_all_at = now() + FULL_READ_INTERVAL;
@@ -319,10 +319,10 @@
 ) -> bool {
     let rank = {
         let instances = gateway.instances.lock();
-        match instances.revision().is_known() {
+        match instances.revision().is_absent() {
             // Without a list of instances, this one does not read for others.
-            false => usize::MAX,
-            true => instances.leadership_rank(&gateway.settings.region, &gateway.id.name),
+            true => usize::MAX,
+            false => instances.leadership_rank(&gateway.settings.region, &gateway.id.name),
         }
     };
     age.is_none_or(|age| age >= poll_interval(rank))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -155,7 +155,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_leaving()
             && self.operators.lock().configuration().is_some()
-            && self.servers.lock().revision().is_known()
+            && !self.servers.lock().revision().is_absent()
     }
 
     /// Returns the latest era of the store that this instance has data of.
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -48,7 +48,7 @@
 ) -> bool {
     let instances = gateway.instances.lock();
     let (region, own) = (&gateway.settings.region, &gateway.id.name);
-    instances.revision().is_known() && instances.is_leader(time, region, own)
+    !instances.revision().is_absent() && instances.is_leader(time, region, own)
 }
 
 /// Sends the state of this instance to the leader of its region. The leader itself sends the sums
@@ -207,7 +207,7 @@
 ///
 /// `changed` is the revision of its last change, of the same era as `theirs`.
 fn is_unchanged(own: StoreRevision, theirs: StoreRevision, changed: StoreRevision) -> bool {
-    changed.is_known() && own >= changed && theirs > own
+    !changed.is_absent() && own >= changed && theirs > own
 }
 
 /// Returns a request for a view that is newer than that of this instance.
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -146,7 +146,7 @@
     ///
     /// Changes that do not continue the current list, or lead to an older one, are ignored.
     pub fn apply_changes(&mut self, now: MonotonicTime, changes: &InstanceChanges) -> bool {
-        if changes.base > self.revision || !self.revision.is_known() {
+        if changes.base > self.revision || self.revision.is_absent() {
             return false;
         }
         let replaced = |name: &InstanceName| {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -53,12 +53,13 @@
 mod service_report;
 mod slot_time;
 mod stable_hash;
-mod store_revision;
 mod token_bucket;
 mod work;
 
 use server_table::RECOVERY_GRACE;
 
+pub use hawthornquay_decisions::StoreRevision;
+
 pub use {
     admissions::Admissions,
     backend_entry::BackendEntry,
@@ -103,7 +104,6 @@
     service_report::ServiceReport,
     slot_time::SlotTime,
     stable_hash::stable_hash,
-    store_revision::StoreRevision,
     token_bucket::TokenBucket,
     work::{PromptPart, Work},
 };
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -128,7 +128,7 @@
     ) -> Vec<String> {
         if changes.base > self.revision
             || changes.revision < self.revision
-            || !self.revision.is_known()
+            || self.revision.is_absent()
         {
             return Vec::new();
         }
