Replace a leader that has never sent a message

What operators see: a registration of the right form with the fastest link of its region, whose instance never sends a message (of another writer, or of a process that ended right after it had registered), leads the region until it expires or for good. No instance of the region reads the list of instances meanwhile.

Cause: silence counted only for an instance that had sent a message before.

A leader sends to all instances of its region every 0.3 s, so one that has sent nothing for 2.5 s since it became the leader counts as silent now, and the next one leads. Its first message makes it the leader again.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -270,7 +270,8 @@
         gateway.metrics.set_store_era(gateway.store_era());
         let time = now();
         let (regions, count) = {
-            let instances = gateway.instances.lock();
+            let mut instances = gateway.instances.lock();
+            instances.track_leader(time, &gateway.settings.region, &gateway.id.name);
             (instances.regions(), instances.all().len())
         };
         if count > 0 {
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -2,7 +2,9 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use hawthornquay_decisions::{InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set};
+use hawthornquay_decisions::{
+    InstanceId, InstanceName, Map, MonotonicTime, OrganisationId, RegionName, Set,
+};
 
 use crate::{
     InstanceChanges, ListedInstance, RECOVERY_GRACE, StoreRevision, removal_log::RemovalLog,
@@ -52,6 +54,8 @@
     /// Instances that are missing from the store's list but have sent a message recently.
     unlisted: Vec<ListedInstance>,
     pub(crate) contacts: Map<InstanceName, Contact>,
+    /// Another instance that leads the local region, and the time since which it has.
+    leader_since: Option<(InstanceId, MonotonicTime)>,
     /// Time since which this instance has led its region without a break.
     pub(crate) leading_since: Option<MonotonicTime>,
 }
@@ -311,6 +315,28 @@
         self.leading_since = leads.then(|| self.leading_since.unwrap_or(now));
     }
 
+    /// Records who leads `region`, the one of the instance `local`. A leader sends to all instances of
+    /// its region, so one that has never sent a message counts as silent after the usual time.
+    pub fn track_leader(&mut self, now: MonotonicTime, region: &RegionName, local: &InstanceName) {
+        let leader = self.leader_of(now, region, local).map(|one| one.id.clone());
+        let Some(leader) = leader.filter(|id| id.name != *local) else {
+            self.leader_since = None;
+            return;
+        };
+        let since = match &self.leader_since {
+            Some((known, since)) if *known == leader => *since,
+            _ => now,
+        };
+        if now.since(since) > SILENCE_TIMEOUT {
+            let contact = self.contacts.entry(leader.name.clone()).or_default();
+            if contact.last_message_at.is_none() {
+                contact.last_message_at = Some(since);
+                contact.incarnation = leader.incarnation.0;
+            }
+        }
+        self.leader_since = Some((leader, since));
+    }
+
     /// Returns the regions that have listed instances.
     pub fn regions(&self) -> Set<RegionName> {
         self.listed
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -205,6 +205,27 @@
     assert!(!list.is_leader(at(10_000), &region, &own));
 }
 
+/// Guards against a region that is led for ever by a registered instance that never sends a message,
+/// such as one that ended right after its registration; and against one that is replaced although it
+/// sends.
+#[test]
+fn track_leader_replaces_leader_that_never_sends() {
+    let mut list = list();
+    let (region, own) = (RegionName::new("a"), InstanceName::new("a2"));
+    for ms in (0..=2_500).step_by(300) {
+        list.track_leader(at(ms), &region, &own);
+        assert!(!list.is_leader(at(ms), &region, &own), "{ms} ms");
+    }
+    list.track_leader(at(2_600), &region, &own);
+    assert!(list.is_leader(at(2_600), &region, &own));
+    list.record_message(at(2_700), &"a1".into(), 1, false);
+    for ms in (2_700..=9_000).step_by(300) {
+        list.record_message(at(ms), &"a1".into(), 1, false);
+        list.track_leader(at(ms), &region, &own);
+        assert!(!list.is_leader(at(ms), &region, &own), "{ms} ms");
+    }
+}
+
 /// An unreachable instance must be replaced by another one of its region until its backoff ends.
 #[test]
 fn forward_target_in_replaces_unreachable_instance() {
