Take the servers of a failure domain for cold when it is taken back

Cause: servers become cold while they get no requests. An instance knows it from the server's entry, which it reads every 0.7 s, and which a server that cannot reach the store does not write.

The servers of a domain that is taken back now count as cold for the time that the service states.

--- a/crates/gateway/src/view_updates.rs
+++ b/crates/gateway/src/view_updates.rs
@@ -194,7 +194,7 @@
         let names: Vec<&str> = evacuated.iter().map(DomainName::as_str).collect();
         slog::info!(self.log.rollout, "evacuated failure domains changed";
             "evacuated" => names.join(", "), "revision" => %revision, "source" => source);
-        self.servers.lock().set_evacuated(&evacuated);
+        self.servers.lock().set_evacuated(now(), &evacuated);
         self.view_changed.notify_one();
     }
 
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -41,6 +41,8 @@
     pub(crate) evacuated: Set<DomainName>,
     /// Services whose servers are model engines.
     pub(crate) engines: Set<ServiceName>,
+    /// Time for which the servers of each service are cold after their start.
+    cold_durations: Map<ServiceName, Duration>,
     /// Number of requests, running or queued, with which a full engine of each service has last
     /// rejected another one, or more if one has accepted more since.
     pub(crate) full_levels: Map<ServiceName, u32>,
@@ -243,7 +245,7 @@
         }
     }
 
-    /// Applies a configuration, which defines the services with model engines.
+    /// Applies a configuration, which defines the services with model engines and the cold times.
     ///
     /// Servers that were listed before the configuration was known are updated.
     pub fn configure(&mut self, configuration: &Configuration) {
@@ -253,6 +255,11 @@
             .filter(|(_, service)| service.engine.is_some())
             .map(|(name, _)| name.clone())
             .collect();
+        self.cold_durations = configuration
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), service.cold_duration))
+            .collect();
         for server in self.servers.values_mut() {
             let engine = self.engines.contains(&server.entry.service);
             server.latency.set_engine(engine);
@@ -261,9 +268,19 @@
 
     /// Replaces the evacuated failure domains, whose servers get no requests, and returns whether
     /// they changed.
-    pub fn set_evacuated(&mut self, domains: &[DomainName]) -> bool {
+    ///
+    /// Servers become cold while they get no requests, and those behind a partition cannot report
+    /// it. All servers of a domain that is taken back count as cold.
+    pub fn set_evacuated(&mut self, now: MonotonicTime, domains: &[DomainName]) -> bool {
         let domains: Set<DomainName> = domains.iter().cloned().collect();
         let changed = domains != self.evacuated;
+        for server in self.servers.values_mut() {
+            let domain = &server.entry.domain;
+            if self.evacuated.contains(domain) && !domains.contains(domain) {
+                let cold = self.cold_durations.get(&server.entry.service);
+                server.cold.extend(now, cold.copied().unwrap_or_default());
+            }
+        }
         self.evacuated = domains;
         changed
     }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -158,7 +158,7 @@
 fn place_evacuated_region_forwards_all_requests() {
     let context = RequestContext::default();
     let mut table = table(&[("s1", "home-a")]);
-    table.set_evacuated(&["home-a".into()]);
+    table.set_evacuated(at(0), &["home-a".into()]);
     let choice = Regions::new(80).place(2, &context, &work(7, 500, 1_500), &mut table);
     assert!(
         matches!(choice, PlacementDecision::Region { .. }),
