--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -17,7 +17,7 @@
 use hawthornquay_decisions::{
     Execution, MonotonicTime, OrganisationId, Refusal, RefusalCode, RequestId,
 };
-use hawthornquay_http::{Body, ReadError, discard_body, read_body_with_budget};
+use hawthornquay_http::{Body, ReadError, read_body_with_budget};
 use hawthornquay_traffic::{Configuration, OrganisationConfig, Route, Work};
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
@@ -72,19 +72,16 @@
         let gateway = Arc::clone(&self.0);
         Box::pin(async move {
             let arrived_at = now();
-            let mut body = Some(Body::take_from(&mut state));
+            let body = Body::take_from(&mut state);
             let parts = request_parts(&mut state);
             let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
             let expects = parts.headers.contains_key(header::EXPECT);
             gateway.in_flight.fetch_add(1, Ordering::Relaxed);
-            let mut res = respond(&gateway, arrived_at, parts, &mut body).await;
+            let mut res = respond(&gateway, arrived_at, parts, body).await;
             gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
-            if let Some(unread) = body.filter(|_| !expects) {
-                discard_body(unread);
-            }
             // hyper drops a `Content-Length` that follows `Transfer-Encoding: chunked`. The bytes
             // after such a request may be smuggled, so its connection is not used any further.
-            // Neither is that of a caller which may leave out the body after the response.
+            // Neither is that of a caller that may leave out the body after the response.
             if chunked || expects || gateway.is_leaving() {
                 res.headers_mut()
                     .insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -106,7 +103,7 @@
     gateway: &Arc<Gateway<C, H>>,
     arrived_at: MonotonicTime,
     parts: Parts,
-    body: &mut Option<Body>,
+    body: Body,
 ) -> Response<Body> {
     let head = match gateway.header_mapping.read_caller_request(&parts) {
         Ok(head) => head,
@@ -122,14 +119,13 @@
     }
 }
 
-/// Routes, authenticates and rate-limits a request and reads its body, which it leaves in `body` if
-/// the request is refused before.
+/// Routes, authenticates and rate-limits a request and reads its body.
 async fn admit<C: ControlPlane, H: HeaderMapping>(
     gateway: &Arc<Gateway<C, H>>,
     arrived_at: MonotonicTime,
     parts: &Parts,
     head: CallerRequestHead,
-    body: &mut Option<Body>,
+    body: Body,
 ) -> Result<AdmittedRequest, Refusal> {
     check_framing(&parts.headers)?;
     let configuration = gateway.operators.lock().configuration().cloned();
@@ -160,7 +156,7 @@
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let limit = configuration.limits.max_body_bytes;
     let body = read_body_with_budget(
-        body.take().unwrap_or_default(),
+        body,
         limit,
         BODY_TIMEOUT.min(time_limit),
         &BUFFERED_BODY_BUDGET,
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -10,7 +10,7 @@
 
 use futures_util::FutureExt;
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
-use hyper::{Request, body::Incoming, service::service_fn};
+use hyper::{Request, body::Incoming, header, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -21,7 +21,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{ServerLimits, limit_timer::LimitTimer};
+use crate::{ServerLimits, limit_timer::LimitTimer, unread_body::UnreadBody};
 
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -131,6 +131,9 @@
         let limits = *self.limits.borrow();
         let service = service_fn(move |req: Request<Incoming>| {
             let handler = handler.clone();
+            // A caller that waits for a `100 Continue` may leave the body out after a refusal.
+            let discards = !req.headers().contains_key(header::EXPECT);
+            let req = req.map(|body| UnreadBody::new(body, discards));
             let state = State::from_request(req, address);
             async move { call_handler(handler, AssertUnwindSafe(state)).await }
         });
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,11 +6,12 @@
 mod read_body;
 mod read_error;
 mod server_limits;
+mod unread_body;
 
 pub use {
     http_server::HttpServer,
     json_response::{empty_response, json_response},
-    read_body::{discard_body, read_body, read_body_with_budget},
+    read_body::{read_body, read_body_with_budget},
     read_error::ReadError,
     server_limits::ServerLimits,
 };
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -9,30 +9,16 @@
 
 use crate::{Body, ReadError};
 
-/// Maximum time for which the rest of a body that is not needed is read and discarded.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Maximum number of bytes of such a body that are read and discarded.
-const MAX_DISCARDED_BYTES: usize = 32 << 20;
-
 /// Reads a complete body of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is larger than `limit`, does not arrive within `timeout`, or the
 /// connection fails.
-pub async fn read_body(
-    mut body: Body,
-    limit: usize,
-    timeout: Duration,
-) -> Result<Bytes, ReadError> {
-    let read = tokio::time::timeout(timeout, read_all(&mut body, limit))
+pub async fn read_body(body: Body, limit: usize, timeout: Duration) -> Result<Bytes, ReadError> {
+    tokio::time::timeout(timeout, read_all(body, limit))
         .await
-        .unwrap_or(Err(ReadError::Timeout));
-    if read.is_err() {
-        discard_body(body);
-    }
-    read
+        .map_err(|_| ReadError::Timeout)?
 }
 
 /// Reads a complete body like [`read_body`] and charges its bytes to a memory budget.
@@ -45,7 +31,7 @@
 /// Returns [`ReadError::MemoryExhausted`] if `memory` has too few permits left, and otherwise the
 /// errors of [`read_body`].
 pub async fn read_body_with_budget(
-    mut body: Body,
+    body: Body,
     limit: usize,
     timeout: Duration,
     memory: &'static Semaphore,
@@ -53,20 +39,13 @@
     let mut permits = memory
         .try_acquire_many(0)
         .map_err(|_| ReadError::MemoryExhausted)?;
-    let reading = read_charged(&mut body, limit, memory, &mut permits);
-    let read = tokio::time::timeout(timeout, reading)
+    let data = tokio::time::timeout(timeout, read_charged(body, limit, memory, &mut permits))
         .await
-        .unwrap_or(Err(ReadError::Timeout));
-    match read {
-        Ok(data) => Ok(Bytes::from_owner(ChargedBody {
-            data,
-            _permits: permits,
-        })),
-        Err(error) => {
-            discard_body(body);
-            Err(error)
-        }
-    }
+        .map_err(|_| ReadError::Timeout)??;
+    Ok(Bytes::from_owner(ChargedBody {
+        data,
+        _permits: permits,
+    }))
 }
 
 /// Body together with the permits for its bytes.
@@ -81,13 +60,13 @@
     }
 }
 
-async fn read_all(body: &mut Body, limit: usize) -> Result<Bytes, ReadError> {
+async fn read_all(body: Body, limit: usize) -> Result<Bytes, ReadError> {
     let buf = read_frames(body, limit, |_| Ok(())).await?;
     Ok(buf.freeze())
 }
 
 async fn read_charged(
-    body: &mut Body,
+    body: Body,
     limit: usize,
     memory: &'static Semaphore,
     charged: &mut SemaphorePermit<'static>,
@@ -102,7 +81,7 @@
 }
 
 async fn read_frames(
-    body: &mut Body,
+    mut body: Body,
     limit: usize,
     mut charge: impl FnMut(usize) -> Result<(), ReadError>,
 ) -> Result<BytesMut, ReadError> {
@@ -126,24 +105,3 @@
     }
     Ok(buf)
 }
-
-/// Reads and discards the rest of a body in the background, within bounds.
-///
-/// Use this for a body that is not needed because its request is refused. If the server closes the
-/// connection while the client is still writing, TCP resets the connection and the client may never
-/// receive the response.
-pub fn discard_body(mut body: Body) {
-    if body.is_end_stream() {
-        return;
-    }
-    tokio::spawn(tokio::time::timeout(DISCARD_TIMEOUT, async move {
-        let mut left = MAX_DISCARDED_BYTES;
-        while let Some(Ok(frame)) = body.frame().await {
-            let len = frame.data_ref().map_or(0, Bytes::len);
-            if len > left {
-                return;
-            }
-            left -= len;
-        }
-    }));
-}
--- /dev/null
+++ b/crates/http/src/unread_body.rs
@@ -0,0 +1,92 @@
+//! Request body whose unread rest is discarded.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::{runtime::Handle, time::timeout};
+
+/// Maximum time for which the unread rest of a body is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Maximum number of bytes that are read and discarded.
+const MAX_DISCARDED_BYTES: usize = 32 << 20;
+
+/// Body of a request to the server.
+///
+/// If it is dropped before its end, for example because the request is refused, the rest is read and
+/// discarded in the background, within bounds. If the server closed the connection while the client
+/// is still writing, TCP would reset the connection and the client might never receive the response.
+pub(crate) struct UnreadBody {
+    /// Body; `None` once it has ended.
+    body: Option<Incoming>,
+    /// Whether the rest is read if the body is dropped.
+    discards: bool,
+}
+
+impl UnreadBody {
+    pub(crate) const fn new(body: Incoming, discards: bool) -> Self {
+        Self {
+            body: Some(body),
+            discards,
+        }
+    }
+}
+
+impl Body for UnreadBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let Some(body) = &mut self.body else {
+            return Poll::Ready(None);
+        };
+        let polled = Pin::new(body).poll_frame(cx);
+        if let Poll::Ready(None | Some(Err(_))) = polled {
+            self.body = None;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body
+            .as_ref()
+            .map_or_else(|| SizeHint::with_exact(0), Body::size_hint)
+    }
+}
+
+impl Drop for UnreadBody {
+    fn drop(&mut self) {
+        let unread = self.body.take().filter(|body| !body.is_end_stream());
+        let Some(body) = unread.filter(|_| self.discards) else {
+            return;
+        };
+        // Without a runtime, the connection is closing, too.
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+        }
+    }
+}
+
+async fn discard(mut body: Incoming) {
+    let mut left = MAX_DISCARDED_BYTES;
+    while let Some(Ok(frame)) = body.frame().await {
+        let len = frame.data_ref().map_or(0, Bytes::len);
+        if len > left {
+            return;
+        }
+        left -= len;
+    }
+}
