Keep a silent stream that no other server can continue

A stream of events without numbers was broken off when its server had been silent for three times the target, though the server was sound: the check whether another attempt can be made did not ask whether the stream can be continued at all, but the retry then did.

Evidence: silent_server_stream_without_numbers_goes_on failed before (one of two events, no end of the stream) and passes.

--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -96,6 +96,7 @@
         let request = &self.request;
         let time = now();
         if !request.route.semantics.is_repeatable()
+            || !self.progress.can_resume()
             || self.attempts >= MAX_ATTEMPTS_IN_TOTAL
             || delivered >= request.max_attempts
             || !self.gateway.has_retry(&request.service)
