Extend the grace period when the store comes back a second time

Sound servers that had registered again in time were dropped, and not used until 2.4 s after the second return: the grace period of a missing server was that of the first return.

Evidence: server_lost_twice_stays_in_use_for_second_grace_period failed before ('left: 1, right: 2' usable servers) and passes.

--- a/crates/traffic/src/departed_servers.rs
+++ b/crates/traffic/src/departed_servers.rs
@@ -1,4 +1,4 @@
-//! Memory of the servers that were removed from the list.
+//! Servers that were removed from the list lately.
 
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
     removed_at: MonotonicTime,
 }
 
-/// Servers that were removed from the list lately.
+/// Recently removed servers, by identifier.
 #[derive(Default)]
 pub(crate) struct DepartedServers(Map<BackendName, Departed>);
 
--- a/crates/traffic/src/server_reports.rs
+++ b/crates/traffic/src/server_reports.rs
@@ -4,9 +4,34 @@
 
 use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName};
 
-use crate::{ServerTable, ServerUsage, ServiceReport};
+use crate::{Admissions, ServerTable, ServerUsage, ServiceReport};
 
 impl ServerTable {
+    /// Records whether a server accepted a request or rejected it because it was full.
+    pub fn record_admission(&mut self, id: &BackendName, accepted: bool) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let service = server.entry.service.clone();
+        if !accepted
+            && let Some(load) = server.load.last_report()
+            && load.waiting > 0
+            && load.running >= load.slots
+        {
+            let requests = load.running + load.waiting;
+            self.full_levels.insert(service.clone(), requests);
+        }
+        self.admissions.entry(service).or_default().add(Admissions {
+            accepted: u32::from(accepted),
+            rejected: u32::from(!accepted),
+        });
+    }
+
+    /// Returns the requests that servers accepted and rejected since the last call.
+    pub fn take_admissions(&mut self) -> Map<ServiceName, Admissions> {
+        std::mem::take(&mut self.admissions)
+    }
+
     /// Returns this instance's use of each server.
     pub fn own_usage(&self) -> Vec<ServerUsage> {
         self.servers
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -49,7 +49,7 @@
     /// Mean time in a slot at the engines of each service.
     slot_times: Map<ServiceName, SlotTime>,
     /// Requests that servers accepted and rejected since the counts were last taken.
-    admissions: Map<ServiceName, Admissions>,
+    pub(crate) admissions: Map<ServiceName, Admissions>,
     /// Number of picks so far, so that the sample differs from pick to pick.
     pub(crate) picks: u64,
     /// Time at which the list was last known to be current.
@@ -104,6 +104,10 @@
             // The older copy may lack servers that have not registered again yet.
             self.recovered_at = Some(now);
             self.copy_until = now + RECOVERY_GRACE;
+            // What registers again was written to the history that is lost now.
+            for server in self.servers.values_mut() {
+                server.kept_until = server.kept_until.map(|_| now + RECOVERY_GRACE);
+            }
             self.changed_revision = listing.revision;
         }
         self.revision = listing.revision;
@@ -335,31 +339,6 @@
         self.slot_times.get(service).copied().unwrap_or_default()
     }
 
-    /// Records whether a server accepted a request or rejected it because it was full.
-    pub fn record_admission(&mut self, id: &BackendName, accepted: bool) {
-        let Some(server) = self.servers.get(id) else {
-            return;
-        };
-        let service = server.entry.service.clone();
-        if !accepted
-            && let Some(load) = server.load.last_report()
-            && load.waiting > 0
-            && load.running >= load.slots
-        {
-            let requests = load.running + load.waiting;
-            self.full_levels.insert(service.clone(), requests);
-        }
-        self.admissions.entry(service).or_default().add(Admissions {
-            accepted: u32::from(accepted),
-            rejected: u32::from(!accepted),
-        });
-    }
-
-    /// Returns the requests that servers accepted and rejected since the last call.
-    pub fn take_admissions(&mut self) -> Map<ServiceName, Admissions> {
-        std::mem::take(&mut self.admissions)
-    }
-
     /// Records a successful response.
     pub fn record_success(&mut self, now: MonotonicTime, id: &BackendName) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/crates/traffic/tests/store_eras.rs
+++ b/crates/traffic/tests/store_eras.rs
@@ -266,3 +266,22 @@
     assert!(!table.is_last_read_due(at(2_900)));
     assert_eq!(usable(&table, 700 + GRACE_END_MS), 2);
 }
+
+/// Guards against sound servers that are dropped though they register again in time: the store comes
+/// back a second time, and loses that they had.
+#[test]
+fn server_lost_twice_stays_in_use_for_second_grace_period() {
+    let mut table = ServerTable::default();
+    let entries = [server("s1", "home-a"), server("s2", "home-a")];
+    table.apply_listing(at(0), at(0), &listing(100, &entries));
+    table.apply_listing(at(700), at(700), &restored_listing(60, &entries[..1]));
+    let second = |revision, servers: &[BackendEntry]| ServerListing {
+        revision: StoreRevision::new(2, revision),
+        servers: servers.to_vec(),
+    };
+    table.apply_listing(at(2_700), at(2_700), &second(50, &entries[..1]));
+    table.apply_listing(at(3_400), at(3_400), &second(51, &entries[..1]));
+    assert_eq!(usable(&table, 4_500), 2);
+    table.apply_listing(at(4_700), at(4_700), &second(52, &entries));
+    assert_eq!(usable(&table, 2_700 + GRACE_END_MS), 2);
+}
