--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, gateway::now,
-    stream_progress::EventFate,
+    stream_progress::EventAction,
 };
 
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
@@ -98,14 +98,14 @@
         let mut data = BytesMut::new();
         while let Some(event) = self.events.next_event() {
             match self.progress.record(&event) {
-                EventFate::Deliver => data.extend_from_slice(&event.raw),
-                EventFate::Skip => {}
+                EventAction::Deliver => data.extend_from_slice(&event.raw),
+                EventAction::Skip => {}
                 // The events before it are delivered first.
-                EventFate::Reject if !data.is_empty() => {
+                EventAction::Reject if !data.is_empty() => {
                     self.events.put_back(&event);
                     break;
                 }
-                EventFate::Reject => return Err(AttemptFailure::unknown(AttemptCause::Garbled)),
+                EventAction::Reject => return Err(AttemptFailure::unknown(AttemptCause::Garbled)),
             }
             if event.has_data {
                 self.progress_at = now();
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -6,7 +6,7 @@
 
 /// What happens to an event of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EventFate {
+pub enum EventAction {
     /// The caller gets it.
     Deliver,
     /// The caller has it already, or does not need it.
@@ -88,7 +88,7 @@
     }
 
     /// Records an event of the current run, and returns what happens to it.
-    pub fn record(&mut self, event: &Event) -> EventFate {
+    pub fn record(&mut self, event: &Event) -> EventAction {
         let is_first_of_resumed = self.resumes && !self.has_progressed;
         let Some(id) = event.id else {
             return self.record_unnumbered(event, is_first_of_resumed);
@@ -97,32 +97,32 @@
         if self.last_event.is_some_and(|last| id <= last) {
             // A run that begins anew does not go on with the one before.
             return match self.is_resumable && !self.has_progressed {
-                true => EventFate::Reject,
-                false => EventFate::Skip,
+                true => EventAction::Reject,
+                false => EventAction::Skip,
             };
         }
         let is_gap = self.delivered > 0 && self.is_consecutive && id > expected;
         if is_first_of_resumed && is_gap {
-            return EventFate::Reject;
+            return EventAction::Reject;
         }
         self.is_consecutive &= id == expected;
         self.last_event = Some(id);
         self.delivered += 1;
         self.has_progressed = true;
-        EventFate::Deliver
+        EventAction::Deliver
     }
 
-    fn record_unnumbered(&mut self, event: &Event, is_first_of_resumed: bool) -> EventFate {
+    fn record_unnumbered(&mut self, event: &Event, is_first_of_resumed: bool) -> EventAction {
         match () {
-            () if event.has_data && is_first_of_resumed => EventFate::Reject,
+            () if event.has_data && is_first_of_resumed => EventAction::Reject,
             () if event.has_data => {
                 self.has_unnumbered = true;
-                EventFate::Deliver
+                EventAction::Deliver
             }
             // An error in place of an event, for example the head of another response.
-            () if self.delivered > 0 && !event.is_comment() => EventFate::Reject,
-            () if is_first_of_resumed => EventFate::Skip,
-            () => EventFate::Deliver,
+            () if self.delivered > 0 && !event.is_comment() => EventAction::Reject,
+            () if is_first_of_resumed => EventAction::Skip,
+            () => EventAction::Deliver,
         }
     }
 }
--- a/crates/store/src/change.rs
+++ b/crates/store/src/change.rs
@@ -11,7 +11,7 @@
     Deleted {
         /// Deleted key.
         key: String,
-        /// StoreRevision at which the key was deleted.
+        /// Revision at which the key was deleted.
         revision: StoreRevision,
     },
 }
--- a/crates/store/src/entry.rs
+++ b/crates/store/src/entry.rs
@@ -11,7 +11,7 @@
     pub key: String,
     /// Value.
     pub value: Bytes,
-    /// StoreRevision of the last change to the key.
+    /// Revision of the last change to the key.
     pub revision: StoreRevision,
     /// Lease that the key is attached to: the key is deleted when the lease ends.
     pub lease: Option<LeaseId>,
