--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -4,7 +4,7 @@
 
 use crate::Event;
 
-/// What happens to an event of a run.
+/// What is done with an event of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventAction {
     /// The caller gets it.
@@ -28,8 +28,8 @@
     delivered: u64,
     /// Whether the numbers of the delivered events have risen by one each.
     is_consecutive: bool,
-    /// Whether an event with data but without a number was delivered. It cannot be told apart from
-    /// those that another run would send.
+    /// Whether an event with data but without a number was delivered. It cannot be distinguished
+    /// from those that another run would send.
     has_unnumbered: bool,
     /// Whether the current run continues a stream whose head was delivered.
     resumes: bool,
@@ -96,9 +96,10 @@
         let expected = self.last_event.unwrap_or(0).saturating_add(1);
         if self.last_event.is_some_and(|last| id <= last) {
             // A run that begins anew does not go on with the one before.
-            return match self.is_resumable && !self.has_progressed {
-                true => EventAction::Reject,
-                false => EventAction::Skip,
+            return if self.is_resumable && !self.has_progressed {
+                EventAction::Reject
+            } else {
+                EventAction::Skip
             };
         }
         let is_gap = self.delivered > 0 && self.is_consecutive && id > expected;
@@ -113,16 +114,21 @@
     }
 
     fn record_unnumbered(&mut self, event: &Event, is_first_of_resumed: bool) -> EventAction {
-        match () {
-            () if event.has_data && is_first_of_resumed => EventAction::Reject,
-            () if event.has_data => {
-                self.has_unnumbered = true;
-                EventAction::Deliver
+        if event.has_data {
+            if is_first_of_resumed {
+                return EventAction::Reject;
             }
-            // An error in place of an event, for example the head of another response.
-            () if self.delivered > 0 && !event.is_comment() => EventAction::Reject,
-            () if is_first_of_resumed => EventAction::Skip,
-            () => EventAction::Deliver,
+            self.has_unnumbered = true;
+            return EventAction::Deliver;
+        }
+        // An error in place of an event, for example the head of another response.
+        if self.delivered > 0 && !event.is_comment() {
+            return EventAction::Reject;
+        }
+        if is_first_of_resumed {
+            EventAction::Skip
+        } else {
+            EventAction::Deliver
         }
     }
 }
