Look for data once more before an idle connection is closed

A caller's request was reset, with neither an answer nor a refusal: it had arrived while the process was paused past the idle limit.

Cause: when the process goes on, the runtime may run timers before it has looked for data, so the time-out of the idle connection ends it with the request unread.

A time-out is extended by 20 ms at its end, measured from the moment at which it is noticed, so data that has arrived before is read first.

--- a/crates/http/src/limit_timer.rs
+++ b/crates/http/src/limit_timer.rs
@@ -12,6 +12,11 @@
 
 use crate::ServerLimits;
 
+/// Time by which a time-out is extended at its end. The runtime may run timers before it has looked
+/// for data, for example after a pause of the process, and a request that has arrived must not be
+/// reset.
+const LAST_READ_DELAY: Duration = Duration::from_millis(20);
+
 /// Timer of an HTTP/1.1 connection whose header time-out is extended if its limit is raised.
 ///
 /// hyper applies the time-out that a connection began with, but callers rely on the present limit:
@@ -46,6 +51,7 @@
             limits: self.limits.clone(),
             header_timeout: self.header_timeout,
             deadline,
+            is_extended: false,
             timer: Box::pin(tokio::time::sleep_until(deadline.into())),
         })
     }
@@ -56,6 +62,8 @@
     limits: watch::Receiver<ServerLimits>,
     header_timeout: Duration,
     deadline: Instant,
+    /// Whether the sleep has been extended by [`LAST_READ_DELAY`].
+    is_extended: bool,
     timer: Pin<Box<tokio::time::Sleep>>,
 }
 
@@ -67,8 +75,15 @@
             ready!(self.timer.as_mut().poll(cx));
             let header_timeout = self.limits.borrow().header_timeout;
             if header_timeout <= self.header_timeout {
-                return Poll::Ready(());
+                if self.is_extended {
+                    return Poll::Ready(());
+                }
+                self.is_extended = true;
+                let end = tokio::time::Instant::now() + LAST_READ_DELAY;
+                self.timer.as_mut().reset(end);
+                continue;
             }
+            self.is_extended = false;
             let extension = header_timeout - self.header_timeout;
             self.header_timeout = header_timeout;
             self.deadline += extension;
