--- a/crates/decisions/src/limit_slice.rs
+++ b/crates/decisions/src/limit_slice.rs
@@ -146,7 +146,7 @@
 
     /// Reduces an earlier loan and returns the share that the borrower retains.
     ///
-    /// A part that the borrower gave up by requesting less is available at once. A part that the
+    /// A part that the borrower released by requesting less is available at once. A part that the
     /// lender takes back for another borrower stays lent until the loan's previous end, because the
     /// answer may be lost and the borrower may spend it until then.
     fn reduce_loan(
--- a/crates/decisions/src/limit_table_slots.rs
+++ b/crates/decisions/src/limit_table_slots.rs
@@ -77,7 +77,7 @@
         (next != current).then_some(next)
     }
 
-    /// Writes back the slots that this instance holds, and gives up those that only the copy of the
+    /// Writes back the slots that this instance holds, and releases those that only the copy of the
     /// store attributes to it.
     fn write_back_slots(&self, next: &mut DomainSlots) {
         for slot in SlotIndex::all() {
--- a/crates/hawthornquay/src/limit_task.rs
+++ b/crates/hawthornquay/src/limit_task.rs
@@ -68,7 +68,7 @@
 
 /// Releases all slots of this instance at shutdown.
 ///
-/// It gives up after 20 steps.
+/// It stops after 20 steps.
 pub async fn release_slots(node: &Arc<Node>) {
     for _ in 0..20 {
         let step = node.limits.lock().release_slots(clock::now());
--- a/crates/hawthornquay/src/peer_loans.rs
+++ b/crates/hawthornquay/src/peer_loans.rs
@@ -10,7 +10,7 @@
 
 /// Requests a loan from a slot holder and adds the granted tokens to this instance's limits.
 ///
-/// If the answer is lost, nobody can spend the lent tokens until the loan ends at the lender.
+/// If the answer is lost, the lent tokens cannot be spent until the loan ends at the lender.
 pub async fn request_loan(node: &Node, call: LoanCall) {
     let Some(peer) = node.peer_address(&call.lender) else {
         return;
