Backend client: reject responses with an unknown transfer coding

Callers got a 200 with the signature and a short or foreign body, framed as whole, when a server's Transfer-Encoding had lost its end ("chunke", or no value) or named another coding, also where it stated a longer length.

Cause: hyper drops Content-Length when Transfer-Encoding is present, and reads a body whose last coding is not chunked until the connection closes. The close then counted as the end of the body, and the caller got it with a length of its own. With "gzip, chunked" the body is framed, but the header that names the coding is removed on the way.

Change: the client accepts no Transfer-Encoding but a single "chunked". All of its users get it: both daemons, the store client and control calls. The request counts as possibly run; the entry daemon treats the answer as garbled, so that it isn't run again unless the route allows that.

--- a/crates/backends/src/backend_error.rs
+++ b/crates/backends/src/backend_error.rs
@@ -97,6 +97,12 @@
         /// Limit in bytes.
         limit: usize,
     },
+    /// The end of the response body is unknown, because it has a transfer coding other than chunks.
+    #[error("response from {address} has an unknown transfer coding")]
+    UnknownTransferCoding {
+        /// Address of the backend server.
+        address: SocketAddr,
+    },
 }
 
 impl BackendError {
@@ -116,7 +122,8 @@
             | Self::Malformed { .. }
             | Self::Send { .. }
             | Self::Status { .. }
-            | Self::TooLarge { .. } => Execution::Unknown,
+            | Self::TooLarge { .. }
+            | Self::UnknownTransferCoding { .. } => Execution::Unknown,
         }
     }
 }
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http::{HeaderMap, header};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -84,6 +85,10 @@
         };
         self.open.received.reset();
         let (head, body) = res.into_parts();
+        if !has_known_framing(&head.headers) {
+            self.pool.close_idle_to(address);
+            return Err(BackendError::UnknownTransferCoding { address });
+        }
         Ok(BackendResponse {
             head,
             body: ResponseBody::new(self, body),
@@ -91,6 +96,21 @@
     }
 }
 
+/// Returns whether the body has no transfer coding but chunks.
+///
+/// hyper ignores the length of a response with any other coding and reads until the connection
+/// closes, so that part of a body would appear complete.
+fn has_known_framing(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    codings.next().is_none_or(|coding| {
+        coding
+            .as_bytes()
+            .trim_ascii()
+            .eq_ignore_ascii_case(b"chunked")
+            && codings.next().is_none()
+    })
+}
+
 /// Request sender of an HTTP/1.1 connection and the task that performs its I/O.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -214,6 +214,7 @@
                 BackendError::ClosedBeforeSend { .. } | BackendError::Request(_) => {
                     AttemptCause::Unreachable
                 }
+                BackendError::UnknownTransferCoding { .. } => AttemptCause::Garbled,
                 _ => AttemptCause::Broken,
             },
         })
