Stop: late requests that cannot end in time are refused, not run

Callers whose request was complete only late in the grace period of a stopping instance had it passed on to a server, and it was cut with the process, without an answer.

Cause: the end of accepting bounds when a request begins, not when it is passed on. hyper goes on reading a request whose head has begun, for up to the header time-out, and the handler reads a body for up to 10 s. The placement did not take the end of the process into account.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,19 +8,20 @@
     router::{Router, build_simple_router},
     state::State,
 };
-use hawthornquay_http::{Body, HttpServer, ServerLimits, empty_response};
+use hawthornquay_http::{Body, HttpServer, ServerLimits, UNREAD_REQUEST_DELAY, empty_response};
 use hawthornquay_instances::PeerServer;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use tokio::{
     signal::unix::{SignalKind, signal},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     CallerHandler, ControlPlane, Gateway, GatewayError, HeaderMapping,
-    background_tasks::spawn_tasks, peer_handler::PeerHandler, status_notices::send_leaving,
+    background_tasks::spawn_tasks, gateway::now, peer_handler::PeerHandler,
+    status_notices::send_leaving, stop::StopTimes,
 };
 
 /// Time for which a stopping instance still accepts requests. Callers need it to resolve the
@@ -96,20 +97,21 @@
             _ = hangup.recv() => reload(),
         }
     }
-    let deadline =
-        tokio::time::Instant::now() + settings.stop_grace.saturating_sub(GRACE_PERIOD_MARGIN);
+    let time_to_end = settings.stop_grace.saturating_sub(GRACE_PERIOD_MARGIN);
+    let deadline = Instant::now() + time_to_end;
+    let accept_time = STOP_ACCEPTING_DELAY.min(settings.stop_grace / 2);
+    gateway.stop.begin(StopTimes {
+        late_from: now() + accept_time + UNREAD_REQUEST_DELAY,
+        end: now() + time_to_end,
+    });
     slog::info!(gateway.log.daemon, "stopping";
         "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
     gateway.begin_leaving();
     send_leaving(&gateway).await;
-    sleep(STOP_ACCEPTING_DELAY.min(settings.stop_grace / 2)).await;
+    sleep(accept_time).await;
     stop_callers.cancel();
     stop_peers.cancel();
-    let drained = timeout(
-        deadline.saturating_duration_since(tokio::time::Instant::now()),
-        async { tokio::join!(callers, peers) },
-    )
-    .await;
+    let drained = timeout_at(deadline, async { tokio::join!(callers, peers) }).await;
     for task in tasks {
         task.abort();
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,6 +14,7 @@
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, EventReader,
     Gateway, HeaderMapping, ResponseStart,
     attempt::{Attempt, AttemptDestination},
+    exchange_stop::stopping_refusal,
     gateway::now,
     peer_attempt::PeerAttempt,
     response_memory::ResponseMemory,
@@ -175,7 +176,13 @@
             self.check_quarantine()?;
             self.awaiting_head = true;
             let replacement = self.replacement.get_mut().take();
-            let opened = match replacement.unwrap_or_else(|| self.choose_placement(None)) {
+            let placement = replacement.unwrap_or_else(|| self.choose_placement(None));
+            if self.is_too_late(&placement) {
+                self.awaiting_head = false;
+                self.attempt_trace.push_str("stopping ");
+                return Err(stopping_refusal());
+            }
+            let opened = match placement {
                 PlacementDecision::Server(pick) => self.open_server_attempt(&pick, left).await,
                 PlacementDecision::Region { name, .. } => {
                     let receiver = {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    GatewayError, GatewayLogs, GatewayMetrics, InstanceReport, link_settings::gateway_link_settings,
+    GatewayError, GatewayLogs, GatewayMetrics, InstanceReport,
+    link_settings::gateway_link_settings, stop::Stop,
 };
 
 /// Share of the fleet's retry budget that is divided among the instances. The rest is a margin for
@@ -80,6 +81,8 @@
     pub(crate) log: GatewayLogs,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) leaving: AtomicBool,
+    /// Progress of the stop of this process.
+    pub(crate) stop: Stop,
     /// Requests of callers whose response head has not been returned.
     pub(crate) in_flight: AtomicU64,
     /// Number of times that this instance sent status notices as the leader. It selects the
@@ -139,6 +142,7 @@
             log: GatewayLogs::new(logs),
             metrics: GatewayMetrics::new()?,
             leaving: AtomicBool::new(false),
+            stop: Stop::default(),
             in_flight: AtomicU64::new(0),
             status_round: AtomicUsize::new(0),
             view_changed: Notify::new(),
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,34 @@
+//! Progress of a graceful stop.
+
+use std::{sync::OnceLock, time::Duration};
+
+use hawthornquay_decisions::MonotonicTime;
+
+/// Times of a graceful stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopTimes {
+    /// Time from which requests only arrive that callers had begun to send before.
+    pub(crate) late_from: MonotonicTime,
+    /// Time at which the requests that still run are ended.
+    pub(crate) end: MonotonicTime,
+}
+
+/// Progress of a graceful stop.
+#[derive(Default)]
+pub(crate) struct Stop {
+    times: OnceLock<StopTimes>,
+}
+
+impl Stop {
+    /// Sets the times of the stop; only the first call has an effect.
+    pub(crate) fn begin(&self, times: StopTimes) {
+        self.times.get_or_init(|| times);
+    }
+
+    /// Returns the time until the requests that still run are ended, and whether only late requests
+    /// arrive; `None` if the process is not stopping.
+    pub(crate) fn time_left(&self, time: MonotonicTime) -> Option<(Duration, bool)> {
+        let times = self.times.get()?;
+        Some((times.end.since(time), time >= times.late_from))
+    }
+}
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -28,7 +28,7 @@
 
 /// Time after the end of accepting in which requests on connections without a request in progress
 /// are still read.
-const UNREAD_REQUEST_DELAY: Duration = Duration::from_millis(250);
+pub const UNREAD_REQUEST_DELAY: Duration = Duration::from_millis(250);
 
 /// Accepted connection with its permit.
 type Accepted = (TcpStream, SocketAddr, OwnedSemaphorePermit);
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,7 +9,7 @@
 mod unread_body;
 
 pub use {
-    http_server::HttpServer,
+    http_server::{HttpServer, UNREAD_REQUEST_DELAY},
     json_response::{empty_response, json_response},
     read_body::{read_body, read_body_with_budget},
     read_error::ReadError,
