Stop: requests that still run at the end get a status

Cause: when the drain timed out, the process ended with the handlers still waiting for their servers.

Change: 0.4 s before the end of the grace period, as before, the exchanges are ended, and the process then waits up to 0.2 s for their responses. A request that may have run gets 504, one that was not passed on, or whose body is not complete, a true 503. Forwarded requests are refused over the link in the same way, with their execution, before the link closes. A stream is broken off without an end, as before. The log says how many requests were ended.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -28,6 +28,7 @@
 use crate::{
     AdmittedRequest, BufferedResponse, CallerRequestHead, ControlPlane, Exchange, Gateway,
     HeaderMapping, ResponseStart, allowed_regions,
+    exchange_stop::stopping_refusal,
     gateway::now,
     limit_loans::{self, LoanOutcome},
 };
@@ -113,7 +114,9 @@
         }
     };
     let id = head.id.clone();
-    match admit(gateway, arrived_at, &parts, head, body).await {
+    let admission = admit(gateway, arrived_at, &parts, head, body);
+    let admitted = gateway.stop.run_until_end(admission).await;
+    match admitted.unwrap_or_else(|| Err(stopping_refusal())) {
         Ok(request) => run(gateway, request).await,
         Err(refusal) => refuse(gateway, arrived_at, &id, parts.uri.path(), &refusal),
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Start, serving and graceful stop of the gateway process.
 
-use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{io, net::SocketAddr, pin::pin, sync::Arc, sync::atomic::Ordering, time::Duration};
 
 use gotham::{
     handler::NewHandler,
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use tokio::{
     signal::unix::{SignalKind, signal},
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -29,10 +29,13 @@
 /// left.
 const STOP_ACCEPTING_DELAY: Duration = Duration::from_millis(2_600);
 
-/// Time before the end of the grace period at which the process exits by itself, before the
-/// platform ends it.
+/// Time before the end of the grace period at which the requests that still run are ended. The
+/// platform kills the process at the end of the grace period.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(400);
 
+/// Longest time to deliver the final responses of the requests that are ended.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// HTTP routers for the readiness check and the directory of instances.
 pub struct StatusRouters {
     /// Readiness check of the platform.
@@ -111,12 +114,19 @@
     sleep(accept_time).await;
     stop_callers.cancel();
     stop_peers.cancel();
-    let drained = timeout_at(deadline, async { tokio::join!(callers, peers) }).await;
+    let mut servers = pin!(async { tokio::join!(callers, peers) });
+    let mut is_drained = timeout_at(deadline, &mut servers).await.is_ok();
+    if !is_drained {
+        slog::info!(gateway.log.daemon, "ending the requests that still run";
+            "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
+        gateway.stop.end_requests();
+        is_drained = timeout(FINAL_RESPONSE_TIME, servers).await.is_ok();
+    }
     for task in tasks {
         task.abort();
     }
     gateway.links.close();
-    slog::info!(gateway.log.daemon, "stopped"; "drained" => drained.is_ok());
+    slog::info!(gateway.log.daemon, "stopped"; "drained" => is_drained);
     Ok(())
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -49,7 +49,7 @@
     pub(crate) request: AdmittedRequest,
     pub(crate) attempt: Option<Attempt<C, H>>,
     /// Whether an attempt is waiting for the response head.
-    awaiting_head: bool,
+    pub(crate) awaiting_head: bool,
     /// All attempts so far, including those that reached no backend server.
     pub(crate) attempts: u32,
     /// Attempts that reached or may have reached a backend server, here or in another region.
@@ -128,8 +128,15 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] if no attempt succeeds and no other may be made.
+    /// Returns a [`Refusal`] if no attempt succeeds and no other may be made, or if the process ends
+    /// first.
     pub(crate) async fn start(&mut self) -> Result<ResponseStart, Refusal> {
+        let gateway = self.gateway.clone();
+        let started = gateway.stop.run_until_end(self.run_attempts()).await;
+        started.unwrap_or_else(|| Err(self.end_with_process()))
+    }
+
+    async fn run_attempts(&mut self) -> Result<ResponseStart, Refusal> {
         loop {
             let (status, headers) = self.open_attempt().await?;
             if self.request.route.semantics.is_stream() {
--- a/crates/gateway/src/exchange_stop.rs
+++ b/crates/gateway/src/exchange_stop.rs
@@ -41,6 +41,21 @@
         let needed = expected.max(route.target_latency);
         route.semantics.is_stream() || needed.mul_f64(LATE_TIME_FACTOR) > left
     }
+
+    /// Cancels the current attempt because the process ends, and returns the refusal.
+    pub(crate) fn end_with_process(&mut self) -> Refusal {
+        if std::mem::take(&mut self.awaiting_head) || self.attempt.take().is_some() {
+            self.execution = Execution::Unknown;
+        }
+        self.attempt_trace.push_str("stopping ");
+        if self.execution == Execution::NotRun {
+            return stopping_refusal();
+        }
+        Refusal::unknown(
+            RefusalCode::DeadlineExceeded,
+            "the instance stopped before the answer arrived",
+        )
+    }
 }
 
 /// Returns the refusal of a request that has not run.
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -14,8 +14,21 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the stream was interrupted and could not be continued.
+    /// Returns an error if the stream was interrupted and could not be continued, or if the process
+    /// ends first.
     pub(crate) async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
+        let gateway = self.gateway.clone();
+        match gateway.stop.run_until_end(self.continue_stream()).await {
+            Some(events) => events,
+            None => {
+                let refusal = self.end_with_process();
+                self.finish("broken-off");
+                Some(Err(io::Error::other(refusal)))
+            }
+        }
+    }
+
+    async fn continue_stream(&mut self) -> Option<io::Result<Bytes>> {
         if self.attempt.is_none() {
             self.finish("answered");
             return None;
