--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Start, serving and graceful stop of the gateway process.
 
-use std::{io, net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{io, net::SocketAddr, pin::pin, sync::Arc, sync::atomic::Ordering, time::Duration};
 
 use gotham::{
     handler::NewHandler,
@@ -8,19 +8,20 @@
     router::{Router, build_simple_router},
     state::State,
 };
-use hawthornquay_http::{Body, HttpServer, ServerLimits, empty_response};
+use hawthornquay_http::{Body, HttpServer, ServerLimits, UNREAD_REQUEST_DELAY, empty_response};
 use hawthornquay_instances::PeerServer;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use tokio::{
     signal::unix::{SignalKind, signal},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     CallerHandler, ControlPlane, Gateway, GatewayError, HeaderMapping,
-    background_tasks::spawn_tasks, peer_handler::PeerHandler, status_notices::send_leaving,
+    background_tasks::spawn_tasks, gateway::now, peer_handler::PeerHandler,
+    status_notices::send_leaving, stop::StopTimes,
 };
 
 /// Time for which a stopping instance still accepts requests. Callers need it to resolve the
@@ -28,10 +29,13 @@
 /// left.
 const STOP_ACCEPTING_DELAY: Duration = Duration::from_millis(2_600);
 
-/// Time before the end of the grace period at which the process exits by itself, before the
-/// platform ends it.
+/// Time before the end of the grace period at which the requests that still run are ended. The
+/// platform kills the process at the end of the grace period.
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(400);
 
+/// Longest time to deliver the final responses of the requests that are ended.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
+
 /// HTTP routers for the readiness check and the directory of instances.
 pub struct StatusRouters {
     /// Readiness check of the platform.
@@ -96,25 +100,33 @@
             _ = hangup.recv() => reload(),
         }
     }
-    let deadline =
-        tokio::time::Instant::now() + settings.stop_grace.saturating_sub(GRACE_PERIOD_MARGIN);
+    let time_to_end = settings.stop_grace.saturating_sub(GRACE_PERIOD_MARGIN);
+    let deadline = Instant::now() + time_to_end;
+    let accept_time = STOP_ACCEPTING_DELAY.min(settings.stop_grace / 2);
+    gateway.stop.begin(StopTimes {
+        late_from: now() + accept_time + UNREAD_REQUEST_DELAY,
+        end: now() + time_to_end,
+    });
     slog::info!(gateway.log.daemon, "stopping";
         "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
     gateway.begin_leaving();
     send_leaving(&gateway).await;
-    sleep(STOP_ACCEPTING_DELAY.min(settings.stop_grace / 2)).await;
+    sleep(accept_time).await;
     stop_callers.cancel();
     stop_peers.cancel();
-    let drained = timeout(
-        deadline.saturating_duration_since(tokio::time::Instant::now()),
-        async { tokio::join!(callers, peers) },
-    )
-    .await;
+    let mut servers = pin!(async { tokio::join!(callers, peers) });
+    let mut is_drained = timeout_at(deadline, &mut servers).await.is_ok();
+    if !is_drained {
+        slog::info!(gateway.log.daemon, "ending the requests that still run";
+            "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
+        gateway.stop.end_requests();
+        is_drained = timeout(FINAL_RESPONSE_TIME, servers).await.is_ok();
+    }
     for task in tasks {
         task.abort();
     }
     gateway.links.close();
-    slog::info!(gateway.log.daemon, "stopped"; "drained" => drained.is_ok());
+    slog::info!(gateway.log.daemon, "stopped"; "drained" => is_drained);
     Ok(())
 }
 
