Do not count a signature that is not passed on

A caller got a success without the server's signature if the server listed the signature among the headers of its connection: it was checked first and removed then.

Headers of the connection are removed before the response is judged. Such a response is taken for garbled, and the request gets 502, or another attempt where it may run again.

The test failed before: both heads were passed on as 200 without the signature.

--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -226,7 +226,12 @@
         response: BackendResponse,
         limit: &SilenceLimit<'_>,
     ) -> Result<AttemptHead, AttemptFailure> {
-        let BackendResponse { head, body } = response;
+        let BackendResponse { mut head, body } = response;
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let has_framing = framing.iter().any(|name| head.headers.contains_key(name));
+        // Removed first, so that a header that is not passed on, such as a signature that the server
+        // lists in `Connection`, does not count.
+        strip_hop_headers(&mut head.headers);
         let metadata = self.gateway.header_mapping.read_response(&head);
         if !belongs_to(request, head.status, &metadata) {
             return Err(AttemptFailure::unknown(AttemptCause::Garbled));
@@ -250,11 +255,9 @@
             });
         }
         let status = head.status;
-        let mut headers = head.headers;
+        let headers = head.headers;
         let has_body = status != StatusCode::NO_CONTENT && request.method != Method::HEAD;
-        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-        self.awaits_data &= has_body && !framing.iter().any(|name| headers.contains_key(name));
-        strip_hop_headers(&mut headers);
+        self.awaits_data &= has_body && !has_framing;
         if status.is_success() {
             self.body = Some(body);
             return Ok(AttemptHead { status, headers });
