Register again if the list of instances lacks the own entry

Callers saw the same as with a late write: an instance whose registration was gone from the store for any reason stayed out of the list until its restart, since only the lease was renewed.

Each instance now compares its registration with the lists that it reads or receives. If a list of a later revision lacks it, it registers again. The metric registration_missing_seconds and the line 'the registration is missing from the store' show it.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -171,6 +171,7 @@
         false => Duration::ZERO,
     };
     let mut listed_at = None;
+    let mut missing_since = None;
     loop {
         if gateway.is_leaving() {
             if let Some(registration) = registration.take() {
@@ -179,6 +180,11 @@
             return;
         }
         let ttl = gateway.settings.registration_ttl;
+        registration = registration.filter(|current| !is_registration_lost(&gateway, *current));
+        if registration.is_none() {
+            let since = *missing_since.get_or_insert_with(now);
+            gateway.metrics.set_registration_missing(now().since(since));
+        }
         if must_renew(&gateway, registration, renewed_at) {
             let started = now();
             let outcome = renew_or_register(&gateway, &mut registration, ttl).await;
@@ -188,6 +194,8 @@
             }
             renewed_at = started;
             registered_at.get_or_insert(started);
+            missing_since = None;
+            gateway.metrics.set_registration_missing(Duration::ZERO);
         }
         let due = match listed_at {
             None => registered_at.is_some_and(|at| now().since(at) >= first_list_delay),
@@ -222,6 +230,20 @@
         || now().since(renewed_at) >= ttl.mul_f64(RENEWAL_SHARE_OF_TTL)
 }
 
+/// Returns whether the list of instances shows that the store no longer has the registration,
+/// although its lease may still be renewed.
+fn is_registration_lost<C, H>(gateway: &Gateway<C, H>, registration: Registration) -> bool {
+    let is_lost = gateway
+        .instances
+        .lock()
+        .is_registration_lost(&gateway.id, registration.revision);
+    if is_lost {
+        slog::warn!(gateway.log.membership, "the registration is missing from the store; registering again";
+            "lease" => registration.lease, "revision" => %registration.revision);
+    }
+    is_lost
+}
+
 /// Renews the registration, or registers again if it has expired.
 async fn renew_or_register<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
@@ -26,6 +26,7 @@
     duration: Histogram,
     configuration_version: IntGauge,
     store_era: IntGauge,
+    registration_missing: Gauge,
     backend_servers: IntGauge,
     backend_crashes: IntCounter,
     quarantined_parts: IntGauge,
@@ -86,6 +87,11 @@
                 "store_era",
                 "Era of the store's data in use; rises each time the store comes back from an older copy",
             )?,
+            registration_missing: seconds_gauge(
+                &registry,
+                "registration_missing_seconds",
+                "Time for which the instance has known that it is not registered",
+            )?,
             backend_servers: gauge(
                 &registry,
                 "backend_servers",
@@ -158,6 +164,11 @@
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
 
+    /// Sets the time for which the instance has not been registered.
+    pub fn set_registration_missing(&self, time: Duration) {
+        self.registration_missing.set(time.as_secs_f64());
+    }
+
     /// Sets the number of backend servers in the list.
     pub fn set_backend_servers(&self, servers: usize) {
         self.backend_servers
@@ -200,6 +211,12 @@
     Ok(metric)
 }
 
+fn seconds_gauge(registry: &Registry, name: &str, help: &str) -> Result<Gauge, prometheus::Error> {
+    let metric = Gauge::new(name, help)?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
     let metric = IntGauge::new(name, help)?;
     registry.register(Box::new(metric.clone()))?;
--- a/crates/traffic/src/instance_list.rs
+++ b/crates/traffic/src/instance_list.rs
@@ -146,6 +146,12 @@
             .filter(|one| !self.lost.contains(&one.id.name))
     }
 
+    /// Returns whether the store has lost the registration of `id` that was written at the revision
+    /// `registered`: a later list does not contain it.
+    pub fn is_registration_lost(&self, id: &InstanceId, registered: StoreRevision) -> bool {
+        self.revision > registered && !self.stored().any(|one| one.id == *id)
+    }
+
     /// Applies the changes since an earlier list, and returns whether the instances changed.
     ///
     /// Changes that do not continue the current list, or lead to an older one, are ignored.
