Send to cold servers only once the instances of the region know each other

Cause: two instances of a region share out the requests to a cold server by rank in the list of instances. A process that had just started had no list, took itself for the only instance and so for the only sender. The same holds for a list that still lacks others, and for one that is old, as after a pause or behind a cut.

The permission is explicit now: an instance sends to cold servers once its entry has been in its list for 1.5 s, longer than a change of the list takes to all instances, and while another instance of the same list or the store has confirmed the list within 2.5 s. Instances that disagree send less.

--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -24,6 +24,7 @@
             excluded_servers: &excluded_servers,
             instance: &gateway.id.name,
             region_instances: &members,
+            is_region_settled: gateway.membership.lock().is_settled(time),
             is_local: &|domain| gateway.is_local(domain),
             domain_regions: &gateway.settings.regions,
             storage_regions: &self.request.allowed,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use hawthornquay_operators::{GatewaySettings, Logs};
 use hawthornquay_traffic::{
     HomeDemand, InstanceList, ListedInstance, Offload, OperatorView, OrganisationLimits,
-    RegionTable, ServerTable,
+    RegionMembership, RegionTable, ServerTable,
 };
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -36,8 +36,8 @@
 /// State of one gateway process.
 ///
 /// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`,
-/// `region_board`, `limits`, `instance_reports`, `offload`, `quarantine`. None is held across an
-/// `await`, and no other lock is taken while `quarantine` or `home_demand` is held.
+/// `membership`, `region_board`, `limits`, `instance_reports`, `offload`, `quarantine`. None is held
+/// across an `await`, and no other lock is taken while `quarantine` or `home_demand` is held.
 pub struct Gateway<C, H> {
     /// Settings of this instance.
     pub settings: GatewaySettings,
@@ -57,6 +57,8 @@
     pub(crate) servers: Mutex<ServerTable>,
     /// Instances of the fleet.
     pub(crate) instances: Mutex<InstanceList>,
+    /// Whether this instance knows the others of its region and they know it.
+    pub(crate) membership: Mutex<RegionMembership>,
     /// Requests with home regions, by host.
     pub(crate) home_demand: Mutex<HomeDemand>,
     /// Load reports of all regions.
@@ -122,6 +124,7 @@
             configuration_document: Mutex::default(),
             servers: Mutex::default(),
             instances: Mutex::default(),
+            membership: Mutex::default(),
             home_demand: Mutex::default(),
             region_board: Mutex::default(),
             limits: Mutex::new(OrganisationLimits::new(
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -182,17 +182,9 @@
             behind = true;
         }
     }
-    {
-        let mut instances = gateway.instances.lock();
-        let own = instances.revision();
-        let theirs = StoreRevision::new(status.instances_era, status.instances_revision);
-        let changed = StoreRevision::new(status.instances_era, status.instances_changed_revision);
-        if is_unchanged(own, theirs, changed) {
-            instances.confirm_revision(theirs);
-        } else if theirs > own {
-            behind = true;
-        }
-    }
+    let theirs = StoreRevision::new(status.instances_era, status.instances_revision);
+    let changed = StoreRevision::new(status.instances_era, status.instances_changed_revision);
+    behind |= gateway.compare_instances(time, theirs, changed);
     if !behind {
         return;
     }
@@ -206,7 +198,11 @@
 /// Returns whether the list of revision `own` has not changed up to the newer revision `theirs`.
 ///
 /// `changed` is the revision of its last change, of the same era as `theirs`.
-fn is_unchanged(own: StoreRevision, theirs: StoreRevision, changed: StoreRevision) -> bool {
+pub(crate) fn is_unchanged(
+    own: StoreRevision,
+    theirs: StoreRevision,
+    changed: StoreRevision,
+) -> bool {
     !changed.is_absent() && own >= changed && theirs > own
 }
 
--- a/crates/gateway/src/view_updates.rs
+++ b/crates/gateway/src/view_updates.rs
@@ -6,12 +6,12 @@
 use hawthornquay_decisions::{DomainName, MonotonicTime};
 use hawthornquay_http::ServerLimits;
 use hawthornquay_traffic::{
-    Configuration, InstanceChanges, ServerChanges, ServerListing, StoreRevision,
+    Configuration, InstanceChanges, InstanceList, ServerChanges, ServerListing, StoreRevision,
 };
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, InstanceListing, OperatorState, OperatorStateChanges,
-    gateway::now,
+    gateway::now, status_notices::is_unchanged,
 };
 
 /// Buffer space for the request line, in addition to the limit for headers.
@@ -135,10 +135,12 @@
     /// Applies a list of instances.
     pub(crate) fn apply_instances(&self, listing: InstanceListing, source: &str) {
         let revision = listing.revision;
-        let changed = self
-            .instances
-            .lock()
-            .apply_listing(now(), revision, listing.instances);
+        let changed = {
+            let mut instances = self.instances.lock();
+            let changed = instances.apply_listing(now(), revision, listing.instances);
+            self.record_membership(&instances, revision);
+            changed
+        };
         if changed {
             self.report_instances(revision, source);
         }
@@ -146,12 +148,45 @@
 
     /// Applies changes of the list of instances.
     pub(crate) fn apply_instance_changes(&self, changes: &InstanceChanges, source: &str) {
-        let changed = self.instances.lock().apply_changes(now(), changes);
+        let changed = {
+            let mut instances = self.instances.lock();
+            let changed = instances.apply_changes(now(), changes);
+            self.record_membership(&instances, changes.revision);
+            changed
+        };
         if changed {
             self.report_instances(changes.revision, source);
         }
     }
 
+    /// Records whether the list of `revision` contains this instance, unless the list was ignored.
+    fn record_membership(&self, instances: &InstanceList, revision: StoreRevision) {
+        if instances.revision() == revision {
+            let is_listed = instances.stored().any(|one| one.id == self.id);
+            self.membership.lock().record_list(now(), is_listed);
+        }
+    }
+
+    /// Compares the list of instances with that of another instance, whose last change was at
+    /// `changed`; returns whether this instance has to ask for the other list.
+    pub(crate) fn compare_instances(
+        &self,
+        time: MonotonicTime,
+        theirs: StoreRevision,
+        changed: StoreRevision,
+    ) -> bool {
+        let mut instances = self.instances.lock();
+        let own = instances.revision();
+        if !changed.is_absent() && own >= changed && theirs >= instances.changed_revision() {
+            self.membership.lock().confirm_list(time);
+        }
+        if is_unchanged(own, theirs, changed) {
+            instances.confirm_revision(theirs);
+            return false;
+        }
+        theirs > own
+    }
+
     /// Logs the instances, and passes their changes on if this instance leads.
     fn report_instances(&self, revision: StoreRevision, source: &str) {
         let names: Vec<String> = {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -35,6 +35,7 @@
 mod placement_request;
 mod poll_interval;
 mod recent_prefixes;
+mod region_membership;
 mod region_report;
 mod region_table;
 mod removal_log;
@@ -89,6 +90,7 @@
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
     recent_prefixes::RecentPrefixes,
+    region_membership::RegionMembership,
     region_report::RegionReport,
     region_table::RegionTable,
     route::Route,
--- a/crates/traffic/src/placement_request.rs
+++ b/crates/traffic/src/placement_request.rs
@@ -25,6 +25,9 @@
     pub instance: &'a InstanceName,
     /// Instances of the local region, this one included.
     pub region_instances: &'a [InstanceName],
+    /// Whether the instances of the region know each other. Only then may this instance send to cold
+    /// servers.
+    pub is_region_settled: bool,
     /// Returns whether a failure domain is in the local region.
     pub is_local: &'a dyn Fn(&DomainName) -> bool,
     /// Region of each failure domain.
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -238,5 +238,6 @@
         .iter()
         .filter(|name| **name != *req.instance && rank(name.as_str()) > own_rank)
         .count();
-    (higher_ranked < MAX_COLD_SENDERS, senders.max(1))
+    let is_sender = req.is_region_settled && higher_ranked < MAX_COLD_SENDERS;
+    (is_sender, senders.max(1))
 }
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -120,6 +120,7 @@
     pub service: ServiceName,
     pub instance: InstanceName,
     pub region_instances: Vec<InstanceName>,
+    pub is_region_settled: bool,
     pub excluded_servers: Vec<BackendName>,
     pub time_left: Duration,
     pub domain_regions: Map<DomainName, RegionName>,
@@ -133,6 +134,7 @@
             service: ServiceName::new("llm"),
             instance: InstanceName::new("i1"),
             region_instances: vec![InstanceName::new("i1")],
+            is_region_settled: true,
             excluded_servers: Vec::new(),
             time_left: Duration::from_secs(10),
             domain_regions: ["home", "far", "wide"]
@@ -155,6 +157,7 @@
             excluded_servers: &self.excluded_servers,
             instance: &self.instance,
             region_instances: &self.region_instances,
+            is_region_settled: self.is_region_settled,
             is_local: &|domain| domain.as_str().starts_with("home"),
             domain_regions: &self.domain_regions,
             storage_regions: &self.storage_regions,
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -546,6 +546,27 @@
     assert!(sent.len() >= 6, "{}", sent.len());
 }
 
+/// Instances that had just started and did not know each other yet sent to a cold server all at once,
+/// and it crashed.
+#[test]
+fn pick_cold_server_of_unsettled_region_is_left_out() {
+    let mut cold = server("s1", "home-a");
+    cold.cold_remaining = Duration::from_secs(3);
+    let mut context = RequestContext {
+        is_region_settled: false,
+        ..RequestContext::default()
+    };
+    let mut table = ServerTable::default();
+    table.apply_listing(at(0), at(0), &listing(1, &[cold]));
+    table.configure(&context.configuration);
+    let work = work(1, 100, 100);
+    assert!(table.pick(at(10), &context.request(&work)).is_none());
+    context.is_region_settled = true;
+    assert!(table.pick(at(20), &context.request(&work)).is_some());
+    context.is_region_settled = false;
+    assert!(table.pick(at(3_010), &context.request(&work)).is_some());
+}
+
 /// A leaving server must get no requests even if a later list does not mark it as leaving. Only a
 /// restarted server is available again.
 #[test]
