Count a server that has started again as cold

Cause: the end of an evacuation marks the listed servers of the domain as cold. A process that is listed only after that took its cold time from its entry alone, which may have been written before.

A new process of a known server now counts as cold from then on, and one in a domain that has just been taken back from the end of the evacuation, each for the service's cold time.

The test failed before at the first pick after the restart (placement.rs, with the assumed time left out).

--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -39,6 +39,8 @@
     copy_until: MonotonicTime,
     pub(crate) servers: Map<BackendName, ListedServer>,
     pub(crate) evacuated: Set<DomainName>,
+    /// Time at which the last evacuation of each failure domain ended.
+    taken_back: Map<DomainName, MonotonicTime>,
     /// Services whose servers are model engines.
     pub(crate) engines: Set<ServiceName>,
     /// Time for which the servers of each service are cold after their start.
@@ -285,6 +287,9 @@
                 server.cold.extend(now, cold.copied().unwrap_or_default());
             }
         }
+        for domain in self.evacuated.difference(&domains) {
+            self.taken_back.insert(domain.clone(), now);
+        }
         self.evacuated = domains;
         changed
     }
@@ -427,6 +432,20 @@
         now < self.copy_until && known.is_some_and(|one| entry.started_ms < one.entry.started_ms)
     }
 
+    /// Returns how long a new process counts as cold: also a known server that has started again, and
+    /// one in a domain that has just been taken back, whose entry may be older than that.
+    fn assumed_cold_time(&self, now: MonotonicTime, entry: &BackendEntry) -> Duration {
+        let cold_duration = self.cold_durations.get(&entry.service).copied();
+        let cold_duration = cold_duration.unwrap_or_default();
+        let restarted_at = self.servers.contains_key(&entry.id).then_some(now);
+        let taken_back_at = self.taken_back.get(&entry.domain).copied();
+        let cold_since = restarted_at.max(taken_back_at);
+        let assumed = cold_since.map_or(Duration::ZERO, |at| {
+            cold_duration.saturating_sub(now.since(at))
+        });
+        entry.cold_remaining.max(assumed)
+    }
+
     /// Adds or updates a listed server; a restarted one starts without load and health data.
     fn apply_entry(&mut self, now: MonotonicTime, entry: &BackendEntry, changes: &mut Vec<String>) {
         let engine = self.engines.contains(&entry.service);
@@ -452,10 +471,11 @@
             server.cold.extend(now, entry.cold_remaining);
             return;
         }
+        let cold_remaining = self.assumed_cold_time(now, entry);
         let departed = self.departed.find(entry);
         changes.push(format!("{} at {}", entry.id, entry.address));
         let mut cold = ColdStartLimiter::default();
-        cold.extend(now, entry.cold_remaining);
+        cold.extend(now, cold_remaining);
         self.changed_revision = self.revision;
         let server = ListedServer {
             entry: BackendEntry {
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -567,6 +567,37 @@
     assert!(table.pick(at(3_010), &context.request(&work)).is_some());
 }
 
+/// A server that had started again while its domain was taken back took the full load of all instances,
+/// because its entry was written before and did not say that it is cold.
+#[test]
+fn apply_listing_new_process_counts_as_cold() {
+    let context = RequestContext {
+        is_region_settled: false,
+        ..RequestContext::default()
+    };
+    let work = work(1, 100, 100);
+    let domain = DomainName::new("home-a");
+    let restarted = |id: &str| {
+        let mut server = server(id, "home-a");
+        server.started_ms += 1;
+        server
+    };
+    let picks = |table: &mut ServerTable, ms| table.pick(at(ms), &context.request(&work)).is_some();
+
+    let mut table = table(&[("s1", "home-a")]);
+    table.configure(&context.configuration);
+    assert!(picks(&mut table, 10));
+    table.apply_listing(at(20), at(20), &listing(2, &[restarted("s1")]));
+    assert!(!picks(&mut table, 3_010));
+    assert!(picks(&mut table, 3_030));
+
+    table.set_evacuated(at(4_000), std::slice::from_ref(&domain));
+    table.set_evacuated(at(5_000), &[]);
+    table.apply_listing(at(6_000), at(6_000), &listing(3, &[server("s2", "home-a")]));
+    assert!(!picks(&mut table, 7_990));
+    assert!(picks(&mut table, 8_010));
+}
+
 /// A leaving server must get no requests even if a later list does not mark it as leaving. Only a
 /// restarted server is available again.
 #[test]
