Gateway: one faulty server no longer uses up the memory for responses

What callers saw: while one server left many responses unfinished, every response of more than 32 KB of every other server on that instance was discarded and answered with 502, for as long as the deadlines of the requests at the faulty server lasted. A request that may run only once had run. The sound server was counted as failing, too.

Cause: the budget of 8 MB for responses that are not complete was taken first come, first served. Any server whose responses stop before their end, or go on a byte at a time, holds its part until the deadline.

Change: the budget knows by source (a backend server, or an instance that forwards) who holds how much. A source may hold at most twice what stays free after it. One source gets up to two thirds, so the budget is 12 MB and the largest response of 8 MB still fits; n sources that never finish leave 1 / (2 n + 1) of it to all others. A response also gives back what it no longer holds when its buffer shrinks but stays above the free 32 KB.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,6 +24,16 @@
     Instance(&'a InstanceName),
 }
 
+impl AttemptDestination<'_> {
+    /// Returns the name of the backend server or instance.
+    pub(crate) fn name(&self) -> &str {
+        match self {
+            Self::Server(name) => name.as_str(),
+            Self::Instance(name) => name.as_str(),
+        }
+    }
+}
+
 impl<C: ControlPlane, H: HeaderMapping> Attempt<C, H> {
     /// Returns the backend server or instance to which the attempt was sent.
     pub(crate) fn destination(&self) -> AttemptDestination<'_> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -65,7 +65,7 @@
     /// Which events the caller has received, and which come next.
     pub(crate) progress: StreamProgress,
     /// Part of the memory budget for the buffered part of the response.
-    pub(crate) memory: ResponseMemory,
+    pub(crate) memory: Option<ResponseMemory>,
     /// Time of the last event with data, or of the response head.
     pub(crate) progress_at: MonotonicTime,
     /// Time until which the current attempt is kept although it is silent.
@@ -104,7 +104,7 @@
             excluded_regions: Vec::new(),
             events: EventReader::default(),
             progress,
-            memory: ResponseMemory::default(),
+            memory: None,
             progress_at: MonotonicTime(0),
             kept_until: MonotonicTime(0),
             replacement: Mutex::new(None),
@@ -231,6 +231,7 @@
             match opened {
                 Ok((head, attempt)) => {
                     self.gateway.metrics.count_attempt("answered");
+                    self.memory = Some(ResponseMemory::new(attempt.destination().name()));
                     self.attempt = Some(attempt);
                     self.progress_at = now();
                     self.progress.start_run();
@@ -295,7 +296,7 @@
             }
         }
         self.events.clear();
-        self.memory = ResponseMemory::default();
+        self.memory = None;
         if failure.execution != Execution::NotRun {
             self.execution = Execution::Unknown;
         }
@@ -331,6 +332,14 @@
             && self.gateway.try_withdraw_retry(service)
     }
 
+    /// Adapts the memory of the current response to `bytes` buffered bytes; returns whether the
+    /// budget allows them.
+    pub(crate) fn try_hold(&mut self, bytes: usize) -> bool {
+        self.memory
+            .as_mut()
+            .is_some_and(|memory| memory.try_hold(bytes))
+    }
+
     async fn read_response_body(&mut self) -> Result<Bytes, AttemptFailure> {
         let mut body = BytesMut::new();
         loop {
@@ -346,7 +355,7 @@
                 }
                 Some(Ok(part))
                     if body.len() + part.len() <= MAX_RESPONSE_BYTES
-                        && self.memory.try_hold(body.len() + part.len()) =>
+                        && self.try_hold(body.len() + part.len()) =>
                 {
                     self.kept_until = MonotonicTime(0);
                     body.extend_from_slice(&part);
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -79,7 +79,7 @@
                     return Ok(None);
                 }
                 Some(Ok(part)) => {
-                    if !self.events.push(&part) || !self.memory.try_hold(self.events.len()) {
+                    if !self.events.push(&part) || !self.try_hold(self.events.len()) {
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
                 }
@@ -114,7 +114,7 @@
                 }
             }
         }
-        self.memory.try_hold(self.events.len());
+        self.try_hold(self.events.len());
         Ok((!data.is_empty()).then(|| data.freeze()))
     }
 }
--- a/crates/gateway/src/response_memory.rs
+++ b/crates/gateway/src/response_memory.rs
@@ -1,44 +1,91 @@
 //! Bound on the memory for responses that are not complete yet.
 
-use tokio::sync::{Semaphore, SemaphorePermit};
+use std::sync::{Arc, LazyLock};
+
+use hawthornquay_decisions::Map;
+use parking_lot::Mutex;
 
 /// Bound on the buffered bytes of all responses together, apart from the free bytes of each.
-const MAX_BUFFERED_BYTES: usize = 8 << 20;
+const MAX_BUFFERED_BYTES: usize = 12 << 20;
 
 /// Bytes of each response that are not charged, so that usual responses are read even while servers
 /// that send without end have used up the budget.
 const FREE_BYTES: usize = 32 << 10;
 
-static BUDGET: Semaphore = Semaphore::const_new(MAX_BUFFERED_BYTES);
+/// Maximum number of bytes that the responses of one source hold for each byte that stays free.
+///
+/// A single source gets up to two thirds of the budget, which the largest response fits into, and
+/// `n` sources that send without end leave `1 / (2 n + 1)` of it to the responses of all others.
+const MAX_HELD_PER_FREE_BYTE: usize = 2;
+
+static BUDGET: LazyLock<Mutex<Budget>> = LazyLock::new(Mutex::default);
+
+/// Bytes that are held by source: a backend server, or an instance that forwards responses.
+#[derive(Default)]
+struct Budget {
+    held: usize,
+    by_source: Map<Arc<str>, usize>,
+}
+
+impl Budget {
+    fn try_take(&mut self, source: &Arc<str>, bytes: usize) -> bool {
+        let of_source = self.by_source.get(source).copied().unwrap_or_default() + bytes;
+        let Some(free) = MAX_BUFFERED_BYTES.checked_sub(self.held + bytes) else {
+            return false;
+        };
+        if of_source > free.saturating_mul(MAX_HELD_PER_FREE_BYTE) {
+            return false;
+        }
+        self.held += bytes;
+        self.by_source.insert(source.clone(), of_source);
+        true
+    }
+
+    fn release(&mut self, source: &Arc<str>, bytes: usize) {
+        self.held -= bytes;
+        if let Some(of_source) = self.by_source.get_mut(source) {
+            *of_source -= bytes;
+            if *of_source == 0 {
+                self.by_source.remove(source);
+            }
+        }
+    }
+}
 
 /// Part of the budget that one response holds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ResponseMemory {
-    permit: Option<SemaphorePermit<'static>>,
+    source: Arc<str>,
+    held: usize,
 }
 
 impl ResponseMemory {
+    /// Creates a part of no bytes for a response of `source`.
+    pub(crate) fn new(source: &str) -> Self {
+        Self {
+            source: source.into(),
+            held: 0,
+        }
+    }
+
     /// Adapts the part of the budget to `bytes` buffered bytes; returns whether the budget allows
     /// them.
     pub(crate) fn try_hold(&mut self, bytes: usize) -> bool {
         let charged = bytes.saturating_sub(FREE_BYTES);
-        let held = self.permit.as_ref().map_or(0, SemaphorePermit::num_permits);
-        if charged <= held {
-            if charged == 0 {
-                self.permit = None;
+        if charged > self.held {
+            if !BUDGET.lock().try_take(&self.source, charged - self.held) {
+                return false;
             }
-            return true;
-        }
-        let Ok(missing) = u32::try_from(charged - held) else {
-            return false;
-        };
-        let Ok(permit) = BUDGET.try_acquire_many(missing) else {
-            return false;
-        };
-        match &mut self.permit {
-            Some(held) => held.merge(permit),
-            None => self.permit = Some(permit),
+        } else if charged < self.held {
+            BUDGET.lock().release(&self.source, self.held - charged);
         }
+        self.held = charged;
         true
     }
 }
+
+impl Drop for ResponseMemory {
+    fn drop(&mut self) {
+        self.try_hold(0);
+    }
+}
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
-use hawthornquay_decisions::{Execution, MonotonicTime, PartId};
+use hawthornquay_decisions::{BackendName, Execution, MonotonicTime, PartId};
 use hawthornquay_traffic::{PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
 use http::{HeaderMap, Method, StatusCode, header};
 use tokio::time::timeout;
@@ -261,7 +261,7 @@
         self.record_response();
         // An error response does not show that the server can answer the request, but it is no crash.
         self.has_answered = true;
-        let body = match limit.wait(read_error_body(body)).await {
+        let body = match limit.wait(read_error_body(body, &self.pick.id)).await {
             Some(Some(body)) => body,
             Some(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
             None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
@@ -325,8 +325,8 @@
 
 /// Reads the complete body of an error response; `None` if it breaks off, is too large or does not
 /// fit into the memory budget.
-async fn read_error_body(mut body: ResponseBody) -> Option<Bytes> {
-    let mut memory = ResponseMemory::default();
+async fn read_error_body(mut body: ResponseBody, server: &BackendName) -> Option<Bytes> {
+    let mut memory = ResponseMemory::new(server.as_str());
     let mut buf = BytesMut::new();
     while let Some(part) = body.next().await {
         let part = part.ok()?;
