Gateway: a response without pause ends at its time-out, too

What callers saw: a stream of comments or events that its server sends without a pause never ended; it outlasted the deadline of its request until the caller closed. The instance, which has one thread, was busy with it: of 440 requests at once, others with the deadline of 3 s were answered after more than 6 s.

Cause: the time left was only the time-out of the wait for the next part. With no time left the wait still returns a part that is ready, and one always was. The same holds for a response that is not a stream, up to its largest size.

Change: what is read after the time-out of a response is counted. After 128 KB, about what sockets and buffers hold, the attempt ends as silent. Data that was ready at the deadline is still delivered.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -68,6 +68,8 @@
     pub(crate) memory: Option<ResponseMemory>,
     /// Time of the last event with data, or of the response head.
     pub(crate) progress_at: MonotonicTime,
+    /// Bytes of the current response that have been read since its time-out expired.
+    pub(crate) late_bytes: usize,
     /// Time until which the current attempt is kept although it is silent.
     pub(crate) kept_until: MonotonicTime,
     /// Placement of the attempt that is to replace a silent one.
@@ -106,6 +108,7 @@
             progress,
             memory: None,
             progress_at: MonotonicTime(0),
+            late_bytes: 0,
             kept_until: MonotonicTime(0),
             replacement: Mutex::new(None),
             error_response: None,
@@ -296,6 +299,7 @@
             }
         }
         self.events.clear();
+        self.late_bytes = 0;
         self.memory = None;
         if failure.execution != Execution::NotRun {
             self.execution = Execution::Unknown;
@@ -357,6 +361,7 @@
                     if body.len() + part.len() <= MAX_RESPONSE_BYTES
                         && self.try_hold(body.len() + part.len()) =>
                 {
+                    self.record_bytes(max_wait, part.len())?;
                     self.kept_until = MonotonicTime(0);
                     body.extend_from_slice(&part);
                 }
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -79,6 +79,7 @@
                     return Ok(None);
                 }
                 Some(Ok(part)) => {
+                    self.record_bytes(max_wait, part.len())?;
                     if !self.events.push(&part) || !self.try_hold(self.events.len()) {
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -21,7 +21,33 @@
 /// Callers time out after 2 s at the earliest.
 const MIN_STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Maximum number of bytes that are read of a response after its time-out has expired: about what
+/// the sockets and buffers hold, so that data that is ready is delivered late. A time-out alone does
+/// not end a response whose server sends without a pause, because the next bytes are always ready.
+const MAX_LATE_BYTES: usize = 128 << 10;
+
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
+    /// Records `len` bytes of a response that were to arrive within `max_wait`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if too many bytes have arrived since the time-out of the response expired.
+    pub(crate) const fn record_bytes(
+        &mut self,
+        max_wait: Duration,
+        len: usize,
+    ) -> Result<(), AttemptFailure> {
+        self.late_bytes = if max_wait.is_zero() {
+            self.late_bytes + len
+        } else {
+            0
+        };
+        if self.late_bytes > MAX_LATE_BYTES {
+            return Err(AttemptFailure::unknown(AttemptCause::Silent));
+        }
+        Ok(())
+    }
+
     /// Returns the time-out for the next data of an attempt. A request that may not be retried gets
     /// all the time left.
     pub(crate) fn attempt_timeout(&self, left: Duration, expected: Duration) -> Duration {
