Gateway: a response is charged until it has been passed on

What callers saw: nothing until the instance ran out of memory. Complete responses and error responses counted towards the memory for responses only while they were read. Then they waited, uncharged, for as long as their caller or the link to the caller's instance took. The error response that comes over a link was kept without a bound and was never charged.

Change: the body of a complete response holds its part of the budget until its last slice has been written. An error response over a link has the bounds of one of a backend server (8 MB and the budget); one beyond them ends the attempt as broken.

Limit: a caller that does not read a large response keeps its server from delivering another large one through the same instance, until it closes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
     attempt::{Attempt, AttemptDestination},
     gateway::now,
     peer_attempt::PeerAttempt,
-    response_memory::ResponseMemory,
+    response_memory::{MAX_RESPONSE_BYTES, ResponseMemory},
     server_attempt::ServerAttempt,
     silence_limit::SilenceLimit,
     stream_progress::StreamProgress,
@@ -29,9 +29,6 @@
 /// Shortest time left before the deadline with which an attempt is started.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
-/// Largest response that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Statuses that promise to callers that a request has not run and never will.
 const PROMISES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -355,7 +352,10 @@
                 None => {
                     attempt.record_answer_start();
                     self.attempt = None;
-                    return Ok(body.freeze());
+                    return match self.memory.take() {
+                        Some(memory) => Ok(memory.hold_with(body)),
+                        None => Err(AttemptFailure::unknown(AttemptCause::Broken)),
+                    };
                 }
                 Some(Ok(part))
                     if body.len() + part.len() <= MAX_RESPONSE_BYTES
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -14,7 +14,11 @@
 
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BufferedResponse, ControlPlane, Gateway,
-    HeaderMapping, gateway::now, server_attempt::AttemptHead, silence_limit::SilenceLimit,
+    HeaderMapping,
+    gateway::now,
+    response_memory::{MAX_RESPONSE_BYTES, ResponseMemory},
+    server_attempt::AttemptHead,
+    silence_limit::SilenceLimit,
 };
 
 /// Longest time to enqueue a request on a link, which may have to be opened first: two round trips
@@ -134,14 +138,20 @@
         if status.is_success() {
             return Ok(AttemptHead { status, headers });
         }
+        let mut memory = ResponseMemory::new(self.peer.as_str());
         let mut body = BytesMut::new();
         while let Some(part) = self.next_chunk(max_wait).await {
-            body.extend_from_slice(&part?);
+            let part = part?;
+            let len = body.len() + part.len();
+            if len > MAX_RESPONSE_BYTES || !memory.try_hold(len) {
+                return Err(AttemptFailure::unknown(AttemptCause::Broken));
+            }
+            body.extend_from_slice(&part);
         }
         let response = BufferedResponse {
             status,
             headers,
-            body: body.freeze(),
+            body: memory.hold_with(body),
         };
         Err(AttemptFailure {
             cause: AttemptCause::Error(Box::new(response)),
--- a/crates/gateway/src/response_memory.rs
+++ b/crates/gateway/src/response_memory.rs
@@ -1,13 +1,17 @@
-//! Bound on the memory for responses that are not complete yet.
+//! Bound on the memory for responses until they have been passed on.
 
 use std::sync::{Arc, LazyLock};
 
+use bytes::{Bytes, BytesMut};
 use hawthornquay_decisions::Map;
 use parking_lot::Mutex;
 
 /// Bound on the buffered bytes of all responses together, apart from the free bytes of each.
 const MAX_BUFFERED_BYTES: usize = 12 << 20;
 
+/// Largest response that is not a stream, in bytes.
+pub(crate) const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
 /// Bytes of each response that are not charged, so that usual responses are read even while servers
 /// that send without end have used up the budget.
 const FREE_BYTES: usize = 32 << 10;
@@ -82,6 +86,27 @@
         self.held = charged;
         true
     }
+
+    /// Returns a complete body, which holds this part of the budget until its last slice is dropped:
+    /// a caller may read it slowly.
+    pub(crate) fn hold_with(self, data: BytesMut) -> Bytes {
+        Bytes::from_owner(ChargedBody {
+            data,
+            _memory: self,
+        })
+    }
+}
+
+/// Body together with the part of the budget for its bytes.
+struct ChargedBody {
+    data: BytesMut,
+    _memory: ResponseMemory,
+}
+
+impl AsRef<[u8]> for ChargedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
 }
 
 impl Drop for ResponseMemory {
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -12,14 +12,14 @@
 
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BackendRequestMetadata, BackendResponseMetadata,
-    BufferedResponse, ControlPlane, Gateway, HeaderMapping, gateway::now,
-    hop_headers::strip_hop_headers, quarantine::confirm_crash, response_memory::ResponseMemory,
+    BufferedResponse, ControlPlane, Gateway, HeaderMapping,
+    gateway::now,
+    hop_headers::strip_hop_headers,
+    quarantine::confirm_crash,
+    response_memory::{MAX_RESPONSE_BYTES, ResponseMemory},
     silence_limit::SilenceLimit,
 };
 
-/// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
-const MAX_ERROR_BODY_BYTES: usize = 8 << 20;
-
 /// Attempt to run a request on a backend server.
 ///
 /// Dropping it resets the connection, which cancels the request at the server.
@@ -331,12 +331,12 @@
     while let Some(part) = body.next().await {
         let part = part.ok()?;
         let len = buf.len() + part.len();
-        if len > MAX_ERROR_BODY_BYTES || !memory.try_hold(len) {
+        if len > MAX_RESPONSE_BYTES || !memory.try_hold(len) {
             return None;
         }
         buf.extend_from_slice(&part);
     }
-    Some(buf.freeze())
+    Some(memory.hold_with(buf))
 }
 
 impl<C: ControlPlane, H: HeaderMapping> Drop for ServerAttempt<C, H> {
