--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
     exchange_stop::stopping_refusal,
     gateway::now,
     peer_attempt::PeerAttempt,
-    response_memory::ResponseMemory,
+    response_memory::{MAX_RESPONSE_BYTES, ResponseMemory},
     server_attempt::ServerAttempt,
     silence_limit::SilenceLimit,
     stream_progress::StreamProgress,
@@ -30,9 +30,6 @@
 /// Shortest time left before the deadline with which an attempt is started.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(5);
 
-/// Largest response that is not a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Statuses that promise to callers that a request has not run and never will.
 const PROMISES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -66,9 +63,11 @@
     /// Which events the caller has received, and which come next.
     pub(crate) progress: StreamProgress,
     /// Part of the memory budget for the buffered part of the response.
-    pub(crate) memory: ResponseMemory,
+    pub(crate) memory: Option<ResponseMemory>,
     /// Time of the last event with data, or of the response head.
     pub(crate) progress_at: MonotonicTime,
+    /// Bytes of the current response that have been read since its time-out expired.
+    pub(crate) late_bytes: usize,
     /// Time until which the current attempt is kept although it is silent.
     pub(crate) kept_until: MonotonicTime,
     /// Placement of the attempt that is to replace a silent one.
@@ -105,8 +104,9 @@
             excluded_regions: Vec::new(),
             events: EventReader::default(),
             progress,
-            memory: ResponseMemory::default(),
+            memory: None,
             progress_at: MonotonicTime(0),
+            late_bytes: 0,
             kept_until: MonotonicTime(0),
             replacement: Mutex::new(None),
             error_response: None,
@@ -245,6 +245,7 @@
             match opened {
                 Ok((head, attempt)) => {
                     self.gateway.metrics.count_attempt("answered");
+                    self.memory = Some(ResponseMemory::new(attempt.destination().name()));
                     self.attempt = Some(attempt);
                     self.progress_at = now();
                     self.progress.start_run();
@@ -309,7 +310,8 @@
             }
         }
         self.events.clear();
-        self.memory = ResponseMemory::default();
+        self.late_bytes = 0;
+        self.memory = None;
         if failure.execution != Execution::NotRun {
             self.execution = Execution::Unknown;
         }
@@ -345,6 +347,14 @@
             && self.gateway.try_withdraw_retry(service)
     }
 
+    /// Adapts the memory of the current response to `bytes` buffered bytes; returns whether the
+    /// budget allows them.
+    pub(crate) fn try_hold(&mut self, bytes: usize) -> bool {
+        self.memory
+            .as_mut()
+            .is_some_and(|memory| memory.try_hold(bytes))
+    }
+
     async fn read_response_body(&mut self) -> Result<Bytes, AttemptFailure> {
         let mut body = BytesMut::new();
         loop {
@@ -356,12 +366,16 @@
                 None => {
                     attempt.record_answer_start();
                     self.attempt = None;
-                    return Ok(body.freeze());
+                    return match self.memory.take() {
+                        Some(memory) => Ok(memory.hold_with(body)),
+                        None => Err(AttemptFailure::unknown(AttemptCause::Broken)),
+                    };
                 }
                 Some(Ok(part))
                     if body.len() + part.len() <= MAX_RESPONSE_BYTES
-                        && self.memory.try_hold(body.len() + part.len()) =>
+                        && self.try_hold(body.len() + part.len()) =>
                 {
+                    self.record_bytes(max_wait, part.len())?;
                     self.kept_until = MonotonicTime(0);
                     body.extend_from_slice(&part);
                 }
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -5,21 +5,21 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
-use hawthornquay_decisions::{Execution, MonotonicTime, PartId};
+use hawthornquay_decisions::{BackendName, Execution, MonotonicTime, PartId};
 use hawthornquay_traffic::{PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
 use http::{HeaderMap, Method, StatusCode, header};
 use tokio::time::timeout;
 
 use crate::{
     AdmittedRequest, AttemptCause, AttemptFailure, BackendRequestMetadata, BackendResponseMetadata,
-    BufferedResponse, ControlPlane, Gateway, HeaderMapping, gateway::now,
-    hop_headers::strip_hop_headers, quarantine::confirm_crash, response_memory::ResponseMemory,
+    BufferedResponse, ControlPlane, Gateway, HeaderMapping,
+    gateway::now,
+    hop_headers::strip_hop_headers,
+    quarantine::confirm_crash,
+    response_memory::{MAX_RESPONSE_BYTES, ResponseMemory},
     silence_limit::SilenceLimit,
 };
 
-/// Largest body of an error response, in bytes; a larger one is treated as an interrupted response.
-const MAX_ERROR_BODY_BYTES: usize = 8 << 20;
-
 /// Attempt to run a request on a backend server.
 ///
 /// Dropping it resets the connection, which cancels the request at the server.
@@ -265,7 +265,7 @@
         self.record_response();
         // An error response does not show that the server can answer the request, but it is no crash.
         self.has_answered = true;
-        let body = match limit.wait(read_error_body(body)).await {
+        let body = match limit.wait(read_error_body(body, &self.pick.id)).await {
             Some(Some(body)) => body,
             Some(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
             None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
@@ -329,18 +329,18 @@
 
 /// Reads the complete body of an error response; `None` if it breaks off, is too large or does not
 /// fit into the memory budget.
-async fn read_error_body(mut body: ResponseBody) -> Option<Bytes> {
-    let mut memory = ResponseMemory::default();
+async fn read_error_body(mut body: ResponseBody, server: &BackendName) -> Option<Bytes> {
+    let mut memory = ResponseMemory::new(server.as_str());
     let mut buf = BytesMut::new();
     while let Some(part) = body.next().await {
         let part = part.ok()?;
         let len = buf.len() + part.len();
-        if len > MAX_ERROR_BODY_BYTES || !memory.try_hold(len) {
+        if len > MAX_RESPONSE_BYTES || !memory.try_hold(len) {
             return None;
         }
         buf.extend_from_slice(&part);
     }
-    Some(buf.freeze())
+    Some(memory.hold_with(buf))
 }
 
 impl<C: ControlPlane, H: HeaderMapping> Drop for ServerAttempt<C, H> {
