Log a stream whose time ended as timed-out

The request line had the attempt silent and the outcome broken-off both for a stream that reached its route's time-out while its server still sent events and for one that was given up for silence, so that the two could not be told apart.

Cause: the end of the request's time was reported by the same wait as silence. Now the attempt and the outcome are timed-out, and the explanation of a request says so. How a server's health counts it is unchanged.

explain_stream_over_time_is_not_called_silent failed before ("the response stream ended early and could not be resumed: i-0~20ms/0 silent").

--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -29,6 +29,8 @@
     WrongServer,
     /// No data arrived within the time-out.
     Silent,
+    /// The time of the request ended before the response was complete.
+    TimedOut,
     /// The attempt was ended because a part of the prompt was quarantined.
     Quarantined,
     /// The connection or the response ended early.
@@ -74,6 +76,7 @@
             AttemptCause::Rejected => "rejected",
             AttemptCause::WrongServer => "wrong-server",
             AttemptCause::Silent => "silent",
+            AttemptCause::TimedOut => "timed-out",
             AttemptCause::Quarantined => "quarantined",
             AttemptCause::Broken => "broken",
             AttemptCause::Garbled => "garbled",
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -352,8 +352,7 @@
                     body.extend_from_slice(&part);
                 }
                 Some(Ok(_)) => return Err(AttemptFailure::unknown(AttemptCause::Garbled)),
-                Some(Err(failure)) if self.keeps_silent_attempt(&failure) => {}
-                Some(Err(failure)) => return Err(failure),
+                Some(Err(failure)) => self.check_silence(failure)?,
             }
         }
     }
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -46,7 +46,10 @@
                 }
             }
             if let Err(refusal) = retried {
-                self.finish("broken-off");
+                self.finish(match failure.cause {
+                    AttemptCause::TimedOut => "timed-out",
+                    _ => "broken-off",
+                });
                 return Some(Err(io::Error::other(refusal)));
             }
         }
@@ -83,8 +86,7 @@
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
                 }
-                Some(Err(failure)) if self.keeps_silent_attempt(&failure) => {}
-                Some(Err(failure)) => return Err(failure),
+                Some(Err(failure)) => self.check_silence(failure)?,
             }
         }
     }
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -69,23 +69,24 @@
         }
     }
 
-    /// Returns whether the current attempt is kept after `failure`, because it is only silent and
-    /// cannot be replaced.
-    pub(crate) fn keeps_silent_attempt(&mut self, failure: &AttemptFailure) -> bool {
+    /// Keeps the current attempt after `failure` if it is only silent and cannot be replaced.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure with which the attempt ends otherwise.
+    pub(crate) fn check_silence(&mut self, failure: AttemptFailure) -> Result<(), AttemptFailure> {
         let time = now();
-        if !matches!(failure.cause, AttemptCause::Silent)
-            || self.request.time_left(time) < MIN_ATTEMPT_TIME
-        {
-            return false;
-        }
-        let Some(attempt) = &self.attempt else {
-            return false;
+        let (AttemptCause::Silent, Some(attempt)) = (&failure.cause, &self.attempt) else {
+            return Err(failure);
         };
+        if self.request.time_left(time) < MIN_ATTEMPT_TIME {
+            return Err(AttemptFailure::unknown(AttemptCause::TimedOut));
+        }
         if self.can_replace(attempt.destination(), self.delivered_attempts) {
-            return false;
+            return Err(failure);
         }
         self.kept_until = time + SILENCE_CHECK_INTERVAL;
-        true
+        Ok(())
     }
 
     /// Returns whether another attempt can be made in place of the one at `current`, which is
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -169,6 +169,7 @@
             AttemptCause::Unreachable => ServerFailure::Unreachable,
             // A lost or late response does not show that the server is unreachable.
             AttemptCause::Silent
+            | AttemptCause::TimedOut
             | AttemptCause::Broken
             | AttemptCause::Garbled
             | AttemptCause::Error(_) => ServerFailure::BadResponse,
--- a/crates/operators/src/request_history.rs
+++ b/crates/operators/src/request_history.rs
@@ -93,6 +93,7 @@
             last.instance
         ),
         "caller-left" => "the caller closed the connection".to_owned(),
+        "timed-out" => format!("the time of the request ended during the response: {attempts}"),
         "broken-off" => {
             format!("the response stream ended early and could not be resumed: {attempts}")
         }
