Move the stream of a silent server only on evidence that its run has stopped

Cause: silence for a fixed time counted as the end of a run, whatever the server's pace, and the silent attempt was dropped before another one was accepted.

Now a server that is silent for a second is asked for its report, once for all streams that wait for it. A stream moves if the server's report no longer names the run and nothing waits there, if the server responds to no new connection (500 ms) or refuses it, or, where the state is not known, after 0.7 of the time that its caller waits. A run that the report names is never moved. The silent attempt is kept, and read, until another server has accepted the stream; if it goes on first, the other attempt ends. The log names the evidence (dark, run-ended, silent; resumed if the silent server went on).

--- a/crates/backends/src/backend_client.rs
+++ b/crates/backends/src/backend_client.rs
@@ -9,13 +9,16 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
-    BackendError, BackendRequest, ClientLimits, Connection, OrderResponse,
+    BackendError, BackendRequest, ClientLimits, Connection, OrderResponse, ProbeAnswer,
     connection_pool::ConnectionPool,
 };
 
 /// Maximum wait for a pooled connection to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Maximum time for the body of the answer to a probe.
+const PROBE_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 #[derive(Deserialize)]
 struct ModelList {
     data: Vec<ModelItem>,
@@ -82,6 +85,35 @@
         }
     }
 
+    /// Asks a backend server for `path` on a new connection, to find out whether it can be reached.
+    pub async fn probe(&self, address: SocketAddr, path: &str, limit: Duration) -> ProbeAnswer {
+        let ask = async {
+            let req = BackendRequest::new(Method::GET, path).head_timeout(limit);
+            let response = self.connect_fresh(address).await?.send(req).await?;
+            let status = response.head.status;
+            if status != StatusCode::OK {
+                return Err(BackendError::Status { address, status });
+            }
+            // A server that has begun to respond can be reached.
+            let body = response
+                .body
+                .read(self.pool.limits.max_control_response_bytes);
+            Ok(timeout(PROBE_BODY_TIMEOUT, body).await)
+        };
+        match ask.await {
+            Ok(Ok(Ok(body))) => ProbeAnswer::Body(body),
+            Err(BackendError::ConnectTimeout { .. } | BackendError::HeadTimeout { .. }) => {
+                ProbeAnswer::Nothing
+            }
+            Err(BackendError::Connect { source, .. })
+                if source.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                ProbeAnswer::Refused
+            }
+            _ => ProbeAnswer::Other,
+        }
+    }
+
     /// Closes the connections that have been idle for longer than [`ClientLimits::idle_timeout`].
     pub fn close_expired(&self) {
         self.pool.close_expired();
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -12,10 +12,11 @@
 mod connection;
 mod connection_pool;
 mod order_response;
+mod probe_answer;
 mod response_body;
 
 pub use {
     backend_client::BackendClient, backend_error::BackendError, backend_request::BackendRequest,
     backend_response::BackendResponse, client_limits::ClientLimits, connection::Connection,
-    order_response::OrderResponse, response_body::ResponseBody,
+    order_response::OrderResponse, probe_answer::ProbeAnswer, response_body::ResponseBody,
 };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -72,6 +72,8 @@
     pub(crate) kept_until: MonotonicTime,
     /// Placement of the attempt that is to replace a silent one.
     pub(crate) replacement: Mutex<Option<PlacementDecision>>,
+    /// Head of the response that goes on in place of a silent one.
+    pub(crate) moved_head: Option<(StatusCode, HeaderMap)>,
     /// Last error response of a backend server.
     error_response: Option<BufferedResponse>,
     /// Delay before a retry that the last refusal by another instance states.
@@ -108,6 +110,7 @@
             progress_at: MonotonicTime(0),
             kept_until: MonotonicTime(0),
             replacement: Mutex::new(None),
+            moved_head: None,
             error_response: None,
             retry_after: None,
             attempt_trace: String::new(),
@@ -134,6 +137,7 @@
             if self.request.route.semantics.is_stream() {
                 match self.read_events().await {
                     Ok(first) => {
+                        let (status, headers) = self.moved_head.take().unwrap_or((status, headers));
                         self.progress.set_head(status, &headers);
                         self.first_part = Some(now().since(self.request.arrived_at));
                         self.last_events_at = Some(now());
@@ -241,6 +245,13 @@
         }
     }
 
+    /// Ends the opening of an attempt whose request may have reached a server.
+    pub(crate) fn abandon_opening(&mut self) {
+        if std::mem::replace(&mut self.awaiting_head, false) {
+            self.delivered_attempts += 1;
+        }
+    }
+
     async fn open_server_attempt(
         &mut self,
         pick: &ServerPick,
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -86,7 +86,7 @@
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
                 }
-                Some(Err(failure)) => self.check_silence(failure)?,
+                Some(Err(failure)) => self.handle_silence(failure).await?,
             }
         }
     }
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -17,9 +17,9 @@
 /// between events of the route.
 const TIMEOUT_FACTOR: f64 = 3.0;
 
-/// Shortest time without data after which a resumable stream continues on another backend server.
-/// Callers time out after 2 s at the earliest.
-const MIN_STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Shortest time without events after which the server of a resumable stream counts as silent and is
+/// asked whether it runs the request. Callers time out after 2 s at the earliest.
+const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1_000);
 
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
     /// Returns the time-out for the next data of an attempt. A request that may not be retried gets
@@ -47,7 +47,7 @@
                 resumable: true,
                 target_event_gap: gap,
             } if self.progress.last_event() != self.request.last_event => {
-                MIN_STREAM_IDLE_TIMEOUT.max(gap.mul_f64(TIMEOUT_FACTOR))
+                MIN_STREAM_SILENCE.max(gap.mul_f64(TIMEOUT_FACTOR))
             }
             _ => self.attempt_timeout(Duration::MAX, Duration::ZERO),
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    GatewayError, GatewayLogs, GatewayMetrics, InstanceReport, link_settings::gateway_link_settings,
+    GatewayError, GatewayLogs, GatewayMetrics, InstanceReport,
+    link_settings::gateway_link_settings, server_probes::ServerProbes,
 };
 
 /// Share of the fleet's retry budget that is divided among the instances. The rest is a margin for
@@ -77,6 +78,8 @@
     pub(crate) links: LinkPool,
     pub(crate) local: LocalInstance,
     pub(crate) backends: BackendClient,
+    /// Recent probes of silent backend servers.
+    pub(crate) probes: ServerProbes,
     pub(crate) log: GatewayLogs,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) leaving: AtomicBool,
@@ -136,6 +139,7 @@
             links: LinkPool::new(local.clone()),
             local,
             backends: BackendClient::new(limits),
+            probes: ServerProbes::default(),
             log: GatewayLogs::new(logs),
             metrics: GatewayMetrics::new()?,
             leaving: AtomicBool::new(false),
--- a/crates/gateway/src/header_mapping.rs
+++ b/crates/gateway/src/header_mapping.rs
@@ -6,6 +6,8 @@
 use hawthornquay_traffic::{ReportedLoad, Work};
 use http::{HeaderMap, HeaderValue, request, response};
 
+use crate::RunState;
+
 /// Values from the head of a caller's request.
 #[derive(Clone, Debug)]
 pub struct CallerRequestHead {
@@ -86,6 +88,12 @@
     /// Parses the head of a backend server's response.
     fn read_response(&self, head: &response::Parts) -> BackendResponseMetadata;
 
+    /// Returns the path at which backend servers report what they run, without needing a slot.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads from the report of a backend server whether it runs a request.
+    fn read_run_state(&self, report: &[u8], request: &RequestId) -> RunState;
+
     /// Builds the value of the `Retry-After` header.
     fn retry_after(&self, after: Duration) -> HeaderValue;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod exchange_placement;
 mod exchange_quarantine;
 mod exchange_refusals;
+mod exchange_silence;
 mod exchange_streams;
 mod exchange_timeouts;
 mod gateway;
@@ -38,6 +39,7 @@
 mod response_memory;
 mod response_start;
 mod server_attempt;
+mod server_probes;
 mod silence_limit;
 mod status_notices;
 mod stream_progress;
@@ -68,6 +70,7 @@
     instance_report::InstanceReport,
     log_rate_limiter::LogRateLimiter,
     quarantine_notices::{quarantine_update, with_quarantine_update},
+    server_probes::RunState,
 };
 
 use exchange::Exchange;
