--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -59,7 +59,10 @@
                 }
             }
             if let Err(refusal) = retried {
-                self.finish("broken-off");
+                self.finish(match failure.cause {
+                    AttemptCause::TimedOut => "timed-out",
+                    _ => "broken-off",
+                });
                 return Some(Err(io::Error::other(refusal)));
             }
         }
@@ -97,8 +100,7 @@
                         return Err(AttemptFailure::unknown(AttemptCause::Garbled));
                     }
                 }
-                Some(Err(failure)) if self.keeps_silent_attempt(&failure) => {}
-                Some(Err(failure)) => return Err(failure),
+                Some(Err(failure)) => self.handle_silence(failure).await?,
             }
         }
     }
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -17,9 +17,9 @@
 /// between events of the route.
 const TIMEOUT_FACTOR: f64 = 3.0;
 
-/// Shortest time without data after which a resumable stream continues on another backend server.
-/// Callers time out after 2 s at the earliest.
-const MIN_STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_300);
+/// Shortest time without events after which the server of a resumable stream counts as silent and is
+/// asked whether it runs the request. Callers time out after 2 s at the earliest.
+const MIN_STREAM_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// Maximum number of bytes that are read of a response after its time-out has expired: about what
 /// the sockets and buffers hold, so that data that is ready is delivered late. A time-out alone does
@@ -73,7 +73,7 @@
                 resumable: true,
                 target_event_gap: gap,
             } if self.progress.last_event() != self.request.last_event => {
-                MIN_STREAM_IDLE_TIMEOUT.max(gap.mul_f64(TIMEOUT_FACTOR))
+                MIN_STREAM_SILENCE.max(gap.mul_f64(TIMEOUT_FACTOR))
             }
             _ => self.attempt_timeout(Duration::MAX, Duration::ZERO),
         };
@@ -95,23 +95,24 @@
         }
     }
 
-    /// Returns whether the current attempt is kept after `failure`, because it is only silent and
-    /// cannot be replaced.
-    pub(crate) fn keeps_silent_attempt(&mut self, failure: &AttemptFailure) -> bool {
+    /// Keeps the current attempt after `failure` if it is only silent and cannot be replaced.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure with which the attempt ends otherwise.
+    pub(crate) fn check_silence(&mut self, failure: AttemptFailure) -> Result<(), AttemptFailure> {
         let time = now();
-        if !matches!(failure.cause, AttemptCause::Silent)
-            || self.request.time_left(time) < MIN_ATTEMPT_TIME
-        {
-            return false;
-        }
-        let Some(attempt) = &self.attempt else {
-            return false;
+        let (AttemptCause::Silent, Some(attempt)) = (&failure.cause, &self.attempt) else {
+            return Err(failure);
         };
+        if self.request.time_left(time) < MIN_ATTEMPT_TIME {
+            return Err(AttemptFailure::unknown(AttemptCause::TimedOut));
+        }
         if self.can_replace(attempt.destination(), self.delivered_attempts) {
-            return false;
+            return Err(failure);
         }
         self.kept_until = time + SILENCE_CHECK_INTERVAL;
-        true
+        Ok(())
     }
 
     /// Returns whether another attempt can be made in place of the one at `current`, which is
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     GatewayError, GatewayLogs, GatewayMetrics, InstanceReport,
-    link_settings::gateway_link_settings, stop::Stop,
+    link_settings::gateway_link_settings, server_probes::ServerProbes, stop::Stop,
 };
 
 /// Share of the fleet's retry budget that is divided among the instances. The rest is a margin for
@@ -80,6 +80,8 @@
     pub(crate) links: LinkPool,
     pub(crate) local: LocalInstance,
     pub(crate) backends: BackendClient,
+    /// Recent probes of silent backend servers.
+    pub(crate) probes: ServerProbes,
     pub(crate) log: GatewayLogs,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) leaving: AtomicBool,
@@ -142,6 +144,7 @@
             links: LinkPool::new(local.clone()),
             local,
             backends: BackendClient::new(limits),
+            probes: ServerProbes::default(),
             log: GatewayLogs::new(logs),
             metrics: GatewayMetrics::new()?,
             leaving: AtomicBool::new(false),
