Report how connections of callers end

A try that a caller saw cut without an answer was in no log and no metric: the server dropped the result of each connection. It now reports the end to an observer with the reason (time-out while idle or with a part of a head, invalid request, final response, failed response, shutdown, closed by the client, broken), the bytes read since the last response, the number of responses and the time without a byte. The gateway counts each end in caller_connections_ended_total and writes a line, at a limited rate, for those with a request unanswered or partly read. Ends between two requests are only counted.

--- /dev/null
+++ b/crates/gateway/src/connection_ends.rs
@@ -0,0 +1,34 @@
+//! Log lines and metrics about the ends of connections of callers.
+
+use hawthornquay_http::ConnectionEnd;
+
+use crate::{Gateway, gateway::now};
+
+impl<C, H> Gateway<C, H> {
+    /// Counts the end of a connection of a caller, and logs it unless it came between two requests.
+    pub(crate) fn report_connection_end(&self, end: &ConnectionEnd) {
+        let request = match (end.is_request_open, end.unanswered_bytes) {
+            (true, _) => "unanswered",
+            (false, 0) => "none",
+            (false, _) => "partial",
+        };
+        self.metrics
+            .count_connection_end(end.reason.as_str(), request);
+        if end.is_between_requests() {
+            return;
+        }
+        let Some(suppressed) = self.log.connection_log_limit.admit_line(now()) else {
+            return;
+        };
+        slog::info!(self.log.requests, "connection ended";
+            "client" => %end.client,
+            "reason" => end.reason.as_str(),
+            "request" => request,
+            "unanswered_bytes" => end.unanswered_bytes,
+            "responses" => end.responses,
+            "idle_ms" => u64::try_from(end.idle.as_millis()).unwrap_or(u64::MAX),
+            "age_ms" => u64::try_from(end.age.as_millis()).unwrap_or(u64::MAX),
+            "suppressed" => suppressed,
+        );
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -72,7 +72,11 @@
         "callers",
     )
     .await?
-    .with_limit_updates(gateway.caller_limits.subscribe());
+    .with_limit_updates(gateway.caller_limits.subscribe())
+    .with_end_observer({
+        let gateway = Arc::clone(&gateway);
+        move |end| gateway.report_connection_end(end)
+    });
     let callers = tokio::spawn(callers.serve(stop_callers.clone()));
     let status_servers = [
         (settings.readiness, routers.readiness, "the readiness check"),
--- a/crates/gateway/src/gateway_logs.rs
+++ b/crates/gateway/src/gateway_logs.rs
@@ -27,6 +27,8 @@
     pub request_log_limit: LogRateLimiter,
     /// Rate limit of the lines about answers of the directory.
     pub directory_log_limit: LogRateLimiter,
+    /// Rate limit of the lines about ends of connections.
+    pub connection_log_limit: LogRateLimiter,
     _writer: Logs,
 }
 
@@ -44,6 +46,7 @@
             routing: logs.component(LogComponent::Routing),
             request_log_limit: LogRateLimiter::default(),
             directory_log_limit: LogRateLimiter::default(),
+            connection_log_limit: LogRateLimiter::default(),
             _writer: logs,
         }
     }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -22,6 +22,7 @@
     store_calls: IntCounterVec,
     loans: IntCounterVec,
     directory_answers: IntCounterVec,
+    connection_ends: IntCounterVec,
     first_part: Histogram,
     duration: Histogram,
     configuration_version: IntGauge,
@@ -70,6 +71,12 @@
                 "Answers of the directory by the distance of the instances named",
                 "proximity",
             )?,
+            connection_ends: labelled_counters(
+                &registry,
+                "caller_connections_ended_total",
+                "Ended connections of callers by reason and by the state of the last request",
+                &["reason", "request"],
+            )?,
             first_part: histogram(
                 &registry,
                 "first_part_seconds",
@@ -142,6 +149,14 @@
         self.directory_answers.with_label_values(&[proximity]).inc();
     }
 
+    /// Counts the end of a connection of a caller; `request` says whether a request was unanswered
+    /// or its head partly read.
+    pub fn count_connection_end(&self, reason: &str, request: &str) {
+        self.connection_ends
+            .with_label_values(&[reason, request])
+            .inc();
+    }
+
     /// Records the time to the start of a response.
     pub fn observe_first_part(&self, took: Duration) {
         self.first_part.observe(took.as_secs_f64());
@@ -188,7 +203,16 @@
     help: &str,
     label: &str,
 ) -> Result<IntCounterVec, prometheus::Error> {
-    let metric = IntCounterVec::new(Opts::new(name, help), &[label])?;
+    labelled_counters(registry, name, help, &[label])
+}
+
+fn labelled_counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, prometheus::Error> {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels)?;
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod buffered_response;
 mod caller_directory;
 mod caller_handler;
+mod connection_ends;
 mod control_error;
 mod control_plane;
 mod daemon;
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -10,7 +10,7 @@
 
 use futures_util::FutureExt;
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
-use hyper::{Request, body::Incoming, header, service::service_fn};
+use hyper::{Method, Request, body::Incoming, header, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -21,7 +21,13 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{ServerLimits, limit_timer::LimitTimer, unread_body::UnreadBody};
+use crate::{
+    ConnectionEnd, ServerLimits,
+    connection_end::EndObserver,
+    connection_progress::{ObservedBody, ObservedStream, SharedProgress, shared_progress},
+    limit_timer::LimitTimer,
+    unread_body::UnreadBody,
+};
 
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -40,6 +46,7 @@
     listener: TcpListener,
     handler: H,
     limits: watch::Receiver<ServerLimits>,
+    end_observer: Option<EndObserver>,
 }
 
 impl<H> HttpServer<H>
@@ -56,6 +63,7 @@
             listener: TcpListener::bind(address).await?,
             handler,
             limits: watch::channel(limits).1,
+            end_observer: None,
         })
     }
 
@@ -69,6 +77,18 @@
         self
     }
 
+    /// Calls `observer` at the end of each connection.
+    ///
+    /// It is not called for connections that are still open when [`HttpServer::serve`] returns.
+    #[must_use]
+    pub fn with_end_observer(
+        mut self,
+        observer: impl Fn(&ConnectionEnd) + Send + Sync + 'static,
+    ) -> Self {
+        self.end_observer = Some(Arc::new(observer));
+        self
+    }
+
     /// Returns the address that the server listens on.
     ///
     /// # Errors
@@ -90,7 +110,7 @@
                 accepted = accept(&self.listener, &permits) => accepted,
             };
             match accepted {
-                Ok(accepted) => self.spawn_connection(accepted, &graceful),
+                Ok(accepted) => self.spawn_connection(accepted, &graceful, &shutdown),
                 // Usually no file descriptor is free: wait for connections to close.
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
@@ -98,7 +118,7 @@
         // The operating system has accepted further connections, and their callers may have sent a
         // request already. Closing the listener would reset them.
         while let Some(Ok(accepted)) = accept(&self.listener, &permits).now_or_never() {
-            self.spawn_connection(accepted, &graceful);
+            self.spawn_connection(accepted, &graceful, &shutdown);
         }
         drop(self.listener);
         // A connection without a request in progress is closed at once, also if a request has
@@ -110,12 +130,25 @@
             .is_ok()
     }
 
-    fn spawn_connection(&self, (stream, address, permit): Accepted, graceful: &GracefulShutdown) {
-        let connection = graceful.watch(self.connection(stream, address));
+    fn spawn_connection(
+        &self,
+        (stream, address, permit): Accepted,
+        graceful: &GracefulShutdown,
+        shutdown: &CancellationToken,
+    ) {
+        let progress = shared_progress();
+        let connection = graceful.watch(self.connection(stream, address, &progress));
+        let observer = self.end_observer.clone();
+        let shutdown = shutdown.clone();
         tokio::spawn(async move {
             // A connection error affects only its client, which observes it, too.
-            let _ = connection.await;
+            let result = connection.await;
             drop(permit);
+            if let Some(observer) = observer {
+                let is_stopping = shutdown.is_cancelled();
+                let end = ConnectionEnd::new(address, &progress.lock(), &result, is_stopping);
+                observer(&end);
+            }
         });
     }
 
@@ -123,19 +156,28 @@
         &self,
         stream: TcpStream,
         address: SocketAddr,
+        progress: &SharedProgress,
     ) -> impl hyper_util::server::graceful::GracefulConnection<
         Error = Box<dyn std::error::Error + Send + Sync>,
     > + Send
     + 'static {
         let handler = self.handler.clone();
         let limits = *self.limits.borrow();
+        let stream = ObservedStream::new(stream, Arc::clone(progress));
+        let progress = Arc::clone(progress);
         let service = service_fn(move |req: Request<Incoming>| {
             let handler = handler.clone();
             // A caller that waits for a `100 Continue` may leave the body out after a refusal.
             let discards = !req.headers().contains_key(header::EXPECT);
+            let is_bodiless = req.method() == Method::HEAD;
             let req = req.map(|body| UnreadBody::new(body, discards));
             let state = State::from_request(req, address);
-            async move { call_handler(handler, AssertUnwindSafe(state)).await }
+            let progress = Arc::clone(&progress);
+            progress.lock().requests += 1;
+            async move {
+                let res = call_handler(handler, AssertUnwindSafe(state)).await;
+                res.map(|res| res.map(|body| ObservedBody::new(body, is_bodiless, progress)))
+            }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
         builder
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,7 @@
 //! HTTP server shared by the gateway daemons and the stand-ins for platform and backend servers.
 
+mod connection_end;
+mod connection_progress;
 mod http_server;
 mod json_response;
 mod limit_timer;
@@ -9,6 +11,7 @@
 mod unread_body;
 
 pub use {
+    connection_end::{ConnectionEnd, EndReason},
     http_server::HttpServer,
     json_response::{empty_response, json_response},
     read_body::{read_body, read_body_with_budget},
