Announce the time for which idle connections can be used

The try was sent on a connection that the server closed at the same time, after 15 s without a byte (15.02 s with the last look for data).

Cause: responses didn't say when an idle connection ends. The request and the close cross on the way.

Change: each HTTP/1.1 response that is not the last of its connection has Keep-Alive with four fifths of the time-out in force, in whole seconds. It holds for all users of the package: the callers' address, readiness, directory and metrics, hawthornquayd and the stand-ins.

--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -10,7 +10,7 @@
 
 use futures_util::FutureExt;
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
-use hyper::{Method, Request, body::Incoming, header, service::service_fn};
+use hyper::{Method, Request, Version, body::Incoming, header, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -25,6 +25,7 @@
     ConnectionEnd, ServerLimits,
     connection_end::EndObserver,
     connection_progress::{ObservedBody, ObservedStream, SharedProgress, shared_progress},
+    idle_announcement::announce_idle_time,
     limit_timer::LimitTimer,
     unread_body::UnreadBody,
 };
@@ -165,10 +166,13 @@
         let limits = *self.limits.borrow();
         let stream = ObservedStream::new(stream, Arc::clone(progress));
         let progress = Arc::clone(progress);
+        let limit_updates = self.limits.clone();
         let service = service_fn(move |req: Request<Incoming>| {
             let handler = handler.clone();
             // A caller that waits for a `100 Continue` may leave the body out after a refusal.
             let discards = !req.headers().contains_key(header::EXPECT);
+            let is_http1 = req.version() == Version::HTTP_11;
+            let limit_updates = limit_updates.clone();
             let is_bodiless = req.method() == Method::HEAD;
             let req = req.map(|body| UnreadBody::new(body, discards));
             let state = State::from_request(req, address);
@@ -176,7 +180,13 @@
             progress.lock().requests += 1;
             async move {
                 let res = call_handler(handler, AssertUnwindSafe(state)).await;
-                res.map(|res| res.map(|body| ObservedBody::new(body, is_bodiless, progress)))
+                res.map(|mut res| {
+                    if is_http1 {
+                        let idle_timeout = limit_updates.borrow().header_timeout;
+                        announce_idle_time(res.headers_mut(), idle_timeout);
+                    }
+                    res.map(|body| ObservedBody::new(body, is_bodiless, progress))
+                })
             }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 mod connection_end;
 mod connection_progress;
 mod http_server;
+mod idle_announcement;
 mod json_response;
 mod limit_timer;
 mod read_body;
