Keep a stream at a server that reports to run it, also before its head

Cause: the wait for the head ended by time alone. Now the server is asked at that moment, as in the middle of a stream, and the attempt is kept while its report names the run. An attempt of an unknown state, or of a server that does not answer, is replaced as before.

silent_server_stream_in_progress_before_head_is_not_moved failed before (moved once, 0 allowed).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -202,6 +202,7 @@
                         max_silence: self.attempt_timeout(left, Duration::ZERO),
                         deadline: self.request.deadline,
                         can_replace: &|| self.can_replace(current, self.delivered_attempts + 1),
+                        is_running: &|| Box::pin(async { false }),
                     };
                     let opened = PeerAttempt::open(
                         &self.gateway,
@@ -236,6 +237,7 @@
                 Ok((head, attempt)) => {
                     self.gateway.metrics.count_attempt("answered");
                     self.attempt = Some(attempt);
+                    self.replacement.get_mut().take();
                     self.progress_at = now();
                     self.progress.start_run();
                     return Ok((head.status, head.headers));
@@ -268,6 +270,7 @@
             max_silence: self.attempt_timeout(left, pick.expected_latency),
             deadline: self.request.deadline,
             can_replace: &|| self.can_replace(current, self.delivered_attempts + 1),
+            is_running: &|| Box::pin(self.is_running(pick)),
         };
         let opened = ServerAttempt::open(
             &self.gateway,
--- a/crates/gateway/src/exchange_silence.rs
+++ b/crates/gateway/src/exchange_silence.rs
@@ -3,12 +3,15 @@
 use std::{pin::pin, time::Duration};
 
 use hawthornquay_decisions::Execution;
-use hawthornquay_traffic::ExecutionSemantics;
+use hawthornquay_traffic::{ExecutionSemantics, ServerPick};
 
 use crate::{
     AttemptCause, AttemptFailure, ControlPlane, EventReader, Exchange, HeaderMapping,
-    attempt::Attempt, exchange::MIN_ATTEMPT_TIME, gateway::now, server_probes::RunEvidence,
-    silence_limit::SILENCE_CHECK_INTERVAL,
+    attempt::Attempt,
+    exchange::MIN_ATTEMPT_TIME,
+    gateway::now,
+    server_probes::RunEvidence,
+    silence_limit::{EVIDENCE_INTERVAL, SILENCE_CHECK_INTERVAL},
 };
 
 /// Shortest time without events after which callers leave a stream.
@@ -24,9 +27,6 @@
 /// have ended. The rest is for the other server to read the prompt.
 const PATIENCE_BEFORE_MOVE: f64 = 0.7;
 
-/// Interval at which a silent server that answers is asked again.
-const EVIDENCE_INTERVAL: Duration = Duration::from_millis(800);
-
 /// What has arrived from an attempt.
 enum Arrival {
     /// Events with data are buffered.
@@ -100,6 +100,14 @@
         Ok(())
     }
 
+    /// Returns whether a stream that may be resumed is known to run at a silent server.
+    pub(crate) async fn is_running(&self, pick: &ServerPick) -> bool {
+        let semantics = &self.request.route.semantics;
+        semantics.is_stream()
+            && semantics.is_repeatable()
+            && self.gateway.run_evidence(pick, &self.request.id).await == RunEvidence::Running
+    }
+
     /// Returns the time without events after which the caller leaves the stream.
     fn caller_patience(&self) -> Duration {
         let route = &self.request.route;
--- a/crates/gateway/src/silence_limit.rs
+++ b/crates/gateway/src/silence_limit.rs
@@ -2,6 +2,7 @@
 
 use std::{future::Future, pin::pin, time::Duration};
 
+use futures_util::future::BoxFuture;
 use hawthornquay_decisions::MonotonicTime;
 use tokio::time::timeout;
 
@@ -10,10 +11,13 @@
 /// Interval at which it is checked whether a silent attempt can be replaced.
 pub(crate) const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which a silent server that answers is asked again whether it runs a request.
+pub(crate) const EVIDENCE_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Limit on the wait for the data of an attempt.
 ///
 /// A sound server may be silent for a while, so its attempt is only ended if another one can take
-/// its place.
+/// its place and the server does not say that it runs the request.
 pub(crate) struct SilenceLimit<'a> {
     /// Time without data after which the attempt is replaced.
     pub(crate) max_silence: Duration,
@@ -21,6 +25,8 @@
     pub(crate) deadline: MonotonicTime,
     /// Returns whether another attempt can be made.
     pub(crate) can_replace: &'a (dyn Fn() -> bool + Send + Sync),
+    /// Asks whether the request is known to run, so that it may not be replaced.
+    pub(crate) is_running: &'a (dyn Fn() -> BoxFuture<'a, bool> + Send + Sync),
 }
 
 impl SilenceLimit<'_> {
@@ -32,8 +38,16 @@
             let left = self.deadline.since(now());
             match timeout(wait.min(left), &mut future).await {
                 Ok(output) => return Some(output),
-                Err(_) if wait >= left || (self.can_replace)() => return None,
-                Err(_) => wait = SILENCE_CHECK_INTERVAL,
+                Err(_) if wait >= left => return None,
+                Err(_) if !(self.can_replace)() => wait = SILENCE_CHECK_INTERVAL,
+                Err(_) => tokio::select! {
+                    biased;
+                    output = &mut future => return Some(output),
+                    is_running = (self.is_running)() => match is_running {
+                        true => wait = EVIDENCE_INTERVAL,
+                        false => return None,
+                    },
+                },
             }
         }
     }
