Send long bodies of forwarded requests in several frames

Callers of a route whose home is another region got 503 for each body of max-body-bytes (4,194,304): a forwarded request was one frame of at most 4 MiB, with head, envelope and body, and that bound came from no configured limit.

A body above 64 KiB now follows its request in frames of 64 KiB. The bound of a frame stays the same for all instances, so no version of the configuration makes a receiver end a link. Body frames have a queue of their own behind heartbeats and other requests. A forwarded body has at most 32 MiB; a larger max-body-bytes is capped to that, and a longer body refused with 413. A process holds at most 48 MiB of such bodies for other instances and refuses what exceeds it as not run. The Hello message states that a process accepts bodies in frames, since an older version would run the request without its body.

forward_above_frame_limit_is_not_run expected a refusal of a 4 MiB body. It now expects it of 32 MiB and one byte and of a head that fits into no frame, and checks that the link stays open.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -18,6 +18,7 @@
     Execution, MonotonicTime, OrganisationId, Refusal, RefusalCode, RequestId,
 };
 use hawthornquay_http::{Body, ReadError, read_body_with_budget};
+use hawthornquay_instances::MAX_FORWARDED_BODY_BYTES;
 use hawthornquay_traffic::{Configuration, OrganisationConfig, Route, Work};
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
@@ -154,7 +155,11 @@
         );
     };
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let limit = configuration.limits.max_body_bytes;
+    // A longer body could not be forwarded to another region.
+    let limit = configuration
+        .limits
+        .max_body_bytes
+        .min(MAX_FORWARDED_BODY_BYTES);
     let body = read_body_with_budget(
         body,
         limit,
--- a/crates/instances/src/body.rs
+++ b/crates/instances/src/body.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     BundleContent, BundleDelta, BundleFetch, CapacityGrant, CapacityRequest, Digest, Forward,
-    ForwardCancel, ForwardCredit, ForwardData, ForwardEnd, ForwardHead, ForwardRefused, Hello,
-    LoanGrant, LoanRequest, Ping, Pong, Status, ViewRequest, ViewUpdate,
+    ForwardBody, ForwardCancel, ForwardCredit, ForwardData, ForwardEnd, ForwardHead,
+    ForwardRefused, Hello, LoanGrant, LoanRequest, Ping, Pong, Status, ViewRequest, ViewUpdate,
 };
 
 /// Message carried by an [`Envelope`](crate::Envelope).
@@ -72,6 +72,9 @@
     /// Newer parts of the view of the store.
     #[prost(message, tag = "23")]
     ViewUpdate(ViewUpdate),
+    /// Part of the body of a forwarded request.
+    #[prost(message, tag = "24")]
+    ForwardBody(ForwardBody),
 }
 
 impl Body {
@@ -80,6 +83,7 @@
         matches!(
             self,
             Self::Forward(_)
+                | Self::ForwardBody(_)
                 | Self::ForwardHead(_)
                 | Self::ForwardData(_)
                 | Self::ForwardEnd(_)
--- a/crates/instances/src/envelope_io.rs
+++ b/crates/instances/src/envelope_io.rs
@@ -4,7 +4,6 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
-use hawthornquay_decisions::InstanceId;
 use prost::Message;
 use tokio::io::{AsyncRead, AsyncWrite, ReadHalf, WriteHalf, split};
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
@@ -108,9 +107,9 @@
 
 pub(crate) async fn receive_hello<S: AsyncRead>(
     reader: &mut EnvelopeReader<S>,
-) -> io::Result<InstanceId> {
+) -> io::Result<Hello> {
     match reader.next().await? {
-        Some((_, Body::Hello(hello))) => Ok(InstanceId::new(&hello.name, hello.incarnation)),
+        Some((_, Body::Hello(hello))) => Ok(hello),
         _ => Err(io::Error::new(
             io::ErrorKind::InvalidData,
             "the first message is not a Hello",
--- a/crates/instances/src/forward.rs
+++ b/crates/instances/src/forward.rs
@@ -65,4 +65,8 @@
     /// Maximum number of backend servers that may still be tried; zero lets the receiver decide.
     #[prost(uint32, tag = "20")]
     pub attempts_left: u32,
+    /// Length of a body that follows in [`ForwardBody`](crate::ForwardBody) messages; zero if `body`
+    /// is the whole body.
+    #[prost(uint64, tag = "21")]
+    pub body_bytes: u64,
 }
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -18,6 +18,7 @@
 mod envelope;
 mod envelope_io;
 mod forward;
+mod forward_body;
 mod forward_cancel;
 mod forward_credit;
 mod forward_data;
@@ -46,6 +47,7 @@
 mod notice;
 mod organisation_demand;
 mod part_start_record;
+mod partial_forward;
 mod peer_address;
 mod peer_connection;
 mod peer_server;
@@ -87,6 +89,7 @@
     digest_entry::DigestEntry,
     envelope::Envelope,
     forward::Forward,
+    forward_body::ForwardBody,
     forward_cancel::ForwardCancel,
     forward_credit::ForwardCredit,
     forward_data::ForwardData,
@@ -106,8 +109,8 @@
     link_pool::LinkPool,
     link_security::LinkSecurity,
     link_settings::{
-        LinkSettings, MAX_CALLS_PER_LINK, MAX_DATA_CHUNK_BYTES, MAX_FRAME_BYTES,
-        STREAM_WINDOW_BYTES,
+        LinkSettings, MAX_BODY_CHUNK_BYTES, MAX_CALLS_PER_LINK, MAX_DATA_CHUNK_BYTES,
+        MAX_FORWARDED_BODY_BYTES, MAX_FRAME_BYTES, MAX_PARTIAL_BODIES_BYTES, STREAM_WINDOW_BYTES,
     },
     loan_grant::LoanGrant,
     loan_request::LoanRequest,
--- a/crates/instances/src/link.rs
+++ b/crates/instances/src/link.rs
@@ -2,8 +2,10 @@
 
 use std::sync::{Arc, atomic::AtomicUsize};
 
+use bytes::Bytes;
 use hawthornquay_decisions::{InstanceId, Map};
 use parking_lot::Mutex;
+use prost::Message;
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, interval, sleep_until, timeout_at},
@@ -11,7 +13,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Body, Envelope, ForwardStream, LinkCounters, LinkError, LocalInstance, PeerAddress, Ping,
+    Body, Envelope, Forward, ForwardBody, ForwardStream, Hello, LinkCounters, LinkError,
+    LocalInstance, MAX_BODY_CHUNK_BYTES, MAX_FORWARDED_BODY_BYTES, MAX_FRAME_BYTES, PeerAddress,
+    Ping,
     envelope_io::{EnvelopeReader, EnvelopeWriter, receive_hello, send_hello, split_envelopes},
     link_stream::{LinkStream, check_peer_name},
     metered_stream::LastReceived,
@@ -29,6 +33,8 @@
 /// Link to another instance with the calls in flight on it.
 pub(crate) struct Link {
     pub(crate) peer: InstanceId,
+    /// Longest request body that the peer accepts in several frames; zero if it accepts none.
+    peer_max_body: usize,
     pub(crate) send_queue: SendQueue,
     pub(crate) closed: CancellationToken,
     address: std::net::SocketAddr,
@@ -46,11 +52,12 @@
         peer: &PeerAddress,
         closed: CancellationToken,
     ) -> Result<Arc<Self>, LinkError> {
-        let (found, reader, writer, last_received) = connect(local, peer).await?;
+        let (hello, reader, writer, last_received) = connect(local, peer).await?;
         LinkCounters::increment(&local.counters.opened);
         let (send_queue, queue_receiver) = SendQueue::new();
         let link = Arc::new(Self {
-            peer: found,
+            peer: hello.id(),
+            peer_max_body: usize::try_from(hello.max_body_bytes).unwrap_or(usize::MAX),
             send_queue,
             closed: closed.clone(),
             address: peer.address,
@@ -113,12 +120,16 @@
     }
 
     /// Sends a forwarded request and returns the stream of its response.
+    ///
+    /// Waits until the request is queued; a body of several frames is sent in the background.
     pub(crate) async fn forward(
         self: &Arc<Self>,
         sequence: u64,
-        body: Body,
+        mut request: Forward,
         deadline: Instant,
     ) -> Result<ForwardStream, LinkError> {
+        let body = self.take_long_body(&mut request)?;
+        let request = check_frame_size(Body::Forward(request))?;
         let (tx, events) = mpsc::unbounded_channel();
         let buffered = Arc::<AtomicUsize>::default();
         let sender = StreamSender {
@@ -138,12 +149,17 @@
         if !self.add_pending(sequence, Pending::Stream(sender)) {
             return Err(self.link_ended_error(&stream.write_state));
         }
-        let envelope = Envelope::of_call(self.incarnation(), sequence, body);
+        let envelope = Envelope::of_call(self.incarnation(), sequence, request);
         let queued = self
             .send_queue
             .send(envelope, Some(stream.write_state.clone()));
         match timeout_at(deadline, queued).await {
-            Ok(true) => Ok(stream),
+            Ok(true) => {
+                if !body.is_empty() {
+                    tokio::spawn(self.clone().send_body(sequence, body));
+                }
+                Ok(stream)
+            }
             Ok(false) => Err(self.link_ended_error(&stream.write_state)),
             Err(_) => Err(LinkError::DeadlineExceeded {
                 name: self.peer.name.clone(),
@@ -152,6 +168,35 @@
         }
     }
 
+    /// Takes a body that has to be sent in several frames out of `request`.
+    ///
+    /// Older versions accept a body only in the frame of its request.
+    fn take_long_body(&self, request: &mut Forward) -> Result<Bytes, LinkError> {
+        let len = request.body.len();
+        if len <= MAX_BODY_CHUNK_BYTES || self.peer_max_body == 0 {
+            return Ok(Bytes::new());
+        }
+        let limit = self.peer_max_body.min(MAX_FORWARDED_BODY_BYTES);
+        if len > limit {
+            return Err(LinkError::TooLarge { len, limit });
+        }
+        request.body_bytes = len as u64;
+        Ok(std::mem::take(&mut request.body))
+    }
+
+    /// Sends a body in frames until the call or the link ends.
+    async fn send_body(self: Arc<Self>, sequence: u64, mut body: Bytes) {
+        while !body.is_empty() && self.is_pending(sequence) {
+            let data = body.split_to(body.len().min(MAX_BODY_CHUNK_BYTES));
+            let part = Body::ForwardBody(ForwardBody { data });
+            let envelope = Envelope::of_call(self.incarnation(), sequence, part);
+            let queued = self.send_queue.send(envelope, None);
+            if self.closed.run_until_cancelled(queued).await != Some(true) {
+                return;
+            }
+        }
+    }
+
     /// Queues a one-way message.
     pub(crate) async fn send(&self, body: Body) -> Result<(), LinkError> {
         *self.last_used.lock() = Instant::now();
@@ -161,6 +206,13 @@
         Err(self.link_ended_error(&WriteState::default()))
     }
 
+    fn is_pending(&self, sequence: u64) -> bool {
+        let pending = self.pending.lock();
+        pending
+            .as_ref()
+            .is_some_and(|calls| calls.contains_key(&sequence))
+    }
+
     /// Removes a call; a later reply to it is dropped.
     pub(crate) fn remove_pending(&self, sequence: u64) {
         if let Some(pending) = self.pending.lock().as_mut() {
@@ -270,7 +322,7 @@
     peer: &PeerAddress,
 ) -> Result<
     (
-        InstanceId,
+        Hello,
         EnvelopeReader<LinkStream>,
         EnvelopeWriter<LinkStream>,
         LastReceived,
@@ -285,6 +337,18 @@
         .await
         .map_err(failed)?;
     let found = receive_hello(&mut reader).await.map_err(failed)?;
-    check_peer_name(certificates.as_deref(), &found)?;
+    check_peer_name(certificates.as_deref(), &found.id())?;
     Ok((found, reader, writer, last_received))
 }
+
+/// Checks that a call with `body` fits into one frame.
+pub(crate) fn check_frame_size(body: Body) -> Result<Body, LinkError> {
+    let len = Envelope::of_call(u64::MAX, u64::MAX, body.clone()).encoded_len();
+    if len > MAX_FRAME_BYTES {
+        return Err(LinkError::TooLarge {
+            len,
+            limit: MAX_FRAME_BYTES,
+        });
+    }
+    Ok(body)
+}
--- a/crates/instances/src/link_error.rs
+++ b/crates/instances/src/link_error.rs
@@ -70,12 +70,12 @@
         /// Instance names in the certificate.
         certified: Vec<InstanceName>,
     },
-    /// The encoded message exceeds the frame limit.
-    #[error("message of {len} bytes exceeds the frame limit of {limit} bytes")]
+    /// The encoded message exceeds the frame limit, or the body of a request the limit of the peer.
+    #[error("message of {len} bytes exceeds the limit of {limit} bytes")]
     TooLarge {
-        /// Encoded size in bytes.
+        /// Size in bytes.
         len: usize,
-        /// Maximum encoded size in bytes.
+        /// Maximum size in bytes.
         limit: usize,
     },
     /// The link ended before the call completed.
--- a/crates/instances/src/link_pool.rs
+++ b/crates/instances/src/link_pool.rs
@@ -11,13 +11,13 @@
 
 use hawthornquay_decisions::{InstanceName, Map};
 use parking_lot::Mutex;
-use prost::Message;
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Body, Envelope, Forward, ForwardStream, LinkError, LocalInstance, MAX_FRAME_BYTES, Notice,
-    PeerAddress, UnaryRequest, link::Link,
+    Forward, ForwardStream, LinkError, LocalInstance, MAX_FORWARDED_BODY_BYTES, Notice,
+    PeerAddress, UnaryRequest,
+    link::{Link, check_frame_size},
 };
 
 /// Maximum number of attempts to send a call.
@@ -115,12 +115,16 @@
         timeout: Duration,
     ) -> Result<ForwardStream, LinkError> {
         let deadline = Instant::now() + timeout;
-        let body = check_frame_size(Body::Forward(request))?;
+        let len = request.body.len();
+        if len > MAX_FORWARDED_BODY_BYTES {
+            let limit = MAX_FORWARDED_BODY_BYTES;
+            return Err(LinkError::TooLarge { len, limit });
+        }
         for attempt in 1.. {
             let slot = self.least_loaded_slot(peer);
             let link = self.link(peer, &slot, deadline).await?;
             let outcome = link
-                .forward(self.next_sequence(), body.clone(), deadline)
+                .forward(self.next_sequence(), request.clone(), deadline)
                 .await;
             if attempt == MAX_SEND_ATTEMPTS || !was_never_written(&outcome) {
                 return outcome;
@@ -255,17 +259,6 @@
         .unwrap_or_else(|_| Err(LinkError::connect(peer, io::ErrorKind::TimedOut.into())))
 }
 
-fn check_frame_size(body: Body) -> Result<Body, LinkError> {
-    let len = Envelope::of_call(u64::MAX, u64::MAX, body.clone()).encoded_len();
-    if len > MAX_FRAME_BYTES {
-        return Err(LinkError::TooLarge {
-            len,
-            limit: MAX_FRAME_BYTES,
-        });
-    }
-    Ok(body)
-}
-
 fn was_never_written<T>(outcome: &Result<T, LinkError>) -> bool {
     matches!(
         outcome,
--- a/crates/instances/src/local_instance.rs
+++ b/crates/instances/src/local_instance.rs
@@ -3,8 +3,12 @@
 use std::sync::Arc;
 
 use hawthornquay_decisions::InstanceId;
+use tokio::sync::Semaphore;
 
-use crate::{Hello, LinkCounters, LinkSecurity, LinkSettings};
+use crate::{
+    Hello, LinkCounters, LinkSecurity, LinkSettings, MAX_FORWARDED_BODY_BYTES,
+    MAX_PARTIAL_BODIES_BYTES,
+};
 
 /// Identity, security, settings and counters that all links of a process share.
 #[derive(Clone)]
@@ -13,6 +17,8 @@
     pub(crate) security: LinkSecurity,
     pub(crate) settings: LinkSettings,
     pub(crate) counters: Arc<LinkCounters>,
+    /// Memory for bodies that arrive in several frames, in bytes.
+    pub(crate) body_memory: Arc<Semaphore>,
 }
 
 impl LocalInstance {
@@ -23,6 +29,7 @@
             security: security.into(),
             settings: LinkSettings::default(),
             counters: Arc::default(),
+            body_memory: Arc::new(Semaphore::new(MAX_PARTIAL_BODIES_BYTES)),
         }
     }
 
@@ -47,6 +54,7 @@
         Hello {
             name: self.id.name.to_string(),
             incarnation: self.id.incarnation.0,
+            max_body_bytes: MAX_FORWARDED_BODY_BYTES as u64,
         }
     }
 }
--- a/crates/instances/src/peer_connection.rs
+++ b/crates/instances/src/peer_connection.rs
@@ -2,21 +2,25 @@
 
 use std::{io, net::SocketAddr, sync::Arc};
 
-use hawthornquay_decisions::{Execution, InstanceId};
+use hawthornquay_decisions::{Execution, InstanceId, Map};
 use tokio::{
     net::TcpStream,
     sync::{OwnedSemaphorePermit, Semaphore},
     time::{Instant, sleep_until, timeout},
 };
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio_util::{
+    sync::CancellationToken,
+    task::{TaskTracker, task_tracker::TaskTrackerToken},
+};
 
 use crate::{
-    Body, Envelope, Forward, ForwardRefused, ForwardSink, LinkCounters, LinkError, LocalInstance,
-    MAX_CALLS_PER_LINK, Notice, PeerService, Pong, STREAM_WINDOW_BYTES,
+    Body, Envelope, Forward, ForwardBody, ForwardRefused, ForwardSink, LinkCounters, LinkError,
+    LocalInstance, MAX_CALLS_PER_LINK, Notice, PeerService, Pong, STREAM_WINDOW_BYTES,
     envelope_io::{EnvelopeReader, EnvelopeWriter, receive_hello, send_hello, split_envelopes},
     forward_sink::{StreamControl, Streams},
     link_stream::{LinkStream, check_peer_name},
     metered_stream::LastReceived,
+    partial_forward::PartialForward,
     send_queue::SendQueue,
 };
 
@@ -27,6 +31,8 @@
     peer: InstanceId,
     send_queue: SendQueue,
     streams: Streams,
+    /// Forwarded requests whose body is still arriving, by the sequence number of their call.
+    partial: Map<u64, PartialForward>,
     calls: TaskTracker,
     permits: Arc<Semaphore>,
     closed: CancellationToken,
@@ -64,6 +70,7 @@
             peer,
             send_queue,
             streams: Streams::default(),
+            partial: Map::default(),
             calls: TaskTracker::new(),
             permits: Arc::new(Semaphore::new(MAX_CALLS_PER_LINK)),
             closed: closed.clone(),
@@ -113,7 +120,7 @@
         }
     }
 
-    fn receive(&self, envelope: &Envelope, body: Body) {
+    fn receive(&mut self, envelope: &Envelope, body: Body) {
         match body {
             Body::Ping(_) => self
                 .send_queue
@@ -125,9 +132,13 @@
             Body::ViewUpdate(update) => self.run_notice_handler(Notice::ViewUpdate(update)),
             // The process that made a call of an earlier incarnation no longer exists.
             _ if envelope.incarnation != self.peer.incarnation.0 => self.drop_message(),
-            Body::ForwardCancel(_) => self.cancel(envelope.sequence),
+            Body::ForwardCancel(_) => {
+                self.partial.remove(&envelope.sequence);
+                self.cancel(envelope.sequence);
+            }
             Body::ForwardCredit(credit) => self.add_credit(envelope.sequence, credit.bytes),
-            Body::Forward(request) => self.forward(envelope.sequence, request),
+            Body::Forward(request) => self.receive_forward(envelope.sequence, request),
+            Body::ForwardBody(part) => self.receive_body(envelope.sequence, &part),
             Body::BundleFetch(_) | Body::LoanRequest(_) | Body::CapacityRequest(_) => {
                 self.run_call(envelope.sequence, body);
             }
@@ -177,7 +188,7 @@
         });
     }
 
-    fn forward(&self, sequence: u64, request: Forward) {
+    fn receive_forward(&mut self, sequence: u64, request: Forward) {
         if self.draining {
             return self.refuse(sequence, "instance-leaving", "the instance is leaving");
         }
@@ -188,6 +199,48 @@
                 "too many concurrent calls on one link",
             );
         };
+        let token = self.calls.token();
+        if request.body_bytes == 0 {
+            return self.forward(sequence, request, (vec![permit], token));
+        }
+        let memory = &self.local.body_memory;
+        let Some(partial) = PartialForward::new(request, memory, permit, token) else {
+            return self.refuse(
+                sequence,
+                "link-busy",
+                "too many bytes of request bodies are held for other instances",
+            );
+        };
+        self.partial.insert(sequence, partial);
+    }
+
+    /// Adds a part of a body, and runs the request once its body is complete.
+    fn receive_body(&mut self, sequence: u64, part: &ForwardBody) {
+        let Some(mut partial) = self.partial.remove(&sequence) else {
+            return self.drop_message();
+        };
+        if !partial.push(part) {
+            return self.refuse(
+                sequence,
+                "bad-request",
+                "the body is longer than its declared length",
+            );
+        }
+        if !partial.is_complete() {
+            self.partial.insert(sequence, partial);
+            return;
+        }
+        let (request, permits, token) = partial.into_request();
+        self.forward(sequence, request, (permits, token));
+    }
+
+    /// Runs a request; `held` is dropped once it has ended.
+    fn forward(
+        &self,
+        sequence: u64,
+        request: Forward,
+        held: (Vec<OwnedSemaphorePermit>, TaskTrackerToken),
+    ) {
         let control = StreamControl {
             credit: Arc::new(Semaphore::new(STREAM_WINDOW_BYTES)),
             cancelled: self.closed.child_token(),
@@ -205,7 +258,7 @@
         let (service, peer) = (self.service.clone(), self.peer.clone());
         self.calls.spawn(async move {
             service.forward(&peer, request, sink).await;
-            drop(permit);
+            drop(held);
         });
     }
 
@@ -254,7 +307,7 @@
     let (stream, last_received) = LinkStream::accept(local, socket).await.map_err(failed)?;
     let certificates = stream.certificates();
     let (mut reader, mut writer) = split_envelopes(stream, &local.counters);
-    let peer = receive_hello(&mut reader).await.map_err(failed)?;
+    let peer = receive_hello(&mut reader).await.map_err(failed)?.id();
     check_peer_name(certificates.as_deref(), &peer)?;
     send_hello(&mut writer, local.hello())
         .await
--- a/crates/instances/src/send_queue.rs
+++ b/crates/instances/src/send_queue.rs
@@ -7,7 +7,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Body, Envelope, envelope_io::EnvelopeWriter, link_settings::MAX_QUEUED_MESSAGES,
+    Body, Envelope,
+    envelope_io::EnvelopeWriter,
+    link_settings::{MAX_QUEUED_BODY_CHUNKS, MAX_QUEUED_MESSAGES},
     write_state::WriteState,
 };
 
@@ -17,28 +19,38 @@
     write_state: Option<WriteState>,
 }
 
-/// Sending ends of the queues of a link. Control messages have priority over forwarded traffic.
+/// Sending ends of the queues of a link. Control messages have priority over forwarded traffic, and
+/// that over the parts of request bodies, so that a large body does not delay other requests.
 #[derive(Clone)]
 pub(crate) struct SendQueue {
     control: Sender<QueuedMessage>,
     forwarded: Sender<QueuedMessage>,
+    bodies: Sender<QueuedMessage>,
 }
 
 /// Receiving ends of the queues of a link.
 pub(crate) struct SendQueueReceiver {
     control: Receiver<QueuedMessage>,
     forwarded: Receiver<QueuedMessage>,
+    bodies: Receiver<QueuedMessage>,
 }
 
 impl SendQueue {
     pub(crate) fn new() -> (Self, SendQueueReceiver) {
         let (control, control_rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
         let (forwarded, forwarded_rx) = mpsc::channel(MAX_QUEUED_MESSAGES);
+        let (bodies, bodies_rx) = mpsc::channel(MAX_QUEUED_BODY_CHUNKS);
         let receiver = SendQueueReceiver {
             control: control_rx,
             forwarded: forwarded_rx,
+            bodies: bodies_rx,
         };
-        (Self { control, forwarded }, receiver)
+        let queue = Self {
+            control,
+            forwarded,
+            bodies,
+        };
+        (queue, receiver)
     }
 
     /// Queues a message, waiting while the queue is full; returns false if the link has ended.
@@ -75,6 +87,7 @@
         match &envelope.body {
             // These may overtake forwarded traffic: their request has already been written.
             Some(Body::ForwardCancel(_) | Body::ForwardCredit(_)) | None => &self.control,
+            Some(Body::ForwardBody(_)) => &self.bodies,
             Some(body) if body.is_forwarded() => &self.forwarded,
             Some(_) => &self.control,
         }
@@ -97,7 +110,10 @@
                     {
                         writer.feed(&queued.envelope).await?;
                     }
-                    if self.control.is_empty() && self.forwarded.is_empty() {
+                    if self.control.is_empty()
+                        && self.forwarded.is_empty()
+                        && self.bodies.is_empty()
+                    {
                         writer.flush().await?;
                     }
                 }
@@ -118,6 +134,7 @@
             biased;
             Some(queued) = self.control.recv() => Some(queued),
             Some(queued) = self.forwarded.recv() => Some(queued),
+            Some(queued) = self.bodies.recv() => Some(queued),
             else => None,
         }
     }
--- a/crates/instances/tests/calls.rs
+++ b/crates/instances/tests/calls.rs
@@ -6,7 +6,8 @@
 
 use hawthornquay_decisions::Execution;
 use hawthornquay_instances::{
-    BundleFetch, CapacityRequest, Digest, ForwardEvent, LinkError, MAX_FRAME_BYTES, Notice,
+    BundleFetch, CapacityRequest, Digest, Forward, ForwardEvent, LinkError,
+    MAX_FORWARDED_BODY_BYTES, MAX_FRAME_BYTES, Notice,
 };
 use support::{Pair, TEST_TIMEOUT, loan, service::forward};
 
@@ -109,12 +110,31 @@
     );
 }
 
-/// Guards against a request above the frame limit that ends the link and so fails all other calls.
+/// Guards against a request above a limit that ends the link and so fails all other calls: a body
+/// that is too long, and a head that does not fit into one frame.
 #[tokio::test]
-async fn forward_above_frame_limit_is_not_run() {
+async fn forward_above_limit_is_not_run() {
     let pair = Pair::start().await;
-    let mut request = forward("/echo", b"");
-    request.body = vec![0; MAX_FRAME_BYTES].into();
+    let mut long_body = forward("/echo", b"");
+    long_body.body = vec![0; MAX_FORWARDED_BODY_BYTES + 1].into();
+    let mut long_head = forward("/echo", b"");
+    long_head.request_id = "x".repeat(MAX_FRAME_BYTES);
+    for request in [long_body, long_head] {
+        refuse_too_large(&pair, request).await;
+    }
+    assert_eq!(pair.client.counters().links_opened(), 1);
+    let mut stream = pair
+        .pool
+        .forward(&pair.peer(), forward("/echo", b"small"), TEST_TIMEOUT)
+        .await
+        .unwrap();
+    assert!(matches!(
+        stream.next().await,
+        Some(Ok(ForwardEvent::Head(_)))
+    ));
+}
+
+async fn refuse_too_large(pair: &Pair, request: Forward) {
     let outcome = pair.pool.forward(&pair.peer(), request, TEST_TIMEOUT).await;
     let error = outcome.err().unwrap();
     assert!(matches!(error, LinkError::TooLarge { .. }), "{error}");
--- a/crates/instances/tests/support/raw_peer.rs
+++ b/crates/instances/tests/support/raw_peer.rs
@@ -59,6 +59,7 @@
         let hello = Hello {
             name: name.to_owned(),
             incarnation: 2,
+            ..Hello::default()
         };
         self.send(Envelope::one_way(Body::Hello(hello))).await;
     }
