Do not charge failures of the sender to the peer

A client whose requests exceeded the frame limit kept everyone else's from their home region: the instances there were marked as unreachable for 2 s.

Each error of a link counted as an instance that cannot be reached, also TooLarge, which occurs before anything is sent. LinkError::concerns_peer now separates failures of the peer from those of the sender or the single request. Only the former mark an instance, in forwarded requests, loans, capacity requests and gossip, in both daemons. The others refuse the request as not run, without another attempt. A connection that fails for want of a local file descriptor, port or memory is one of the others.

The gateway cannot produce TooLarge any more between instances of this version, so no test of the whole path covers it alone.

--- a/crates/gateway/src/attempt_failure.rs
+++ b/crates/gateway/src/attempt_failure.rs
@@ -37,6 +37,8 @@
     Garbled,
     /// The backend server responded with an error status.
     Error(Box<BufferedResponse>),
+    /// The request is too large for another instance, or failed here before it was sent there.
+    Unsendable(String),
     /// The other instance refused the request or could not be reached.
     Peer {
         /// Code of its refusal.
@@ -78,6 +80,7 @@
             AttemptCause::Broken => "broken",
             AttemptCause::Garbled => "garbled",
             AttemptCause::Error(_) => "error-answer",
+            AttemptCause::Unsendable(_) => "unsendable",
             AttemptCause::Peer { code, .. } => code.as_str(),
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -314,7 +314,8 @@
     }
 
     fn may_retry(&self, failure: &AttemptFailure) -> bool {
-        if self.attempts >= MAX_ATTEMPTS_IN_TOTAL
+        if matches!(failure.cause, AttemptCause::Unsendable(_))
+            || self.attempts >= MAX_ATTEMPTS_IN_TOTAL
             || self.request.time_left(now()) < MIN_ATTEMPT_TIME
         {
             return false;
--- a/crates/gateway/src/exchange_refusals.rs
+++ b/crates/gateway/src/exchange_refusals.rs
@@ -61,6 +61,10 @@
     /// Returns the refusal after a failure that may not be retried.
     pub(crate) fn final_refusal(&mut self, failure: &AttemptFailure) -> Refusal {
         if self.execution == Execution::NotRun {
+            if let AttemptCause::Unsendable(reason) = &failure.cause {
+                return Refusal::not_run(RefusalCode::NoCapacity, reason)
+                    .with_retry_after(UNAVAILABLE_RETRY_AFTER);
+            }
             return self.unavailable_refusal();
         }
         if self.request.time_left(now()) < MIN_ATTEMPT_TIME {
--- a/crates/gateway/src/limit_loans.rs
+++ b/crates/gateway/src/limit_loans.rs
@@ -169,7 +169,10 @@
                 gateway.metrics.count_loan("transferred");
             }
             Ok(_) => instances.mark_reachable(&owner.id.name),
-            Err(_) => instances.mark_unreachable(now(), &owner.id.name),
+            Err(error) if error.concerns_peer() => {
+                instances.mark_unreachable(now(), &owner.id.name);
+            }
+            Err(_) => {}
         }
     }
 }
@@ -289,7 +292,9 @@
         Err(error) => {
             slog::debug!(gateway.log.limits, "cannot reach the owner of a token pool";
                 "keeper" => name.as_str(), "error" => %error);
-            gateway.instances.lock().mark_unreachable(now(), name);
+            if error.concerns_peer() {
+                gateway.instances.lock().mark_unreachable(now(), name);
+            }
             LoanOutcome::Unreachable
         }
     }
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -212,6 +212,13 @@
 }
 
 fn link_failure(error: &LinkError) -> AttemptFailure {
+    if !error.concerns_peer() {
+        return AttemptFailure {
+            cause: AttemptCause::Unsendable(error.to_string()),
+            execution: error.execution(),
+            reached_server: false,
+        };
+    }
     AttemptFailure {
         cause: AttemptCause::Peer {
             code: RefusalCode::PeerUnreachable,
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -163,7 +163,10 @@
         let mut servers = self.gateway.servers.lock();
         let kind = match failure.cause {
             AttemptCause::WrongServer => return servers.remove_replaced(&self.pick.id),
-            AttemptCause::Rejected | AttemptCause::Quarantined | AttemptCause::Peer { .. } => {
+            AttemptCause::Rejected
+            | AttemptCause::Quarantined
+            | AttemptCause::Unsendable(_)
+            | AttemptCause::Peer { .. } => {
                 return;
             }
             AttemptCause::Unreachable => ServerFailure::Unreachable,
--- a/crates/hawthornquay/src/gossip.rs
+++ b/crates/hawthornquay/src/gossip.rs
@@ -178,7 +178,7 @@
         Ok(()) => None,
         Err(error) => {
             info!(node.log.membership, "digest not sent"; "instance" => %name, "error" => %error);
-            Some(name)
+            error.concerns_peer().then_some(name)
         }
     }
 }
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -72,7 +72,10 @@
             })
         }
         Err(failure) => {
-            load.finish(LoadOutcome::Failed);
+            load.finish(match &failure {
+                Failure::Link(error) if !error.concerns_peer() => LoadOutcome::Cancelled,
+                _ => LoadOutcome::Failed,
+            });
             Err(attempt_failure(node, key, &peer, failure))
         }
     }
@@ -174,6 +177,14 @@
                 refusal: Some(refusal),
             }
         }
+        Failure::Link(error) if !error.concerns_peer() => AttemptFailure {
+            key,
+            execution: error.execution(),
+            refusal: Some(Refusal::not_run(
+                RefusalCode::NoCapacity,
+                &error.to_string(),
+            )),
+        },
         Failure::Link(error) => {
             info!(node.log.links, "forwarding failed"; "instance" => %peer.name, "error" => %error);
             node.members.lock().mark_unreachable(&peer.name);
--- a/crates/hawthornquay/src/peer_capacity.rs
+++ b/crates/hawthornquay/src/peer_capacity.rs
@@ -146,13 +146,18 @@
         return;
     };
     let requested_at = clock::now();
-    let Ok(answer) = node
+    let answer = node
         .links
         .call(&peer, capacity_request(domain, target), CALL_TIMEOUT)
-        .await
-    else {
-        node.members.lock().mark_unreachable(&peer.name);
-        return;
+        .await;
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => {
+            if error.concerns_peer() {
+                node.members.lock().mark_unreachable(&peer.name);
+            }
+            return;
+        }
     };
     if answer.servers == 0 {
         return;
--- a/crates/instances/src/link_error.rs
+++ b/crates/instances/src/link_error.rs
@@ -6,6 +6,12 @@
 
 use crate::PeerAddress;
 
+/// Error number of Linux: the process has no free file descriptor.
+const EMFILE: i32 = 24;
+
+/// Error number of Linux: the system has no free file descriptor.
+const ENFILE: i32 = 23;
+
 /// Failure of a link, a call, or the TLS configuration.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
@@ -116,6 +122,28 @@
         }
     }
 
+    /// Returns whether the failure is evidence that the peer cannot be reached or is at fault.
+    ///
+    /// The others are failures of this process or of the single message, which would fail at any
+    /// peer.
+    pub fn concerns_peer(&self) -> bool {
+        match self {
+            Self::Connect { source, .. } => !is_local(source),
+            Self::WrongPeer { .. }
+            | Self::CertificateNameMismatch { .. }
+            | Self::LinkEnded { .. }
+            | Self::DeadlineExceeded { .. }
+            | Self::Protocol { .. } => true,
+            Self::TooLarge { .. }
+            | Self::Pem { .. }
+            | Self::Tls(_)
+            | Self::Generate(_)
+            | Self::Listen { .. }
+            | Self::Accept { .. }
+            | Self::Cancelled => false,
+        }
+    }
+
     /// Returns whether the peer may have run the failed call.
     ///
     /// `NotRun` means that no byte of the call was written to the socket.
@@ -130,6 +158,15 @@
     }
 }
 
+/// Returns whether a connection failed for want of a resource of this process.
+fn is_local(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(EMFILE | ENFILE))
+        || matches!(
+            error.kind(),
+            io::ErrorKind::AddrNotAvailable | io::ErrorKind::OutOfMemory
+        )
+}
+
 fn list_names(certified: &[InstanceName]) -> String {
     if certified.is_empty() {
         return "none; generate a new one with `hawthornquay tls new`".to_owned();
