Keep the whole state of a silent attempt while another one is opened

While a silent stream was probed or replaced, its bytes were not charged to the memory for responses, an event that must end the attempt was dropped like a comment, and an attempt that was rejected after its head left its marks in the progress of the kept one, whose end then counted as broken off.

Bytes are charged now, only comments are dropped, and the progress is restored with the kept attempt.

--- a/crates/gateway/src/exchange_silence.rs
+++ b/crates/gateway/src/exchange_silence.rs
@@ -10,6 +10,7 @@
     attempt::Attempt,
     exchange::MIN_ATTEMPT_TIME,
     gateway::now,
+    response_memory::ResponseMemory,
     server_probes::RunEvidence,
     silence_limit::{EVIDENCE_INTERVAL, SILENCE_CHECK_INTERVAL},
 };
@@ -29,7 +30,7 @@
 
 /// What has arrived from an attempt.
 enum Arrival {
-    /// Events with data are buffered.
+    /// Events other than comments are buffered.
     Events,
     /// The response has ended.
     End,
@@ -73,7 +74,7 @@
                 let (gateway, pick) = (self.gateway.clone(), server.pick().clone());
                 tokio::select! {
                     biased;
-                    arrival = next_events(attempt, &mut self.events, left) => {
+                    arrival = next_events(attempt, &mut self.events, &mut self.memory, left) => {
                         return arrival_result(arrival);
                     }
                     evidence = gateway.run_evidence(&pick, &self.request.id) => evidence,
@@ -145,12 +146,13 @@
         self.attempt_trace.push_str(evidence.as_str());
         self.attempt_trace.push(' ');
         let mut events = std::mem::take(&mut self.events);
-        let memory = self.memory.take();
+        let mut memory = self.memory.take();
+        let (progress, progress_at) = (self.progress.clone(), self.progress_at);
         let (arrival, opened) = {
             let mut opening = pin!(self.open_attempt());
             tokio::select! {
                 biased;
-                arrival = next_events(&mut old, &mut events, left) => match arrival {
+                arrival = next_events(&mut old, &mut events, &mut memory, left) => match arrival {
                     // The other attempt is all that is left.
                     Arrival::Failure(failure) => {
                         (Some(Arrival::Failure(failure)), Some(opening.await))
@@ -183,6 +185,7 @@
         self.attempt = Some(old);
         self.events = events;
         self.memory = memory;
+        (self.progress, self.progress_at) = (progress, progress_at);
         self.kept_until = now() + SILENCE_CHECK_INTERVAL;
         arrival.map_or(Ok(()), arrival_result)
     }
@@ -195,11 +198,12 @@
     }
 }
 
-/// Waits until an event with data, the end or a failure of an attempt arrives. Events without data
+/// Waits until an event other than a comment, the end or a failure of an attempt arrives. Comments
 /// are dropped.
 async fn next_events<C: ControlPlane, H: HeaderMapping>(
     attempt: &mut Attempt<C, H>,
     events: &mut EventReader,
+    memory: &mut Option<ResponseMemory>,
     left: Duration,
 ) -> Arrival {
     loop {
@@ -211,13 +215,18 @@
                     _ => failure,
                 });
             }
-            Some(Ok(part)) if !events.push(&part) => {
-                return Arrival::Failure(AttemptFailure::unknown(AttemptCause::Garbled));
+            Some(Ok(part)) => {
+                let is_held = events.push(&part)
+                    && memory
+                        .as_mut()
+                        .is_some_and(|memory| memory.try_hold(events.len()));
+                if !is_held {
+                    return Arrival::Failure(AttemptFailure::unknown(AttemptCause::Garbled));
+                }
             }
-            Some(Ok(_)) => {}
         }
         while let Some(event) = events.next_event() {
-            if event.has_data {
+            if !event.is_comment() {
                 events.put_back(&event);
                 return Arrival::Events;
             }
--- a/crates/gateway/src/stream_progress.rs
+++ b/crates/gateway/src/stream_progress.rs
@@ -16,7 +16,7 @@
 }
 
 /// Which events the caller of a stream has received, and which of them the current run has produced.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct StreamProgress {
     /// Status and media type that the caller has received; `None` before the head is delivered.
     head: Option<(StatusCode, Option<HeaderValue>)>,
