Choose the server anew when a silent attempt ends later than it was checked

Found by the reviewer by reading, without a run that shows it. The server that was to replace a silent one was chosen before the silent one was asked whether it runs the request, and kept for as long as that went on. It could have been evacuated, draining or cold by the time of its use.

Each check now clears the choice of the one before, the servers are checked again after the answer, and an attempt that fails for another reason chooses anew.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -337,6 +337,9 @@
         // Checked first, so that a request that is refused anyway uses no retry budget.
         self.check_peer_quarantine(failure)?;
         self.check_quarantine()?;
+        if !matches!(failure.cause, AttemptCause::Silent) {
+            self.replacement.get_mut().take();
+        }
         if self.may_retry(failure) {
             return Ok(());
         }
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -122,6 +122,8 @@
     pub(crate) fn can_replace(&self, current: AttemptDestination<'_>, delivered: u32) -> bool {
         let request = &self.request;
         let time = now();
+        // An earlier placement may lead to a server that gets no requests any more.
+        *self.replacement.lock() = None;
         if !request.route.semantics.is_repeatable()
             || !self.progress.can_resume()
             || self.attempts >= MAX_ATTEMPTS_IN_TOTAL
--- a/crates/gateway/src/silence_limit.rs
+++ b/crates/gateway/src/silence_limit.rs
@@ -45,7 +45,9 @@
                     output = &mut future => return Some(output),
                     is_running = (self.is_running)() => match is_running {
                         true => wait = EVIDENCE_INTERVAL,
-                        false => return None,
+                        // The servers may have changed while this one was asked.
+                        false if (self.can_replace)() => return None,
+                        false => wait = SILENCE_CHECK_INTERVAL,
                     },
                 },
             }
