Forget the head of a moved stream once another attempt has answered

Found by the reviewer by reading, without a run that shows it. A stream that moved before its first event, and whose second server broke off, was delivered with the second server's head and the third's events.

Each head that arrives now replaces the one of the move before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -253,6 +253,7 @@
                     self.memory = Some(ResponseMemory::new(attempt.destination().name()));
                     self.attempt = Some(attempt);
                     self.replacement.get_mut().take();
+                    self.moved_head = None;
                     self.progress_at = now();
                     self.progress.start_run();
                     return Ok((head.status, head.headers));
