--- a/crates/gateway/src/exchange_silence.rs
+++ b/crates/gateway/src/exchange_silence.rs
@@ -24,8 +24,8 @@
 /// Time without events after which callers leave a stream, as a multiple of its target gap.
 const PATIENCE_PER_TARGET_GAP: u32 = 8;
 
-/// Share of the caller's idle time-out after which a stream goes on elsewhere although its run may not
-/// have ended. The rest is for the other server to read the prompt.
+/// Share of the caller's idle time-out after which a stream goes on elsewhere although its run may
+/// not have ended. The rest is for the other server to read the prompt.
 const PATIENCE_BEFORE_MOVE: f64 = 0.7;
 
 /// What has arrived from an attempt.
