Say in a request's line whether its server counted as cold

Cause: the line of a request named the server, but not for what the instance took it. So it did not tell whether a cold server was flooded as a warm one, or beyond its cold rate.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -277,7 +277,12 @@
     ) -> Result<(crate::server_attempt::AttemptHead, Attempt<C, H>), AttemptFailure> {
         self.attempts += 1;
         let (expected, requests) = (pick.expected_latency.as_millis(), pick.requests);
-        let _ = write!(self.attempt_trace, "{}~{expected}ms/{requests} ", pick.id);
+        let cold = if pick.is_cold { "/cold" } else { "" };
+        let _ = write!(
+            self.attempt_trace,
+            "{}~{expected}ms/{requests}{cold} ",
+            pick.id
+        );
         if self.delivered_attempts == 0 {
             self.gateway.deposit_retry(&self.request.service);
         }
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -123,6 +123,7 @@
                 slot_time,
             ),
             requests,
+            is_cold: self.cold.is_cold(now),
             uncached_tokens,
             copy_from: None,
         };
--- a/crates/traffic/src/server_pick.rs
+++ b/crates/traffic/src/server_pick.rs
@@ -18,6 +18,8 @@
     pub uncorrected_ms: f64,
     /// Estimated number of requests at the server.
     pub requests: u32,
+    /// Whether the server counts as cold, that is, warming up.
+    pub is_cold: bool,
     /// Prompt tokens that the server has to prefill because they are not in its cache.
     pub uncached_tokens: u64,
     /// Address of a server that probably has the shared prefix in its cache, to copy it from.
