Ask the servers whether they are cold while the store cannot say it

Cause: a server counts as cold by its entry in the store, or after an evacuation that was read. While the store is away, and until the entries have been written again after its return, a server that becomes cold stays a warm one for all instances. The class: knowledge that comes with a periodic report is used on without end when the reports stop.

What callers saw: the servers of a domain that became cold in that time got 10 to 12 requests in one second each, crashed under them, and the requests that they had accepted ended with 502 or broke off.

Change: while the list of servers is older than 1.2 s, and for 2.4 s after such a time, the leader of each region asks the region's servers that count as warm for their health every 200 ms, and sends what it finds to the region's instances at once. It works because the health answer is the servers' own, so neither the store nor an evacuation has to be read. Warm servers go on to get all requests.

--- a/crates/backends/src/backend_client.rs
+++ b/crates/backends/src/backend_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hawthornquay_decisions::{LoadReport, ModelName, OrderList, OrderRequest, PrefixEvents};
-use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header, response};
 use serde::{Deserialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, time::timeout};
 
@@ -114,6 +114,23 @@
         }
     }
 
+    /// Requests `path` of a backend server on a new connection, and returns the head of its response
+    /// with any status. The connection is closed without reading the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no head arrives within `limit`.
+    pub async fn read_head(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        limit: Duration,
+    ) -> Result<response::Parts, BackendError> {
+        let req = BackendRequest::new(Method::GET, path).head_timeout(limit);
+        let response = self.connect_fresh(address).await?.send(req).await?;
+        Ok(response.head)
+    }
+
     /// Closes the connections that have been idle for longer than [`ClientLimits::idle_timeout`].
     pub fn close_expired(&self) {
         self.pool.close_expired();
--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     ControlError, ControlPlane, Gateway, HeaderMapping, Registration,
+    cold_checks::check_cold_servers,
     gateway::now,
     status_notices::{is_leader, send_status, view_request},
     view_notices::{newer_view, send_notice},
@@ -58,6 +59,7 @@
         tokio::spawn(maintain_registration(gateway.clone())),
         tokio::spawn(report_status(gateway.clone())),
         tokio::spawn(push_views(gateway.clone())),
+        tokio::spawn(check_cold_servers(gateway.clone())),
     ]
 }
 
--- /dev/null
+++ b/crates/gateway/src/cold_checks.rs
@@ -0,0 +1,116 @@
+//! Questions to the backend servers of the region whether they are cold.
+//!
+//! The leader of a region asks on behalf of its region and sends what it learns to the others.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use hawthornquay_instances::{Notice, ViewUpdate};
+use hawthornquay_traffic::{ColdServer, ListedInstance, UnknownServer};
+use tokio::time::sleep;
+
+use crate::{
+    ControlPlane, Gateway, HeaderMapping, gateway::now, status_notices::is_leader,
+    view_notices::send_notice, wire_views::cold_record,
+};
+
+/// Interval at which servers are asked. A server that has become cold takes requests as a warm one until
+/// it is asked again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longest wait for the answer of a server. It needs a slot to answer, like for any request.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Largest number of answers that one message to the other instances carries.
+const MAX_BATCH: usize = 256;
+
+/// Asks the servers of the region whether they are cold, for as long as the list cannot say it.
+pub(crate) async fn check_cold_servers<C: ControlPlane, H: HeaderMapping>(
+    gateway: Arc<Gateway<C, H>>,
+) {
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let time = now();
+        if !is_leader(&gateway, time) {
+            continue;
+        }
+        let servers = {
+            let table = gateway.servers.lock();
+            table.servers_to_ask(time, |domain| gateway.is_local(domain))
+        };
+        if !servers.is_empty() {
+            // A server that is slow to answer does not delay the next round.
+            tokio::spawn(ask_all(gateway.clone(), servers));
+        }
+    }
+}
+
+/// Asks servers, and reports those that have become cold as their answers arrive.
+async fn ask_all<C: ControlPlane, H: HeaderMapping>(
+    gateway: Arc<Gateway<C, H>>,
+    servers: Vec<UnknownServer>,
+) {
+    let answers: FuturesUnordered<_> = servers.iter().map(|one| ask(&gateway, one)).collect();
+    let mut answers = answers.ready_chunks(MAX_BATCH);
+    while let Some(batch) = answers.next().await {
+        let found: Vec<ColdServer> = batch.into_iter().flatten().collect();
+        if !found.is_empty() {
+            report(&gateway, &found);
+        }
+    }
+}
+
+/// Asks a server whether it is cold; `None` if it does not say so.
+async fn ask<C: ControlPlane, H: HeaderMapping>(
+    gateway: &Gateway<C, H>,
+    server: &UnknownServer,
+) -> Option<ColdServer> {
+    let configuration = gateway.configuration()?;
+    let path = configuration
+        .service(&server.service)?
+        .health_path
+        .as_deref()?;
+    let head = gateway
+        .backends
+        .read_head(server.address, path, ANSWER_TIMEOUT)
+        .await
+        .ok()?;
+    let health = gateway.header_mapping.read_health(&head);
+    // Another process may have the address by now.
+    let remaining = health
+        .cold
+        .filter(|_| health.server.as_deref() == Some(server.id.as_str()))?;
+    let cold = ColdServer {
+        id: server.id.clone(),
+        started_ms: server.started_ms,
+        remaining,
+    };
+    let is_new = gateway.servers.lock().apply_cold(now(), &cold);
+    is_new.then_some(cold)
+}
+
+/// Logs servers that have become cold, and sends them to the other instances of the region.
+fn report<C: ControlPlane, H: HeaderMapping>(gateway: &Arc<Gateway<C, H>>, found: &[ColdServer]) {
+    for cold in found {
+        slog::info!(gateway.log.routing, "backend server states that it is cold";
+            "server" => cold.id.as_str(), "remaining_ms" => cold.remaining.as_millis());
+    }
+    let update = ViewUpdate {
+        cold_servers: found.iter().map(cold_record).collect(),
+        ..ViewUpdate::default()
+    };
+    let receivers: Vec<ListedInstance> = {
+        let instances = gateway.instances.lock();
+        instances
+            .status_receivers_in(now(), &gateway.settings.region)
+            .filter(|instance| instance.id.name != gateway.id.name)
+            .cloned()
+            .collect()
+    };
+    for receiver in receivers {
+        let (gateway, update) = (gateway.clone(), update.clone());
+        tokio::spawn(async move {
+            send_notice(&gateway, &receiver, Notice::ViewUpdate(update)).await;
+        });
+    }
+}
--- a/crates/gateway/src/header_mapping.rs
+++ b/crates/gateway/src/header_mapping.rs
@@ -70,6 +70,15 @@
     pub leaving: bool,
 }
 
+/// Values from the head of a backend server's answer to a health check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HealthReport {
+    /// Identifier of the server that answers.
+    pub server: Option<String>,
+    /// Remaining warm-up time of the server.
+    pub cold: Option<Duration>,
+}
+
 /// Translation of headers between the gateway and its callers and backend servers.
 pub trait HeaderMapping: Send + Sync + 'static {
     /// Parses the head of a caller's request.
@@ -88,6 +97,9 @@
     /// Parses the head of a backend server's response.
     fn read_response(&self, head: &response::Parts) -> BackendResponseMetadata;
 
+    /// Parses the head of a backend server's answer to a health check.
+    fn read_health(&self, head: &response::Parts) -> HealthReport;
+
     /// Returns the path at which backend servers report what they run, without needing a slot.
     fn report_path(&self) -> &'static str;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod buffered_response;
 mod caller_directory;
 mod caller_handler;
+mod cold_checks;
 mod connection_ends;
 mod control_error;
 mod control_plane;
@@ -67,7 +68,7 @@
     gateway_metrics::GatewayMetrics,
     header_mapping::{
         BackendRequestMetadata, BackendResponseMetadata, CallerRequestHead, HeaderMapping,
-        InvalidRequestHead,
+        HealthReport, InvalidRequestHead,
     },
     hop_headers::strip_hop_headers,
     instance_report::InstanceReport,
--- a/crates/gateway/src/view_notices.rs
+++ b/crates/gateway/src/view_notices.rs
@@ -10,8 +10,8 @@
     ControlPlane, Gateway, HeaderMapping, InstanceListing,
     gateway::now,
     wire_views::{
-        backend_entry, instance_changes, instance_entry, listed_instance, millis, server_changes,
-        server_record, time_before, wire_instance_changes, wire_server_changes,
+        backend_entry, cold_server, instance_changes, instance_entry, listed_instance, millis,
+        server_changes, server_record, time_before, wire_instance_changes, wire_server_changes,
     },
 };
 
@@ -138,6 +138,12 @@
         let read_at = time_before(time, changes.age_ms);
         gateway.apply_server_changes(read_at, &server_changes(changes), source);
     }
+    if !update.cold_servers.is_empty() {
+        let mut servers = gateway.servers.lock();
+        for record in &update.cold_servers {
+            servers.apply_cold(time, &cold_server(record));
+        }
+    }
     if let Some(changes) = &update.instance_changes {
         gateway.apply_instance_changes(&instance_changes(changes), source);
     }
--- a/crates/gateway/src/wire_views.rs
+++ b/crates/gateway/src/wire_views.rs
@@ -4,12 +4,12 @@
 
 use hawthornquay_decisions::{InstanceId, Map, MonotonicTime, ServiceName};
 use hawthornquay_instances::{
-    InstanceEntry, InstanceListChanges, LeavingServerRecord, ServerListChanges, ServerRecord,
-    ServerUse, ServiceAdmissions,
+    ColdServerRecord, InstanceEntry, InstanceListChanges, LeavingServerRecord, ServerListChanges,
+    ServerRecord, ServerUse, ServiceAdmissions,
 };
 use hawthornquay_traffic::{
-    Admissions, BackendEntry, InstanceChanges, LeavingServer, ListedInstance, ServerChanges,
-    ServerUsage, StoreRevision,
+    Admissions, BackendEntry, ColdServer, InstanceChanges, LeavingServer, ListedInstance,
+    ServerChanges, ServerUsage, StoreRevision,
 };
 
 /// Returns a duration in whole milliseconds.
@@ -167,3 +167,19 @@
         started_ms: record.started_ms,
     }
 }
+
+pub(crate) fn cold_record(cold: &ColdServer) -> ColdServerRecord {
+    ColdServerRecord {
+        server: cold.id.to_string(),
+        started_ms: cold.started_ms,
+        cold_ms: millis(cold.remaining),
+    }
+}
+
+pub(crate) fn cold_server(record: &ColdServerRecord) -> ColdServer {
+    ColdServer {
+        id: record.server.as_str().into(),
+        started_ms: record.started_ms,
+        remaining: Duration::from_millis(record.cold_ms),
+    }
+}
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -12,6 +12,7 @@
 mod capacity_request;
 mod certificate_name;
 mod certified_key_pem;
+mod cold_server_record;
 mod crash_record;
 mod digest;
 mod digest_entry;
@@ -84,6 +85,7 @@
     capacity_request::CapacityRequest,
     certificate_name::instance_uri,
     certified_key_pem::CertifiedKeyPem,
+    cold_server_record::ColdServerRecord,
     crash_record::CrashRecord,
     digest::Digest,
     digest_entry::DigestEntry,
--- a/crates/instances/src/view_update.rs
+++ b/crates/instances/src/view_update.rs
@@ -1,6 +1,8 @@
 //! Parts of a view of the store.
 
-use crate::{InstanceEntry, InstanceListChanges, ServerListChanges, ServerRecord};
+use crate::{
+    ColdServerRecord, InstanceEntry, InstanceListChanges, ServerListChanges, ServerRecord,
+};
 
 /// Parts of the view of the store that are newer than those of the receiver.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -50,4 +52,7 @@
     /// Era of the revision of the list of instances.
     #[prost(uint64, tag = "15")]
     pub instances_era: u64,
+    /// Backend servers that have stated to the sender that they are cold.
+    #[prost(message, repeated, tag = "16")]
+    pub cold_servers: Vec<ColdServerRecord>,
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller_addresses;
 mod caller_limits;
 mod caller_proximity;
+mod cold_servers;
 mod cold_start_limiter;
 mod configuration;
 mod demand_history;
@@ -67,6 +68,7 @@
     caller_addresses::CallerAddresses,
     caller_limits::CallerLimits,
     caller_proximity::CallerProximity,
+    cold_servers::{ColdServer, UnknownServer},
     cold_start_limiter::ColdStartLimiter,
     configuration::Configuration,
     demand_history::DemandHistory,
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -44,7 +44,9 @@
     /// Services whose servers are model engines.
     pub(crate) engines: Set<ServiceName>,
     /// Time for which the servers of each service are cold after their start.
-    cold_durations: Map<ServiceName, Duration>,
+    pub(crate) cold_durations: Map<ServiceName, Duration>,
+    /// Time from which the entries of the list are not older than its last outage.
+    pub(crate) entries_current_from: MonotonicTime,
     /// Number of requests, running or queued, with which a full engine of each service has last
     /// rejected another one, or more if one has accepted more since.
     pub(crate) full_levels: Map<ServiceName, u32>,
@@ -416,6 +418,7 @@
 
     /// Updates the time of the last read, and detects the end of an outage of the store.
     fn record_read(&mut self, read_at: MonotonicTime) {
+        self.record_entry_age(read_at);
         match self.read_at {
             Some(before) if read_at.since(before) >= STORE_OUTAGE_AGE => {
                 self.recovered_at = Some(read_at);
@@ -435,8 +438,7 @@
     /// Returns how long a new process counts as cold: also a known server that has started again, and
     /// one in a domain that has just been taken back, whose entry may be older than that.
     fn assumed_cold_time(&self, now: MonotonicTime, entry: &BackendEntry) -> Duration {
-        let cold_duration = self.cold_durations.get(&entry.service).copied();
-        let cold_duration = cold_duration.unwrap_or_default();
+        let cold_duration = self.cold_duration(&entry.service);
         let restarted_at = self.servers.contains_key(&entry.id).then_some(now);
         let taken_back_at = self.taken_back.get(&entry.domain).copied();
         let cold_since = restarted_at.max(taken_back_at);
--- a/crates/traffic/src/service_config.rs
+++ b/crates/traffic/src/service_config.rs
@@ -14,6 +14,8 @@
     /// Requests per second that a cold backend server accepts from all instances together; zero for
     /// no limit.
     pub cold_requests_per_s: f64,
+    /// Path of the health check of a backend server; `None` if it has none.
+    pub health_path: Option<String>,
     /// Configuration of its model engines; `None` for a plain service, which has none.
     pub engine: Option<EngineConfig>,
 }
--- /dev/null
+++ b/crates/traffic/tests/cold_servers.rs
@@ -0,0 +1,106 @@
+//! Backend servers that become cold while the store does not show it.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{RequestContext, at, listing, server, work};
+use hawthornquay_decisions::{BackendName, DomainName};
+use hawthornquay_traffic::{BackendEntry, ColdServer, ServerTable};
+
+const COLD_TIME: Duration = Duration::from_millis(3_000);
+
+fn table_with(servers: &[BackendEntry]) -> ServerTable {
+    let mut table = ServerTable::default();
+    table.apply_listing(at(0), at(0), &listing(1, servers));
+    table.configure(&RequestContext::default().configuration);
+    table
+}
+
+/// Returns the identifiers of the local servers to ask, in order.
+fn to_ask(table: &ServerTable, ms: u64) -> Vec<String> {
+    let is_local = |domain: &DomainName| domain.as_str().starts_with("home");
+    let servers = table.servers_to_ask(at(ms), is_local);
+    let mut ids: Vec<String> = servers.iter().map(|one| one.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+fn cold(id: &str, started_ms: u64) -> ColdServer {
+    ColdServer {
+        id: BackendName::new(id),
+        started_ms,
+        remaining: COLD_TIME,
+    }
+}
+
+/// A server that became cold while the list was old was taken for a warm one.
+#[test]
+fn servers_to_ask_old_list() {
+    let mut table = table_with(&[server("s1", "home-a")]);
+    assert_eq!(to_ask(&table, 1_000), [""; 0]);
+    table.confirm(at(1_000));
+    assert_eq!(to_ask(&table, 2_000), [""; 0]);
+    assert_eq!(to_ask(&table, 2_300), ["s1"]);
+}
+
+/// After an outage, the entries may be as old as the outage until the servers have written again.
+#[test]
+fn servers_to_ask_after_outage() {
+    let entries = [server("s1", "home-a")];
+    let mut table = table_with(&entries);
+    table.apply_listing(at(4_000), at(4_000), &listing(2, &entries));
+    for ms in (4_500..6_400).step_by(500) {
+        table.confirm(at(ms));
+        assert_eq!(to_ask(&table, ms), ["s1"], "{ms}");
+    }
+    table.confirm(at(6_400));
+    assert_eq!(to_ask(&table, 6_400), [""; 0]);
+}
+
+/// Servers that get no requests as warm ones, or never become cold, are not asked.
+#[test]
+fn servers_to_ask_unaffected_are_left_out() {
+    let mut leaving = server("s1", "home-a");
+    leaving.leaving = true;
+    let mut plain = server("s2", "home-a");
+    plain.service = "plain".into();
+    let mut listed_as_cold = server("s3", "home-a");
+    listed_as_cold.cold_remaining = COLD_TIME;
+    let mut table = table_with(&[
+        leaving,
+        plain,
+        listed_as_cold,
+        server("s4", "home-b"),
+        server("s5", "far-a"),
+        server("s6", "home-a"),
+    ]);
+    table.set_evacuated(at(10), &[DomainName::new("home-b")]);
+    assert_eq!(to_ask(&table, 2_000), ["s6"]);
+    assert_eq!(to_ask(&table, 4_000), ["s3", "s6"]);
+}
+
+#[test]
+fn apply_cold_counts_until_it_ends() {
+    let context = RequestContext {
+        is_region_settled: false,
+        ..RequestContext::default()
+    };
+    let mut table = table_with(&[server("s1", "home-a")]);
+    assert!(table.apply_cold(at(2_000), &cold("s1", 1)));
+    assert!(!table.apply_cold(at(2_100), &cold("s1", 1)));
+    assert!(!table.apply_cold(at(2_100), &cold("s2", 1)));
+    let work = work(1, 100, 100);
+    assert!(table.pick(at(2_200), &context.request(&work)).is_none());
+    assert!(table.pick(at(5_200), &context.request(&work)).is_some());
+}
+
+/// The statement of a former process says nothing about the current one.
+#[test]
+fn apply_cold_of_former_process_is_ignored() {
+    let mut restarted = server("s1", "home-a");
+    restarted.started_ms = 2;
+    let mut table = table_with(&[restarted]);
+    assert!(!table.apply_cold(at(2_000), &cold("s1", 1)));
+    assert_eq!(to_ask(&table, 2_000), ["s1"]);
+}
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -52,6 +52,7 @@
             max_connections: 100,
             cold_duration: Duration::from_secs(3),
             cold_requests_per_s,
+            health_path: Some("/healthz".to_owned()),
             engine,
         };
         configuration
