Count the requests sent before a server was known to be cold

Cause: the limiter of a cold server counts only what is sent while the server counts as cold. An instance that learns of it late, from an answer or an entry, then sends with a full bucket, in the same second in which it sent at the full rate.

Change: after a request to a server that counted as warm, an instance sends nothing to it as a cold one for a second. It works because each second then holds requests of one kind only from each instance.

--- a/crates/traffic/src/cold_start_limiter.rs
+++ b/crates/traffic/src/cold_start_limiter.rs
@@ -14,6 +14,10 @@
 /// requests that arrive closer together than they were sent.
 const COLD_RATE_UTILISATION: f64 = 0.8;
 
+/// Time after a request to a warm server until this instance sends to it as a cold one. What was sent
+/// before the server was known to be cold counts in the same second.
+const PAUSE_AFTER_WARM_REQUEST: Duration = Duration::from_secs(1);
+
 /// Limit on the requests that this instance sends to one backend server while the server is cold.
 ///
 /// A server is cold while it warms up after its start. Only `MAX_COLD_SENDERS` instances of a
@@ -21,6 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ColdStartLimiter {
     cold_until: MonotonicTime,
+    /// Time before which this instance sends nothing to the server while it is cold.
+    paused_until: MonotonicTime,
     bucket: Option<TokenBucket>,
 }
 
@@ -28,6 +34,7 @@
     fn default() -> Self {
         Self {
             cold_until: MonotonicTime(0),
+            paused_until: MonotonicTime(0),
             bucket: None,
         }
     }
@@ -57,7 +64,7 @@
         if rate <= 0.0 || !self.is_cold(now) {
             return true;
         }
-        if !sender {
+        if !sender || now < self.paused_until {
             return false;
         }
         let rate = rate * COLD_RATE_UTILISATION / senders.max(1) as f64;
@@ -68,8 +75,12 @@
         bucket.holds(1.0)
     }
 
-    /// Records a request that is sent to the cold server.
+    /// Records a request that is sent to the server.
     pub fn record_sent(&mut self, now: MonotonicTime) {
+        if !self.is_cold(now) {
+            self.paused_until = now + PAUSE_AFTER_WARM_REQUEST;
+            return;
+        }
         let Some(bucket) = &mut self.bucket else {
             return;
         };
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -308,9 +308,7 @@
             return;
         };
         server.load.record_sent(pick.uncached_tokens);
-        if server.cold.is_cold(now) {
-            server.cold.record_sent(now);
-        }
+        server.cold.record_sent(now);
         if let Some(prefix) = prefix {
             server.prefixes.record(now, prefix);
         }
--- a/crates/traffic/tests/cold_servers.rs
+++ b/crates/traffic/tests/cold_servers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{RequestContext, at, listing, server, work};
-use hawthornquay_decisions::{BackendName, DomainName};
+use hawthornquay_decisions::{BackendName, DomainName, InstanceName};
 use hawthornquay_traffic::{BackendEntry, ColdServer, ServerTable};
 
 const COLD_TIME: Duration = Duration::from_millis(3_000);
@@ -104,3 +104,56 @@
     assert!(!table.apply_cold(at(2_000), &cold("s1", 1)));
     assert_eq!(to_ask(&table, 2_000), ["s1"]);
 }
+
+/// A server that turned cold got its whole cold rate at once, on top of the requests of the same second
+/// that were sent before it was known to be cold.
+#[test]
+fn pick_server_known_to_be_cold_late_keeps_bound() {
+    const COLD_FROM_MS: u64 = 2_000;
+    const KNOWN_FROM_MS: u64 = 2_300;
+    const REQUEST_INTERVAL_MS: usize = 40;
+    // Bound of the deployments: 1.5 times the rate plus 3 requests in any second.
+    const BOUND: usize = (4.6_f64 * 1.5 + 3.0) as usize;
+
+    let names: Vec<InstanceName> = (0..3)
+        .map(|n| InstanceName::new(&format!("i{n}")))
+        .collect();
+    let mut fleet: Vec<(RequestContext, ServerTable)> = names
+        .iter()
+        .map(|name| {
+            let context = RequestContext {
+                instance: name.clone(),
+                region_instances: names.clone(),
+                ..RequestContext::default()
+            };
+            (context, table_with(&[server("s1", "home-a")]))
+        })
+        .collect();
+    let work = work(1, 100, 100);
+    let mut sent: Vec<u64> = Vec::new();
+    let cold_until_ms = COLD_FROM_MS + 3_000;
+    for (number, ms) in (0..cold_until_ms).step_by(REQUEST_INTERVAL_MS).enumerate() {
+        let sender = number % fleet.len();
+        for (context, table) in fleet.iter_mut().skip(sender).take(1) {
+            if ms >= KNOWN_FROM_MS {
+                let cold = ColdServer {
+                    remaining: Duration::from_millis(cold_until_ms - ms),
+                    ..cold("s1", 1)
+                };
+                table.apply_cold(at(ms), &cold);
+            }
+            if let Some(pick) = table.pick(at(ms), &context.request(&work)) {
+                table.record_sent(at(ms), &pick, None);
+                sent.push(ms);
+            }
+        }
+    }
+    let cold_sent: Vec<u64> = sent.into_iter().filter(|ms| *ms >= COLD_FROM_MS).collect();
+    for start in &cold_sent {
+        let second = *start..start + 1_000;
+        let count = cold_sent.iter().filter(|ms| second.contains(ms)).count();
+        assert!(count <= BOUND, "{count} in the second from {start} ms on");
+    }
+    let late = cold_sent.iter().filter(|ms| **ms >= KNOWN_FROM_MS);
+    assert!(late.count() >= 4, "{cold_sent:?}");
+}
