Measure an outage of the store until its first answer

Cause: a list of servers counts as the first after an outage if 2.5 s lie between the starts of two reads. A read that starts during the outage and is answered as it ends makes the outage look up to 1.2 s shorter. Then the grace period for entries that expired meanwhile does not begin.

Change: the outage lasts until the response arrives, and the grace period begins there. It works because the entries are written again within two seconds after the store's return, which is not later than its first answer.

--- a/crates/traffic/src/cold_servers.rs
+++ b/crates/traffic/src/cold_servers.rs
@@ -83,10 +83,11 @@
         was_warm
     }
 
-    /// Records a read of the list at `read_at`, after which the entries of an outage may be old.
-    pub(crate) fn record_entry_age(&mut self, read_at: MonotonicTime) {
-        if self.age(read_at).is_some_and(|age| age >= MAX_LIST_AGE) {
-            self.entries_current_from = read_at + RECOVERY_GRACE;
+    /// Records a read of the list whose response arrived at `now`. Its entries may be as old as the
+    /// time without a list before.
+    pub(crate) fn record_entry_age(&mut self, now: MonotonicTime) {
+        if self.age(now).is_some_and(|age| age >= MAX_LIST_AGE) {
+            self.entries_current_from = now + RECOVERY_GRACE;
         }
     }
 
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -86,7 +86,7 @@
 
     /// Records that the list was still current at `read_at`.
     pub fn confirm(&mut self, read_at: MonotonicTime) {
-        self.record_read(read_at);
+        self.record_read(read_at, read_at);
     }
 
     /// Replaces the list by one read at `read_at`, and returns the changes as text for the log.
@@ -103,7 +103,7 @@
         if listing.revision < self.revision {
             return Vec::new();
         }
-        self.record_read(read_at);
+        self.record_read(now, read_at);
         if self.revision.is_replaced_by(listing.revision) {
             // The older copy may lack servers that have not registered again yet.
             self.recovered_at = Some(now);
@@ -142,7 +142,7 @@
         {
             return Vec::new();
         }
-        self.record_read(read_at);
+        self.record_read(now, read_at);
         self.revision = changes.revision;
         let mut log = Vec::new();
         for entry in &changes.changed {
@@ -195,7 +195,7 @@
     /// current at `read_at`.
     pub fn confirm_revision(&mut self, revision: StoreRevision, read_at: MonotonicTime) {
         self.revision = self.revision.max(revision);
-        self.record_read(read_at);
+        self.record_read(read_at, read_at);
     }
 
     /// Removes the servers that are not listed, or keeps them for the grace period.
@@ -415,11 +415,13 @@
     }
 
     /// Updates the time of the last read, and detects the end of an outage of the store.
-    fn record_read(&mut self, read_at: MonotonicTime) {
-        self.record_entry_age(read_at);
+    ///
+    /// An outage may end while a read waits for its response, so it lasts until the response at `now`.
+    fn record_read(&mut self, now: MonotonicTime, read_at: MonotonicTime) {
+        self.record_entry_age(now);
         match self.read_at {
-            Some(before) if read_at.since(before) >= STORE_OUTAGE_AGE => {
-                self.recovered_at = Some(read_at);
+            Some(before) if now.since(before) >= STORE_OUTAGE_AGE => {
+                self.recovered_at = Some(now);
             }
             _ => {}
         }
