--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -16,7 +16,7 @@
     cold_checks::check_cold_servers,
     gateway::now,
     status_notices::{is_leader, send_status, view_request},
-    view_notices::{newer_view, send_notice},
+    view_notices::{newer_view, send_to_region},
 };
 
 /// Interval between status notices. Load reports that are 600 ms old mislead the placement of
@@ -318,20 +318,7 @@
         }
         let update = newer_view(&gateway, &sent_versions);
         sent_versions = view_request(&gateway);
-        let receivers: Vec<_> = {
-            let instances = gateway.instances.lock();
-            instances
-                .status_receivers_in(now(), &gateway.settings.region)
-                .filter(|instance| instance.id.name != gateway.id.name)
-                .cloned()
-                .collect()
-        };
-        for receiver in receivers {
-            let (gateway, update) = (gateway.clone(), update.clone());
-            tokio::spawn(async move {
-                send_notice(&gateway, &receiver, Notice::ViewUpdate(update)).await;
-            });
-        }
+        send_to_region(&gateway, &Notice::ViewUpdate(update));
     }
 }
 
--- a/crates/gateway/src/cold_checks.rs
+++ b/crates/gateway/src/cold_checks.rs
@@ -6,12 +6,12 @@
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use hawthornquay_instances::{Notice, ViewUpdate};
-use hawthornquay_traffic::{ColdServer, ListedInstance, UnknownServer};
+use hawthornquay_traffic::{ColdServer, UnknownServer};
 use tokio::time::sleep;
 
 use crate::{
     ControlPlane, Gateway, HeaderMapping, gateway::now, status_notices::is_leader,
-    view_notices::send_notice, wire_views::cold_record,
+    view_notices::send_to_region, wire_views::cold_record,
 };
 
 /// Interval at which servers are asked. A server that has become cold takes requests as a warm one until
@@ -99,18 +99,5 @@
         cold_servers: found.iter().map(cold_record).collect(),
         ..ViewUpdate::default()
     };
-    let receivers: Vec<ListedInstance> = {
-        let instances = gateway.instances.lock();
-        instances
-            .status_receivers_in(now(), &gateway.settings.region)
-            .filter(|instance| instance.id.name != gateway.id.name)
-            .cloned()
-            .collect()
-    };
-    for receiver in receivers {
-        let (gateway, update) = (gateway.clone(), update.clone());
-        tokio::spawn(async move {
-            send_notice(&gateway, &receiver, Notice::ViewUpdate(update)).await;
-        });
-    }
+    send_to_region(gateway, &Notice::ViewUpdate(update));
 }
--- a/crates/gateway/src/view_notices.rs
+++ b/crates/gateway/src/view_notices.rs
@@ -160,6 +160,25 @@
     }
 }
 
+/// Sends a notice to each other instance of the region, without waiting for it.
+pub(crate) fn send_to_region<C: ControlPlane, H: HeaderMapping>(
+    gateway: &Arc<Gateway<C, H>>,
+    notice: &Notice,
+) {
+    let receivers: Vec<ListedInstance> = {
+        let instances = gateway.instances.lock();
+        instances
+            .status_receivers_in(now(), &gateway.settings.region)
+            .filter(|instance| instance.id.name != gateway.id.name)
+            .cloned()
+            .collect()
+    };
+    for receiver in receivers {
+        let (gateway, notice) = (gateway.clone(), notice.clone());
+        tokio::spawn(async move { send_notice(&gateway, &receiver, notice).await });
+    }
+}
+
 /// Sends a notice, and logs an error if the instance cannot be reached.
 pub(crate) async fn send_notice<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
--- a/crates/traffic/src/cold_servers.rs
+++ b/crates/traffic/src/cold_servers.rs
@@ -8,7 +8,7 @@
 
 use hawthornquay_decisions::{BackendName, DomainName, MonotonicTime, ServiceName};
 
-use crate::{ServerTable, server_table::RECOVERY_GRACE};
+use crate::{ServerTable, listed_server::ListedServer, server_table::RECOVERY_GRACE};
 
 /// Age of the list from which servers may have become cold without being listed as such.
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_200);
@@ -49,7 +49,7 @@
         if is_current && now >= self.entries_current_from {
             return Vec::new();
         }
-        let is_unknown = |server: &&crate::listed_server::ListedServer| {
+        let is_unknown = |server: &&ListedServer| {
             let entry = &server.entry;
             server.is_usable(now)
                 && !server.cold.is_cold(now)
