Ask servers often at high load, and also those that the leader cannot reach

Cause: two gaps in the questions to the servers. With 200 ms between rounds, a server that gets 60 requests a second at a peak had 11 to 13 of them before it was asked. And the leader did not ask a server that it took for a cold one itself, because a connection to it had failed; the other instances, which did not know that, went on.

Change: rounds follow each other after 80 ms, later only if there are more than 16 servers to ask (200 a second, at most 250 ms). A server is left out only if it has stated that it is cold, since only that is sent to the others.

Measured: servers_to_ask_unreachable_is_asked_for_the_others is new; the code before left the server out.

--- a/crates/gateway/src/cold_checks.rs
+++ b/crates/gateway/src/cold_checks.rs
@@ -14,9 +14,15 @@
     view_notices::send_to_region, wire_views::cold_record,
 };
 
-/// Interval at which servers are asked. A server that has become cold takes requests as a warm one until
-/// it is asked again.
-const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest interval at which servers are asked. A server that has become cold takes requests as a warm
+/// one until it is asked again, at the peak some dozens a second.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Longest interval at which servers are asked.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Number of servers asked per second from which the interval grows with their number.
+const CHECKS_PER_S: f64 = 200.0;
 
 /// Longest wait for the answer of a server. It needs a slot to answer, like for any request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -29,20 +35,29 @@
     gateway: Arc<Gateway<C, H>>,
 ) {
     loop {
-        sleep(CHECK_INTERVAL).await;
         let time = now();
-        if !is_leader(&gateway, time) {
-            continue;
-        }
-        let servers = {
+        let servers = if is_leader(&gateway, time) {
             let table = gateway.servers.lock();
             table.servers_to_ask(time, |domain| gateway.is_local(domain))
+        } else {
+            Vec::new()
         };
+        let interval = check_interval(servers.len());
         if !servers.is_empty() {
             // A server that is slow to answer does not delay the next round.
             tokio::spawn(ask_all(gateway.clone(), servers));
         }
+        sleep(interval).await;
+    }
+}
+
+/// Returns the time until the next round after one in which `servers` were asked.
+fn check_interval(servers: usize) -> Duration {
+    if servers == 0 {
+        return MAX_CHECK_INTERVAL;
     }
+    let interval = Duration::from_secs_f64(servers as f64 / CHECKS_PER_S);
+    interval.clamp(MIN_CHECK_INTERVAL, MAX_CHECK_INTERVAL)
 }
 
 /// Asks servers, and reports those that have become cold as their answers arrive.
--- a/crates/traffic/src/cold_servers.rs
+++ b/crates/traffic/src/cold_servers.rs
@@ -38,8 +38,11 @@
 }
 
 impl ServerTable {
-    /// Returns the servers that take requests as warm ones although the list may not show that they
-    /// have become cold: it is old, or its entries may have been written before an outage.
+    /// Returns the servers that may have become cold although the list does not show it: it is old, or
+    /// its entries may have been written before an outage.
+    ///
+    /// Servers that this instance could not reach are among them. It takes them for cold ones, but the
+    /// other instances may not.
     pub fn servers_to_ask(
         &self,
         now: MonotonicTime,
@@ -51,8 +54,8 @@
         }
         let is_unknown = |server: &&ListedServer| {
             let entry = &server.entry;
-            server.is_usable(now)
-                && !server.cold.is_cold(now)
+            !entry.leaving
+                && now >= server.stated_cold_until
                 && is_local(&entry.domain)
                 && !self.evacuated.contains(&entry.domain)
                 && !self.cold_duration(&entry.service).is_zero()
@@ -70,7 +73,7 @@
     }
 
     /// Records that a server has stated to this or another instance that it is cold; returns whether
-    /// it counted as warm.
+    /// that was new.
     pub fn apply_cold(&mut self, now: MonotonicTime, cold: &ColdServer) -> bool {
         let Some(server) = self.servers.get_mut(&cold.id) else {
             return false;
@@ -78,9 +81,10 @@
         if server.entry.started_ms != cold.started_ms || cold.remaining.is_zero() {
             return false;
         }
-        let was_warm = !server.cold.is_cold(now);
+        let is_new = now >= server.stated_cold_until;
+        server.stated_cold_until = now + cold.remaining;
         server.cold.extend(now, cold.remaining);
-        was_warm
+        is_new
     }
 
     /// Records a read of the list whose response arrived at `now`. Its entries may be as old as the
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -27,6 +27,8 @@
     pub(crate) load: ServerLoad,
     pub(crate) health: ServerHealth,
     pub(crate) cold: ColdStartLimiter,
+    /// End of the cold time that the server has stated to an instance of the region.
+    pub(crate) stated_cold_until: MonotonicTime,
     pub(crate) latency: LatencyModel,
     pub(crate) prefixes: RecentPrefixes,
     /// End of the grace period of a server that is missing from the list after a store outage and
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -419,11 +419,8 @@
     /// An outage may end while a read waits for its response, so it lasts until the response at `now`.
     fn record_read(&mut self, now: MonotonicTime, read_at: MonotonicTime) {
         self.record_entry_age(now);
-        match self.read_at {
-            Some(before) if now.since(before) >= STORE_OUTAGE_AGE => {
-                self.recovered_at = Some(now);
-            }
-            _ => {}
+        if self.age(now).is_some_and(|age| age >= STORE_OUTAGE_AGE) {
+            self.recovered_at = Some(now);
         }
         self.read_at = self.read_at.max(Some(read_at));
     }
@@ -489,6 +486,7 @@
             load: ServerLoad::default(),
             health: ServerHealth::default(),
             cold,
+            stated_cold_until: MonotonicTime(0),
             latency: LatencyModel::new(engine),
             prefixes: RecentPrefixes::default(),
             kept_until: None,
--- a/crates/traffic/tests/cold_servers.rs
+++ b/crates/traffic/tests/cold_servers.rs
@@ -6,7 +6,7 @@
 
 use common::{RequestContext, at, listing, server, work};
 use hawthornquay_decisions::{BackendName, DomainName, InstanceName};
-use hawthornquay_traffic::{BackendEntry, ColdServer, ServerTable};
+use hawthornquay_traffic::{BackendEntry, ColdServer, ServerFailure, ServerTable};
 
 const COLD_TIME: Duration = Duration::from_millis(3_000);
 
@@ -58,7 +58,7 @@
     assert_eq!(to_ask(&table, 6_400), [""; 0]);
 }
 
-/// Servers that get no requests as warm ones, or never become cold, are not asked.
+/// Servers that get no requests, never become cold, or have stated that they are cold are not asked.
 #[test]
 fn servers_to_ask_unaffected_are_left_out() {
     let mut leaving = server("s1", "home-a");
@@ -76,8 +76,23 @@
         server("s6", "home-a"),
     ]);
     table.set_evacuated(at(10), &[DomainName::new("home-b")]);
-    assert_eq!(to_ask(&table, 2_000), ["s6"]);
-    assert_eq!(to_ask(&table, 4_000), ["s3", "s6"]);
+    assert_eq!(to_ask(&table, 2_000), ["s3", "s6"]);
+    table.apply_cold(at(2_000), &cold("s6", 1));
+    assert_eq!(to_ask(&table, 2_100), ["s3"]);
+    assert_eq!(to_ask(&table, 5_000), ["s3", "s6"]);
+}
+
+/// An instance that took a server for a cold one, because it could not reach it, did not ask it, and
+/// the others went on to take it for a warm one.
+#[test]
+fn servers_to_ask_unreachable_is_asked_for_the_others() {
+    let context = RequestContext::default();
+    let mut table = table_with(&[server("s1", "home-a")]);
+    let id = BackendName::new("s1");
+    let failure = ServerFailure::Unreachable;
+    table.record_failure(at(1_900), &id, failure, &context.configuration);
+    assert_eq!(to_ask(&table, 2_000), ["s1"]);
+    assert!(table.apply_cold(at(2_000), &cold("s1", 1)));
 }
 
 #[test]
