Accept the whole accept queue before a server closes its listener

Callers saw a reset: their connection and their whole request had arrived, but the stopping server closed the listener before it accepted them.

Cause: the queue was emptied by polling the runtime's listener once per connection without a pause. The runtime lets one task accept 64 connections (128 operations, one of them the permit) before it must yield, and says that there is none while it has not looked at the listener again. The rest was reset.

--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -8,13 +8,13 @@
     time::Duration,
 };
 
-use futures_util::FutureExt;
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
 use hyper::{Method, Request, Version, body::Incoming, header, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
@@ -118,7 +118,7 @@
         }
         // The operating system has accepted further connections, and their callers may have sent a
         // request already. Closing the listener would reset them.
-        while let Some(Ok(accepted)) = accept(&self.listener, &permits).now_or_never() {
+        while let Some(accepted) = accept_queued(&self.listener, &permits) {
             self.spawn_connection(accepted, &graceful, &shutdown);
         }
         drop(self.listener);
@@ -214,3 +214,26 @@
     stream.set_nodelay(true)?;
     Ok((stream, address, permit))
 }
+
+/// Accepts the next connection of the accept queue; returns `None` if there is none or a limit is
+/// reached.
+///
+/// It asks the operating system directly. The runtime may not have looked at the listener yet, and
+/// lets one poll accept only a part of a long queue.
+fn accept_queued(listener: &TcpListener, permits: &Arc<Semaphore>) -> Option<Accepted> {
+    let permit = Arc::clone(permits).try_acquire_owned().ok()?;
+    loop {
+        let accepted = SockRef::from(listener).accept();
+        match accepted.and_then(|(socket, address)| Ok((into_stream(socket)?, address))) {
+            Ok((stream, address)) => return Some((stream, address.as_socket()?, permit)),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+fn into_stream(socket: socket2::Socket) -> io::Result<TcpStream> {
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    TcpStream::from_std(socket.into())
+}
--- a/crates/http/tests/stopping.rs
+++ b/crates/http/tests/stopping.rs
@@ -92,3 +92,29 @@
     }
     assert!(stopped.await.unwrap());
 }
+
+/// Guards against connections that are reset because the accept queue holds more of them than the
+/// runtime accepts without a pause.
+#[tokio::test]
+async fn shutdown_answers_requests_of_long_accept_queue() {
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = HttpServer::bind(address, router(), ServerLimits::default())
+        .await
+        .unwrap();
+    let address = server.local_addr().unwrap();
+    let mut sockets = Vec::new();
+    for _ in 0..120 {
+        let mut socket = TcpStream::connect(address).await.unwrap();
+        socket.write_all(REQUEST).await.unwrap();
+        sockets.push(socket);
+    }
+    let shutdown = CancellationToken::new();
+    shutdown.cancel();
+    let stopped = tokio::spawn(server.serve(shutdown));
+    let mut cut = 0;
+    for socket in sockets {
+        cut += usize::from(!read_all(socket).await.starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(cut, 0, "connections without a response");
+    assert!(stopped.await.unwrap());
+}
