Do not count silence towards a stopping instance in its directory

Callers who asked the directory of a stopping instance got no address, or not that of the region's leader, although it ran.

Cause: the others no longer send messages to an instance that leaves, so all of them look silent to it after 2.5 s, and the one that sent last is left out. The silence of others now counts only while this instance is not leaving.

addresses_for_caller_of_leaving_instance_include_silent_instances failed before: left ["10.0.0.3:2"] (another region), right ["10.0.0.2:2"].

--- a/crates/traffic/src/instance_directory.rs
+++ b/crates/traffic/src/instance_directory.rs
@@ -16,6 +16,7 @@
     /// may be sent by `home_regions`; none if that is `None`.
     ///
     /// Leaving and silent instances are left out; `local` is this instance, which is never silent.
+    /// While it is leaving, the others no longer send to it, and their silence does not count.
     pub fn addresses_for(
         &self,
         now: MonotonicTime,
@@ -29,6 +30,7 @@
             let since = self.leading_since;
             since.is_some_and(|since| now.since(since) > SILENCE_TIMEOUT)
         });
+        let is_local_leaving = self.contacts.get(local).is_some_and(|own| own.leaving);
         let usable: Vec<&ListedInstance> = self
             .listed
             .iter()
@@ -36,9 +38,9 @@
             .filter(|instance| {
                 if instance.id.name == *local {
                     // The list may still hold an earlier process of this instance.
-                    return !self.contacts.get(local).is_some_and(|own| own.leaving);
+                    return !is_local_leaving;
                 }
-                !self.has_stopped_sending(now, instance, led_region)
+                is_local_leaving || !self.has_stopped_sending(now, instance, led_region)
             })
             .collect();
         let named = |proximity, is_named: &dyn Fn(&ListedInstance) -> bool| {
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -164,6 +164,17 @@
     assert_eq!(hosts(&list, 8_000, "b"), ["10.0.0.3:2"]);
 }
 
+/// Guards against the directory of a stopping instance that leaves out the instances that still
+/// run: they no longer send messages to it.
+#[test]
+fn addresses_for_caller_of_leaving_instance_include_silent_instances() {
+    let mut list = list();
+    list.record_message(at(0), &"a1".into(), 1, true);
+    list.record_message(at(100), &"a2".into(), 1, false);
+    assert_eq!(hosts(&list, 200, "a"), ["10.0.0.2:2"]);
+    assert_eq!(hosts(&list, 5_000, "a"), ["10.0.0.2:2"]);
+}
+
 /// Guards against a directory that names only itself once its instance leads again: the messages of
 /// the others date from the time when it led before.
 #[test]
