Follow the list of instances until a stopping process ends

Callers were sent to instances that no longer accepted connections. They got no connection for seconds, and those whose handshake was not complete when the listener closed had sent their whole request and got a reset: 'cut, no answer'. The instance never had the socket, so no log showed it.

Cause: a stopping instance answers the directory until its process ends, up to 7.8 s after SIGTERM, but stopped to read the list of instances at SIGTERM. The others no longer send to it, and an instance that stops later does not notify it, since it has left the list. So its directory named instances that stopped after it. With two instances in a region, callers ask these first.

Change: a stopping instance reads the list from the store every 500 ms.

stopping_instance_directory_leaves_out_instances_that_stop_later failed before: the answer at 1.5 s after the second SIGTERM named that instance.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -36,6 +36,9 @@
 /// Interval at which the leader of a region reads the list of instances.
 const INSTANCE_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Interval at which a stopping instance reads the list of instances.
+const LEAVING_LIST_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Interval at which the leader of a region reads the configuration and all evacuations again, in
 /// case a change was missed.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(15);
@@ -179,7 +182,7 @@
             if let Some(registration) = registration.take() {
                 unregister(&gateway, registration).await;
             }
-            return;
+            return follow_instances(&gateway, health).await;
         }
         let ttl = gateway.settings.registration_ttl;
         registration = registration.filter(|current| !is_registration_lost(&gateway, *current));
@@ -217,6 +220,23 @@
     }
 }
 
+/// Keeps the list of instances of a stopping instance current. The others no longer send it their
+/// changes, and its directory must not name instances that stop after it.
+async fn follow_instances<C: ControlPlane, H: HeaderMapping>(
+    gateway: &Gateway<C, H>,
+    mut health: StoreHealth,
+) {
+    loop {
+        let outcome = gateway.control.instances().await.map(|listing| {
+            gateway.apply_instances(listing, "store");
+        });
+        if health.record(gateway, outcome).is_err() {
+            wait_before_retry().await;
+        }
+        sleep(LEAVING_LIST_INTERVAL).await;
+    }
+}
+
 /// Returns whether the registration has to be renewed or written again: also at once in a new era of
 /// the store, which may have lost it.
 fn must_renew<C: ControlPlane, H: HeaderMapping>(
