Keep connections of a stopping server until its requests have ended

Callers whose connection was idle sent a request to an instance that still ran and got no answer, although nothing had announced the close.

Cause: 250 ms after the end of accepting, all idle connections were closed without a look at the socket, while other requests ran on for seconds. So was one whose next head had arrived in part, and one whose response had begun before the stop, at the end of that response: its head could not announce the close.

Change: a connection stays open while requests of the server are in progress, and answers one more request with 'Connection: close'. Afterwards it is closed once it has been idle for 250 ms, with the data that has arrived read before each check. HTTP/2 announces its end by itself and is told at once. The bytes of a body that is read after its response no longer count as those of another request.

--- a/crates/http/src/connection_end.rs
+++ b/crates/http/src/connection_end.rs
@@ -55,7 +55,8 @@
     pub age: Duration,
     /// Number of complete responses.
     pub responses: u64,
-    /// Bytes read since the last complete response ended, or since the start.
+    /// Bytes read since the last complete response or the body of its request ended, or since the
+    /// start.
     pub unanswered_bytes: u64,
     /// Whether a request whose head was read has no complete response.
     pub is_request_open: bool,
@@ -68,7 +69,7 @@
         result: &Result<(), Box<dyn Error + Send + Sync>>,
         is_stopping: bool,
     ) -> Self {
-        let unanswered_bytes = progress.bytes_read - progress.bytes_read_at_response;
+        let unanswered_bytes = progress.unanswered_bytes();
         Self {
             client,
             reason: end_reason(result, progress, unanswered_bytes > 0, is_stopping),
@@ -76,7 +77,7 @@
             age: progress.accepted.elapsed(),
             responses: progress.responses,
             unanswered_bytes,
-            is_request_open: progress.requests > progress.responses,
+            is_request_open: progress.is_request_open(),
         }
     }
 
--- a/crates/http/src/connection_progress.rs
+++ b/crates/http/src/connection_progress.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -15,9 +15,13 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 use crate::Body;
 
+/// First bytes of the preface of HTTP/2, which no method of HTTP/1.1 begins with.
+const HTTP2_PREFACE_START: &[u8] = b"PRI ";
+
 /// Progress of one connection.
 #[derive(Debug)]
 pub(crate) struct Progress {
@@ -25,14 +29,40 @@
     /// Time at which a byte was last read or written.
     pub(crate) last_transfer: Instant,
     pub(crate) bytes_read: u64,
-    /// `bytes_read` when the last complete response ended.
-    pub(crate) bytes_read_at_response: u64,
+    /// `bytes_read` when the last complete response or the body of a request ended.
+    pub(crate) bytes_read_at_end: u64,
     /// Requests whose head was read.
     pub(crate) requests: u64,
     /// Complete responses.
     pub(crate) responses: u64,
     /// Whether the client closed its side.
     pub(crate) is_client_closed: bool,
+    /// Whether the connection began with the preface of HTTP/2.
+    pub(crate) is_http2: bool,
+}
+
+impl Progress {
+    /// Returns the number of bytes read that belong to no answered request.
+    pub(crate) const fn unanswered_bytes(&self) -> u64 {
+        self.bytes_read - self.bytes_read_at_end
+    }
+
+    /// Returns whether a request whose head was read has no complete response.
+    pub(crate) const fn is_request_open(&self) -> bool {
+        self.requests > self.responses
+    }
+
+    /// Records that the body of a request ended.
+    pub(crate) const fn end_request_body(&mut self) {
+        self.bytes_read_at_end = self.bytes_read;
+    }
+
+    /// Returns whether no request has begun and no byte was transferred for `duration`.
+    pub(crate) fn is_idle_for(&self, duration: Duration) -> bool {
+        !self.is_request_open()
+            && self.unanswered_bytes() == 0
+            && self.last_transfer.elapsed() >= duration
+    }
 }
 
 /// Progress that the stream and the responses of a connection share.
@@ -44,10 +74,11 @@
         accepted: now,
         last_transfer: now,
         bytes_read: 0,
-        bytes_read_at_response: 0,
+        bytes_read_at_end: 0,
         requests: 0,
         responses: 0,
         is_client_closed: false,
+        is_http2: false,
     }))
 }
 
@@ -81,6 +112,9 @@
             let len = buf.filled().len() - before;
             let mut progress = self.progress.lock();
             if len > 0 {
+                if progress.bytes_read == 0 {
+                    progress.is_http2 = buf.filled()[before..].starts_with(HTTP2_PREFACE_START);
+                }
                 progress.bytes_read += len as u64;
                 progress.last_transfer = Instant::now();
             } else if buf.remaining() > 0 {
@@ -131,15 +165,23 @@
     /// Whether the response has no more data, or the request's method allows none.
     is_complete: bool,
     progress: SharedProgress,
+    /// Counts the request as in progress.
+    _request: TaskTrackerToken,
 }
 
 impl ObservedBody {
     /// Observes `body`; `is_bodiless` says that the request's method allows no body.
-    pub(crate) const fn new(body: Body, is_bodiless: bool, progress: SharedProgress) -> Self {
+    pub(crate) const fn new(
+        body: Body,
+        is_bodiless: bool,
+        progress: SharedProgress,
+        request: TaskTrackerToken,
+    ) -> Self {
         Self {
             body,
             is_complete: is_bodiless,
             progress,
+            _request: request,
         }
     }
 }
@@ -171,7 +213,7 @@
         if self.is_complete || self.body.is_end_stream() {
             let mut progress = self.progress.lock();
             progress.responses += 1;
-            progress.bytes_read_at_response = progress.bytes_read;
+            progress.bytes_read_at_end = progress.bytes_read;
         }
     }
 }
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -9,10 +9,12 @@
 };
 
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
-use hyper::{Method, Request, Version, body::Incoming, header, service::service_fn};
+use hyper::{
+    Method, Request, Version, body::Incoming, header, header::HeaderValue, service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto, graceful::GracefulShutdown},
+    server::conn::auto,
 };
 use socket2::SockRef;
 use tokio::{
@@ -25,6 +27,7 @@
     ConnectionEnd, ServerLimits,
     connection_end::EndObserver,
     connection_progress::{ObservedBody, ObservedStream, SharedProgress, shared_progress},
+    drain::Drain,
     idle_announcement::announce_idle_time,
     limit_timer::LimitTimer,
     unread_body::UnreadBody,
@@ -33,10 +36,6 @@
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Time after the end of accepting in which requests on connections without a request in progress
-/// are still read.
-pub const UNREAD_REQUEST_DELAY: Duration = Duration::from_millis(250);
-
 /// Accepted connection with its permit.
 type Accepted = (TcpStream, SocketAddr, OwnedSemaphorePermit);
 
@@ -103,7 +102,7 @@
     ///
     /// Returns whether all of them ended within [`ServerLimits::drain_timeout`].
     pub async fn serve(self, shutdown: CancellationToken) -> bool {
-        let graceful = GracefulShutdown::new();
+        let drain = Drain::default();
         let permits = Arc::new(Semaphore::new(self.limits.borrow().max_connections));
         loop {
             let accepted = tokio::select! {
@@ -111,7 +110,7 @@
                 accepted = accept(&self.listener, &permits) => accepted,
             };
             match accepted {
-                Ok(accepted) => self.spawn_connection(accepted, &graceful, &shutdown),
+                Ok(accepted) => self.spawn_connection(accepted, &drain, &shutdown),
                 // Usually no file descriptor is free: wait for connections to close.
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
@@ -119,14 +118,11 @@
         // The operating system has accepted further connections, and their callers may have sent a
         // request already. Closing the listener would reset them.
         while let Some(accepted) = accept_queued(&self.listener, &permits) {
-            self.spawn_connection(accepted, &graceful, &shutdown);
+            self.spawn_connection(accepted, &drain, &shutdown);
         }
         drop(self.listener);
-        // A connection without a request in progress is closed at once, also if a request has
-        // arrived that has not been read.
-        tokio::time::sleep(UNREAD_REQUEST_DELAY).await;
         let drain_timeout = self.limits.borrow().drain_timeout;
-        tokio::time::timeout(drain_timeout, graceful.shutdown())
+        tokio::time::timeout(drain_timeout, drain.run())
             .await
             .is_ok()
     }
@@ -134,22 +130,24 @@
     fn spawn_connection(
         &self,
         (stream, address, permit): Accepted,
-        graceful: &GracefulShutdown,
+        drain: &Drain,
         shutdown: &CancellationToken,
     ) {
         let progress = shared_progress();
-        let connection = graceful.watch(self.connection(stream, address, &progress));
+        let connection = self.connection(stream, address, &progress, drain, shutdown);
         let observer = self.end_observer.clone();
-        let shutdown = shutdown.clone();
+        let (drain, shutdown) = (drain.clone(), shutdown.clone());
+        let open = drain.connection();
         tokio::spawn(async move {
             // A connection error affects only its client, which observes it, too.
-            let result = connection.await;
+            let result = drain.serve(connection, &progress).await;
             drop(permit);
             if let Some(observer) = observer {
                 let is_stopping = shutdown.is_cancelled();
                 let end = ConnectionEnd::new(address, &progress.lock(), &result, is_stopping);
                 observer(&end);
             }
+            drop(open);
         });
     }
 
@@ -158,6 +156,8 @@
         stream: TcpStream,
         address: SocketAddr,
         progress: &SharedProgress,
+        drain: &Drain,
+        shutdown: &CancellationToken,
     ) -> impl hyper_util::server::graceful::GracefulConnection<
         Error = Box<dyn std::error::Error + Send + Sync>,
     > + Send
@@ -167,6 +167,7 @@
         let stream = ObservedStream::new(stream, Arc::clone(progress));
         let progress = Arc::clone(progress);
         let limit_updates = self.limits.clone();
+        let (drain, shutdown) = (drain.clone(), shutdown.clone());
         let service = service_fn(move |req: Request<Incoming>| {
             let handler = handler.clone();
             // A caller that waits for a `100 Continue` may leave the body out after a refusal.
@@ -174,18 +175,23 @@
             let is_http1 = req.version() == Version::HTTP_11;
             let limit_updates = limit_updates.clone();
             let is_bodiless = req.method() == Method::HEAD;
-            let req = req.map(|body| UnreadBody::new(body, discards));
-            let state = State::from_request(req, address);
             let progress = Arc::clone(&progress);
             progress.lock().requests += 1;
+            let (in_progress, shutdown) = (drain.request(), shutdown.clone());
+            let req = req.map(|body| UnreadBody::new(body, discards, Arc::clone(&progress)));
+            let state = State::from_request(req, address);
             async move {
                 let res = call_handler(handler, AssertUnwindSafe(state)).await;
                 res.map(|mut res| {
                     if is_http1 {
+                        if shutdown.is_cancelled() {
+                            let close = HeaderValue::from_static("close");
+                            res.headers_mut().insert(header::CONNECTION, close);
+                        }
                         let idle_timeout = limit_updates.borrow().header_timeout;
                         announce_idle_time(res.headers_mut(), idle_timeout);
                     }
-                    res.map(|body| ObservedBody::new(body, is_bodiless, progress))
+                    res.map(|body| ObservedBody::new(body, is_bodiless, progress, in_progress))
                 })
             }
         });
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod connection_end;
 mod connection_progress;
+mod drain;
 mod http_server;
 mod idle_announcement;
 mod json_response;
@@ -13,7 +14,8 @@
 
 pub use {
     connection_end::{ConnectionEnd, EndReason},
-    http_server::{HttpServer, UNREAD_REQUEST_DELAY},
+    drain::UNREAD_REQUEST_DELAY,
+    http_server::HttpServer,
     json_response::{empty_response, json_response},
     read_body::{read_body, read_body_with_budget},
     read_error::ReadError,
--- a/crates/http/src/unread_body.rs
+++ b/crates/http/src/unread_body.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -11,6 +12,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::{runtime::Handle, time::timeout};
 
+use crate::connection_progress::SharedProgress;
+
 /// Maximum time for which the unread rest of a body is read and discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -27,13 +30,15 @@
     body: Option<Incoming>,
     /// Whether the rest is read if the body is dropped.
     discards: bool,
+    progress: SharedProgress,
 }
 
 impl UnreadBody {
-    pub(crate) const fn new(body: Incoming, discards: bool) -> Self {
+    pub(crate) const fn new(body: Incoming, discards: bool, progress: SharedProgress) -> Self {
         Self {
             body: Some(body),
             discards,
+            progress,
         }
     }
 }
@@ -52,6 +57,7 @@
         let polled = Pin::new(body).poll_frame(cx);
         if let Poll::Ready(None | Some(Err(_))) = polled {
             self.body = None;
+            self.progress.lock().end_request_body();
         }
         polled
     }
@@ -69,24 +75,33 @@
 
 impl Drop for UnreadBody {
     fn drop(&mut self) {
-        let unread = self.body.take().filter(|body| !body.is_end_stream());
-        let Some(body) = unread.filter(|_| self.discards) else {
+        let Some(body) = self.body.take() else {
             return;
         };
+        if body.is_end_stream() {
+            return self.progress.lock().end_request_body();
+        }
         // Without a runtime, the connection is closing, too.
-        if let Ok(runtime) = Handle::try_current() {
-            runtime.spawn(timeout(DISCARD_TIMEOUT, discard(body)));
+        if let (true, Ok(runtime)) = (self.discards, Handle::try_current()) {
+            let progress = Arc::clone(&self.progress);
+            runtime.spawn(async move {
+                if let Ok(true) = timeout(DISCARD_TIMEOUT, discard(body)).await {
+                    progress.lock().end_request_body();
+                }
+            });
         }
     }
 }
 
-async fn discard(mut body: Incoming) {
+/// Reads the rest of `body`; returns whether it ended.
+async fn discard(mut body: Incoming) -> bool {
     let mut left = MAX_DISCARDED_BYTES;
     while let Some(Ok(frame)) = body.frame().await {
         let len = frame.data_ref().map_or(0, Bytes::len);
         if len > left {
-            return;
+            return false;
         }
         left -= len;
     }
+    body.is_end_stream()
 }
