Count requests as in flight only while they run, streams included

Cause: the handler of callers added one to `in_flight` before the request ran and subtracted it afterwards. hyper drops the handler's future when the caller leaves, so the subtraction was left out and the request counted until the end of the process. A stream was no longer counted once its response head was returned, although "ending the requests that still run" ends streams, too.

Change: a guard counts the request while it lives (`running_requests.rs`). The handler's future holds it, and the body of a stream from then on.

Why it works: the guard is dropped with whatever owns the request, on every way out: a response, a caller that leaves, the end of a stream or a panic.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -1,11 +1,6 @@
 //! HTTP handler for requests of callers.
 
-use std::{
-    panic::AssertUnwindSafe,
-    pin::Pin,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{panic::AssertUnwindSafe, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -32,6 +27,7 @@
     exchange_stop::stopping_refusal,
     gateway::now,
     limit_loans::{self, LoanOutcome},
+    running_requests::RunningRequestGuard,
 };
 
 /// Bound on the request bodies that a process holds in memory at once: a fifth of its memory.
@@ -78,9 +74,9 @@
             let parts = request_parts(&mut state);
             let chunked = parts.headers.contains_key(header::TRANSFER_ENCODING);
             let expects = parts.headers.contains_key(header::EXPECT);
-            gateway.in_flight.fetch_add(1, Ordering::Relaxed);
-            let mut res = respond(&gateway, arrived_at, parts, body).await;
-            gateway.in_flight.fetch_sub(1, Ordering::Relaxed);
+            // hyper drops this future when the caller leaves.
+            let running = gateway.in_flight.enter();
+            let mut res = respond(&gateway, arrived_at, parts, body, running).await;
             // hyper drops a `Content-Length` that follows `Transfer-Encoding: chunked`. The bytes
             // after such a request may be smuggled, so its connection is not used any further.
             // Neither is that of a caller that may leave out the body after the response.
@@ -106,6 +102,7 @@
     arrived_at: MonotonicTime,
     parts: Parts,
     body: Body,
+    running: RunningRequestGuard,
 ) -> Response<Body> {
     let head = match gateway.header_mapping.read_caller_request(&parts) {
         Ok(head) => head,
@@ -118,7 +115,7 @@
     let admission = admit(gateway, arrived_at, &parts, head, body);
     let admitted = gateway.stop.run_until_end(admission).await;
     match admitted.unwrap_or_else(|| Err(stopping_refusal())) {
-        Ok(request) => run(gateway, request).await,
+        Ok(request) => run(gateway, request, running).await,
         Err(refusal) => refuse(gateway, arrived_at, &id, parts.uri.path(), &refusal),
     }
 }
@@ -308,6 +305,7 @@
 async fn run<C: ControlPlane, H: HeaderMapping>(
     gateway: &Arc<Gateway<C, H>>,
     request: AdmittedRequest,
+    running: RunningRequestGuard,
 ) -> Response<Body> {
     let mut exchange = Exchange::new(gateway.clone(), request);
     let started = exchange.start().await;
@@ -319,7 +317,7 @@
             status,
             headers,
             first,
-        }) => stream_response(exchange, status, headers, first),
+        }) => stream_response(exchange, status, headers, first, running),
         Err(refusal) => {
             if let Some(response) = exchange.take_error_response() {
                 exchange.finish("error-answer");
@@ -360,10 +358,15 @@
     status: StatusCode,
     headers: HeaderMap,
     first: Bytes,
+    running: RunningRequestGuard,
 ) -> Response<Body> {
     let events = stream::unfold(
-        (exchange, Some(first).filter(|first| !first.is_empty())),
-        |(mut exchange, first)| async move {
+        (
+            exchange,
+            Some(first).filter(|first| !first.is_empty()),
+            running,
+        ),
+        |(mut exchange, first, running)| async move {
             let data = match first {
                 Some(first) => Ok(first),
                 None => exchange.next_events().await?,
@@ -373,7 +376,10 @@
                 // the body is pending.
                 tokio::task::yield_now().await;
             }
-            Some((data.map(hyper::body::Frame::data), (exchange, None)))
+            Some((
+                data.map(hyper::body::Frame::data),
+                (exchange, None, running),
+            ))
         },
     );
     let mut res = Response::new(Body::new(StreamBody::new(events)));
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Start, serving and graceful stop of the gateway process.
 
-use std::{io, net::SocketAddr, pin::pin, sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use gotham::{
     handler::NewHandler,
@@ -112,7 +112,7 @@
         end: now() + time_to_end,
     });
     slog::info!(gateway.log.daemon, "stopping";
-        "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
+        "in_flight" => gateway.in_flight.count());
     gateway.begin_leaving();
     send_leaving(&gateway).await;
     sleep(accept_time).await;
@@ -122,7 +122,7 @@
     let mut is_drained = timeout_at(deadline, &mut servers).await.is_ok();
     if !is_drained {
         slog::info!(gateway.log.daemon, "ending the requests that still run";
-            "in_flight" => gateway.in_flight.load(Ordering::Relaxed));
+            "in_flight" => gateway.in_flight.count());
         gateway.stop.end_requests();
         is_drained = timeout(FINAL_RESPONSE_TIME, servers).await.is_ok();
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use bytes::Bytes;
@@ -23,7 +23,8 @@
 
 use crate::{
     GatewayError, GatewayLogs, GatewayMetrics, InstanceReport,
-    link_settings::gateway_link_settings, server_probes::ServerProbes, stop::Stop,
+    link_settings::gateway_link_settings, running_requests::RunningRequests,
+    server_probes::ServerProbes, stop::Stop,
 };
 
 /// Share of the fleet's retry budget that is divided among the instances. The rest is a margin for
@@ -87,8 +88,9 @@
     pub(crate) leaving: AtomicBool,
     /// Progress of the stop of this process.
     pub(crate) stop: Stop,
-    /// Requests of callers whose response head has not been returned.
-    pub(crate) in_flight: AtomicU64,
+    /// Requests of callers that have no response yet, and those whose stream has not ended. A
+    /// request whose caller has left is not counted.
+    pub(crate) in_flight: RunningRequests,
     /// Number of times that this instance sent status notices as the leader. It selects the
     /// instances of another region that receive them while the leader of that region is unknown.
     pub(crate) status_round: AtomicUsize,
@@ -149,7 +151,7 @@
             metrics: GatewayMetrics::new()?,
             leaving: AtomicBool::new(false),
             stop: Stop::default(),
-            in_flight: AtomicU64::new(0),
+            in_flight: RunningRequests::default(),
             status_round: AtomicUsize::new(0),
             view_changed: Notify::new(),
             caller_limits: watch::channel(ServerLimits::default()).0,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod quarantine_notices;
 mod response_memory;
 mod response_start;
+mod running_requests;
 mod server_attempt;
 mod server_probes;
 mod silence_limit;
