Record the bytes that lie unread in the socket when a connection ends

Cause: the record of a connection's end knows only the bytes that were read. A request that arrived and was never read before the server closed the connection looked like an idle connection: counted as request="none", and left out of the log as an end between two requests.

Change: the stream of a connection asks the socket for its unread bytes (FIONREAD) when it is dropped, before the socket is closed. `ConnectionEnd` has them as `unread_bytes`; such an end is not between two requests. Its log line says `"request":"unread"` with `unread_bytes`, and `caller_connections_ended_total` has the label request="unread". Ends without unread bytes stay unlogged. If the call fails, the value is 0.

Why it works: `Drop::drop` of the stream runs before its socket is dropped, and the connection is dropped before its end is reported. If the client closed the connection, the server has read up to the end of the data, so nothing is unread. A request that hyper had read ahead while an earlier one ran is still not recorded: its bytes count as read before the response ended.

--- a/crates/gateway/src/connection_ends.rs
+++ b/crates/gateway/src/connection_ends.rs
@@ -7,10 +7,11 @@
 impl<C, H> Gateway<C, H> {
     /// Counts the end of a connection of a caller, and logs it unless it came between two requests.
     pub(crate) fn report_connection_end(&self, end: &ConnectionEnd) {
-        let request = match (end.is_request_open, end.unanswered_bytes) {
-            (true, _) => "unanswered",
-            (false, 0) => "none",
-            (false, _) => "partial",
+        let request = match (end.is_request_open, end.unanswered_bytes, end.unread_bytes) {
+            (true, _, _) => "unanswered",
+            (false, 1.., _) => "partial",
+            (false, 0, 1..) => "unread",
+            (false, 0, 0) => "none",
         };
         self.metrics
             .count_connection_end(end.reason.as_str(), request);
@@ -25,6 +26,7 @@
             "reason" => end.reason.as_str(),
             "request" => request,
             "unanswered_bytes" => end.unanswered_bytes,
+            "unread_bytes" => end.unread_bytes,
             "responses" => end.responses,
             "idle_ms" => u64::try_from(end.idle.as_millis()).unwrap_or(u64::MAX),
             "age_ms" => u64::try_from(end.age.as_millis()).unwrap_or(u64::MAX),
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -155,8 +155,8 @@
         self.directory_answers.with_label_values(&[proximity]).inc();
     }
 
-    /// Counts the end of a connection of a caller; `request` says whether a request was unanswered
-    /// or its head partly read.
+    /// Counts the end of a connection of a caller; `request` says whether a request was unanswered,
+    /// its head partly read, or bytes not read at all.
     pub fn count_connection_end(&self, reason: &str, request: &str) {
         self.connection_ends
             .with_label_values(&[reason, request])
--- a/crates/http/src/connection_end.rs
+++ b/crates/http/src/connection_end.rs
@@ -57,6 +57,9 @@
     pub responses: u64,
     /// Bytes read since the last complete response ended, or since the start.
     pub unanswered_bytes: u64,
+    /// Bytes that had arrived and had not been read when the server closed the socket: a request,
+    /// or the rest of a request that was answered early.
+    pub unread_bytes: u64,
     /// Whether a request whose head was read has no complete response.
     pub is_request_open: bool,
 }
@@ -76,14 +79,15 @@
             age: progress.accepted.elapsed(),
             responses: progress.responses,
             unanswered_bytes,
+            unread_bytes: progress.unread_bytes,
             is_request_open: progress.requests > progress.responses,
         }
     }
 
-    /// Returns whether the connection ended between two requests.
+    /// Returns whether the connection ended between two requests, with nothing left to read.
     #[must_use]
     pub const fn is_between_requests(&self) -> bool {
-        !self.is_request_open && self.unanswered_bytes == 0
+        !self.is_request_open && self.unanswered_bytes == 0 && self.unread_bytes == 0
     }
 }
 
--- a/crates/http/src/connection_progress.rs
+++ b/crates/http/src/connection_progress.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use hyper::body::{Body as _, Frame, SizeHint};
 use parking_lot::Mutex;
+use rustix::io::ioctl_fionread;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -33,6 +34,8 @@
     pub(crate) responses: u64,
     /// Whether the client closed its side.
     pub(crate) is_client_closed: bool,
+    /// Bytes that had arrived and had not been read when the server closed the socket.
+    pub(crate) unread_bytes: u64,
 }
 
 /// Progress that the stream and the responses of a connection share.
@@ -48,6 +51,7 @@
         requests: 0,
         responses: 0,
         is_client_closed: false,
+        unread_bytes: 0,
     }))
 }
 
@@ -69,6 +73,14 @@
     }
 }
 
+impl Drop for ObservedStream {
+    fn drop(&mut self) {
+        // Runs before the socket is closed.
+        let unread_bytes = ioctl_fionread(&self.stream).unwrap_or(0);
+        self.progress.lock().unread_bytes = unread_bytes;
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/http/tests/connection_ends.rs
+++ b/crates/http/tests/connection_ends.rs
@@ -4,18 +4,21 @@
 
 use futures_util::stream;
 use gotham::{
+    handler::HandlerError,
     prelude::{DefineSingleRoute, DrawRoutes},
     router::{Router, build_simple_router},
     state::State,
 };
-use hawthornquay_http::{Body, ConnectionEnd, EndReason, HttpServer, ServerLimits, empty_response};
+use hawthornquay_http::{
+    Body, ConnectionEnd, EndReason, HttpServer, ServerLimits, UNREAD_REQUEST_DELAY, empty_response,
+};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::StreamBody;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::mpsc,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -27,11 +30,24 @@
     (state, empty_response(StatusCode::OK))
 }
 
-fn answer_last(state: State) -> (State, Response<Body>) {
+/// Returns a response after which the server closes the connection.
+fn final_response() -> Response<Body> {
     let mut res = empty_response(StatusCode::OK);
     let close = HeaderValue::from_static("close");
     res.headers_mut().insert(header::CONNECTION, close);
-    (state, res)
+    res
+}
+
+fn answer_last(state: State) -> (State, Response<Body>) {
+    (state, final_response())
+}
+
+/// Time for which a request to `/slow` runs.
+const SLOW: Duration = Duration::from_millis(600);
+
+async fn answer_last_slowly(_: &mut State) -> Result<Response<Body>, HandlerError> {
+    sleep(SLOW).await;
+    Ok(final_response())
 }
 
 fn answer_without_end(state: State) -> (State, Response<Body>) {
@@ -50,6 +66,7 @@
     build_simple_router(|route| {
         route.get("/").to(answer);
         route.get("/last").to(answer_last);
+        route.get("/slow").to_async_borrowing(answer_last_slowly);
         route.get("/endless").to(answer_without_end);
         route.get("/broken").to(answer_broken);
     })
@@ -178,3 +195,46 @@
     assert_eq!(end.reason, EndReason::Shutdown);
     assert!(end.is_between_requests());
 }
+
+/// Guards against a request that the server never read and whose connection ends like an idle one:
+/// the caller sees a close without an answer, and the record shows none.
+#[tokio::test]
+async fn unread_request_is_told_from_idle_connection() {
+    let mut server = TestServer::start_with(ServerLimits::default()).await;
+    let mut socket = TcpStream::connect(server.address).await.unwrap();
+    // While the first request runs, hyper reads once more; the third request stays in the socket.
+    for request in [b"GET /slow HTTP/1.1\r\nhost: x\r\n\r\n", REQUEST, REQUEST] {
+        socket.write_all(request).await.unwrap();
+        sleep(SLOW / 6).await;
+    }
+    let end = server.next_end().await;
+    assert_eq!(end.reason, EndReason::FinalResponse);
+    assert!(!end.is_between_requests(), "{end:?}");
+    assert_eq!(end.unread_bytes, REQUEST.len() as u64);
+    assert_eq!((end.responses, end.is_request_open), (1, false));
+}
+
+/// Guards against a request that arrives as a stopping server closes its connection and that is
+/// neither answered nor recorded. The process pauses until the server has no more time to read.
+#[tokio::test]
+async fn request_at_shutdown_is_answered_or_recorded() {
+    let mut server = TestServer::start_with(ServerLimits::default()).await;
+    let mut socket = server.send(REQUEST).await.into_std().unwrap();
+    server.shutdown.cancel();
+    sleep(UNREAD_REQUEST_DELAY / 2).await;
+    // Both timers have expired when the runtime runs again, so the request is written before the
+    // runtime can see that the socket is readable.
+    tokio::join!(
+        async {
+            sleep(UNREAD_REQUEST_DELAY / 5).await;
+            std::io::Write::write_all(&mut socket, REQUEST).unwrap();
+        },
+        async { std::thread::sleep(UNREAD_REQUEST_DELAY) },
+    );
+    let end = server.next_end().await;
+    assert_eq!(end.reason, EndReason::Shutdown);
+    let is_answered = end.responses == 2;
+    assert!(is_answered || !end.is_between_requests(), "{end:?}");
+    let unread = if is_answered { 0 } else { REQUEST.len() as u64 };
+    assert_eq!(end.unread_bytes, unread);
+}
