--- a/crates/http/src/connection_progress.rs
+++ b/crates/http/src/connection_progress.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use hyper::body::{Body as _, Frame, SizeHint};
 use parking_lot::Mutex;
+use rustix::io::ioctl_fionread;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -39,6 +40,8 @@
     pub(crate) is_client_closed: bool,
     /// Whether the connection began with the preface of HTTP/2.
     pub(crate) is_http2: bool,
+    /// Bytes that had arrived and had not been read when the server closed the socket.
+    pub(crate) unread_bytes: u64,
 }
 
 impl Progress {
@@ -79,6 +82,7 @@
         responses: 0,
         is_client_closed: false,
         is_http2: false,
+        unread_bytes: 0,
     }))
 }
 
@@ -100,6 +104,14 @@
     }
 }
 
+impl Drop for ObservedStream {
+    fn drop(&mut self) {
+        // Runs before the socket is closed.
+        let unread_bytes = ioctl_fionread(&self.stream).unwrap_or(0);
+        self.progress.lock().unread_bytes = unread_bytes;
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
