Let a stopping instance use the last load reports of other regions

A stream that a stopping instance had forwarded was cut when the other instance stopped too, with a healthy region in sight: 'no-server ... lagos:6servers,5103ms' in the request's line, 4.8 s into a grace period of 8 s.

Cause: the reports of the regions are not sent to an instance that leaves, and count for 2.5 s only. From then on it refuses what it cannot run itself and continues no stream elsewhere.

available_load_of_leaving_instance_uses_last_report guards it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -191,6 +191,7 @@
         self.instances
             .lock()
             .record_message(now(), &self.id.name, incarnation, true);
+        self.region_board.lock().begin_leaving();
     }
 
     /// Returns this instance as it is listed in the store.
--- a/crates/traffic/src/region_table.rs
+++ b/crates/traffic/src/region_table.rs
@@ -9,6 +9,10 @@
 /// Maximum age of a region's load report for requests to be forwarded there.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2_500);
 
+/// Maximum age of a region's load report at an instance that is leaving. It receives no reports any
+/// more, and the requests that it holds have no other way than by the last ones.
+const MAX_LOAD_AGE_WHEN_LEAVING: Duration = Duration::from_secs(10);
+
 /// Maximum age of a region's demand report for the fleet demand to be complete.
 const MAX_DEMAND_AGE: Duration = Duration::from_millis(2_000);
 
@@ -30,6 +34,7 @@
 #[derive(Default)]
 pub struct RegionTable {
     regions: Map<RegionName, Region>,
+    is_leaving: bool,
 }
 
 impl RegionTable {
@@ -50,6 +55,11 @@
         region.refused_tokens.clear();
     }
 
+    /// Records that this instance is leaving, so that it receives no further reports.
+    pub fn begin_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Returns the latest report of each region with its time.
     pub fn reports(&self) -> impl Iterator<Item = (&RegionName, MonotonicTime, &RegionReport)> {
         self.regions
@@ -95,7 +105,11 @@
         tokens: u64,
     ) -> Option<ServiceReport> {
         let region = self.regions.get(name)?;
-        if now.since(region.reported_at) > MAX_LOAD_AGE || now < region.backoff_until {
+        let max_age = match self.is_leaving {
+            true => MAX_LOAD_AGE_WHEN_LEAVING,
+            false => MAX_LOAD_AGE,
+        };
+        if now.since(region.reported_at) > max_age || now < region.backoff_until {
             return None;
         }
         let mut report = *region.report.services.get(service)?;
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -186,6 +186,22 @@
     );
 }
 
+/// Guards against streams that a stopping instance cannot continue in another region: it receives no
+/// more reports, and the last ones became too old 2.5 s after its stop began.
+#[test]
+fn available_load_of_leaving_instance_uses_last_report() {
+    let mut regions = Regions::new(80);
+    let far = RegionName::new("far");
+    let llm = ServiceName::new("llm");
+    regions.table.begin_leaving();
+    let is_known = |ms| {
+        let load = regions.table.available_load(at(ms), &far, &llm, 2_000);
+        load.is_some()
+    };
+    assert!(is_known(7_600));
+    assert!(!is_known(11_000));
+}
+
 /// Requests forwarded since a region's report must count as load. Otherwise a burst overloads the
 /// region before its next report.
 #[test]
