Keep a drained link open until its last responses have arrived

An instance that stops closed each link once its calls had ended and its queue was written, or 1.5 s later. It did not read any more then. Data of the sender that lay unread, such as heartbeats or flow-control credit, made the close reset the connection, and what was still on its way of the last responses was discarded. On a slow path the 1.5 s ended the writing. The instance that had forwarded the requests saw the link end in the middle of the responses: its callers got a cut stream or 502 for a request that had run to its end.

The receiver now reads on, and drops what it reads, until the sender has closed the link, which it does once it has read the end. It gives up when the sender is silent for the receive time-out, or 5 s after the last byte was written, so that a sender that does not close cannot hold up the stop.

--- a/crates/instances/src/peer_connection.rs
+++ b/crates/instances/src/peer_connection.rs
@@ -1,11 +1,12 @@
 //! Incoming link, opened by another instance.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hawthornquay_decisions::{Execution, InstanceId, Map};
 use tokio::{
     net::TcpStream,
     sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinHandle,
     time::{Instant, sleep_until, timeout},
 };
 use tokio_util::{
@@ -24,6 +25,10 @@
     send_queue::SendQueue,
 };
 
+/// Longest wait for the peer to close a drained link whose end has been written. An instance closes
+/// a link as soon as it has read the end, behind the replies that a slow path may still hold.
+const MAX_CLOSE_WAIT: Duration = Duration::from_secs(5);
+
 /// Incoming link with the calls in flight on it.
 pub(crate) struct PeerConnection<S> {
     local: LocalInstance,
@@ -62,7 +67,7 @@
         LinkCounters::increment(&local.counters.opened);
         let (send_queue, queue_receiver) = SendQueue::new();
         let closed = CancellationToken::new();
-        let mut writing = tokio::spawn(queue_receiver.write_to(writer, closed.clone()));
+        let writing = tokio::spawn(queue_receiver.write_to(writer, closed.clone()));
         let receive_timeout = local.settings.receive_timeout;
         let connection = Self {
             local,
@@ -76,20 +81,23 @@
             closed: closed.clone(),
             draining: false,
         };
-        if connection.read(reader, last_received, shutdown).await {
+        if let Some(reader) = connection
+            .read(reader, last_received.clone(), shutdown)
+            .await
+        {
             // All senders have been dropped, so the writer ends after the last reply.
-            let _ = timeout(receive_timeout, &mut writing).await;
+            deliver_replies(reader, last_received, writing, receive_timeout).await;
         }
         closed.cancel();
     }
 
-    /// Reads messages until the link ends; returns whether it ended by draining.
+    /// Reads messages until the link ends; returns the reader if it ended by draining.
     async fn read(
         mut self,
         mut reader: EnvelopeReader<LinkStream>,
         last_received: LastReceived,
         shutdown: CancellationToken,
-    ) -> bool {
+    ) -> Option<EnvelopeReader<LinkStream>> {
         let receive_timeout = self.local.settings.receive_timeout;
         let calls = self.calls.clone();
         let closed = self.closed.clone();
@@ -100,12 +108,12 @@
                 // forwarded request is accepted after it. The receive time-out comes last, so that
                 // a process that was paused first reads the data that has arrived.
                 biased;
-                () = closed.cancelled() => return false,
+                () = closed.cancelled() => return None,
                 () = shutdown.cancelled(), if !self.draining => {
                     self.draining = true;
                     calls.close();
                 }
-                () = calls.wait(), if self.draining => return true,
+                () = calls.wait(), if self.draining => return Some(reader),
                 received = reader.next() => match received {
                     Ok(Some((envelope, body))) => self.receive(&envelope, body),
                     Ok(None) | Err(_) => closed.cancel(),
@@ -287,6 +295,43 @@
     }
 }
 
+/// Waits until the last replies of a drained link are written and the peer has closed the link.
+///
+/// What arrives is read and dropped: the close of a socket with unread data resets the connection,
+/// which discards the replies that are still on their way. As long as the peer sends its heartbeats,
+/// there is no limit for the writing, since a path may be slow.
+async fn deliver_replies(
+    mut reader: EnvelopeReader<LinkStream>,
+    last_received: LastReceived,
+    mut writing: JoinHandle<()>,
+    receive_timeout: Duration,
+) {
+    let mut close_by = None;
+    loop {
+        let silent_at = last_received.at() + receive_timeout;
+        let expires_at = close_by.map_or(silent_at, |close_by| silent_at.min(close_by));
+        tokio::select! {
+            // The branches are polled in order. The time-out comes last, so that a process that was
+            // paused first reads the data that has arrived.
+            biased;
+            _ = &mut writing, if close_by.is_none() => {
+                close_by = Some(Instant::now() + MAX_CLOSE_WAIT);
+            }
+            received = reader.next() => if !matches!(received, Ok(Some(_))) {
+                return;
+            },
+            () = sleep_until(expires_at) => {
+                let time = Instant::now();
+                if last_received.at() + receive_timeout <= time
+                    || close_by.is_some_and(|close_by| close_by <= time)
+                {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 async fn accept(
     socket: TcpStream,
     from: SocketAddr,
--- a/crates/instances/tests/support/raw_peer.rs
+++ b/crates/instances/tests/support/raw_peer.rs
@@ -65,8 +65,12 @@
     }
 
     pub async fn send(&mut self, envelope: Envelope) {
+        self.try_send(envelope).await.unwrap();
+    }
+
+    pub async fn try_send(&mut self, envelope: Envelope) -> std::io::Result<()> {
         let frame = Bytes::from(envelope.encode_to_vec());
-        self.0.send(frame).await.unwrap();
+        self.0.send(frame).await
     }
 
     pub async fn send_bytes(&mut self, bytes: Bytes) -> std::io::Result<()> {
