Declare the requests that a drained link has not read as not run

A stopping instance ends each link once the calls on it have ended, and does not look for further data first. A request that was in the socket or on its way then had an unknown outcome for the instance that forwarded it, although nobody had read it: a caller whose request may run only once got 502, and others used up an attempt and the retry budget. This needs a sender that still forwards to the instance 2.6 s after SIGTERM, so one that the notice of the stop has not reached: it has just started, or is paused.

Behind the last reply, the receiver now writes `LinkDrained`. All accepted requests have a reply by then, and none is accepted later, so the sender knows that a request without any reply has not run, and the gateway passes it on to another instance. The message is not written if a request ended without a reply, as when the runtime shuts down, nor on a link that ended in another way. Older instances skip the message.

Before, `instances/draining`:

drain_request_that_crosses_the_end_is_not_run: left: Unknown, right: NotRun

After: all tests of the package pass.

--- a/crates/instances/src/body.rs
+++ b/crates/instances/src/body.rs
@@ -3,7 +3,8 @@
 use crate::{
     BundleContent, BundleDelta, BundleFetch, CapacityGrant, CapacityRequest, Digest, Forward,
     ForwardBody, ForwardCancel, ForwardCredit, ForwardData, ForwardEnd, ForwardHead,
-    ForwardRefused, Hello, LoanGrant, LoanRequest, Ping, Pong, Status, ViewRequest, ViewUpdate,
+    ForwardRefused, Hello, LinkDrained, LoanGrant, LoanRequest, Ping, Pong, Status, ViewRequest,
+    ViewUpdate,
 };
 
 /// Message carried by an [`Envelope`](crate::Envelope).
@@ -75,6 +76,9 @@
     /// Part of the body of a forwarded request.
     #[prost(message, tag = "24")]
     ForwardBody(ForwardBody),
+    /// Last message of a drained link.
+    #[prost(message, tag = "25")]
+    LinkDrained(LinkDrained),
 }
 
 impl Body {
--- a/crates/instances/src/forward_sink.rs
+++ b/crates/instances/src/forward_sink.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Body, Envelope, ForwardData, ForwardEnd, ForwardHead, ForwardRefused, LinkError,
-    MAX_DATA_CHUNK_BYTES, send_queue::SendQueue,
+    MAX_DATA_CHUNK_BYTES, drain_state::DrainState, send_queue::SendQueue,
 };
 
 /// Flow control and cancellation of one response.
@@ -32,6 +32,7 @@
     pub(crate) credit: Arc<Semaphore>,
     pub(crate) cancelled: CancellationToken,
     pub(crate) streams: Streams,
+    pub(crate) drain: Arc<DrainState>,
     pub(crate) finished: bool,
 }
 
@@ -71,8 +72,9 @@
     ///
     /// Returns [`LinkError::Cancelled`] if the peer cancelled the request or its link ended.
     pub async fn end(mut self, end: ForwardEnd) -> Result<(), LinkError> {
+        self.send(Body::ForwardEnd(end)).await?;
         self.finished = true;
-        self.send(Body::ForwardEnd(end)).await
+        Ok(())
     }
 
     /// Refuses the request or reports its failure.
@@ -81,8 +83,9 @@
     ///
     /// Returns [`LinkError::Cancelled`] if the peer cancelled the request or its link ended.
     pub async fn refuse(mut self, refused: ForwardRefused) -> Result<(), LinkError> {
+        self.send(Body::ForwardRefused(refused)).await?;
         self.finished = true;
-        self.send(Body::ForwardRefused(refused)).await
+        Ok(())
     }
 
     async fn take_credit(&self, len: usize) -> Result<(), LinkError> {
@@ -123,6 +126,8 @@
         if self.finished || self.cancelled.is_cancelled() {
             return;
         }
+        // The refusal below is not sent if the runtime is shutting down.
+        self.drain.record_abandoned();
         let refused = ForwardRefused::new(
             "forward-failed",
             "the instance ended the forwarded request without a complete response",
--- a/crates/instances/src/forward_stream.rs
+++ b/crates/instances/src/forward_stream.rs
@@ -27,6 +27,7 @@
     pub(crate) events: UnboundedReceiver<ForwardEvent>,
     pub(crate) buffered: Arc<AtomicUsize>,
     pub(crate) consumed: usize,
+    pub(crate) has_reply: bool,
     pub(crate) finished: bool,
 }
 
@@ -55,6 +56,7 @@
             self.finished = true;
             return Some(Err(self.end_error()));
         };
+        self.has_reply = true;
         self.consumed += event.buffered_len();
         self.buffered
             .fetch_sub(event.buffered_len(), Ordering::AcqRel);
@@ -81,10 +83,15 @@
     fn end_error(&self) -> LinkError {
         let name = self.link.peer.name.clone();
         if self.link.closed.is_cancelled() {
-            return LinkError::LinkEnded {
-                name,
-                execution: self.write_state.cancel(),
+            let execution = match self.write_state.cancel() {
+                Execution::Unknown
+                    if self.link.is_drained.load(Ordering::Acquire) && !self.has_reply =>
+                {
+                    Execution::NotRun
+                }
+                execution => execution,
             };
+            return LinkError::LinkEnded { name, execution };
         }
         self.send_cancel();
         LinkError::Protocol {
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -16,6 +16,7 @@
 mod crash_record;
 mod digest;
 mod digest_entry;
+mod drain_state;
 mod envelope;
 mod envelope_io;
 mod forward;
@@ -36,6 +37,7 @@
 mod leaving_server_record;
 mod link;
 mod link_counters;
+mod link_drained;
 mod link_error;
 mod link_pool;
 mod link_security;
@@ -107,6 +109,7 @@
     instance_list_changes::InstanceListChanges,
     leaving_server_record::LeavingServerRecord,
     link_counters::LinkCounters,
+    link_drained::LinkDrained,
     link_error::LinkError,
     link_pool::LinkPool,
     link_security::LinkSecurity,
--- a/crates/instances/src/link.rs
+++ b/crates/instances/src/link.rs
@@ -1,6 +1,9 @@
 //! Outgoing link, opened by this process.
 
-use std::sync::{Arc, atomic::AtomicUsize};
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
 
 use bytes::Bytes;
 use hawthornquay_decisions::{InstanceId, Map};
@@ -37,6 +40,8 @@
     peer_max_body: usize,
     pub(crate) send_queue: SendQueue,
     pub(crate) closed: CancellationToken,
+    /// Whether the peer has stated that it runs none of the requests without a reply.
+    pub(crate) is_drained: AtomicBool,
     address: std::net::SocketAddr,
     local: LocalInstance,
     /// Calls in flight by sequence number; `None` once the link has ended, so that no call can be
@@ -60,12 +65,13 @@
             peer_max_body: usize::try_from(hello.max_body_bytes).unwrap_or(usize::MAX),
             send_queue,
             closed: closed.clone(),
+            is_drained: AtomicBool::new(false),
             address: peer.address,
             local: local.clone(),
             pending: Mutex::new(Some(Map::default())),
             last_used: Mutex::new(Instant::now()),
         });
-        tokio::spawn(queue_receiver.write_to(writer, closed));
+        tokio::spawn(queue_receiver.write_to(writer, closed, || None));
         tokio::spawn(link.clone().run(reader, last_received));
         Ok(link)
     }
@@ -144,6 +150,7 @@
             events,
             buffered,
             consumed: 0,
+            has_reply: false,
             finished: false,
         };
         if !self.add_pending(sequence, Pending::Stream(sender)) {
@@ -266,6 +273,10 @@
                     self.send_queue.try_send(Envelope::one_way(Body::Ping(Ping {})));
                 }
                 received = reader.next() => match received {
+                    Ok(Some((_, Body::LinkDrained(_)))) => {
+                        self.is_drained.store(true, Ordering::Release);
+                        break;
+                    }
                     Ok(Some((envelope, body))) => self.receive(&envelope, body),
                     Ok(None) | Err(_) => break,
                 },
--- a/crates/instances/src/peer_connection.rs
+++ b/crates/instances/src/peer_connection.rs
@@ -15,8 +15,9 @@
 };
 
 use crate::{
-    Body, Envelope, Forward, ForwardBody, ForwardRefused, ForwardSink, LinkCounters, LinkError,
-    LocalInstance, MAX_CALLS_PER_LINK, Notice, PeerService, Pong, STREAM_WINDOW_BYTES,
+    Body, Envelope, Forward, ForwardBody, ForwardRefused, ForwardSink, LinkCounters, LinkDrained,
+    LinkError, LocalInstance, MAX_CALLS_PER_LINK, Notice, PeerService, Pong, STREAM_WINDOW_BYTES,
+    drain_state::DrainState,
     envelope_io::{EnvelopeReader, EnvelopeWriter, receive_hello, send_hello, split_envelopes},
     forward_sink::{StreamControl, Streams},
     link_stream::{LinkStream, check_peer_name},
@@ -40,6 +41,7 @@
     partial: Map<u64, PartialForward>,
     calls: TaskTracker,
     permits: Arc<Semaphore>,
+    drain: Arc<DrainState>,
     closed: CancellationToken,
     draining: bool,
 }
@@ -67,7 +69,15 @@
         LinkCounters::increment(&local.counters.opened);
         let (send_queue, queue_receiver) = SendQueue::new();
         let closed = CancellationToken::new();
-        let writing = tokio::spawn(queue_receiver.write_to(writer, closed.clone()));
+        let drain = Arc::<DrainState>::default();
+        let last_message = {
+            let drain = drain.clone();
+            move || {
+                let body = Body::LinkDrained(LinkDrained {});
+                drain.is_complete().then(|| Envelope::one_way(body))
+            }
+        };
+        let writing = tokio::spawn(queue_receiver.write_to(writer, closed.clone(), last_message));
         let receive_timeout = local.settings.receive_timeout;
         let connection = Self {
             local,
@@ -78,6 +88,7 @@
             partial: Map::default(),
             calls: TaskTracker::new(),
             permits: Arc::new(Semaphore::new(MAX_CALLS_PER_LINK)),
+            drain,
             closed: closed.clone(),
             draining: false,
         };
@@ -113,7 +124,10 @@
                     self.draining = true;
                     calls.close();
                 }
-                () = calls.wait(), if self.draining => return Some(reader),
+                () = calls.wait(), if self.draining => {
+                    self.drain.record_drained();
+                    return Some(reader);
+                }
                 received = reader.next() => match received {
                     Ok(Some((envelope, body))) => self.receive(&envelope, body),
                     Ok(None) | Err(_) => closed.cancel(),
@@ -260,6 +274,7 @@
             credit: control.credit.clone(),
             cancelled: control.cancelled.clone(),
             streams: self.streams.clone(),
+            drain: self.drain.clone(),
             finished: false,
         };
         self.streams.lock().insert(sequence, control);
--- a/crates/instances/src/send_queue.rs
+++ b/crates/instances/src/send_queue.rs
@@ -95,11 +95,13 @@
 }
 
 impl SendQueueReceiver {
-    /// Writes messages until all senders are dropped, a write fails or `closed` is cancelled.
+    /// Writes messages until all senders are dropped, a write fails or `closed` is cancelled. If
+    /// all senders are dropped, the message that `last` returns is written behind the others.
     pub(crate) async fn write_to<S: AsyncWrite>(
         mut self,
         mut writer: EnvelopeWriter<S>,
         closed: CancellationToken,
+        last: impl FnOnce() -> Option<Envelope>,
     ) {
         let written = closed
             .run_until_cancelled(async {
@@ -117,6 +119,9 @@
                         writer.flush().await?;
                     }
                 }
+                if let Some(envelope) = last() {
+                    writer.feed(&envelope).await?;
+                }
                 writer.close().await
             })
             .await;
--- a/crates/instances/tests/draining.rs
+++ b/crates/instances/tests/draining.rs
@@ -4,8 +4,14 @@
 
 use std::time::Duration;
 
-use hawthornquay_instances::{Body, Envelope, Forward, Ping};
-use support::{Pair, TEST_TIMEOUT, raw_peer::RawPeer, service::forward};
+use hawthornquay_decisions::Execution;
+use hawthornquay_instances::{Body, Envelope, Forward, LinkError, PeerAddress, Ping};
+use support::{
+    Pair, TEST_TIMEOUT,
+    raw_peer::RawPeer,
+    relay::{Fault, Relay},
+    service::forward,
+};
 use tokio::time::{Instant, sleep, timeout};
 
 /// Size of a response that one flow-control window allows, and that the receive buffer of a socket
@@ -30,6 +36,52 @@
     complete
 }
 
+/// Guards against `Unknown` for a request that crosses the end of a drained link. The drained
+/// instance has not read it, so its caller may get it run elsewhere even if it may run only once.
+#[tokio::test]
+async fn drain_request_that_crosses_the_end_is_not_run() {
+    let pair = Pair::start().await;
+    let relay = Relay::start(pair.server.address).await;
+    let peer = PeerAddress::new("b", relay.address);
+    let first = pair
+        .pool
+        .forward(&peer, forward("/echo", b""), TEST_TIMEOUT);
+    let mut first = first.await.unwrap();
+    while let Some(event) = first.next().await {
+        event.unwrap();
+    }
+    relay.fault_open(Fault::Stall);
+    let crossing = forward("/held", b"x");
+    let crossing = pair.pool.forward(&peer, crossing, TEST_TIMEOUT).await;
+    let mut crossing = crossing.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    pair.server.shutdown.cancel();
+    sleep(Duration::from_millis(200)).await;
+    relay.fault_open(Fault::None);
+    let event = timeout(TEST_TIMEOUT, crossing.next()).await.unwrap();
+    let error = event.unwrap().unwrap_err();
+    assert!(matches!(error, LinkError::LinkEnded { .. }), "{error}");
+    assert_eq!(pair.server.service.arrived.available_permits(), 0);
+    assert_eq!(error.execution(), Execution::NotRun);
+}
+
+/// Guards against a drained instance that declares a request as not run although it has begun to
+/// run it and not answered.
+#[tokio::test]
+async fn drain_abandoned_request_is_unknown() {
+    let pair = Pair::start().await;
+    let mut raw = RawPeer::connect(pair.server.address, &pair.authority).await;
+    let request = Body::Forward(forward("/abandon", b""));
+    raw.send(Envelope::of_call(2, 1, request)).await;
+    pair.server.service.wait_for_arrival().await;
+    pair.server.shutdown.cancel();
+    let Some(Body::ForwardRefused(refused)) = raw.receive_call().await.body else {
+        panic!("no refusal");
+    };
+    assert_eq!(refused.confirmed_execution(), Execution::Unknown);
+    assert_eq!(raw.try_receive().await, None);
+}
+
 /// Guards against the loss of a last response whose link is closed while data of the other side
 /// lies unread: the connection is reset, and what is still on its way is discarded.
 #[tokio::test(flavor = "multi_thread")]
