Accept connections while callers keep answers of the directory

Callers whose connection was not established when a stopping instance closed its listener had sent their whole request and got a reset; later ones got no connection.

Cause: the listener closed 2.6 s after SIGTERM. Callers keep an answer of the directory for up to 3 s, and other instances need some tenths to leave one out, so callers were still connecting. From another region a handshake takes 110 ms. Change: connections are accepted for 3.4 s. Requests count as late from 2.85 s on, as before: they are run only if they end in time with a margin, else refused.

stopping_instance_accepts_while_answers_of_the_directory_are_kept failed before: no connection 3.0 s after SIGTERM.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,7 +8,7 @@
     router::{Router, build_simple_router},
     state::State,
 };
-use hawthornquay_http::{Body, HttpServer, ServerLimits, UNREAD_REQUEST_DELAY, empty_response};
+use hawthornquay_http::{Body, HttpServer, ServerLimits, empty_response};
 use hawthornquay_instances::PeerServer;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -24,10 +24,15 @@
     status_notices::send_leaving, stop::StopTimes,
 };
 
-/// Time for which a stopping instance still accepts requests. Callers need it to resolve the
-/// addresses of other instances. Requests accepted later would have too little of the grace period
-/// left.
-const STOP_ACCEPTING_DELAY: Duration = Duration::from_millis(2_600);
+/// Time for which a stopping instance still accepts connections. Callers keep the addresses of the
+/// directory for up to three times the second that it states, and the other instances need some
+/// tenths of a second to leave this one out. A caller whose connection is not established when the
+/// listener closes may have sent its request, and gets a reset.
+const STOP_ACCEPTING_DELAY: Duration = Duration::from_millis(3_400);
+
+/// Time of a stop from which requests count as late. They have too little of the grace period left
+/// to be run without a margin.
+const LATE_REQUEST_DELAY: Duration = Duration::from_millis(2_850);
 
 /// Time before the end of the grace period at which the requests that still run are ended. The
 /// platform kills the process at the end of the grace period.
@@ -108,7 +113,7 @@
     let deadline = Instant::now() + time_to_end;
     let accept_time = STOP_ACCEPTING_DELAY.min(settings.stop_grace / 2);
     gateway.stop.begin(StopTimes {
-        late_from: now() + accept_time + UNREAD_REQUEST_DELAY,
+        late_from: now() + accept_time.min(LATE_REQUEST_DELAY),
         end: now() + time_to_end,
     });
     slog::info!(gateway.log.daemon, "stopping";
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -8,7 +8,7 @@
 /// Times of a graceful stop.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StopTimes {
-    /// Time from which requests only arrive that callers had begun to send before.
+    /// Time from which requests are run only if they end before the process with a margin.
     pub(crate) late_from: MonotonicTime,
     /// Time at which the requests that still run are ended.
     pub(crate) end: MonotonicTime,
