--- a/crates/http/tests/stopping.rs
+++ b/crates/http/tests/stopping.rs
@@ -115,30 +115,37 @@
     String::from_utf8_lossy(&buf).into_owned()
 }
 
+/// Sends a request on each of `count` connections before a server accepts any, and starts the
+/// server with its shutdown begun; returns how many requests get no response.
+async fn unanswered_in_accept_queue(count: usize) -> usize {
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = HttpServer::bind(address, router(), ServerLimits::default())
+        .await
+        .unwrap();
+    let address = server.local_addr().unwrap();
+    let mut sockets = Vec::new();
+    for _ in 0..count {
+        let mut socket = TcpStream::connect(address).await.unwrap();
+        socket.write_all(REQUEST).await.unwrap();
+        sockets.push(socket);
+    }
+    let shutdown = CancellationToken::new();
+    shutdown.cancel();
+    let stopped = tokio::spawn(server.serve(shutdown));
+    let mut unanswered = 0;
+    for socket in sockets {
+        unanswered += usize::from(!read_all(socket).await.starts_with("HTTP/1.1 200"));
+    }
+    assert!(stopped.await.unwrap());
+    unanswered
+}
+
 /// Guards against requests that are cut off without a response because the operating system has
 /// accepted their connections and the stopping server has not.
 #[tokio::test]
 async fn shutdown_answers_requests_on_connections_in_accept_queue() {
     for _ in 0..10 {
-        let address = ([127, 0, 0, 1], 0).into();
-        let server = HttpServer::bind(address, router(), ServerLimits::default())
-            .await
-            .unwrap();
-        let address = server.local_addr().unwrap();
-        let mut sockets = Vec::new();
-        for _ in 0..20 {
-            let mut socket = TcpStream::connect(address).await.unwrap();
-            socket.write_all(REQUEST).await.unwrap();
-            sockets.push(socket);
-        }
-        let shutdown = CancellationToken::new();
-        shutdown.cancel();
-        let stopped = tokio::spawn(server.serve(shutdown));
-        for socket in sockets {
-            let response = read_all(socket).await;
-            assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
-        }
-        assert!(stopped.await.unwrap());
+        assert_eq!(unanswered_in_accept_queue(20).await, 0);
     }
 }
 
@@ -146,23 +153,12 @@
 /// the server closes its idle connections.
 #[tokio::test]
 async fn shutdown_answers_request_that_arrives_with_it() {
-    let address = ([127, 0, 0, 1], 0).into();
-    let server = HttpServer::bind(address, router(), ServerLimits::default())
-        .await
-        .unwrap();
-    let address = server.local_addr().unwrap();
-    let shutdown = CancellationToken::new();
-    let stopped = tokio::spawn(server.serve(shutdown.clone()));
+    let server = TestServer::start().await;
     let mut sockets = Vec::new();
     for _ in 0..20 {
-        let mut socket = TcpStream::connect(address).await.unwrap();
-        socket.write_all(REQUEST).await.unwrap();
-        let mut buf = [0; 1_024];
-        let read = socket.read(&mut buf).await.unwrap();
-        assert!(buf[..read].starts_with(b"HTTP/1.1 200"));
-        sockets.push(socket);
+        sockets.push(server.kept_connection().await);
     }
-    shutdown.cancel();
+    server.shutdown.cancel();
     for socket in &mut sockets {
         socket.write_all(REQUEST).await.unwrap();
     }
@@ -170,33 +166,14 @@
         let response = read_all(socket).await;
         assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
     }
-    assert!(stopped.await.unwrap());
+    assert!(server.stopped.await.unwrap());
 }
 
 /// Guards against connections that are reset because the accept queue holds more of them than the
 /// runtime accepts without a pause.
 #[tokio::test]
 async fn shutdown_answers_requests_of_long_accept_queue() {
-    let address = ([127, 0, 0, 1], 0).into();
-    let server = HttpServer::bind(address, router(), ServerLimits::default())
-        .await
-        .unwrap();
-    let address = server.local_addr().unwrap();
-    let mut sockets = Vec::new();
-    for _ in 0..120 {
-        let mut socket = TcpStream::connect(address).await.unwrap();
-        socket.write_all(REQUEST).await.unwrap();
-        sockets.push(socket);
-    }
-    let shutdown = CancellationToken::new();
-    shutdown.cancel();
-    let stopped = tokio::spawn(server.serve(shutdown));
-    let mut cut = 0;
-    for socket in sockets {
-        cut += usize::from(!read_all(socket).await.starts_with("HTTP/1.1 200"));
-    }
-    assert_eq!(cut, 0, "connections without a response");
-    assert!(stopped.await.unwrap());
+    assert_eq!(unanswered_in_accept_queue(120).await, 0);
 }
 
 /// Guards against idle connections that are closed while other requests are still running, although
