Judge silence towards a stopping instance as of the begin of its stop

Silence is now judged as of the time at which the instance began to leave, and its own record does not count as a message of its region.

--- a/crates/traffic/src/instance_directory.rs
+++ b/crates/traffic/src/instance_directory.rs
@@ -16,7 +16,8 @@
     /// may be sent by `home_regions`; none if that is `None`.
     ///
     /// Leaving and silent instances are left out; `local` is this instance, which is never silent.
-    /// While it is leaving, the others no longer send to it, and their silence does not count.
+    /// Once it is leaving, the others no longer send to it: only those are left out that were silent
+    /// when it began to leave.
     pub fn addresses_for(
         &self,
         now: MonotonicTime,
@@ -30,7 +31,11 @@
             let since = self.leading_since;
             since.is_some_and(|since| now.since(since) > SILENCE_TIMEOUT)
         });
-        let is_local_leaving = self.contacts.get(local).is_some_and(|own| own.leaving);
+        let own_contact = self.contacts.get(local).filter(|own| own.leaving);
+        let is_local_leaving = own_contact.is_some();
+        let silent_at = own_contact
+            .and_then(|own| own.last_message_at)
+            .unwrap_or(now);
         let usable: Vec<&ListedInstance> = self
             .listed
             .iter()
@@ -40,7 +45,7 @@
                     // The list may still hold an earlier process of this instance.
                     return !is_local_leaving;
                 }
-                is_local_leaving || !self.has_stopped_sending(now, instance, led_region)
+                !self.has_stopped_sending(silent_at, local, instance, led_region)
             })
             .collect();
         let named = |proximity, is_named: &dyn Fn(&ListedInstance) -> bool| {
@@ -78,6 +83,7 @@
     fn has_stopped_sending(
         &self,
         now: MonotonicTime,
+        local: &InstanceName,
         instance: &ListedInstance,
         led_region: Option<&RegionName>,
     ) -> bool {
@@ -95,7 +101,9 @@
                     .contacts
                     .get(&other.id.name)
                     .and_then(|contact| contact.last_message_at);
-                other.region == instance.region && sent_at > contact.last_message_at
+                other.region == instance.region
+                    && other.id.name != *local
+                    && sent_at > contact.last_message_at
             })
     }
 }
--- a/crates/traffic/src/region_table.rs
+++ b/crates/traffic/src/region_table.rs
@@ -10,7 +10,7 @@
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2_500);
 
 /// Maximum age of a region's load report at an instance that is leaving. It receives no reports any
-/// more, and the requests that it holds have no other way than by the last ones.
+/// more, and without the last ones it could forward none of the requests that it still holds.
 const MAX_LOAD_AGE_WHEN_LEAVING: Duration = Duration::from_secs(10);
 
 /// Maximum age of a region's demand report for the fleet demand to be complete.
--- a/crates/traffic/tests/views.rs
+++ b/crates/traffic/tests/views.rs
@@ -175,6 +175,17 @@
     assert_eq!(hosts(&list, 5_000, "a"), ["10.0.0.2:2"]);
 }
 
+/// Guards against the directory of a stopping instance that names again an instance whose silence
+/// it had noticed before its stop.
+#[test]
+fn addresses_for_caller_of_leaving_instance_exclude_instance_silent_before() {
+    let mut list = list();
+    list.record_message(at(0), &"a2".into(), 1, false);
+    list.record_message(at(5_000), &"a1".into(), 1, true);
+    assert_eq!(hosts(&list, 5_001, "a"), ["10.0.0.3:2"]);
+    assert_eq!(hosts(&list, 9_000, "a"), ["10.0.0.3:2"]);
+}
+
 /// Guards against a directory that names only itself once its instance leads again: the messages of
 /// the others date from the time when it led before.
 #[test]
