Keep the fleet of a stopping instance from shrinking in its limits

Found by the review, from reading: since a stopping instance follows the list of instances, its part of the rate limits and of the retry budget grew as the others that stop beside it left the list, although these still use theirs.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -221,7 +221,7 @@
 }
 
 /// Keeps the list of instances of a stopping instance current. The others no longer send it their
-/// changes, and its directory must not name instances that stop after it.
+/// changes, and its directory would go on naming instances that stop after it.
 async fn follow_instances<C: ControlPlane, H: HeaderMapping>(
     gateway: &Gateway<C, H>,
     mut health: StoreHealth,
@@ -313,16 +313,16 @@
         gateway.end_grace();
         gateway.metrics.set_store_era(gateway.store_era());
         let time = now();
-        let (regions, count) = {
-            let mut instances = gateway.instances.lock();
-            instances.track_leader(time, &gateway.settings.region, &gateway.id.name);
-            (instances.regions(), instances.all().len())
-        };
-        if count > 0 {
+        gateway
+            .instances
+            .lock()
+            .track_leader(time, &gateway.settings.region, &gateway.id.name);
+        let fleet = gateway.fleet();
+        if fleet.size > 0 {
             let fleet = gateway
                 .region_board
                 .lock()
-                .fleet_demand(time, &regions, count);
+                .fleet_demand(time, &fleet.regions, fleet.size);
             gateway.limits.lock().update_shares(time, &fleet);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! State of one gateway process.
 
 use std::sync::{
-    Arc,
+    Arc, OnceLock,
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
@@ -9,7 +9,7 @@
 use hawthornquay_backends::{BackendClient, ClientLimits};
 use hawthornquay_decisions::{
     DomainName, Incarnation, InstanceId, InstanceName, Map, MonotonicTime, PartQuarantine,
-    RegionName, RetryBudget, ServiceName,
+    RegionName, RetryBudget, ServiceName, Set,
 };
 use hawthornquay_http::ServerLimits;
 use hawthornquay_instances::{LinkPool, LinkSecurity, LocalInstance};
@@ -35,6 +35,13 @@
 /// the retransmission of a lost packet takes.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// Instances among which rate limits and retries are divided.
+#[derive(Clone, Debug)]
+pub(crate) struct Fleet {
+    pub(crate) regions: Set<RegionName>,
+    pub(crate) size: usize,
+}
+
 /// State of one gateway process.
 ///
 /// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`,
@@ -88,6 +95,8 @@
     pub(crate) leaving: AtomicBool,
     /// Progress of the stop of this process.
     pub(crate) stop: Stop,
+    /// Fleet when this instance began to leave.
+    fleet_at_stop: OnceLock<Fleet>,
     /// Requests of callers that have no response yet, and those whose stream has not ended. A
     /// request whose caller has left is not counted.
     pub(crate) in_flight: RunningRequests,
@@ -151,6 +160,7 @@
             metrics: GatewayMetrics::new()?,
             leaving: AtomicBool::new(false),
             stop: Stop::default(),
+            fleet_at_stop: OnceLock::new(),
             in_flight: RunningRequests::default(),
             status_round: AtomicUsize::new(0),
             view_changed: Notify::new(),
@@ -186,6 +196,7 @@
     /// Marks this instance as stopping, also in its own list of instances, so that it names, asks
     /// and follows the same instances as the others, which leave it out.
     pub(crate) fn begin_leaving(&self) {
+        self.fleet_at_stop.get_or_init(|| self.listed_fleet());
         self.leaving.store(true, Ordering::Relaxed);
         let incarnation = self.id.incarnation.0;
         self.instances
@@ -194,6 +205,23 @@
         self.region_board.lock().begin_leaving();
     }
 
+    /// Returns the fleet among which rate limits and retries are divided.
+    ///
+    /// That of a leaving instance no longer shrinks: the instances that stop beside it still use
+    /// their parts, so its own must not grow.
+    pub(crate) fn fleet(&self) -> Fleet {
+        let at_stop = self.fleet_at_stop.get().cloned();
+        at_stop.unwrap_or_else(|| self.listed_fleet())
+    }
+
+    fn listed_fleet(&self) -> Fleet {
+        let instances = self.instances.lock();
+        Fleet {
+            regions: instances.regions(),
+            size: instances.all().len(),
+        }
+    }
+
     /// Returns this instance as it is listed in the store.
     pub fn to_listed_instance(&self) -> ListedInstance {
         ListedInstance {
@@ -236,7 +264,7 @@
         service: &ServiceName,
         f: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let instances = self.instances.lock().all().len().max(1) as f64;
+        let instances = self.fleet().size.max(1) as f64;
         let max_retries =
             (f64::from(self.settings.retry_slack) * RETRY_BUDGET_SHARE / instances).max(1.0);
         let mut budgets = self.retries.lock();
