--- a/crates/http/src/connection_progress.rs
+++ b/crates/http/src/connection_progress.rs
@@ -45,7 +45,7 @@
 }
 
 impl Progress {
-    /// Returns the number of bytes read that belong to no answered request.
+    /// Returns the number of bytes read since the last response or body of a request ended.
     pub(crate) const fn unanswered_bytes(&self) -> u64 {
         self.bytes_read - self.bytes_read_at_end
     }
--- a/crates/http/src/drain.rs
+++ b/crates/http/src/drain.rs
@@ -11,12 +11,10 @@
 
 use crate::connection_progress::SharedProgress;
 
-/// Time after the end of accepting in which requests on connections without a request in progress
-/// are still read.
-///
-/// A connection is closed once it has been idle for that long: the client may have sent a request
-/// when it received the response before.
-pub const UNREAD_REQUEST_DELAY: Duration = Duration::from_millis(250);
+/// Time for which a connection must have been idle before it is closed, and shortest time from the
+/// end of accepting to such a close: the client may have sent a request when it received the
+/// response before.
+pub const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(250);
 
 /// Interval at which a connection is checked for being idle. The runtime may run timers before it
 /// has looked for data, for example after a pause of the process, so that a connection is given
@@ -49,7 +47,7 @@
 
     /// Waits for the requests in progress, closes the connections and waits for their end.
     pub(crate) async fn run(&self) {
-        sleep(UNREAD_REQUEST_DELAY).await;
+        sleep(IDLE_CLOSE_DELAY).await;
         self.accepting_ended.cancel();
         self.requests.close();
         self.requests.wait().await;
@@ -81,7 +79,7 @@
                 if let Ok(result) = timeout(IDLE_CHECK_INTERVAL, connection.as_mut()).await {
                     return result;
                 }
-                if progress.lock().is_idle_for(UNREAD_REQUEST_DELAY) {
+                if progress.lock().is_idle_for(IDLE_CLOSE_DELAY) {
                     break;
                 }
             }
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -229,9 +229,13 @@
 fn accept_queued(listener: &TcpListener, permits: &Arc<Semaphore>) -> Option<Accepted> {
     let permit = Arc::clone(permits).try_acquire_owned().ok()?;
     loop {
-        let accepted = SockRef::from(listener).accept();
-        match accepted.and_then(|(socket, address)| Ok((into_stream(socket)?, address))) {
-            Ok((stream, address)) => return Some((stream, address.as_socket()?, permit)),
+        match SockRef::from(listener).accept() {
+            // A socket whose options cannot be set has been closed by its client.
+            Ok((socket, address)) => {
+                if let (Ok(stream), Some(address)) = (into_stream(socket), address.as_socket()) {
+                    return Some((stream, address, permit));
+                }
+            }
             Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(_) => return None,
         }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use {
     connection_end::{ConnectionEnd, EndReason},
-    drain::UNREAD_REQUEST_DELAY,
+    drain::IDLE_CLOSE_DELAY,
     http_server::HttpServer,
     json_response::{empty_response, json_response},
     read_body::{read_body, read_body_with_budget},
--- a/crates/http/tests/connection_ends.rs
+++ b/crates/http/tests/connection_ends.rs
@@ -10,7 +10,7 @@
     state::State,
 };
 use hawthornquay_http::{
-    Body, ConnectionEnd, EndReason, HttpServer, ServerLimits, UNREAD_REQUEST_DELAY, empty_response,
+    Body, ConnectionEnd, EndReason, HttpServer, IDLE_CLOSE_DELAY, ServerLimits, empty_response,
 };
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::StreamBody;
@@ -221,15 +221,15 @@
     let mut server = TestServer::start_with(ServerLimits::default()).await;
     let mut socket = server.send(REQUEST).await.into_std().unwrap();
     server.shutdown.cancel();
-    sleep(UNREAD_REQUEST_DELAY / 2).await;
+    sleep(IDLE_CLOSE_DELAY / 2).await;
     // Both timers have expired when the runtime runs again, so the request is written before the
     // runtime can see that the socket is readable.
     tokio::join!(
         async {
-            sleep(UNREAD_REQUEST_DELAY / 5).await;
+            sleep(IDLE_CLOSE_DELAY / 5).await;
             std::io::Write::write_all(&mut socket, REQUEST).unwrap();
         },
-        async { std::thread::sleep(UNREAD_REQUEST_DELAY) },
+        async { std::thread::sleep(IDLE_CLOSE_DELAY) },
     );
     let end = server.next_end().await;
     assert_eq!(end.reason, EndReason::Shutdown);
