Predict the course of streams from the paces and rates of engines

Cause: placement knew one engine only. The prefill rate and the time to the first token were constants, the pace that servers state in their load was not read, and nothing was predicted after the first byte. Long streams paused for too long at slow servers, and engines worked on streams that could not end before their deadline.

Change: the fourth figure of the load is the pace of a server. The usual pace is the median of the last statements. Where paces are stated, the prefill rate is learned by least squares, long streams prefer fast servers, a server is asked for its pace before a long stream is sent there, and prompts that would interrupt running streams count in the score. For all engines, the interval between events is learned from the running streams. A request whose stream would not end in time goes to another region or is refused at once, and slow streams go to a region in which events are much closer together.

--- a/crates/gateway/src/cold_checks.rs
+++ b/crates/gateway/src/cold_checks.rs
@@ -126,6 +126,10 @@
         let mut servers = gateway.servers.lock();
         servers.record_limit(now(), now(), &server.id, health.limit);
     }
+    if let Some(percent) = health.load.and_then(|load| load.pace) {
+        let mut servers = gateway.servers.lock();
+        servers.record_pace(now(), &server.id, percent);
+    }
     let remaining = health.cold?;
     if remaining.is_zero() {
         gateway.servers.lock().record_warm(server, asked_at);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -88,6 +88,10 @@
     first_part: Option<Duration>,
     /// Time at which the last events were delivered.
     pub(crate) last_events_at: Option<MonotonicTime>,
+    /// Events that have been read since the last delivery.
+    pub(crate) new_events: u64,
+    /// Events that were delivered before those.
+    pub(crate) run_events: u64,
     /// Longest time between two deliveries of events to the caller.
     pub(crate) longest_pause: Duration,
     finished: bool,
@@ -123,6 +127,8 @@
             attempt_trace: String::new(),
             first_part: None,
             last_events_at: None,
+            new_events: 0,
+            run_events: 0,
             longest_pause: Duration::ZERO,
             finished: false,
         }
@@ -155,6 +161,7 @@
                         self.progress.set_head(status, &headers);
                         self.first_part = Some(now().since(self.request.arrived_at));
                         self.last_events_at = Some(now());
+                        self.run_events = std::mem::take(&mut self.new_events);
                         return Ok(ResponseStart::Stream {
                             status,
                             headers,
@@ -203,6 +210,7 @@
             {
                 continue;
             }
+            let placement = self.check_pace(placement).await;
             self.awaiting_head = true;
             let opened = match placement {
                 PlacementDecision::Server(pick) => self.open_server_attempt(&pick, left).await,
@@ -289,10 +297,17 @@
         self.attempts += 1;
         let (expected, requests) = (pick.expected_latency.as_millis(), pick.requests);
         let cold = if pick.is_cold { "/cold" } else { "" };
+        let pace = pick.pace.map(|pace| format!("/x{pace:.2}"));
+        let end = pick.stream.map(|stream| {
+            let end = pick.expected_latency + stream.duration();
+            format!("/end{}ms", end.as_millis())
+        });
         let _ = write!(
             self.attempt_trace,
-            "{}~{expected}ms/{requests}{cold} ",
-            pick.id
+            "{}~{expected}ms/{requests}{cold}{}{} ",
+            pick.id,
+            pace.unwrap_or_default(),
+            end.unwrap_or_default(),
         );
         if self.delivered_attempts == 0 {
             self.gateway.deposit_retry(&self.request.service);
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -16,6 +16,9 @@
 /// Longest share of a request's latency target that asking for permits may take.
 const MAX_PERMIT_TARGET_SHARE: f64 = 0.5;
 
+/// Factor by which a server has to be slower than expected for a request to be placed again.
+const SLOWER_PACE_FACTOR: f64 = 1.3;
+
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
     /// Chooses a backend server or a region for the next attempt; never the server `silent`.
     pub(crate) fn choose_placement(&self, silent: Option<&BackendName>) -> PlacementDecision {
@@ -29,6 +32,7 @@
             service: &self.request.service,
             work: &self.request.work,
             target_latency: self.request.route.target_latency,
+            target_event_gap: self.request.route.semantics.target_event_gap(),
             time_left: self.request.time_left(time),
             excluded_servers: &excluded_servers,
             instance: &gateway.id.name,
@@ -60,6 +64,28 @@
         place(time, &req, &options, &mut servers, &board)
     }
 
+    /// Asks the picked server for its pace if that is not known, and places the request again if the
+    /// server is slow at this moment.
+    pub(crate) async fn check_pace(&self, placement: PlacementDecision) -> PlacementDecision {
+        let (pick, expected) = match &placement {
+            PlacementDecision::Server(pick) if pick.is_pace_unknown && !pick.is_limited => {
+                (pick, pick.pace.unwrap_or(1.0))
+            }
+            _ => return placement,
+        };
+        let Some(pace) = self.gateway.ask_pace(pick, &self.request.service).await else {
+            return placement;
+        };
+        if pace < expected * SLOWER_PACE_FACTOR {
+            return placement;
+        }
+        match self.choose_placement(None) {
+            PlacementDecision::Server(pick) if pick.is_limited => placement,
+            PlacementDecision::Server(pick) => PlacementDecision::Server(pick),
+            _ => placement,
+        }
+    }
+
     /// Returns whether this instance may send the request to the picked server, which takes a limited
     /// number of them.
     pub(crate) async fn obtain_permit(&mut self, pick: &ServerPick, left: Duration) -> bool {
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -5,8 +5,8 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::{
-    AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, gateway::now,
-    stream_progress::EventAction,
+    AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, attempt::Attempt,
+    gateway::now, stream_progress::EventAction,
 };
 
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
@@ -68,10 +68,33 @@
         }
     }
 
+    /// Records that further events are delivered.
     fn record_pause(&mut self) {
         let time = now();
-        if let Some(previous) = self.last_events_at.replace(time) {
-            self.longest_pause = self.longest_pause.max(time.since(previous));
+        let Some(previous) = self.last_events_at.replace(time) else {
+            return;
+        };
+        let pause = time.since(previous);
+        self.longest_pause = self.longest_pause.max(pause);
+        let events = std::mem::take(&mut self.new_events);
+        self.run_events += events;
+        if let Some(Attempt::Server(attempt)) = &self.attempt {
+            let mut servers = self.gateway.servers.lock();
+            servers.record_events(time, &attempt.pick().id, events, pause);
+        }
+    }
+
+    /// Records the end of a complete stream.
+    fn record_complete_stream(&mut self) {
+        let events = self.run_events + std::mem::take(&mut self.new_events);
+        let tokens = self.request.work.output_tokens;
+        if let Some(Attempt::Server(attempt)) = &self.attempt
+            && self.request.last_event.is_none()
+            && self.attempts == 1
+            && tokens > 0
+        {
+            let mut servers = self.gateway.servers.lock();
+            servers.record_complete_stream(&attempt.pick().id, events, tokens);
         }
     }
 
@@ -91,6 +114,7 @@
                     return Err(AttemptFailure::unknown(AttemptCause::Broken));
                 }
                 None => {
+                    self.record_complete_stream();
                     self.attempt = None;
                     return Ok(None);
                 }
@@ -125,6 +149,7 @@
             }
             if event.has_data {
                 self.progress_at = now();
+                self.new_events += 1;
                 if let Some(attempt) = &mut self.attempt {
                     attempt.record_answer_start();
                 }
--- a/crates/gateway/src/header_mapping.rs
+++ b/crates/gateway/src/header_mapping.rs
@@ -81,6 +81,8 @@
     pub cold: Option<Duration>,
     /// Number of requests that the server takes.
     pub limit: LimitStatement,
+    /// Load that the server reports.
+    pub load: Option<ReportedLoad>,
 }
 
 /// Translation of headers between the gateway and its callers and backend servers.
--- a/crates/gateway/src/server_probes.rs
+++ b/crates/gateway/src/server_probes.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hawthornquay_backends::ProbeAnswer;
-use hawthornquay_decisions::{BackendName, Map, MonotonicTime, RequestId};
+use hawthornquay_decisions::{BackendName, Map, MonotonicTime, RequestId, ServiceName};
 use hawthornquay_traffic::ServerPick;
 use parking_lot::Mutex;
 use tokio::sync::OnceCell;
@@ -14,6 +14,9 @@
 /// Time in which a server that can be reached answers a probe: it needs no slot for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time that a request waits for the pace of a server, which answers without a slot.
+const PACE_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Time after its start in which the answer to a probe is used for all requests at the server.
 const PROBE_VALIDITY: Duration = Duration::from_millis(800);
 
@@ -81,6 +84,20 @@
 }
 
 impl<C, H: HeaderMapping> Gateway<C, H> {
+    /// Asks a backend server for its pace, and records it; `None` if it does not state it in time.
+    pub(crate) async fn ask_pace(&self, pick: &ServerPick, service: &ServiceName) -> Option<f64> {
+        let configuration = self.operators.lock().configuration().cloned()?;
+        let path = configuration.service(service)?.health_path.as_deref()?;
+        let head = self
+            .backends
+            .read_head(pick.address, path, PACE_TIMEOUT)
+            .await
+            .ok()?;
+        let percent = self.header_mapping.read_health(&head).load?.pace?;
+        self.servers.lock().record_pace(now(), &pick.id, percent);
+        Some(f64::from(percent) / 100.0)
+    }
+
     /// Asks a silent backend server whether it still runs a request.
     pub(crate) async fn run_evidence(&self, pick: &ServerPick, request: &RequestId) -> RunEvidence {
         let probe = self.probes.get(&pick.id);
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -4,7 +4,10 @@
 //! the region send their state and load to it. It sends the sums back to them, and sends those of its region
 //! to the leaders of the other regions. So no instance has to send to all others.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use hawthornquay_decisions::{
     EvidenceScope, InstanceId, InstanceName, Map, MonotonicTime, RegionName,
@@ -456,6 +459,8 @@
                 free_slots: report.free_slots,
                 wait_ms: u32::try_from(report.expected_latency.as_millis()).unwrap_or(u32::MAX),
                 offload_permille: report.offload_permille,
+                event_interval_us: u32::try_from(report.event_interval.as_micros())
+                    .unwrap_or(u32::MAX),
             })
             .collect(),
     }
@@ -471,8 +476,9 @@
                 let report = ServiceReport {
                     servers: load.servers,
                     free_slots: load.free_slots,
-                    expected_latency: std::time::Duration::from_millis(load.wait_ms.into()),
+                    expected_latency: Duration::from_millis(load.wait_ms.into()),
                     offload_permille: load.offload_permille,
+                    event_interval: Duration::from_micros(load.event_interval_us.into()),
                 };
                 (load.service.as_str().into(), report)
             })
--- a/crates/traffic/src/execution_semantics.rs
+++ b/crates/traffic/src/execution_semantics.rs
@@ -19,6 +19,17 @@
 }
 
 impl ExecutionSemantics {
+    /// Returns the target for the longest pause between two events; `None` if the response is no
+    /// stream.
+    pub const fn target_event_gap(self) -> Option<Duration> {
+        match self {
+            Self::Stream {
+                target_event_gap, ..
+            } => Some(target_event_gap),
+            Self::Repeatable | Self::AtMostOnce => None,
+        }
+    }
+
     /// Returns whether a request that may have run already may be retried at another backend
     /// server.
     pub const fn is_repeatable(self) -> bool {
--- a/crates/traffic/src/latency_model.rs
+++ b/crates/traffic/src/latency_model.rs
@@ -2,14 +2,7 @@
 
 use std::time::Duration;
 
-use crate::SlotTime;
-
-/// Prompt tokens that an engine prefills per millisecond while it also generates output. The
-/// figure that the engines give for prefill without generation is 112 to 125.
-pub const PREFILL_TOKENS_PER_MS: f64 = 95.0;
-
-/// Time that an engine takes to the first token of an empty prompt, in milliseconds.
-const ENGINE_BASE_MS: f64 = 60.0;
+use crate::{PrefillRate, SlotTime};
 
 /// Initial estimate of the time to the first byte of an idle plain service, in milliseconds.
 const PLAIN_BASE_MS: f64 = 20.0;
@@ -20,6 +13,23 @@
 /// Range of the correction factor. A server slower than the upper bound is failing, not just slow.
 const CORRECTION_RANGE: std::ops::RangeInclusive<f64> = 0.6..=8.0;
 
+/// What a server does before the first byte of a response.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstByteWork {
+    /// Prompt tokens that it prefills: those of the request, and those queued before it.
+    pub prefill_tokens: u64,
+    /// Requests that occupy its slots or wait for one.
+    pub requests: u32,
+    /// Requests that it runs concurrently.
+    pub slots: u32,
+    /// Mean time that a request occupies a slot.
+    pub slot_time: SlotTime,
+    /// Pace of its machine; 1 is the usual one.
+    pub pace: f64,
+    /// Prefill rate of the service's engines at the usual pace.
+    pub rate: PrefillRate,
+}
+
 /// Prediction of a server's time to the first byte, scaled by a correction factor learned from its
 /// responses.
 #[derive(Clone, Copy, Debug)]
@@ -46,19 +56,9 @@
 
     /// Returns the predicted time to the first byte, in milliseconds.
     ///
-    /// The server prefills `queued_tokens` before the `tokens` of the request, and `running`
-    /// requests occupy its `slots`, on average for `slot_time` each.
-    pub fn predict_ms(
-        &self,
-        queued_tokens: u64,
-        tokens: u64,
-        running: u32,
-        slots: u32,
-        slot_time: SlotTime,
-    ) -> f64 {
-        let uncorrected_ms =
-            self.predict_uncorrected_ms(queued_tokens, tokens, running, slots, slot_time);
-        self.correction * uncorrected_ms
+    /// `work` is what the server does before that.
+    pub fn predict_ms(&self, work: &FirstByteWork) -> f64 {
+        self.correction * self.predict_uncorrected_ms(work)
     }
 
     /// Updates the correction factor from a measured time and its uncorrected prediction.
@@ -72,21 +72,15 @@
 
     /// Returns the prediction of [`Self::predict_ms`] without the correction factor, in
     /// milliseconds.
-    pub fn predict_uncorrected_ms(
-        &self,
-        queued_tokens: u64,
-        tokens: u64,
-        running: u32,
-        slots: u32,
-        slot_time: SlotTime,
-    ) -> f64 {
-        let slots = slots.max(1);
-        let waiting = f64::from((running + 1).saturating_sub(slots));
+    pub fn predict_uncorrected_ms(&self, work: &FirstByteWork) -> f64 {
+        let slots = work.slots.max(1);
+        let waiting = f64::from((work.requests + 1).saturating_sub(slots));
         if self.engine {
-            let prefill_ms = (queued_tokens + tokens) as f64 / PREFILL_TOKENS_PER_MS;
-            ENGINE_BASE_MS + prefill_ms + waiting * slot_time.mean_ms() / f64::from(slots)
+            let prefill_ms = work.prefill_tokens as f64 / work.rate.tokens_per_ms();
+            let wait_ms = waiting * work.slot_time.mean_ms() / f64::from(slots);
+            work.pace * (work.rate.base_ms() + prefill_ms) + wait_ms
         } else {
-            PLAIN_BASE_MS * (1.0 + waiting / f64::from(slots))
+            work.pace * PLAIN_BASE_MS * (1.0 + waiting / f64::from(slots))
         }
     }
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -15,6 +15,7 @@
 mod demand_history;
 mod departed_servers;
 mod engine_config;
+mod event_rate;
 mod execution_semantics;
 mod fleet_demand;
 mod home_demand;
@@ -36,6 +37,7 @@
 mod placement_decision;
 mod placement_request;
 mod poll_interval;
+mod prefill_rate;
 mod recent_prefixes;
 mod region_membership;
 mod region_report;
@@ -48,15 +50,19 @@
 mod server_health;
 mod server_listing;
 mod server_load;
+mod server_pace;
 mod server_pick;
 mod server_reports;
 mod server_selection;
 mod server_table;
 mod server_usage;
 mod service_config;
+mod service_model;
 mod service_report;
 mod slot_time;
 mod stable_hash;
+mod stream_prediction;
+mod stream_reports;
 mod token_bucket;
 mod work;
 
@@ -75,13 +81,14 @@
     configuration::Configuration,
     demand_history::DemandHistory,
     engine_config::EngineConfig,
+    event_rate::{EventRate, ServiceStreams},
     execution_semantics::ExecutionSemantics,
     fleet_demand::FleetDemand,
     home_demand::HomeDemand,
     home_regions::HomeRegions,
     instance_changes::InstanceChanges,
     instance_list::InstanceList,
-    latency_model::{LatencyModel, PREFILL_TOKENS_PER_MS},
+    latency_model::{FirstByteWork, LatencyModel},
     leaving_servers::LeavingServer,
     limited_servers::{ServerLimit, granting_instances},
     listed_instance::ListedInstance,
@@ -94,6 +101,7 @@
     placement_decision::PlacementDecision,
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
+    prefill_rate::{PREFILL_TOKENS_PER_MS, PrefillRate},
     recent_prefixes::RecentPrefixes,
     region_membership::RegionMembership,
     region_report::RegionReport,
@@ -105,6 +113,7 @@
     server_health::{ServerFailure, ServerHealth},
     server_listing::ServerListing,
     server_load::{ReportedLoad, ServerLoad},
+    server_pace::ServerPace,
     server_pick::ServerPick,
     server_table::ServerTable,
     server_usage::ServerUsage,
@@ -112,6 +121,7 @@
     service_report::ServiceReport,
     slot_time::SlotTime,
     stable_hash::stable_hash,
+    stream_prediction::StreamPrediction,
     token_bucket::TokenBucket,
     work::{PromptPart, Work},
 };
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -5,9 +5,10 @@
 use hawthornquay_decisions::{DomainName, MonotonicTime, Set};
 
 use crate::{
-    BackendEntry, ColdStartLimiter, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
-    RecentPrefixes, ServerHealth, ServerLoad, ServerPick, SlotTime, StoreRevision,
-    cold_servers::Doubt, request_limit::RequestLimit,
+    BackendEntry, ColdStartLimiter, EventRate, FirstByteWork, LatencyModel, PlacementRequest,
+    RecentPrefixes, ServerHealth, ServerLoad, ServerPace, ServerPick, StoreRevision,
+    StreamPrediction, cold_servers::Doubt, request_limit::RequestLimit,
+    server_selection::is_long_stream, service_model::ServiceModel,
 };
 
 /// Share of a server's slots in use above which its score gets a penalty. Filling the last slots of
@@ -19,6 +20,17 @@
 /// a smaller weight, more requests go to servers that have to prefill the shared prefix again.
 const CACHE_MISS_WEIGHT: f64 = 4.0;
 
+/// Penalty in the score of a server for each of its streams that pauses for too long, in milliseconds.
+const LATE_STREAM_MS: f64 = 300.0;
+
+/// Shares of the target gap between two events: when the prompts queued at a server take the first to
+/// prefill, its streams begin to pause for too long, and with the second all of them do.
+const PAUSE_GAP_SHARES: (f64, f64) = (0.25, 1.25);
+
+/// Maximum age of the stated pace of a server with which a request that would interrupt its streams is
+/// placed there.
+const MAX_PACE_AGE: Duration = Duration::from_millis(150);
+
 /// Penalty in the score of a server whose failure ratio is 1, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 2_000.0;
 
@@ -38,6 +50,9 @@
     /// Limit on the requests of all instances that the server has stated.
     pub(crate) limit: RequestLimit,
     pub(crate) latency: LatencyModel,
+    pub(crate) pace: ServerPace,
+    /// Events of the streams of this instance that run at the server.
+    pub(crate) events: EventRate,
     pub(crate) prefixes: RecentPrefixes,
     /// End of the grace period of a server that is missing from the list after a store outage and
     /// may not have registered again yet; `None` for a listed server.
@@ -75,63 +90,109 @@
             && !(self.health.was_unreachable() && self.load.own_requests > 0)
     }
 
+    /// Returns the weight of the server in the choice of servers, where `exponent` is that of its
+    /// usual pace.
+    pub(crate) fn pace_weight(&self, exponent: i32) -> f64 {
+        match exponent {
+            0 => 1.0,
+            exponent => self.pace.usual().powi(-exponent),
+        }
+    }
+
     /// Returns the predicted time to the first byte of an empty prompt, in milliseconds.
-    pub(crate) fn empty_prompt_ms(&self, now: MonotonicTime, slot_time: SlotTime) -> f64 {
-        let requests = self.load.requests(now);
-        let queued_tokens = self.load.pending(now);
+    pub(crate) fn empty_prompt_ms(&self, now: MonotonicTime, model: &ServiceModel) -> f64 {
         self.latency
-            .predict_ms(queued_tokens, 0, requests, self.entry.slots, slot_time)
+            .predict_ms(&self.first_byte_work(now, 0, model))
+    }
+
+    /// Returns what the server does before the first byte of a response to a request with `tokens`
+    /// prompt tokens.
+    fn first_byte_work(
+        &self,
+        now: MonotonicTime,
+        tokens: u64,
+        model: &ServiceModel,
+    ) -> FirstByteWork {
+        FirstByteWork {
+            prefill_tokens: self.load.pending(now) + tokens,
+            requests: self.load.requests(now),
+            slots: self.entry.slots,
+            slot_time: model.slot_time,
+            pace: self.pace.expected(now),
+            rate: model.prefill_rate,
+        }
+    }
+
+    /// Returns the predicted course of the stream that answers a request; `None` before streams of
+    /// the service have shown their length and rate.
+    fn predict_stream(
+        &self,
+        now: MonotonicTime,
+        req: &PlacementRequest<'_>,
+        model: &ServiceModel,
+    ) -> Option<StreamPrediction> {
+        let service_ms = model.streams.interval_ms(self.pace.usual())?;
+        Some(StreamPrediction {
+            events: model.streams.expected_events(req.work.output_tokens)?,
+            interval_ms: self.events.interval_ms(now, service_ms),
+        })
     }
 
     /// Returns the score of the server for a request, and the pick that goes with it.
     ///
     /// The score is the predicted time to the first byte in milliseconds, plus penalties; the
-    /// server with the lowest score is the best. `cached` says whether the server is expected to
-    /// have the shared prefix in its cache, and `slot_time` is that of the service.
+    /// server with the lowest score is the best. At servers that state their pace, the streams that
+    /// would pause for too long count as well. `cached` says whether the server is expected to have the
+    /// shared prefix in its cache.
     pub(crate) fn score(
         &self,
         now: MonotonicTime,
         req: &PlacementRequest<'_>,
         cached: bool,
-        slot_time: SlotTime,
+        model: &ServiceModel,
     ) -> (f64, ServerPick) {
         let shared = if cached { req.work.shared_tokens() } else { 0 };
         let uncached_tokens = req.work.prompt_tokens.saturating_sub(shared);
-        let requests = self.load.requests(now);
-        let queued_tokens = self.load.pending(now);
-        let slots = self.entry.slots;
-        let expected_ms =
-            self.latency
-                .predict_ms(queued_tokens, uncached_tokens, requests, slots, slot_time);
-        let slot_use = f64::from(requests) / f64::from(slots.max(1));
+        let work = self.first_byte_work(now, uncached_tokens, model);
+        let requests = work.requests;
+        let expected_ms = self.latency.predict_ms(&work);
+        let slot_use = f64::from(requests) / f64::from(work.slots.max(1));
         let congestion_penalty = if slot_use > CONGESTION_SLOT_SHARE {
             expected_ms * (slot_use - CONGESTION_SLOT_SHARE)
         } else {
             0.0
         };
+        let tokens_per_ms = model.prefill_rate.tokens_per_ms();
         let cache_miss_penalty = if cached {
             0.0
         } else {
-            CACHE_MISS_WEIGHT * req.work.shared_tokens() as f64 / PREFILL_TOKENS_PER_MS
+            CACHE_MISS_WEIGHT * req.work.shared_tokens() as f64 / tokens_per_ms
+        };
+        let stream = self.predict_stream(now, req, model);
+        let delay_penalty = match req.target_event_gap {
+            Some(gap) if model.is_paced => {
+                let prefill_ms = work.pace * work.prefill_tokens as f64 / tokens_per_ms;
+                f64::from(requests) * LATE_STREAM_MS * late_share(prefill_ms, gap)
+            }
+            _ => 0.0,
         };
         // Slot use adds 5 ms for full slots, which favours the less loaded of two servers with
         // similar predictions.
         let score = expected_ms
             + cache_miss_penalty
             + congestion_penalty
+            + delay_penalty
             + slot_use * 5.0
             + self.health.failure_ratio(now) * FAILURE_PENALTY_MS;
         let pick = ServerPick {
             id: self.entry.id.clone(),
             address: self.entry.address,
             expected_latency: Duration::from_secs_f64(expected_ms / 1_000.0),
-            uncorrected_ms: self.latency.predict_uncorrected_ms(
-                queued_tokens,
-                uncached_tokens,
-                requests,
-                slots,
-                slot_time,
-            ),
+            uncorrected_ms: self.latency.predict_uncorrected_ms(&work),
+            stream,
+            prefill_tokens: work.prefill_tokens,
+            pace: model.is_paced.then_some(work.pace),
+            is_pace_unknown: is_long_stream(req, model) && self.pace.age(now) > MAX_PACE_AGE,
             requests,
             is_cold: self.cold.is_cold(now),
             is_limited: self.limit.per_s().is_some(),
@@ -141,3 +202,11 @@
         (score, pick)
     }
 }
+
+/// Returns the share of a server's streams that pause for longer than `gap` while it prefills prompts
+/// for `prefill_ms`.
+fn late_share(prefill_ms: f64, gap: Duration) -> f64 {
+    let gap_ms = (gap.as_secs_f64() * 1_000.0).max(1.0);
+    let (first, all) = PAUSE_GAP_SHARES;
+    ((prefill_ms / gap_ms - first) / (all - first)).clamp(0.0, 1.0)
+}
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -27,6 +27,18 @@
 /// prediction errors, since predictions are too short under load.
 const MAX_TARGET_SHARE: f64 = 0.8;
 
+/// Maximum expected time to the end of an admitted stream, as a share of the time left until its
+/// deadline. The requests that follow slow it down further.
+const MAX_END_DEADLINE_SHARE: f64 = 0.75;
+
+/// Share of the target gap between two events from which a stream counts as slow. Some of its gaps are
+/// several times the mean one.
+const SLOW_GAP_SHARE: f64 = 0.35;
+
+/// Time between two events in another region, as a share of that in the local one, for a slow stream to
+/// be forwarded there. It pays for the longer path, and keeps requests from moving to and fro.
+const FASTER_INTERVAL_SHARE: f64 = 0.6;
+
 /// Options for the placement of a request across regions.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementOptions<'a> {
@@ -63,6 +75,7 @@
     if let Some(pick) = &local
         && !offloaded
         && pick.expected_latency <= req.target_latency.mul_f64(STAY_LOCAL_TARGET_SHARE)
+        && !is_slow(req, pick)
     {
         return PlacementDecision::Server(pick.clone());
     }
@@ -72,13 +85,10 @@
         None
     };
     if offloaded
-        && let Some((name, expected_latency)) = &remote
-        && *expected_latency <= latest_admitted(req)
+        && let Some(remote) = &remote
+        && remote.expected_latency <= latest_admitted(req)
     {
-        return PlacementDecision::Region {
-            name: name.clone(),
-            expected_latency: *expected_latency,
-        };
+        return remote.decision();
     }
     choose(req, options, local, remote)
 }
@@ -90,27 +100,72 @@
         .min(req.target_latency.mul_f64(MAX_TARGET_SHARE))
 }
 
+/// Returns whether the stream that answers a request at the picked server is expected to end before
+/// the deadline. Otherwise the server would work on it in vain, and delay the streams that run there.
+fn ends_in_time(req: &PlacementRequest<'_>, pick: &ServerPick) -> bool {
+    let Some(stream) = pick.stream else {
+        return true;
+    };
+    pick.expected_latency + stream.duration() <= req.time_left.mul_f64(MAX_END_DEADLINE_SHARE)
+}
+
+/// Returns whether the events of a stream at the picked server are expected so far apart that the
+/// response is late or does not end in time.
+fn is_slow(req: &PlacementRequest<'_>, pick: &ServerPick) -> bool {
+    let (Some(stream), Some(gap)) = (pick.stream, req.target_event_gap) else {
+        return false;
+    };
+    let gap_ms = gap.as_secs_f64() * 1_000.0;
+    stream.interval_ms > SLOW_GAP_SHARE * gap_ms || !ends_in_time(req, pick)
+}
+
+/// Another region that may run the request.
+struct RemoteRegion {
+    name: RegionName,
+    /// Expected time to the first byte, network latency included.
+    expected_latency: Duration,
+    /// Mean time between two events of its streams; zero if unknown.
+    event_interval: Duration,
+}
+
+impl RemoteRegion {
+    fn decision(&self) -> PlacementDecision {
+        PlacementDecision::Region {
+            name: self.name.clone(),
+            expected_latency: self.expected_latency,
+        }
+    }
+
+    /// Returns whether the stream is much faster there than at the picked server, where it is slow.
+    fn streams_faster(&self, req: &PlacementRequest<'_>, pick: &ServerPick) -> bool {
+        let Some(stream) = pick.stream else {
+            return false;
+        };
+        let interval_ms = self.event_interval.as_secs_f64() * 1_000.0;
+        is_slow(req, pick)
+            && interval_ms > 0.0
+            && interval_ms < FASTER_INTERVAL_SHARE * stream.interval_ms
+            && self.expected_latency <= latest_admitted(req)
+    }
+}
+
 /// Chooses between the local region and the best other one, and refuses the request if its response
 /// would be too late.
 fn choose(
     req: &PlacementRequest<'_>,
     options: &PlacementOptions<'_>,
     local: Option<ServerPick>,
-    remote: Option<(RegionName, Duration)>,
+    remote: Option<RemoteRegion>,
 ) -> PlacementDecision {
     let decision = match (local, remote) {
         (None, None) => return PlacementDecision::Unavailable,
         (Some(pick), None) => PlacementDecision::Server(pick),
-        (None, Some((name, expected_latency))) => PlacementDecision::Region {
-            name,
-            expected_latency,
-        },
-        (Some(pick), Some((name, expected_latency))) => {
-            if expected_latency + options.forward_margin < pick.expected_latency {
-                PlacementDecision::Region {
-                    name,
-                    expected_latency,
-                }
+        (None, Some(remote)) => remote.decision(),
+        (Some(pick), Some(remote)) => {
+            let is_sooner =
+                remote.expected_latency + options.forward_margin < pick.expected_latency;
+            if is_sooner || remote.streams_faster(req, &pick) || !ends_in_time(req, &pick) {
+                remote.decision()
             } else {
                 PlacementDecision::Server(pick)
             }
@@ -126,6 +181,11 @@
     if expected_latency > latest_admitted(req) {
         return PlacementDecision::Overloaded { expected_latency };
     }
+    if let PlacementDecision::Server(pick) = &decision
+        && !ends_in_time(req, pick)
+    {
+        return PlacementDecision::Overloaded { expected_latency };
+    }
     decision
 }
 
@@ -138,7 +198,7 @@
     options: &PlacementOptions<'_>,
     regions: &RegionTable,
     last_resort: bool,
-) -> Option<(RegionName, Duration)> {
+) -> Option<RemoteRegion> {
     let engine = req
         .configuration
         .service(req.service)
@@ -157,8 +217,13 @@
             let report = regions.available_load(now, name, req.service, req.work.prompt_tokens)?;
             let offloads = report.offload_permille > 0;
             let expected_latency = report.expected_latency + prefill + options.region_round_trip;
-            (last_resort || !offloads).then_some((offloads, expected_latency, name))
+            let interval = report.event_interval;
+            (last_resort || !offloads).then_some((offloads, expected_latency, name, interval))
         })
         .min()
-        .map(|(_, expected_latency, name)| (name.clone(), expected_latency))
+        .map(|(_, expected_latency, name, event_interval)| RemoteRegion {
+            name: name.clone(),
+            expected_latency,
+            event_interval,
+        })
 }
--- a/crates/traffic/src/placement_request.rs
+++ b/crates/traffic/src/placement_request.rs
@@ -17,6 +17,9 @@
     pub work: &'a Work,
     /// Latency target of its route.
     pub target_latency: Duration,
+    /// Longest gap between two events of its stream with which the response is on time; `None` if it
+    /// is no stream.
+    pub target_event_gap: Option<Duration>,
     /// Time left until its deadline.
     pub time_left: Duration,
     /// Backend servers that have failed the request before.
--- a/crates/traffic/src/server_load.rs
+++ b/crates/traffic/src/server_load.rs
@@ -23,6 +23,9 @@
     pub waiting: u32,
     /// Maximum number of requests that it runs concurrently.
     pub slots: u32,
+    /// Time that work takes on its machine at this moment, in percent of the usual one; `None` if it
+    /// does not state it.
+    pub pace: Option<u32>,
 }
 
 /// Estimated load of a backend server.
--- a/crates/traffic/src/server_pick.rs
+++ b/crates/traffic/src/server_pick.rs
@@ -4,6 +4,8 @@
 
 use hawthornquay_decisions::BackendName;
 
+use crate::StreamPrediction;
+
 /// Backend server chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServerPick {
@@ -16,6 +18,18 @@
     /// Predicted time to the first byte without the correction factor of the server's latency
     /// model, in milliseconds.
     pub uncorrected_ms: f64,
+    /// Predicted course of the stream after its first event, if the response is a stream whose length
+    /// and rate can be predicted.
+    pub stream: Option<StreamPrediction>,
+    /// Prompt tokens that the server has to prefill until the first byte, those of earlier requests
+    /// included.
+    pub prefill_tokens: u64,
+    /// Pace of the server on which the prediction is based; `None` if the service's servers do not
+    /// state it.
+    pub pace: Option<f64>,
+    /// Whether the server is to be asked for its pace first, because the request would interrupt its
+    /// streams if it is slow at this moment.
+    pub is_pace_unknown: bool,
     /// Estimated number of requests at the server.
     pub requests: u32,
     /// Whether the server counts as cold, that is, warming up.
--- a/crates/traffic/src/server_reports.rs
+++ b/crates/traffic/src/server_reports.rs
@@ -81,7 +81,8 @@
             if server.cold.is_cold(now) || server.limit.is_exhausted(now) {
                 continue;
             }
-            let expected_ms = server.empty_prompt_ms(now, self.slot_time(&server.entry.service));
+            let model = self.model(&server.entry.service);
+            let expected_ms = server.empty_prompt_ms(now, &model);
             let requests = server.load.requests(now);
             let report = reports
                 .entry(server.entry.service.clone())
@@ -91,6 +92,8 @@
             report.expected_latency = report
                 .expected_latency
                 .min(Duration::from_secs_f64(expected_ms / 1_000.0));
+            let interval_ms = model.streams.recent_interval_ms(now).unwrap_or(0.0);
+            report.event_interval = Duration::from_secs_f64(interval_ms / 1_000.0);
         }
         reports
     }
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     PlacementRequest, ServerPick, ServerTable, ServiceConfig, cold_start_limiter::MAX_COLD_SENDERS,
-    limited_servers::grants_first, listed_server::ListedServer, stable_hash,
+    limited_servers::grants_first, listed_server::ListedServer, service_model::ServiceModel,
+    stable_hash,
 };
 
 /// Maximum number of instances in a region for which all engines are considered for each request.
@@ -23,6 +24,12 @@
 /// With larger samples, fewer responses are in time.
 const SAMPLE_SIZE: f64 = 2.0;
 
+/// Share of the latency target from which the expected time of a stream counts as long.
+const LONG_STREAM_TARGET_SHARE: f64 = 0.3;
+
+/// Exponent of the usual pace of a server in its probability to be considered for a long stream.
+const PACE_EXPONENT: i32 = 2;
+
 /// Exponent of a plain server's share of successful requests in the probability of its choice.
 const FAILURE_EXPONENT: i32 = 4;
 
@@ -35,20 +42,20 @@
         let prefix = req.work.shared_prefix_hash();
         let preferred = prefix.and_then(|prefix| self.preferred_server(now, req, prefix));
         self.picks += 1;
-        let probability = self.sampling_probability(now, req, config);
+        let sampling = self.sampling(now, req, config);
         // The queue of a plain server changes faster than the counts.
         let full_level = config
             .engine
             .and_then(|_| self.full_levels.get(req.service).copied());
         let preferred_id = preferred.as_ref();
-        let mut pick = self.best(now, req, config, preferred_id, probability, full_level);
-        if pick.is_none() && probability < 1.0 {
-            pick = self.best(now, req, config, preferred_id, 1.0, full_level);
+        let mut pick = self.best(now, req, config, preferred_id, &sampling, full_level);
+        if pick.is_none() && sampling.probability < 1.0 {
+            pick = self.best(now, req, config, preferred_id, &Sampling::ALL, full_level);
         }
         if pick.is_none() && full_level.is_some() {
             // All engines are at the level at which they reject, so the request would not be in
             // time.
-            pick = self.best(now, req, config, preferred_id, 1.0, None);
+            pick = self.best(now, req, config, preferred_id, &Sampling::ALL, None);
             if let Some(pick) = &mut pick {
                 pick.expected_latency = pick.expected_latency.max(req.target_latency);
             }
@@ -67,26 +74,26 @@
         unit_hash(&[instance.as_str().as_bytes(), &self.picks.to_le_bytes()])
     }
 
-    /// Returns the best of the preferred server and a sample of the others, where `probability`
-    /// is that of each server to be in the sample. Servers with `full_level` requests are left out.
+    /// Returns the best of the preferred server and a sample of the others. Servers with `full_level`
+    /// requests are left out.
     fn best(
         &mut self,
         now: MonotonicTime,
         req: &PlacementRequest<'_>,
         config: &ServiceConfig,
         preferred: Option<&BackendName>,
-        probability: f64,
+        sampling: &Sampling,
         full_level: Option<u32>,
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
-        let slot_time = self.slot_time(req.service);
+        let model = self.model(req.service);
         let at_random =
             config.engine.is_none() && req.region_instances.len() > MAX_INSTANCES_WITHOUT_SAMPLING;
         let mut best: Option<(f64, ServerPick)> = None;
         for (id, server) in &mut self.servers {
             let is_preferred = preferred == Some(id);
             if !server.is_candidate(now, req, &self.evacuated)
-                || !(is_preferred || is_sampled(id, req.instance, self.picks, probability))
+                || !(is_preferred || is_sampled(id, req.instance, self.picks, sampling.of(server)))
             {
                 continue;
             }
@@ -108,7 +115,7 @@
                 }
             }
             let cached = prefix.is_some_and(|prefix| server.prefixes.contains(now, prefix));
-            let (score, pick) = server.score(now, req, is_preferred || cached, slot_time);
+            let (score, pick) = server.score(now, req, is_preferred || cached, &model);
             let score = if at_random {
                 random_score(now, server, req.instance, self.picks)
             } else {
@@ -121,22 +128,30 @@
         best.map(|(_, pick)| pick)
     }
 
-    /// Returns the probability of each candidate to be considered for a request; 1 or more means
-    /// that all are.
-    fn sampling_probability(
+    /// Returns how the candidates for a request are sampled.
+    fn sampling(
         &self,
         now: MonotonicTime,
         req: &PlacementRequest<'_>,
         config: &ServiceConfig,
-    ) -> f64 {
+    ) -> Sampling {
         if config.engine.is_none() || req.region_instances.len() <= MAX_INSTANCES_WITHOUT_SAMPLING {
-            return 1.0;
+            return Sampling::ALL;
         }
-        let candidates = self
+        let exponent = match is_long_stream(req, &self.model(req.service)) {
+            true => PACE_EXPONENT,
+            false => 0,
+        };
+        let weights: f64 = self
             .servers
             .values()
-            .filter(|server| server.is_candidate(now, req, &self.evacuated));
-        SAMPLE_SIZE / candidates.count().max(1) as f64
+            .filter(|server| server.is_candidate(now, req, &self.evacuated))
+            .map(|server| server.pace_weight(exponent))
+            .sum();
+        Sampling {
+            probability: SAMPLE_SIZE / weights.max(f64::MIN_POSITIVE),
+            exponent,
+        }
     }
 
     /// Returns the address of the server from which `chosen` may copy the shared prefix.
@@ -203,6 +218,43 @@
     }
 }
 
+/// How the candidates for a request are sampled.
+struct Sampling {
+    /// Probability of a server of the usual pace 1 to be considered; 1 or more means that all are.
+    probability: f64,
+    /// Exponent of the usual pace of a server in its probability.
+    exponent: i32,
+}
+
+impl Sampling {
+    const ALL: Self = Self {
+        probability: f64::INFINITY,
+        exponent: 0,
+    };
+
+    /// Returns the probability of a server to be considered.
+    fn of(&self, server: &ListedServer) -> f64 {
+        self.probability * server.pace_weight(self.exponent)
+    }
+}
+
+/// Returns whether the answer to a request is a stream whose expected time is long compared with its
+/// latency target, at servers that state their pace.
+///
+/// Such a stream is that of many steps at the engine's pace, and a slow server is late with some of
+/// them. A short response suffers little.
+pub(crate) fn is_long_stream(req: &PlacementRequest<'_>, model: &ServiceModel) -> bool {
+    let streams = &model.streams;
+    let events = streams.expected_events(req.work.output_tokens);
+    let (Some(events), Some(interval_ms), true) =
+        (events, streams.interval_ms(1.0), model.is_paced)
+    else {
+        return false;
+    };
+    let target_ms = req.target_latency.as_secs_f64() * 1_000.0;
+    events * interval_ms > LONG_STREAM_TARGET_SHARE * target_ms
+}
+
 /// Returns the rank of a server for a prefix; the candidate with the highest rank is preferred.
 fn prefix_rank(id: &BackendName, prefix: u64) -> u64 {
     stable_hash(&[id.as_str().as_bytes(), &prefix.to_le_bytes()])
@@ -217,7 +269,7 @@
 }
 
 /// Returns a pseudo-random score for the pick number `pick`. A server has the lowest score with a
-/// probability proportional to its slots, and much less if it fails.
+/// probability proportional to its slots and its speed, and much less if it fails.
 fn random_score(
     now: MonotonicTime,
     server: &ListedServer,
@@ -226,7 +278,8 @@
 ) -> f64 {
     let id = server.entry.id.as_str().as_bytes();
     let success_ratio = 1.0 - server.health.failure_ratio(now);
-    let weight = f64::from(server.entry.slots.max(1)) * success_ratio.powi(FAILURE_EXPONENT);
+    let slots = f64::from(server.entry.slots.max(1));
+    let weight = slots * success_ratio.powi(FAILURE_EXPONENT) / server.pace.expected(now);
     -unit_hash(&[instance.as_str().as_bytes(), &pick.to_le_bytes(), id]).ln() / weight
 }
 
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -5,14 +5,15 @@
 use hawthornquay_decisions::{BackendName, DomainName, Map, MonotonicTime, ServiceName, Set};
 
 use crate::{
-    Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, LeavingServer,
-    RecentPrefixes, ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing,
-    ServerLoad, ServerPick, SlotTime, StoreRevision,
+    Admissions, BackendEntry, ColdStartLimiter, Configuration, EventRate, LatencyModel,
+    LeavingServer, RecentPrefixes, ReportedLoad, ServerChanges, ServerFailure, ServerHealth,
+    ServerListing, ServerLoad, ServerPace, ServerPick, StoreRevision,
     cold_servers::{Doubt, DoubtCause, MAX_LISTING_DELAY},
     departed_servers::DepartedServers,
     listed_server::ListedServer,
     removal_log::RemovalLog,
     request_limit::RequestLimit,
+    service_model::ServiceModel,
 };
 
 /// Time after the store's recovery during which what is missing from it stays in use. What is still
@@ -54,8 +55,8 @@
     /// Number of requests, running or queued, with which a full engine of each service has last
     /// rejected another one, or more if one has accepted more since.
     pub(crate) full_levels: Map<ServiceName, u32>,
-    /// Mean time in a slot at the engines of each service.
-    slot_times: Map<ServiceName, SlotTime>,
+    /// What is known of the servers of each service together.
+    pub(crate) models: Map<ServiceName, ServiceModel>,
     /// Requests that servers accepted and rejected since the counts were last taken.
     pub(crate) admissions: Map<ServiceName, Admissions>,
     /// Number of picks so far, so that the sample differs from pick to pick.
@@ -307,8 +308,16 @@
             return;
         };
         server.load.record_first_byte(pick.uncached_tokens);
-        if let Some(took) = took {
-            server.latency.observe(took, pick.uncorrected_ms);
+        let Some(took) = took else {
+            return;
+        };
+        server.latency.observe(took, pick.uncorrected_ms);
+        if let Some(pace) = pick.pace
+            && let Some(model) = self.models.get_mut(&server.entry.service)
+            && pick.requests < server.entry.slots
+        {
+            let ms = took.as_secs_f64() * 1_000.0 / pace;
+            model.prefill_rate.observe(pick.prefill_tokens as f64, ms);
         }
     }
 
@@ -321,13 +330,17 @@
         server.load.record_end();
         if let Some(took) = slot_time {
             let service = server.entry.service.clone();
-            self.slot_times.entry(service).or_default().record(took);
+            self.models
+                .entry(service)
+                .or_default()
+                .slot_time
+                .record(took);
         }
     }
 
-    /// Returns the mean time in a slot at the engines of a service.
-    pub(crate) fn slot_time(&self, service: &ServiceName) -> SlotTime {
-        self.slot_times.get(service).copied().unwrap_or_default()
+    /// Returns what is known of the servers of a service together.
+    pub(crate) fn model(&self, service: &ServiceName) -> ServiceModel {
+        self.models.get(service).copied().unwrap_or_default()
     }
 
     /// Records a successful response.
@@ -387,6 +400,9 @@
         if let Some(level) = self.full_levels.get_mut(&server.entry.service) {
             *level = (*level).max(load.running + load.waiting);
         }
+        if let Some(percent) = load.pace {
+            self.record_pace(now, id, percent);
+        }
     }
 
     /// Records the remaining cold time that a server reports with a response.
@@ -475,6 +491,8 @@
             doubt: None,
             limit: RequestLimit::default(),
             latency: LatencyModel::new(engine),
+            pace: ServerPace::default(),
+            events: EventRate::default(),
             prefixes: RecentPrefixes::default(),
             kept_until: None,
             changed_at: self.revision,
--- a/crates/traffic/src/service_report.rs
+++ b/crates/traffic/src/service_report.rs
@@ -13,6 +13,8 @@
     pub expected_latency: Duration,
     /// Share of the region's own requests that are to go to other regions, in thousandths.
     pub offload_permille: u32,
+    /// Mean time between two events of the streams of its backend servers; zero if unknown.
+    pub event_interval: Duration,
 }
 
 impl ServiceReport {
@@ -23,6 +25,7 @@
             free_slots: 0,
             expected_latency: Duration::MAX,
             offload_permille: 0,
+            event_interval: Duration::ZERO,
         }
     }
 }
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -30,6 +30,7 @@
         free_slots: 100,
         expected_latency: Duration::from_millis(expected_ms),
         offload_permille: 0,
+        event_interval: Duration::ZERO,
     };
     RegionReport {
         demands: Map::default(),
--- a/crates/traffic/tests/small_plain_servers.rs
+++ b/crates/traffic/tests/small_plain_servers.rs
@@ -147,6 +147,7 @@
                     free_slots: 12,
                     expected_latency: Duration::from_millis(20),
                     offload_permille: (offload * 1_000.0) as u32,
+                    event_interval: Duration::ZERO,
                 },
             )]
             .into_iter()
