Ramp up servers that have started or recovered by how they respond

Each instance keeps a concurrency window for such a server. It begins at an eighth of the slots, grows with responses in time, halves after late ones, rejections and broken connections, and ends at the number of slots. The window counts the requests of the region; a response seen by one of n instances stands for n, and a window that the others fill grows without a response. A server with a full window is passed over only while another one can run the request in time.

--- a/crates/traffic/src/cold_start_limiter.rs
+++ b/crates/traffic/src/cold_start_limiter.rs
@@ -46,6 +46,9 @@
 impl ColdStartLimiter {
     /// Marks the server as cold for at least `remaining` from `now`.
     pub fn extend(&mut self, now: MonotonicTime, remaining: Duration) {
+        if remaining.is_zero() {
+            return;
+        }
         self.cold_until = self.cold_until.max(now + remaining);
     }
 
@@ -64,6 +67,12 @@
         now < self.cold_until.max(self.assumed_until)
     }
 
+    /// Returns the end of the time for which the server was last known to be cold, or zero if it never
+    /// was.
+    pub(crate) const fn known_until(&self) -> MonotonicTime {
+        self.cold_until
+    }
+
     /// Returns the remaining time for which the server is known to be cold.
     pub fn remaining(&self, now: MonotonicTime) -> Duration {
         self.cold_until.since(now)
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -36,6 +36,7 @@
 mod placement_decision;
 mod placement_request;
 mod poll_interval;
+mod ramping_servers;
 mod recent_prefixes;
 mod region_membership;
 mod region_report;
@@ -49,6 +50,7 @@
 mod server_listing;
 mod server_load;
 mod server_pick;
+mod server_ramp;
 mod server_reports;
 mod server_selection;
 mod server_table;
@@ -94,6 +96,7 @@
     placement_decision::PlacementDecision,
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
+    ramping_servers::{RampEvent, RampEventKind},
     recent_prefixes::RecentPrefixes,
     region_membership::RegionMembership,
     region_report::RegionReport,
@@ -106,6 +109,7 @@
     server_listing::ServerListing,
     server_load::{ReportedLoad, ServerLoad},
     server_pick::ServerPick,
+    server_ramp::{RampCause, RampOutcome},
     server_table::ServerTable,
     server_usage::ServerUsage,
     service_config::ServiceConfig,
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -7,7 +7,7 @@
 use crate::{
     BackendEntry, ColdStartLimiter, LatencyModel, PREFILL_TOKENS_PER_MS, PlacementRequest,
     RecentPrefixes, ServerHealth, ServerLoad, ServerPick, SlotTime, StoreRevision,
-    cold_servers::Doubt, request_limit::RequestLimit,
+    cold_servers::Doubt, request_limit::RequestLimit, server_ramp::ServerRamp,
 };
 
 /// Share of a server's slots in use above which its score gets a penalty. Filling the last slots of
@@ -28,6 +28,8 @@
     pub(crate) load: ServerLoad,
     pub(crate) health: ServerHealth,
     pub(crate) cold: ColdStartLimiter,
+    /// Ramp-up after a start or a recovery.
+    pub(crate) ramp: ServerRamp,
     /// End of the cold time that the server has stated to an instance of the region.
     pub(crate) stated_cold_until: MonotonicTime,
     /// Time of the first list of this process if that contained the server: its entry may have been
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -84,7 +84,7 @@
 }
 
 /// Returns the longest expected latency with which a request is admitted.
-fn latest_admitted(req: &PlacementRequest<'_>) -> Duration {
+pub(crate) fn latest_admitted(req: &PlacementRequest<'_>) -> Duration {
     req.time_left
         .mul_f64(MAX_DEADLINE_SHARE)
         .min(req.target_latency.mul_f64(MAX_TARGET_SHARE))
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     PlacementRequest, ServerPick, ServerTable, ServiceConfig, cold_start_limiter::MAX_COLD_SENDERS,
-    limited_servers::grants_first, listed_server::ListedServer, stable_hash,
+    limited_servers::grants_first, listed_server::ListedServer, placement::latest_admitted,
+    ramping_servers::WindowUse, stable_hash,
 };
 
 /// Maximum number of instances in a region for which all engines are considered for each request.
@@ -30,7 +31,29 @@
     /// Returns the backend server with the best score for a request.
     ///
     /// Returns `None` if no server may run the request.
+    ///
+    /// A server in a ramp whose window is full is passed over, unless no other one would run the
+    /// request in time: no request is refused because of a window.
     pub fn pick(&mut self, now: MonotonicTime, req: &PlacementRequest<'_>) -> Option<ServerPick> {
+        let mut windows = WindowUse::Applied;
+        let pick = self.pick_within(now, req, &mut windows);
+        if windows == WindowUse::Applied {
+            return pick;
+        }
+        let is_in_time = |pick: &ServerPick| pick.expected_latency <= latest_admitted(req);
+        if pick.as_ref().is_some_and(is_in_time) {
+            self.record_passed_over();
+            return pick;
+        }
+        self.pick_within(now, req, &mut WindowUse::Ignored)
+    }
+
+    fn pick_within(
+        &mut self,
+        now: MonotonicTime,
+        req: &PlacementRequest<'_>,
+        windows: &mut WindowUse,
+    ) -> Option<ServerPick> {
         let config = req.configuration.service(req.service)?;
         let prefix = req.work.shared_prefix_hash();
         let preferred = prefix.and_then(|prefix| self.preferred_server(now, req, prefix));
@@ -41,14 +64,15 @@
             .engine
             .and_then(|_| self.full_levels.get(req.service).copied());
         let preferred_id = preferred.as_ref();
-        let mut pick = self.best(now, req, config, preferred_id, probability, full_level);
+        let sample = (probability, full_level);
+        let mut pick = self.best(now, req, config, preferred_id, sample, windows);
         if pick.is_none() && probability < 1.0 {
-            pick = self.best(now, req, config, preferred_id, 1.0, full_level);
+            pick = self.best(now, req, config, preferred_id, (1.0, full_level), windows);
         }
         if pick.is_none() && full_level.is_some() {
             // All engines are at the level at which they reject, so the request would not be in
             // time.
-            pick = self.best(now, req, config, preferred_id, 1.0, None);
+            pick = self.best(now, req, config, preferred_id, (1.0, None), windows);
             if let Some(pick) = &mut pick {
                 pick.expected_latency = pick.expected_latency.max(req.target_latency);
             }
@@ -75,8 +99,8 @@
         req: &PlacementRequest<'_>,
         config: &ServiceConfig,
         preferred: Option<&BackendName>,
-        probability: f64,
-        full_level: Option<u32>,
+        (probability, full_level): (f64, Option<u32>),
+        windows: &mut WindowUse,
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
         let slot_time = self.slot_time(req.service);
@@ -107,6 +131,12 @@
                     continue;
                 }
             }
+            if *windows != WindowUse::Ignored
+                && server.has_full_window(now, req, config, &mut self.ramps)
+            {
+                *windows = WindowUse::HasPassedOver;
+                continue;
+            }
             let cached = prefix.is_some_and(|prefix| server.prefixes.contains(now, prefix));
             let (score, pick) = server.score(now, req, is_preferred || cached, slot_time);
             let score = if at_random {
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -6,13 +6,15 @@
 
 use crate::{
     Admissions, BackendEntry, ColdStartLimiter, Configuration, LatencyModel, LeavingServer,
-    RecentPrefixes, ReportedLoad, ServerChanges, ServerFailure, ServerHealth, ServerListing,
-    ServerLoad, ServerPick, SlotTime, StoreRevision,
+    RampCause, RecentPrefixes, ReportedLoad, ServerChanges, ServerFailure, ServerHealth,
+    ServerListing, ServerLoad, ServerPick, SlotTime, StoreRevision,
     cold_servers::{Doubt, DoubtCause, MAX_LISTING_DELAY},
     departed_servers::DepartedServers,
     listed_server::ListedServer,
+    ramping_servers::RampLog,
     removal_log::RemovalLog,
     request_limit::RequestLimit,
+    server_ramp::ServerRamp,
 };
 
 /// Time after the store's recovery during which what is missing from it stays in use. What is still
@@ -58,6 +60,8 @@
     slot_times: Map<ServiceName, SlotTime>,
     /// Requests that servers accepted and rejected since the counts were last taken.
     pub(crate) admissions: Map<ServiceName, Admissions>,
+    /// Starts and ends of ramps that have not been taken.
+    pub(crate) ramps: RampLog,
     /// Number of picks so far, so that the sample differs from pick to pick.
     pub(crate) picks: u64,
     /// Time at which the list was last known to be current.
@@ -130,6 +134,7 @@
         if first_listed_at.is_some() {
             for server in self.servers.values_mut() {
                 server.first_listed_at = first_listed_at;
+                server.ramp = ServerRamp::default();
                 server.doubt = Some(Doubt::new(now, DoubtCause::FirstList));
             }
             self.assume_cold();
@@ -295,6 +300,7 @@
         };
         server.load.record_sent(pick.uncached_tokens);
         server.cold.record_sent(now);
+        server.ramp.record_sent();
         if let Some(prefix) = prefix {
             server.prefixes.record(now, prefix);
         }
@@ -307,6 +313,7 @@
             return;
         };
         server.load.record_first_byte(pick.uncached_tokens);
+        server.ramp.record_first_byte();
         if let Some(took) = took {
             server.latency.observe(took, pick.uncorrected_ms);
         }
@@ -333,6 +340,9 @@
     /// Records a successful response.
     pub fn record_success(&mut self, now: MonotonicTime, id: &BackendName) {
         if let Some(server) = self.servers.get_mut(id) {
+            if server.health.was_unreachable() {
+                server.ramp.restart(RampCause::Reachable);
+            }
             server.health.record_success(now);
         }
     }
@@ -470,6 +480,7 @@
             load: ServerLoad::default(),
             health: ServerHealth::default(),
             cold,
+            ramp: ServerRamp::due(RampCause::Listed),
             stated_cold_until: MonotonicTime(0),
             first_listed_at: None,
             doubt: None,
