Report outcomes of requests to ramps, and log and count ramps

The windows of servers that have started saw no responses of the gateway, so that no ramp would have ended. Attempts now report their first chunk, rejections, failed connections and ends without a first chunk.

--- a/crates/gateway/src/background_tasks.rs
+++ b/crates/gateway/src/background_tasks.rs
@@ -15,6 +15,7 @@
     ControlError, ControlPlane, Gateway, HeaderMapping, Registration,
     cold_checks::check_cold_servers,
     gateway::now,
+    ramp_reports::report_ramps,
     status_notices::{is_leader, send_status, view_request},
     view_notices::{newer_view, send_to_region},
 };
@@ -311,6 +312,7 @@
             slog::debug!(gateway.log.links, "sending the status notice timed out");
         }
         gateway.end_grace();
+        report_ramps(&gateway);
         gateway.metrics.set_store_era(gateway.store_era());
         let time = now();
         gateway
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -30,6 +30,8 @@
     store_era: IntGauge,
     registration_missing: Gauge,
     backend_servers: IntGauge,
+    ramping_servers: IntGauge,
+    passed_over: IntCounter,
     backend_crashes: IntCounter,
     quarantined_parts: IntGauge,
 }
@@ -111,6 +113,16 @@
                 "backend_servers",
                 "Backend servers in the list in use",
             )?,
+            ramping_servers: gauge(
+                &registry,
+                "ramping_servers",
+                "Backend servers in a ramp after a start or a recovery",
+            )?,
+            passed_over: counter(
+                &registry,
+                "ramp_passed_over_total",
+                "Placements of requests that passed over a backend server in a ramp",
+            )?,
             backend_crashes: counter(
                 &registry,
                 "backend_crashes_total",
@@ -202,6 +214,17 @@
             .set(i64::try_from(servers).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of backend servers in a ramp.
+    pub fn set_ramping_servers(&self, servers: usize) {
+        self.ramping_servers
+            .set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+
+    /// Counts placements that passed over a backend server in a ramp.
+    pub fn count_passed_over(&self, placements: u64) {
+        self.passed_over.inc_by(placements);
+    }
+
     /// Counts a crash of a backend server that had not begun to answer a request.
     pub fn count_backend_crash(&self) {
         self.backend_crashes.inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod peer_handler;
 mod quarantine;
 mod quarantine_notices;
+mod ramp_reports;
 mod response_memory;
 mod response_start;
 mod running_requests;
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -6,7 +6,9 @@
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
 use hawthornquay_decisions::{BackendName, Execution, MonotonicTime, PartId};
-use hawthornquay_traffic::{LimitStatement, PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
+use hawthornquay_traffic::{
+    LimitStatement, PREFILL_TOKENS_PER_MS, RampOutcome, ServerFailure, ServerPick,
+};
 use http::{HeaderMap, Method, StatusCode, header};
 use tokio::time::timeout;
 
@@ -122,7 +124,7 @@
         let failure = match chunk {
             Ok(None) if self.awaits_data => AttemptFailure::unknown(AttemptCause::Broken),
             Ok(None) => {
-                self.record_response();
+                self.record_first_chunk();
                 self.gateway
                     .servers
                     .lock()
@@ -133,7 +135,7 @@
             }
             Ok(Some(Ok(data))) => {
                 self.awaits_data = false;
-                self.record_response();
+                self.record_first_chunk();
                 return Some(Ok(data));
             }
             Ok(Some(Err(_))) => AttemptFailure::unknown(AttemptCause::Broken),
@@ -179,6 +181,8 @@
         };
         servers.record_failure(now(), &self.pick.id, kind, &request.configuration);
         if kind != ServerFailure::BadResponse {
+            let outcome = RampOutcome::Failed;
+            servers.record_ramp_outcome(now(), self.started, &self.pick, outcome);
             self.gateway.server_doubted.notify_one();
         }
     }
@@ -248,6 +252,10 @@
             let accepted = !metadata.not_run;
             let mut servers = self.gateway.servers.lock();
             servers.record_admission(&self.pick.id, accepted);
+            if !accepted {
+                let outcome = RampOutcome::Failed;
+                servers.record_ramp_outcome(now(), self.started, &self.pick, outcome);
+            }
         }
         if metadata.not_run || metadata.wrong_server {
             let cause = if metadata.wrong_server {
@@ -310,6 +318,21 @@
         }
     }
 
+    /// Records the first chunk of a successful response, or the end of one without a body.
+    fn record_first_chunk(&mut self) {
+        if self.responded_at.is_none() {
+            let time = now();
+            let outcome = RampOutcome::FirstChunk(time.since(self.started));
+            self.gateway.servers.lock().record_ramp_outcome(
+                time,
+                self.started,
+                &self.pick,
+                outcome,
+            );
+        }
+        self.record_response();
+    }
+
     fn record_response(&mut self) {
         if self.responded_at.is_none() {
             let time = now();
@@ -361,6 +384,9 @@
     fn drop(&mut self) {
         let mut servers = self.gateway.servers.lock();
         if self.responded_at.is_none() {
+            let time = now();
+            let outcome = RampOutcome::NoChunk(time.since(self.started));
+            servers.record_ramp_outcome(time, self.started, &self.pick, outcome);
             servers.record_first_byte(&self.pick, None);
         }
         let prefill_ms = self.pick.uncached_tokens as f64 / PREFILL_TOKENS_PER_MS;
