--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -38,12 +38,14 @@
 mod placement_request;
 mod poll_interval;
 mod prefill_rate;
+mod ramping_servers;
 mod recent_prefixes;
 mod region_membership;
 mod region_report;
 mod region_table;
 mod removal_log;
 mod request_limit;
+mod response_reports;
 mod route;
 mod route_index;
 mod server_changes;
@@ -52,6 +54,7 @@
 mod server_load;
 mod server_pace;
 mod server_pick;
+mod server_ramp;
 mod server_reports;
 mod server_selection;
 mod server_table;
@@ -62,7 +65,6 @@
 mod slot_time;
 mod stable_hash;
 mod stream_prediction;
-mod stream_reports;
 mod token_bucket;
 mod work;
 
@@ -102,6 +104,7 @@
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
     prefill_rate::{PREFILL_TOKENS_PER_MS, PrefillRate},
+    ramping_servers::{RampEvent, RampEventKind},
     recent_prefixes::RecentPrefixes,
     region_membership::RegionMembership,
     region_report::RegionReport,
@@ -115,6 +118,7 @@
     server_load::{ReportedLoad, ServerLoad},
     server_pace::ServerPace,
     server_pick::ServerPick,
+    server_ramp::{RampCause, RampOutcome},
     server_table::ServerTable,
     server_usage::ServerUsage,
     service_config::ServiceConfig,
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -7,7 +7,7 @@
 use crate::{
     BackendEntry, ColdStartLimiter, EventRate, FirstByteWork, LatencyModel, PlacementRequest,
     RecentPrefixes, ServerHealth, ServerLoad, ServerPace, ServerPick, StoreRevision,
-    StreamPrediction, cold_servers::Doubt, request_limit::RequestLimit,
+    StreamPrediction, cold_servers::Doubt, request_limit::RequestLimit, server_ramp::ServerRamp,
     server_selection::is_long_stream, service_model::ServiceModel,
 };
 
@@ -40,6 +40,8 @@
     pub(crate) load: ServerLoad,
     pub(crate) health: ServerHealth,
     pub(crate) cold: ColdStartLimiter,
+    /// Ramp-up after a start or a recovery.
+    pub(crate) ramp: ServerRamp,
     /// End of the cold time that the server has stated to an instance of the region.
     pub(crate) stated_cold_until: MonotonicTime,
     /// Time of the first list of this process if that contained the server: its entry may have been
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     PlacementRequest, ServerPick, ServerTable, ServiceConfig, cold_start_limiter::MAX_COLD_SENDERS,
-    limited_servers::grants_first, listed_server::ListedServer, service_model::ServiceModel,
-    stable_hash,
+    limited_servers::grants_first, listed_server::ListedServer, placement::latest_admitted,
+    ramping_servers::WindowUse, service_model::ServiceModel, stable_hash,
 };
 
 /// Maximum number of instances in a region for which all engines are considered for each request.
@@ -37,7 +37,29 @@
     /// Returns the backend server with the best score for a request.
     ///
     /// Returns `None` if no server may run the request.
+    ///
+    /// A server in a ramp whose window is full is passed over, unless no other one would run the
+    /// request in time: no request is refused because of a window.
     pub fn pick(&mut self, now: MonotonicTime, req: &PlacementRequest<'_>) -> Option<ServerPick> {
+        let mut windows = WindowUse::Applied;
+        let pick = self.pick_within(now, req, &mut windows);
+        if windows == WindowUse::Applied {
+            return pick;
+        }
+        let is_in_time = |pick: &ServerPick| pick.expected_latency <= latest_admitted(req);
+        if pick.as_ref().is_some_and(is_in_time) {
+            self.record_passed_over();
+            return pick;
+        }
+        self.pick_within(now, req, &mut WindowUse::Ignored)
+    }
+
+    fn pick_within(
+        &mut self,
+        now: MonotonicTime,
+        req: &PlacementRequest<'_>,
+        windows: &mut WindowUse,
+    ) -> Option<ServerPick> {
         let config = req.configuration.service(req.service)?;
         let prefix = req.work.shared_prefix_hash();
         let preferred = prefix.and_then(|prefix| self.preferred_server(now, req, prefix));
@@ -48,14 +70,17 @@
             .engine
             .and_then(|_| self.full_levels.get(req.service).copied());
         let preferred_id = preferred.as_ref();
-        let mut pick = self.best(now, req, config, preferred_id, &sampling, full_level);
+        let sample = (&sampling, full_level);
+        let mut pick = self.best(now, req, config, preferred_id, sample, windows);
         if pick.is_none() && sampling.probability < 1.0 {
-            pick = self.best(now, req, config, preferred_id, &Sampling::ALL, full_level);
+            let sample = (&Sampling::ALL, full_level);
+            pick = self.best(now, req, config, preferred_id, sample, windows);
         }
         if pick.is_none() && full_level.is_some() {
             // All engines are at the level at which they reject, so the request would not be in
             // time.
-            pick = self.best(now, req, config, preferred_id, &Sampling::ALL, None);
+            let sample = (&Sampling::ALL, None);
+            pick = self.best(now, req, config, preferred_id, sample, windows);
             if let Some(pick) = &mut pick {
                 pick.expected_latency = pick.expected_latency.max(req.target_latency);
             }
@@ -82,8 +107,8 @@
         req: &PlacementRequest<'_>,
         config: &ServiceConfig,
         preferred: Option<&BackendName>,
-        sampling: &Sampling,
-        full_level: Option<u32>,
+        (sampling, full_level): (&Sampling, Option<u32>),
+        windows: &mut WindowUse,
     ) -> Option<ServerPick> {
         let prefix = req.work.shared_prefix_hash();
         let model = self.model(req.service);
@@ -114,6 +139,12 @@
                     continue;
                 }
             }
+            if *windows != WindowUse::Ignored
+                && server.has_full_window(now, req, config, &mut self.ramps)
+            {
+                *windows = WindowUse::HasPassedOver;
+                continue;
+            }
             let cached = prefix.is_some_and(|prefix| server.prefixes.contains(now, prefix));
             let (score, pick) = server.score(now, req, is_preferred || cached, &model);
             let score = if at_random {
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -6,13 +6,15 @@
 
 use crate::{
     Admissions, BackendEntry, ColdStartLimiter, Configuration, EventRate, LatencyModel,
-    LeavingServer, RecentPrefixes, ReportedLoad, ServerChanges, ServerFailure, ServerHealth,
+    LeavingServer, RampCause, RecentPrefixes, ServerChanges, ServerFailure, ServerHealth,
     ServerListing, ServerLoad, ServerPace, ServerPick, StoreRevision,
     cold_servers::{Doubt, DoubtCause, MAX_LISTING_DELAY},
     departed_servers::DepartedServers,
     listed_server::ListedServer,
+    ramping_servers::RampLog,
     removal_log::RemovalLog,
     request_limit::RequestLimit,
+    server_ramp::ServerRamp,
     service_model::ServiceModel,
 };
 
@@ -27,6 +29,10 @@
 /// Minimum time between two reads of the list for the store to count as having been unavailable.
 const STORE_OUTAGE_AGE: Duration = Duration::from_millis(2_500);
 
+/// Time after the first list of a process in which servers that are listed anew may have been running
+/// for long: they register in any order when a whole deployment starts.
+const FIRST_LISTS_TIME: Duration = Duration::from_secs(5);
+
 /// Minimum extension of a server's cold time that is passed on to other instances.
 const MIN_COLD_EXTENSION: Duration = Duration::from_millis(100);
 
@@ -59,8 +65,12 @@
     pub(crate) models: Map<ServiceName, ServiceModel>,
     /// Requests that servers accepted and rejected since the counts were last taken.
     pub(crate) admissions: Map<ServiceName, Admissions>,
+    /// Starts and ends of ramps that have not been taken.
+    pub(crate) ramps: RampLog,
     /// Number of picks so far, so that the sample differs from pick to pick.
     pub(crate) picks: u64,
+    /// Time of the first list of this process.
+    first_list_at: Option<MonotonicTime>,
     /// Time at which the list was last known to be current.
     read_at: Option<MonotonicTime>,
     /// Time of the first read after the store's last outage.
@@ -110,6 +120,7 @@
         }
         self.record_read(now, read_at);
         let first_listed_at = self.revision.is_absent().then_some(now);
+        self.first_list_at = self.first_list_at.or(Some(now));
         if self.revision.is_replaced_by(listing.revision) {
             // The older copy may lack servers that have not registered again yet.
             self.recovered_at = Some(now);
@@ -131,6 +142,7 @@
         if first_listed_at.is_some() {
             for server in self.servers.values_mut() {
                 server.first_listed_at = first_listed_at;
+                server.ramp = ServerRamp::default();
                 server.doubt = Some(Doubt::new(now, DoubtCause::FirstList));
             }
             self.assume_cold();
@@ -296,56 +308,18 @@
         };
         server.load.record_sent(pick.uncached_tokens);
         server.cold.record_sent(now);
+        server.ramp.record_sent();
         if let Some(prefix) = prefix {
             server.prefixes.record(now, prefix);
         }
     }
 
-    /// Records the first byte of a response after `took`, or `None` if the request ended without
-    /// one.
-    pub fn record_first_byte(&mut self, pick: &ServerPick, took: Option<Duration>) {
-        let Some(server) = self.servers.get_mut(&pick.id) else {
-            return;
-        };
-        server.load.record_first_byte(pick.uncached_tokens);
-        let Some(took) = took else {
-            return;
-        };
-        server.latency.observe(took, pick.uncorrected_ms);
-        if let Some(pace) = pick.pace
-            && let Some(model) = self.models.get_mut(&server.entry.service)
-            && pick.requests < server.entry.slots
-        {
-            let ms = took.as_secs_f64() * 1_000.0 / pace;
-            model.prefill_rate.observe(pick.prefill_tokens as f64, ms);
-        }
-    }
-
-    /// Records the end of a request; `slot_time` is the time that it occupied a slot, if it
-    /// completed.
-    pub fn record_end(&mut self, id: &BackendName, slot_time: Option<Duration>) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        server.load.record_end();
-        if let Some(took) = slot_time {
-            let service = server.entry.service.clone();
-            self.models
-                .entry(service)
-                .or_default()
-                .slot_time
-                .record(took);
-        }
-    }
-
-    /// Returns what is known of the servers of a service together.
-    pub(crate) fn model(&self, service: &ServiceName) -> ServiceModel {
-        self.models.get(service).copied().unwrap_or_default()
-    }
-
     /// Records a successful response.
     pub fn record_success(&mut self, now: MonotonicTime, id: &BackendName) {
         if let Some(server) = self.servers.get_mut(id) {
+            if server.health.was_unreachable() {
+                server.ramp.restart(RampCause::Reachable);
+            }
             server.health.record_success(now);
         }
     }
@@ -391,20 +365,6 @@
         self.servers.remove(id);
     }
 
-    /// Records the load that a server reports with a response.
-    pub fn record_load_report(&mut self, now: MonotonicTime, id: &BackendName, load: ReportedLoad) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        server.load.record_load_report(now, load);
-        if let Some(level) = self.full_levels.get_mut(&server.entry.service) {
-            *level = (*level).max(load.running + load.waiting);
-        }
-        if let Some(percent) = load.pace {
-            self.record_pace(now, id, percent);
-        }
-    }
-
     /// Records the remaining cold time that a server reports with a response.
     pub fn record_cold_report(
         &mut self,
@@ -473,6 +433,11 @@
         let cold_remaining = self.assumed_cold_time(now, entry);
         let departed = self.departed.find(entry);
         changes.push(format!("{} at {}", entry.id, entry.address));
+        let is_settled = |first: MonotonicTime| now.since(first) >= FIRST_LISTS_TIME;
+        let ramp = match self.first_list_at.is_some_and(is_settled) {
+            true => ServerRamp::due(RampCause::Listed),
+            false => ServerRamp::default(),
+        };
         let mut cold = ColdStartLimiter::default();
         cold.extend(now, cold_remaining);
         self.changed_revision = self.revision;
@@ -486,6 +451,7 @@
             load: ServerLoad::default(),
             health: ServerHealth::default(),
             cold,
+            ramp,
             stated_cold_until: MonotonicTime(0),
             first_listed_at: None,
             doubt: None,
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -154,6 +154,7 @@
     pub may_ask_permits: bool,
     pub may_grant_permits: bool,
     pub excluded_servers: Vec<BackendName>,
+    pub target_event_gap: Option<Duration>,
     pub time_left: Duration,
     pub domain_regions: Map<DomainName, RegionName>,
     pub storage_regions: Vec<RegionName>,
@@ -170,6 +171,7 @@
             may_ask_permits: true,
             may_grant_permits: true,
             excluded_servers: Vec::new(),
+            target_event_gap: None,
             time_left: Duration::from_secs(10),
             domain_regions: ["home", "far", "wide"]
                 .iter()
@@ -187,6 +189,7 @@
             service: &self.service,
             work,
             target_latency: TARGET_LATENCY,
+            target_event_gap: self.target_event_gap,
             time_left: self.time_left,
             excluded_servers: &self.excluded_servers,
             instance: &self.instance,
--- a/crates/traffic/tests/placement.rs
+++ b/crates/traffic/tests/placement.rs
@@ -347,6 +347,7 @@
         running: 24,
         waiting: 10,
         slots: 24,
+        pace: None,
     };
     let mut load = ServerLoad::default();
     load.apply_peer_usage(at(0), 2, 5, 0);
--- a/crates/traffic/tests/queue_of_short_requests.rs
+++ b/crates/traffic/tests/queue_of_short_requests.rs
@@ -76,6 +76,7 @@
         running: SLOTS,
         waiting: 36,
         slots: SLOTS,
+        pace: None,
     };
     let s1 = BackendName::new("s1");
     table.record_load_report(at(0), &s1, full);
