Reserve capacity for refused callers that return

A caller that is refused for lack of engine capacity is told when to return, but finds no room then if new requests take it. The refusing instance now promises capacity for the stated time, within a quarter of the region's prefill, a third of that per organisation, and a third of the tokens lately admitted with the same urgency. Promises travel in the Status notices within a region. The returning request is admitted until its deadline, and requests of the same or lesser urgency leave room for it.

--- a/crates/gateway/src/admitted_request.rs
+++ b/crates/gateway/src/admitted_request.rs
@@ -44,6 +44,8 @@
     pub deadline: MonotonicTime,
     /// Whether another instance forwarded the request.
     pub forwarded: bool,
+    /// Whether the request has returned after a refusal, and capacity was promised for it.
+    pub has_returned: bool,
 }
 
 impl AdmittedRequest {
--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -14,7 +14,7 @@
 };
 use hawthornquay_http::{Body, ReadError, read_body_with_budget};
 use hawthornquay_instances::MAX_FORWARDED_BODY_BYTES;
-use hawthornquay_traffic::{Configuration, OrganisationConfig, Route, Work};
+use hawthornquay_traffic::{Configuration, OrganisationConfig, ReturnKey, Route, Work};
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
 };
@@ -190,7 +190,9 @@
     if allowed.len() < gateway.regions.len() {
         gateway.home_demand.lock().record(&head.host, &allowed);
     }
+    let key = ReturnKey::new(organisation.as_ref(), &service, &work);
     Ok(AdmittedRequest {
+        has_returned: gateway.redeem_promise(now(), key),
         id: head.id,
         allowed,
         priority: organisation_config
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hawthornquay_decisions::{
-    BackendName, Execution, InstanceName, MonotonicTime, Refusal, RegionName,
+    BackendName, Execution, InstanceName, MonotonicTime, Refusal, RefusalCode, RegionName,
 };
 use hawthornquay_traffic::{PlacementDecision, ServerPick};
 use http::{HeaderMap, StatusCode};
@@ -296,6 +296,7 @@
         );
         if self.delivered_attempts == 0 {
             self.gateway.deposit_retry(&self.request.service);
+            self.gateway.record_admitted(&self.request);
         }
         let current = AttemptDestination::Server(&pick.id);
         let limit = SilenceLimit {
@@ -445,6 +446,13 @@
         let request = &self.request;
         let took = time.since(request.arrived_at);
         self.gateway.metrics.count_request(outcome, took);
+        let is_promise_kept = request
+            .has_returned
+            .then_some(outcome != RefusalCode::NoCapacity.as_str());
+        if let Some(is_kept) = is_promise_kept {
+            let event = if is_kept { "kept" } else { "broken" };
+            self.gateway.metrics.count_promises(event, 1);
+        }
         let Some(suppressed) = self.gateway.log.request_log_limit.admit_line(time) else {
             return;
         };
@@ -456,6 +464,8 @@
             "service" => request.service.as_str(),
             "configuration" => request.configuration.version,
             "forwarded" => request.forwarded,
+            "returned" => request.has_returned,
+            "promise_kept" => is_promise_kept,
             "attempts" => self.attempt_trace.trim_end(),
             "prompt_tokens" => request.work.prompt_tokens,
             "first_part_ms" => self.first_part.map(millis),
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -40,6 +40,8 @@
             is_local: &|domain| gateway.is_local(domain),
             domain_regions: &gateway.settings.regions,
             storage_regions: &self.request.allowed,
+            reserved_latency: gateway.reserved_latency(time, &self.request),
+            is_returning: gateway.may_exceed_target(time, &self.request),
         };
         let allowed: Vec<RegionName> = self
             .request
--- a/crates/gateway/src/exchange_refusals.rs
+++ b/crates/gateway/src/exchange_refusals.rs
@@ -46,11 +46,13 @@
         if self.execution != Execution::NotRun {
             return self.unavailable_refusal();
         }
+        let time = now();
         let after = overload_retry_after(
             expected.saturating_sub(self.request.route.target_latency),
-            self.request.time_left(now()),
+            self.request.time_left(time),
             self.request.id.as_str(),
         );
+        let after = self.gateway.promise_return(time, &self.request, after);
         Refusal::not_run(
             RefusalCode::NoCapacity,
             "the request could not be answered before its deadline",
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use hawthornquay_operators::{GatewaySettings, Logs};
 use hawthornquay_traffic::{
     HomeDemand, InstanceList, ListedInstance, Offload, OperatorView, OrganisationLimits,
-    RegionMembership, RegionTable, ServerTable,
+    RegionMembership, RegionTable, ReturnPromises, ServerTable,
 };
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -46,7 +46,8 @@
 ///
 /// Locks are taken one at a time, or in this order: `operators`, `servers`, `instances`,
 /// `membership`, `region_board`, `limits`, `instance_reports`, `offload`, `quarantine`. None is held
-/// across an `await`, and no other lock is taken while `quarantine` or `home_demand` is held.
+/// across an `await`, and no other lock is taken while `quarantine`, `home_demand` or
+/// `return_promises` is held.
 pub struct Gateway<C, H> {
     /// Settings of this instance.
     pub settings: GatewaySettings,
@@ -78,6 +79,8 @@
     pub(crate) instance_reports: Mutex<Map<InstanceName, InstanceReport>>,
     /// Share of the region's requests that go to other regions, which the leader adapts.
     pub(crate) offload: Mutex<Offload>,
+    /// Capacity promised to refused requests for their return.
+    pub(crate) return_promises: Mutex<ReturnPromises>,
     /// This instance's part of the retry budget of each service.
     pub(crate) retries: Mutex<Map<ServiceName, RetryBudget>>,
     /// Prompt parts that crash backend servers, with the evidence.
@@ -151,6 +154,7 @@
             )),
             instance_reports: Mutex::default(),
             offload: Mutex::default(),
+            return_promises: Mutex::default(),
             retries: Mutex::default(),
             quarantine: Mutex::default(),
             quarantine_changed: watch::channel(()).0,
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -22,6 +22,7 @@
     store_calls: IntCounterVec,
     loans: IntCounterVec,
     permits: IntCounterVec,
+    return_promises: IntCounterVec,
     directory_answers: IntCounterVec,
     connection_ends: IntCounterVec,
     first_part: Histogram,
@@ -73,6 +74,12 @@
                 "Permits for requests to limited backend servers by decision",
                 "decision",
             )?,
+            return_promises: counters(
+                &registry,
+                "return_promises_total",
+                "Capacity promised to refused requests for their return by event",
+                "event",
+            )?,
             directory_answers: counters(
                 &registry,
                 "directory_answers_total",
@@ -162,6 +169,12 @@
         self.permits.with_label_values(&[decision]).inc();
     }
 
+    /// Counts promises of capacity to refused requests by the event.
+    pub fn count_promises(&self, event: &str, count: usize) {
+        let counter = self.return_promises.with_label_values(&[event]);
+        counter.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    }
+
     /// Counts an answer of the directory by the distance of the instances that it names.
     pub fn count_directory_answer(&self, proximity: &str) {
         self.directory_answers.with_label_values(&[proximity]).inc();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,8 @@
 mod quarantine_notices;
 mod response_memory;
 mod response_start;
+mod return_notices;
+mod returning_requests;
 mod running_requests;
 mod server_attempt;
 mod server_permits;
@@ -76,6 +78,7 @@
     instance_report::InstanceReport,
     log_rate_limiter::LogRateLimiter,
     quarantine_notices::{quarantine_update, with_quarantine_update},
+    return_notices::{promise_report, with_promise_report},
     server_probes::RunState,
 };
 
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -164,6 +164,7 @@
         arrived_at,
         deadline: arrived_at + std::time::Duration::from_millis(request.deadline_ms),
         forwarded: true,
+        has_returned: false,
         route,
         configuration,
     })
--- a/crates/gateway/src/status_notices.rs
+++ b/crates/gateway/src/status_notices.rs
@@ -11,7 +11,7 @@
 };
 use hawthornquay_instances::{Notice, RegionStatus, ServerUse, ServiceLoad, Status, ViewRequest};
 use hawthornquay_traffic::{
-    ListedInstance, RegionReport, ServerUsage, ServiceReport, StoreRevision,
+    ListedInstance, PromiseScope, RegionReport, ServerUsage, ServiceReport, StoreRevision,
 };
 
 use crate::{
@@ -54,11 +54,13 @@
 pub(crate) async fn send_status<C: ControlPlane, H: HeaderMapping>(gateway: &Arc<Gateway<C, H>>) {
     let time = now();
     gateway.evaluate_quarantine(time);
+    gateway.update_return_promises(time, gateway.region_instances().len());
     let own = own_status(gateway, time);
     let leads = is_leader(gateway, time);
     gateway.instances.lock().record_leadership(time, leads);
     if !leads {
         if let Some(leader) = leader(gateway, time) {
+            let own = gateway.add_return_promises(own, time, PromiseScope::Own);
             send_notice(gateway, &leader, Notice::Status(own)).await;
         }
         return;
@@ -78,6 +80,7 @@
         region_uses,
         ..own.clone()
     };
+    let to_members = gateway.add_return_promises(to_members, time, PromiseScope::Region);
     let to_leaders = Status {
         regions: vec![wire_region],
         uses: Vec::new(),
@@ -133,6 +136,7 @@
         }
     }
     gateway.apply_quarantine_update(time, &quarantine_update(&status, time));
+    gateway.apply_return_promises(time, &status);
     {
         let mut servers = gateway.servers.lock();
         for leaving in &status.leaving_servers {
--- a/crates/instances/src/lib.rs
+++ b/crates/instances/src/lib.rs
@@ -62,6 +62,7 @@
 mod prompt_part;
 mod quarantine_record;
 mod region_status;
+mod return_promise_record;
 mod send_queue;
 mod server_limit_record;
 mod server_list_changes;
@@ -136,6 +137,7 @@
     prompt_part::PromptPart,
     quarantine_record::QuarantineRecord,
     region_status::RegionStatus,
+    return_promise_record::ReturnPromiseRecord,
     server_limit_record::ServerLimitRecord,
     server_list_changes::ServerListChanges,
     server_record::ServerRecord,
--- a/crates/instances/src/status.rs
+++ b/crates/instances/src/status.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CrashRecord, LeavingServerRecord, OrganisationDemand, PartStartRecord, QuarantineRecord,
-    RegionStatus, ServerLimitRecord, ServerUse, ServiceAdmissions,
+    RegionStatus, ReturnPromiseRecord, ServerLimitRecord, ServerUse, ServiceAdmissions,
 };
 
 /// State and load of an instance. The leader of a region adds the load of regions.
@@ -84,4 +84,12 @@
     /// Limits of backend servers that have changed lately, or of which nothing is left.
     #[prost(message, repeated, tag = "24")]
     pub server_limits: Vec<ServerLimitRecord>,
+    /// Capacity promised to refused requests that have not returned; an instance that is no leader
+    /// sends only its own promises.
+    #[prost(message, repeated, tag = "25")]
+    pub return_promises: Vec<ReturnPromiseRecord>,
+    /// Keys of promises that were redeemed and have not ended; an instance that is no leader sends
+    /// only those of requests that returned to it.
+    #[prost(fixed64, repeated, tag = "26")]
+    pub redeemed_promises: Vec<u64>,
 }
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -36,12 +36,15 @@
 mod placement_decision;
 mod placement_request;
 mod poll_interval;
+mod promise_report;
 mod recent_prefixes;
 mod region_membership;
 mod region_report;
 mod region_table;
 mod removal_log;
 mod request_limit;
+mod return_key;
+mod return_promises;
 mod route;
 mod route_index;
 mod server_changes;
@@ -94,11 +97,16 @@
     placement_decision::PlacementDecision,
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
+    promise_report::{PromiseReport, PromiseScope, ReportedPromise},
     recent_prefixes::RecentPrefixes,
     region_membership::RegionMembership,
     region_report::RegionReport,
     region_table::RegionTable,
     request_limit::{GrantedPart, LimitStatement, PermitDecision},
+    return_key::ReturnKey,
+    return_promises::{
+        MAX_PROMISES, MAX_REPORTED_PROMISES, PROMISE_GRACE, PROMISE_LEAD, ReturnPromises,
+    },
     route::Route,
     route_index::RouteIndex,
     server_changes::ServerChanges,
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -58,6 +58,10 @@
     } else {
         None
     };
+    let local = local.map(|pick| ServerPick {
+        expected_latency: pick.expected_latency + req.reserved_latency,
+        ..pick
+    });
     let offload = regions.offload(now, options.local_region, req.service);
     let offloaded = options.may_forward && servers.draw(req.instance) < offload;
     if let Some(pick) = &local
@@ -83,11 +87,14 @@
     choose(req, options, local, remote)
 }
 
-/// Returns the longest expected latency with which a request is admitted.
+/// Returns the longest expected latency with which a request is admitted. One that returns to a
+/// promise has waited for longer than its target already, so only its deadline counts.
 fn latest_admitted(req: &PlacementRequest<'_>) -> Duration {
-    req.time_left
-        .mul_f64(MAX_DEADLINE_SHARE)
-        .min(req.target_latency.mul_f64(MAX_TARGET_SHARE))
+    let by_deadline = req.time_left.mul_f64(MAX_DEADLINE_SHARE);
+    if req.is_returning {
+        return by_deadline;
+    }
+    by_deadline.min(req.target_latency.mul_f64(MAX_TARGET_SHARE))
 }
 
 /// Chooses between the local region and the best other one, and refuses the request if its response
--- a/crates/traffic/src/placement_request.rs
+++ b/crates/traffic/src/placement_request.rs
@@ -38,4 +38,8 @@
     pub domain_regions: &'a Map<DomainName, RegionName>,
     /// Regions that may store the prompt, and from which its cached parts may be copied.
     pub storage_regions: &'a [RegionName],
+    /// Time that the region's engines take to prefill prompts for which capacity is reserved.
+    pub reserved_latency: Duration,
+    /// Whether the request has returned to a promise of capacity, so that only its deadline counts.
+    pub is_returning: bool,
 }
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -157,6 +157,9 @@
     pub time_left: Duration,
     pub domain_regions: Map<DomainName, RegionName>,
     pub storage_regions: Vec<RegionName>,
+    pub target_latency: Duration,
+    pub reserved_latency: Duration,
+    pub is_returning: bool,
 }
 
 impl Default for RequestContext {
@@ -176,6 +179,9 @@
                 .map(|name| (DomainName::new(&format!("{name}-a")), RegionName::new(name)))
                 .collect(),
             storage_regions: regions(&["home", "far", "wide"]),
+            target_latency: TARGET_LATENCY,
+            reserved_latency: Duration::ZERO,
+            is_returning: false,
         }
     }
 }
@@ -186,7 +192,7 @@
             configuration: &self.configuration,
             service: &self.service,
             work,
-            target_latency: TARGET_LATENCY,
+            target_latency: self.target_latency,
             time_left: self.time_left,
             excluded_servers: &self.excluded_servers,
             instance: &self.instance,
@@ -197,6 +203,8 @@
             is_local: &|domain| domain.as_str().starts_with("home"),
             domain_regions: &self.domain_regions,
             storage_regions: &self.storage_regions,
+            reserved_latency: self.reserved_latency,
+            is_returning: self.is_returning,
         }
     }
 }
