--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -43,6 +43,7 @@
 mod region_table;
 mod removal_log;
 mod request_limit;
+mod reserved_sums;
 mod return_key;
 mod return_promises;
 mod route;
--- a/crates/traffic/src/return_promises.rs
+++ b/crates/traffic/src/return_promises.rs
@@ -10,7 +10,10 @@
 
 use hawthornquay_decisions::{Map, MonotonicTime, ServiceName};
 
-use crate::{PromiseReport, PromiseScope, ReportedPromise, ReturnKey, return_key::service_hash};
+use crate::{
+    PromiseReport, PromiseScope, ReportedPromise, ReturnKey, reserved_sums::ReservedSums,
+    return_key::service_hash,
+};
 
 /// Maximum number of promises that an instance knows.
 pub const MAX_PROMISES: usize = 4_096;
@@ -64,9 +67,6 @@
 /// Maximum time until a reported promise ends; a later end is not plausible.
 const MAX_ENDS_IN: Duration = Duration::from_secs(120);
 
-/// Maximum age of the sums of reserved tokens.
-const MAX_SUM_AGE: Duration = Duration::from_millis(25);
-
 #[derive(Clone, Copy, Debug)]
 struct Promise {
     key: ReturnKey,
@@ -112,8 +112,8 @@
     credits: Map<(u32, u8), f64>,
     /// Time of the last refusal for lack of capacity, by service and urgency.
     refused_at: Map<(u32, u8), MonotonicTime>,
-    /// Sums of the reserved tokens by service and urgency, with their time.
-    reserved: Option<(MonotonicTime, Vec<(u32, u8, u64)>)>,
+    /// Sums of the reserved tokens; `None` after a change.
+    reserved: Option<ReservedSums>,
 }
 
 impl ReturnPromises {
@@ -233,17 +233,13 @@
         if self.promises.is_empty() {
             return 0;
         }
-        let is_current = self
-            .reserved
-            .as_ref()
-            .is_some_and(|(at, _)| now >= *at && now.since(*at) < MAX_SUM_AGE);
-        if !is_current {
-            self.reserved = Some((now, self.sum_reserved(now)));
-        }
-        let hash = service_hash(service);
-        let sums = self.reserved.iter().flat_map(|(_, sums)| sums);
-        sums.filter(|(service, other, _)| *service == hash && *other <= urgency)
-            .fold(0, |sum, (_, _, tokens)| sum.saturating_add(*tokens))
+        let reserved = match self.reserved.take() {
+            Some(reserved) if reserved.is_current(now) => reserved,
+            _ => self.sum_reserved(now),
+        };
+        let tokens = reserved.total(service_hash(service), urgency);
+        self.reserved = Some(reserved);
+        tokens
     }
 
     /// Returns the time that the region's engines take to prefill the reserved tokens that a request
@@ -368,20 +364,11 @@
         rate.filter(|rate| *rate > 0.0)
     }
 
-    fn sum_reserved(&self, now: MonotonicTime) -> Vec<(u32, u8, u64)> {
-        let mut sums: Vec<(u32, u8, u64)> = Vec::new();
-        let reserved = self.promises.values();
-        for promise in reserved.filter(|one| !one.is_redeemed && one.is_due(now)) {
-            let (service, urgency) = (promise.key.service, promise.urgency);
-            match sums
-                .iter_mut()
-                .find(|sum| (sum.0, sum.1) == (service, urgency))
-            {
-                Some(sum) => sum.2 = sum.2.saturating_add(promise.tokens),
-                None => sums.push((service, urgency, promise.tokens)),
-            }
-        }
-        sums
+    fn sum_reserved(&self, now: MonotonicTime) -> ReservedSums {
+        let promises = self.promises.values();
+        let due = promises.filter(|promise| !promise.is_redeemed && promise.is_due(now));
+        let rows = due.map(|promise| (promise.key.service, promise.urgency, promise.tokens));
+        ReservedSums::new(now, rows)
     }
 
     /// Returns the first of the times `due`, `due` + [`STEP`] and so on up to `latest` at which the
--- a/crates/traffic/tests/return_promises.rs
+++ b/crates/traffic/tests/return_promises.rs
@@ -237,7 +237,7 @@
 fn promise_needs_admitted_requests_of_same_urgency() {
     let mut table = table();
     let due = at(0) + SOON;
-    let mut ask = |table: &mut ReturnPromises, request, urgency| {
+    let ask = |table: &mut ReturnPromises, request, urgency| {
         let id = key("o", request);
         table.promise(at(0), id, 3_000, urgency, due, due).is_some()
     };
