--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -38,6 +38,7 @@
 mod placement_request;
 mod poll_interval;
 mod prefill_rate;
+mod promise_report;
 mod ramping_servers;
 mod recent_prefixes;
 mod region_membership;
@@ -45,7 +46,10 @@
 mod region_table;
 mod removal_log;
 mod request_limit;
+mod reserved_sums;
 mod response_reports;
+mod return_key;
+mod return_promises;
 mod route;
 mod route_index;
 mod server_changes;
@@ -104,12 +108,17 @@
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
     prefill_rate::{PREFILL_TOKENS_PER_MS, PrefillRate},
+    promise_report::{PromiseReport, PromiseScope, ReportedPromise},
     ramping_servers::{RampEvent, RampEventKind},
     recent_prefixes::RecentPrefixes,
     region_membership::RegionMembership,
     region_report::RegionReport,
     region_table::RegionTable,
     request_limit::{GrantedPart, LimitStatement, PermitDecision},
+    return_key::ReturnKey,
+    return_promises::{
+        MAX_PROMISES, MAX_REPORTED_PROMISES, PROMISE_GRACE, PROMISE_LEAD, ReturnPromises,
+    },
     route::Route,
     route_index::RouteIndex,
     server_changes::ServerChanges,
