Refuse streams that would take over two fifths of the time to their deadline

Cause: with three quarters, engines stayed saturated by prompts, since the streams admitted last slow all others down, and urgent short streams were late beside them.

--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -29,7 +29,7 @@
 
 /// Maximum expected time to the end of an admitted stream, as a share of the time left until its
 /// deadline. The requests that follow slow it down further.
-const MAX_END_DEADLINE_SHARE: f64 = 0.75;
+const MAX_END_DEADLINE_SHARE: f64 = 0.4;
 
 /// Share of the target gap between two events from which a stream counts as slow. Some of its gaps are
 /// several times the mean one.
