Count questions for paces and streams forwarded or refused for their course

Cause: operators could not see how often servers are asked for their pace, and requests refused or forwarded because of their streams looked like an overload. Change: a decision says whether the course of the stream is its only reason; three metrics count questions, placements after a slower answer, and forwarded and refused requests by reason.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -211,6 +211,7 @@
                 continue;
             }
             let placement = self.check_pace(placement).await;
+            self.count_stream_concern(&placement);
             self.awaiting_head = true;
             let opened = match placement {
                 PlacementDecision::Server(pick) => self.open_server_attempt(&pick, left).await,
@@ -259,6 +260,7 @@
                 }
                 PlacementDecision::Overloaded {
                     expected_latency: expected,
+                    ..
                 } => {
                     self.awaiting_head = false;
                     let _ = write!(self.attempt_trace, "overloaded~{}ms ", expected.as_millis());
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -4,7 +4,7 @@
 
 use hawthornquay_decisions::{BackendName, Execution, InstanceName, RefusalCode, RegionName};
 use hawthornquay_traffic::{
-    PlacementDecision, PlacementOptions, PlacementRequest, ServerPick, place,
+    PlacementDecision, PlacementOptions, PlacementRequest, ServerPick, StreamConcern, place,
 };
 
 use crate::{AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, gateway::now};
@@ -79,6 +79,7 @@
         if pace < expected * SLOWER_PACE_FACTOR {
             return placement;
         }
+        self.gateway.metrics.count_slower_pace();
         match self.choose_placement(None) {
             PlacementDecision::Server(pick) if pick.is_limited => placement,
             PlacementDecision::Server(pick) => PlacementDecision::Server(pick),
@@ -86,6 +87,21 @@
         }
     }
 
+    /// Counts a request that is forwarded or refused only because of the expected course of its stream.
+    pub(crate) fn count_stream_concern(&self, placement: &PlacementDecision) {
+        let (action, concern) = match placement {
+            PlacementDecision::Region { concern, .. } => ("forwarded", *concern),
+            PlacementDecision::Overloaded { concern, .. } => ("refused", *concern),
+            PlacementDecision::Server(_) | PlacementDecision::Unavailable => return,
+        };
+        let reason = match concern {
+            Some(StreamConcern::Deadline) => "deadline",
+            Some(StreamConcern::Slow) => "slow",
+            None => return,
+        };
+        self.gateway.metrics.count_stream_concern(action, reason);
+    }
+
     /// Returns whether this instance may send the request to the picked server, which takes a limited
     /// number of them.
     pub(crate) async fn obtain_permit(&mut self, pick: &ServerPick, left: Duration) -> bool {
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -32,6 +32,9 @@
     backend_servers: IntGauge,
     ramping_servers: IntGauge,
     passed_over: IntCounter,
+    pace_questions: IntCounter,
+    slower_paces: IntCounter,
+    stream_concerns: IntCounterVec,
     backend_crashes: IntCounter,
     quarantined_parts: IntGauge,
 }
@@ -123,6 +126,22 @@
                 "ramp_passed_over_total",
                 "Placements of requests that passed over a backend server in a ramp",
             )?,
+            pace_questions: counter(
+                &registry,
+                "pace_questions_total",
+                "Questions to backend servers for their pace before a long stream",
+            )?,
+            slower_paces: counter(
+                &registry,
+                "pace_placements_total",
+                "Requests that were placed again because the answer was a slower pace than expected",
+            )?,
+            stream_concerns: labelled_counters(
+                &registry,
+                "stream_concerns_total",
+                "Requests forwarded or refused because of the expected course of their streams",
+                &["action", "reason"],
+            )?,
             backend_crashes: counter(
                 &registry,
                 "backend_crashes_total",
@@ -225,6 +244,24 @@
         self.passed_over.inc_by(placements);
     }
 
+    /// Counts a question to a backend server for its pace.
+    pub fn count_pace_question(&self) {
+        self.pace_questions.inc();
+    }
+
+    /// Counts a request that is placed again because its server has stated a slower pace.
+    pub fn count_slower_pace(&self) {
+        self.slower_paces.inc();
+    }
+
+    /// Counts a request that is forwarded or refused because its stream would not end in time or be
+    /// slow.
+    pub fn count_stream_concern(&self, action: &str, reason: &str) {
+        self.stream_concerns
+            .with_label_values(&[action, reason])
+            .inc();
+    }
+
     /// Counts a crash of a backend server that had not begun to answer a request.
     pub fn count_backend_crash(&self) {
         self.backend_crashes.inc();
--- a/crates/gateway/src/server_probes.rs
+++ b/crates/gateway/src/server_probes.rs
@@ -88,6 +88,7 @@
     pub(crate) async fn ask_pace(&self, pick: &ServerPick, service: &ServiceName) -> Option<f64> {
         let configuration = self.operators.lock().configuration().cloned()?;
         let path = configuration.service(service)?.health_path.as_deref()?;
+        self.metrics.count_pace_question();
         let head = self
             .backends
             .read_head(pick.address, path, PACE_TIMEOUT)
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -100,7 +100,7 @@
     organisation_limits::{LimitRefusal, OrganisationLimits},
     overload_retry::overload_retry_after,
     placement::{PlacementOptions, place},
-    placement_decision::PlacementDecision,
+    placement_decision::{PlacementDecision, StreamConcern},
     placement_request::PlacementRequest,
     poll_interval::poll_interval,
     prefill_rate::{PREFILL_TOKENS_PER_MS, PrefillRate},
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     PREFILL_TOKENS_PER_MS, PlacementDecision, PlacementRequest, RegionTable, ServerPick,
-    ServerTable,
+    ServerTable, StreamConcern,
 };
 
 /// Maximum expected latency for a request to stay in the local region regardless of the other
@@ -88,7 +88,7 @@
         && let Some(remote) = &remote
         && remote.expected_latency <= latest_admitted(req)
     {
-        return remote.decision();
+        return remote.decision(None);
     }
     choose(req, options, local, remote)
 }
@@ -129,10 +129,11 @@
 }
 
 impl RemoteRegion {
-    fn decision(&self) -> PlacementDecision {
+    fn decision(&self, concern: Option<StreamConcern>) -> PlacementDecision {
         PlacementDecision::Region {
             name: self.name.clone(),
             expected_latency: self.expected_latency,
+            concern,
         }
     }
 
@@ -160,12 +161,16 @@
     let decision = match (local, remote) {
         (None, None) => return PlacementDecision::Unavailable,
         (Some(pick), None) => PlacementDecision::Server(pick),
-        (None, Some(remote)) => remote.decision(),
+        (None, Some(remote)) => remote.decision(None),
         (Some(pick), Some(remote)) => {
             let is_sooner =
                 remote.expected_latency + options.forward_margin < pick.expected_latency;
-            if is_sooner || remote.streams_faster(req, &pick) || !ends_in_time(req, &pick) {
-                remote.decision()
+            if is_sooner {
+                remote.decision(None)
+            } else if !ends_in_time(req, &pick) {
+                remote.decision(Some(StreamConcern::Deadline))
+            } else if remote.streams_faster(req, &pick) {
+                remote.decision(Some(StreamConcern::Slow))
             } else {
                 PlacementDecision::Server(pick)
             }
@@ -179,12 +184,18 @@
         PlacementDecision::Unavailable | PlacementDecision::Overloaded { .. } => return decision,
     };
     if expected_latency > latest_admitted(req) {
-        return PlacementDecision::Overloaded { expected_latency };
+        return PlacementDecision::Overloaded {
+            expected_latency,
+            concern: None,
+        };
     }
     if let PlacementDecision::Server(pick) = &decision
         && !ends_in_time(req, pick)
     {
-        return PlacementDecision::Overloaded { expected_latency };
+        return PlacementDecision::Overloaded {
+            expected_latency,
+            concern: Some(StreamConcern::Deadline),
+        };
     }
     decision
 }
--- a/crates/traffic/src/placement_decision.rs
+++ b/crates/traffic/src/placement_decision.rs
@@ -6,6 +6,15 @@
 
 use crate::ServerPick;
 
+/// What the expected course of its stream in the local region has against a request there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamConcern {
+    /// It would not end in time before the deadline.
+    Deadline,
+    /// Its events would be too far apart.
+    Slow,
+}
+
 /// Where a request is sent, or why it is refused.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlacementDecision {
@@ -17,6 +26,8 @@
         name: RegionName,
         /// Predicted time to the first byte, network round trip included.
         expected_latency: Duration,
+        /// Concern that is the only reason not to stay in the local region.
+        concern: Option<StreamConcern>,
     },
     /// Refuse: no eligible backend server accepts requests.
     Unavailable,
@@ -24,5 +35,7 @@
     Overloaded {
         /// Predicted time to the first byte.
         expected_latency: Duration,
+        /// Concern that is the only reason for the refusal.
+        concern: Option<StreamConcern>,
     },
 }
