--- a/crates/traffic/tests/engine_placement.rs
+++ b/crates/traffic/tests/engine_placement.rs
@@ -8,7 +8,7 @@
 use hawthornquay_decisions::{BackendName, InstanceName, Map, RegionName, ServiceName};
 use hawthornquay_traffic::{
     BackendEntry, PlacementDecision, PlacementOptions, PlacementRequest, RegionReport, RegionTable,
-    ReportedLoad, ServerPick, ServerTable, ServiceReport, Work, place,
+    ReportedLoad, ServerPick, ServerTable, ServiceReport, StreamConcern, Work, place,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -360,6 +360,34 @@
     }
 }
 
+/// Guards against operators who see an overload where the course of the streams is the reason.
+#[test]
+fn place_states_stream_concern() {
+    let context = context(1);
+    let mut table = table_of_warm(&entries(1));
+    let work = work(1, 0, 950);
+    let far = regions_with(60);
+    let mut decide = |interval_ms: u64, time_left_s: u64, far: Option<&RegionTable>| {
+        record_streams(&mut table, &name(0), 0, interval_ms);
+        let req = PlacementRequest {
+            time_left: Duration::from_secs(time_left_s),
+            ..context.request(&work)
+        };
+        match place_at(10_100, &req, &mut table, far) {
+            PlacementDecision::Region { concern, .. } => ("forwarded", concern),
+            PlacementDecision::Overloaded { concern, .. } => ("refused", concern),
+            decision => panic!("{decision:?}"),
+        }
+    };
+    let deadline = Some(StreamConcern::Deadline);
+    assert_eq!(decide(400, 10, None), ("refused", deadline));
+    assert_eq!(decide(400, 10, Some(&far)), ("forwarded", deadline));
+    let slow = Some(StreamConcern::Slow);
+    assert_eq!(decide(400, 60, Some(&far)), ("forwarded", slow));
+    // Too little time for the first chunk is an overload, whatever the stream.
+    assert_eq!(decide(400, 0, None), ("refused", None));
+}
+
 /// Guards against a server that is preferred long after it has stated that it is very fast.
 #[test]
 fn lying_server_fast_does_no_lasting_harm() {
