--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -64,8 +64,8 @@
         place(time, &req, &options, &mut servers, &board)
     }
 
-    /// Asks the picked server for its pace if that is not known, and places the request again if the
-    /// server is slow at this moment.
+    /// Asks the picked server for its pace before a long stream if the last statement is old, and places
+    /// the request again if the server is slower than expected.
     pub(crate) async fn check_pace(&self, placement: PlacementDecision) -> PlacementDecision {
         let (pick, expected) = match &placement {
             PlacementDecision::Server(pick) if pick.is_pace_unknown && !pick.is_limited => {
--- a/crates/gateway/src/server_probes.rs
+++ b/crates/gateway/src/server_probes.rs
@@ -14,7 +14,8 @@
 /// Time in which a server that can be reached answers a probe: it needs no slot for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time that a request waits for the pace of a server, which answers without a slot.
+/// Longest time that a request waits for the head of the answer with a server's pace, once it is
+/// connected. The server needs no slot for the answer.
 const PACE_TIMEOUT: Duration = Duration::from_millis(30);
 
 /// Time after its start in which the answer to a probe is used for all requests at the server.
--- a/crates/instances/src/service_load.rs
+++ b/crates/instances/src/service_load.rs
@@ -19,8 +19,8 @@
     /// thousandths.
     #[prost(uint32, tag = "5")]
     pub offload_permille: u32,
-    /// Mean time between two events of the streams of its backend servers, in microseconds; zero if
-    /// unknown.
+    /// Mean time between two events of the streams of its backend servers, converted to the pace 1, in
+    /// microseconds; zero if unknown.
     #[prost(uint32, tag = "6")]
     pub event_interval_us: u32,
 }
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -27,8 +27,8 @@
 /// prefill, its streams begin to pause for too long, and with the second all of them do.
 const PAUSE_GAP_SHARES: (f64, f64) = (0.25, 1.25);
 
-/// Maximum age of the stated pace of a server with which a request that would interrupt its streams is
-/// placed there.
+/// Maximum age of the stated pace of a server with which a long stream is placed there without asking
+/// for a newer one.
 const MAX_PACE_AGE: Duration = Duration::from_millis(150);
 
 /// Penalty in the score of a server whose failure ratio is 1, in milliseconds.
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -4,7 +4,9 @@
 //! peak. A request stays in the local region as long as its response is expected in time there.
 //! Otherwise it goes to the region with the shortest expected time to the first byte, network
 //! latency included. A request whose response would be far too late is refused immediately, so that
-//! queues stay short during an overload and the responses to admitted requests are in time.
+//! queues stay short during an overload and the responses to admitted requests are in time. The same
+//! holds for a stream that would not end before its deadline; one whose events would be too far apart
+//! goes to a region where they are much closer together.
 
 use std::time::Duration;
 
@@ -36,7 +38,8 @@
 const SLOW_GAP_SHARE: f64 = 0.35;
 
 /// Time between two events in another region, as a share of that in the local one, for a slow stream to
-/// be forwarded there. It pays for the longer path, and keeps requests from moving to and fro.
+/// be forwarded there. The margin covers the longer path, and keeps two
+/// regions from forwarding the same requests to each other.
 const FASTER_INTERVAL_SHARE: f64 = 0.6;
 
 /// Options for the placement of a request across regions.
@@ -200,7 +203,7 @@
     decision
 }
 
-/// Returns the other region with the shortest expected time to the first byte, and that time.
+/// Returns the other region with the shortest expected time to the first byte.
 ///
 /// A region that sends requests of its own to others is only chosen as a `last_resort`.
 fn best_region(
--- a/crates/traffic/src/server_pick.rs
+++ b/crates/traffic/src/server_pick.rs
@@ -27,8 +27,8 @@
     /// Pace of the server on which the prediction is based; `None` if the service's servers do not
     /// state it.
     pub pace: Option<f64>,
-    /// Whether the server is to be asked for its pace first, because the request would interrupt its
-    /// streams if it is slow at this moment.
+    /// Whether the server is to be asked for its pace first, because the response is a long stream and
+    /// the last statement of the server is too old or missing.
     pub is_pace_unknown: bool,
     /// Estimated number of requests at the server.
     pub requests: u32,
--- a/crates/traffic/src/service_report.rs
+++ b/crates/traffic/src/service_report.rs
@@ -13,7 +13,8 @@
     pub expected_latency: Duration,
     /// Share of the region's own requests that are to go to other regions, in thousandths.
     pub offload_permille: u32,
-    /// Mean time between two events of the streams of its backend servers; zero if unknown.
+    /// Mean time between two events of the streams of its backend servers, converted to the pace 1; zero
+    /// if unknown.
     pub event_interval: Duration,
 }
 
