--- a/crates/traffic/tests/engine_placement.rs
+++ b/crates/traffic/tests/engine_placement.rs
@@ -360,6 +360,33 @@
     }
 }
 
+/// Guards against streams that are forwarded to a region whose servers are all slower: its report states
+/// the interval at the pace 1, and the local one is that at the pace of the picked server.
+#[test]
+fn place_slow_stream_stays_if_the_other_region_is_slower() {
+    let mut far_table = table_of_warm(&entries(4));
+    for n in 0..4 {
+        state(&mut far_table, 0, &name(n), 300);
+        record_streams(&mut far_table, &name(n), 2_000, 180);
+    }
+    let services = far_table.service_reports(at(9_300), |_| true);
+    let report = RegionReport {
+        demands: Map::default(),
+        services,
+    };
+    let mut far = RegionTable::default();
+    far.apply_report(&RegionName::new("far"), at(9_300), report);
+
+    let mut context = context(1);
+    context.time_left = Duration::from_secs(60);
+    let mut table = table_of_warm(&entries(1));
+    state(&mut table, 0, &name(0), 100);
+    record_streams(&mut table, &name(0), 3_300, 150);
+    let work = work(1, 0, 950);
+    let choice = place_at(9_300, &context.request(&work), &mut table, Some(&far));
+    assert!(matches!(choice, PlacementDecision::Server(_)), "{choice:?}");
+}
+
 /// Guards against operators who see an overload where the course of the streams is the reason.
 #[test]
 fn place_states_stream_concern() {
