--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -90,6 +90,8 @@
     pub(crate) last_events_at: Option<MonotonicTime>,
     /// Events that have been read since the last delivery.
     pub(crate) new_events: u64,
+    /// Time for which the server was waited for since then.
+    pub(crate) server_wait: Duration,
     /// Events that were delivered before those.
     pub(crate) run_events: u64,
     /// Longest time between two deliveries of events to the caller.
@@ -128,6 +130,7 @@
             first_part: None,
             last_events_at: None,
             new_events: 0,
+            server_wait: Duration::ZERO,
             run_events: 0,
             longest_pause: Duration::ZERO,
             finished: false,
@@ -162,6 +165,7 @@
                         self.first_part = Some(now().since(self.request.arrived_at));
                         self.last_events_at = Some(now());
                         self.run_events = std::mem::take(&mut self.new_events);
+                        self.server_wait = Duration::ZERO;
                         return Ok(ResponseStart::Stream {
                             status,
                             headers,
@@ -211,6 +215,7 @@
                 continue;
             }
             let placement = self.check_pace(placement).await;
+            self.count_stream_concern(&placement);
             self.awaiting_head = true;
             let opened = match placement {
                 PlacementDecision::Server(pick) => self.open_server_attempt(&pick, left).await,
@@ -259,6 +264,7 @@
                 }
                 PlacementDecision::Overloaded {
                     expected_latency: expected,
+                    ..
                 } => {
                     self.awaiting_head = false;
                     let _ = write!(self.attempt_trace, "overloaded~{}ms ", expected.as_millis());
@@ -295,20 +301,7 @@
         left: Duration,
     ) -> Result<(crate::server_attempt::AttemptHead, Attempt<C, H>), AttemptFailure> {
         self.attempts += 1;
-        let (expected, requests) = (pick.expected_latency.as_millis(), pick.requests);
-        let cold = if pick.is_cold { "/cold" } else { "" };
-        let pace = pick.pace.map(|pace| format!("/x{pace:.2}"));
-        let end = pick.stream.map(|stream| {
-            let end = pick.expected_latency + stream.duration();
-            format!("/end{}ms", end.as_millis())
-        });
-        let _ = write!(
-            self.attempt_trace,
-            "{}~{expected}ms/{requests}{cold}{}{} ",
-            pick.id,
-            pace.unwrap_or_default(),
-            end.unwrap_or_default(),
-        );
+        self.trace_pick(pick);
         if self.delivered_attempts == 0 {
             self.gateway.deposit_retry(&self.request.service);
             self.gateway.record_admitted(&self.request);
@@ -357,6 +350,7 @@
             }
         }
         self.events.clear();
+        (self.new_events, self.server_wait) = (0, Duration::ZERO);
         self.late_bytes = 0;
         self.memory = None;
         if failure.execution != Execution::NotRun {
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -4,7 +4,7 @@
 
 use hawthornquay_decisions::{BackendName, Execution, InstanceName, RefusalCode, RegionName};
 use hawthornquay_traffic::{
-    PlacementDecision, PlacementOptions, PlacementRequest, ServerPick, place,
+    PlacementDecision, PlacementOptions, PlacementRequest, ServerPick, StreamConcern, place,
 };
 
 use crate::{AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping, gateway::now};
@@ -66,11 +66,14 @@
         place(time, &req, &options, &mut servers, &board)
     }
 
-    /// Asks the picked server for its pace if that is not known, and places the request again if the
-    /// server is slow at this moment.
+    /// Asks the picked server for its pace before a long stream if the last statement is old, and places
+    /// the request again if the server is slower than expected.
     pub(crate) async fn check_pace(&self, placement: PlacementDecision) -> PlacementDecision {
         let (pick, expected) = match &placement {
-            PlacementDecision::Server(pick) if pick.is_pace_unknown && !pick.is_limited => {
+            // A later attempt may replace a silent one, whose server must not be picked again.
+            PlacementDecision::Server(pick)
+                if pick.is_pace_unknown && !pick.is_limited && self.attempts == 0 =>
+            {
                 (pick, pick.pace.unwrap_or(1.0))
             }
             _ => return placement,
@@ -81,6 +84,7 @@
         if pace < expected * SLOWER_PACE_FACTOR {
             return placement;
         }
+        self.gateway.metrics.count_slower_pace();
         match self.choose_placement(None) {
             PlacementDecision::Server(pick) if pick.is_limited => placement,
             PlacementDecision::Server(pick) => PlacementDecision::Server(pick),
@@ -88,6 +92,39 @@
         }
     }
 
+    /// Adds the picked server and what was predicted for it to the attempt trace.
+    pub(crate) fn trace_pick(&mut self, pick: &ServerPick) {
+        let trace = &mut self.attempt_trace;
+        let (expected, requests) = (pick.expected_latency.as_millis(), pick.requests);
+        let _ = write!(trace, "{}~{expected}ms/{requests}", pick.id);
+        if pick.is_cold {
+            trace.push_str("/cold");
+        }
+        if let Some(pace) = pick.pace {
+            let _ = write!(trace, "/x{pace:.2}");
+        }
+        if let Some(stream) = pick.stream {
+            let end = pick.expected_latency + stream.duration();
+            let _ = write!(trace, "/end{}ms", end.as_millis());
+        }
+        trace.push(' ');
+    }
+
+    /// Counts a request that is forwarded or refused only because of the expected course of its stream.
+    pub(crate) fn count_stream_concern(&self, placement: &PlacementDecision) {
+        let (action, concern) = match placement {
+            PlacementDecision::Region { concern, .. } => ("forwarded", *concern),
+            PlacementDecision::Overloaded { concern, .. } => ("refused", *concern),
+            PlacementDecision::Server(_) | PlacementDecision::Unavailable => return,
+        };
+        let reason = match concern {
+            Some(StreamConcern::Deadline) => "deadline",
+            Some(StreamConcern::Slow) => "slow",
+            None => return,
+        };
+        self.gateway.metrics.count_stream_concern(action, reason);
+    }
+
     /// Returns whether this instance may send the request to the picked server, which takes a limited
     /// number of them.
     pub(crate) async fn obtain_permit(&mut self, pick: &ServerPick, left: Duration) -> bool {
--- a/crates/gateway/src/exchange_streams.rs
+++ b/crates/gateway/src/exchange_streams.rs
@@ -74,13 +74,18 @@
         let Some(previous) = self.last_events_at.replace(time) else {
             return;
         };
-        let pause = time.since(previous);
-        self.longest_pause = self.longest_pause.max(pause);
+        self.longest_pause = self.longest_pause.max(time.since(previous));
         let events = std::mem::take(&mut self.new_events);
+        // A caller that reads slowly delays the deliveries, but not the server.
+        let waited = std::mem::take(&mut self.server_wait);
         self.run_events += events;
         if let Some(Attempt::Server(attempt)) = &self.attempt {
+            let (id, tokens) = (&attempt.pick().id, self.request.work.output_tokens);
             let mut servers = self.gateway.servers.lock();
-            servers.record_events(time, &attempt.pick().id, events, pause);
+            servers.record_events(time, id, events, waited);
+            if self.attempts == 1 {
+                servers.record_running_stream(id, self.run_events, tokens);
+            }
         }
     }
 
@@ -109,7 +114,10 @@
             let Some(attempt) = &mut self.attempt else {
                 return Err(AttemptFailure::unknown(AttemptCause::Broken));
             };
-            match attempt.next_chunk(max_wait).await {
+            let asked_at = now();
+            let chunk = attempt.next_chunk(max_wait).await;
+            self.server_wait += now().since(asked_at);
+            match chunk {
                 None if self.events.has_partial_event() || !self.progress.may_end() => {
                     return Err(AttemptFailure::unknown(AttemptCause::Broken));
                 }
--- a/crates/gateway/src/server_probes.rs
+++ b/crates/gateway/src/server_probes.rs
@@ -7,14 +7,15 @@
 use hawthornquay_decisions::{BackendName, Map, MonotonicTime, RequestId, ServiceName};
 use hawthornquay_traffic::ServerPick;
 use parking_lot::Mutex;
-use tokio::sync::OnceCell;
+use tokio::{sync::OnceCell, time::timeout};
 
 use crate::{Gateway, HeaderMapping, gateway::now};
 
 /// Time in which a server that can be reached answers a probe: it needs no slot for it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Longest time that a request waits for the pace of a server, which answers without a slot.
+/// Longest time that a request waits for the head of the answer with a server's pace, once it is
+/// connected. The server needs no slot for the answer.
 const PACE_TIMEOUT: Duration = Duration::from_millis(30);
 
 /// Time after its start in which the answer to a probe is used for all requests at the server.
@@ -88,12 +89,16 @@
     pub(crate) async fn ask_pace(&self, pick: &ServerPick, service: &ServiceName) -> Option<f64> {
         let configuration = self.operators.lock().configuration().cloned()?;
         let path = configuration.service(service)?.health_path.as_deref()?;
-        let head = self
-            .backends
-            .read_head(pick.address, path, PACE_TIMEOUT)
-            .await
-            .ok()?;
-        let percent = self.header_mapping.read_health(&head).load?.pace?;
+        self.metrics.count_pace_question();
+        let asked = self.backends.read_head(pick.address, path, PACE_TIMEOUT);
+        // The connection is opened within the same time.
+        let head = timeout(PACE_TIMEOUT, asked).await.ok()?.ok()?;
+        let health = self.header_mapping.read_health(&head);
+        // Another process may have the address by now.
+        if health.server.as_deref() != Some(pick.id.as_str()) {
+            return None;
+        }
+        let percent = health.load?.pace?;
         self.servers.lock().record_pace(now(), &pick.id, percent);
         Some(f64::from(percent) / 100.0)
     }
--- a/crates/traffic/src/event_rate.rs
+++ b/crates/traffic/src/event_rate.rs
@@ -67,6 +67,8 @@
     rate: EventRate,
     /// Moving average of the events per output token that the caller declared.
     events_per_token: Option<f64>,
+    /// Largest number of events per declared output token of a stream that is not complete.
+    running_events_per_token: f64,
 }
 
 impl ServiceStreams {
@@ -75,6 +77,14 @@
         self.rate.record(now, events, ms / pace);
     }
 
+    /// Records that a stream for which `tokens` output tokens were declared has `events` events so far.
+    /// Until a stream is complete, the longest one so far is the estimate: none completes at engines
+    /// that are saturated.
+    pub fn record_running(&mut self, events: u64, tokens: u64) {
+        let ratio = events as f64 / tokens.max(1) as f64;
+        self.running_events_per_token = self.running_events_per_token.max(ratio);
+    }
+
     /// Records a complete stream of `events` events for which `tokens` output tokens were declared.
     pub fn record_complete(&mut self, events: u64, tokens: u64) {
         let ratio = events as f64 / tokens.max(1) as f64;
@@ -83,9 +93,11 @@
     }
 
     /// Returns the expected number of events of a stream with `tokens` output tokens; `None` before
-    /// any stream is complete.
+    /// any stream has events.
     pub fn expected_events(&self, tokens: u64) -> Option<f64> {
-        self.events_per_token.map(|ratio| ratio * tokens as f64)
+        let running = self.running_events_per_token;
+        let known = self.events_per_token.or((running > 0.0).then_some(running));
+        known.map(|ratio| ratio * tokens as f64)
     }
 
     /// Returns the mean time between the recent events at a server of the pace 1 in milliseconds; `None`
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -27,8 +27,8 @@
 /// prefill, its streams begin to pause for too long, and with the second all of them do.
 const PAUSE_GAP_SHARES: (f64, f64) = (0.25, 1.25);
 
-/// Maximum age of the stated pace of a server with which a request that would interrupt its streams is
-/// placed there.
+/// Maximum age of the stated pace of a server with which a long stream is placed there without asking
+/// for a newer one.
 const MAX_PACE_AGE: Duration = Duration::from_millis(150);
 
 /// Penalty in the score of a server whose failure ratio is 1, in milliseconds.
@@ -94,10 +94,10 @@
 
     /// Returns the weight of the server in the choice of servers, where `exponent` is that of its
     /// usual pace.
-    pub(crate) fn pace_weight(&self, exponent: i32) -> f64 {
+    pub(crate) fn pace_weight(&self, now: MonotonicTime, exponent: i32) -> f64 {
         match exponent {
             0 => 1.0,
-            exponent => self.pace.usual().powi(-exponent),
+            exponent => self.pace.usual(now).powi(-exponent),
         }
     }
 
@@ -133,7 +133,7 @@
         req: &PlacementRequest<'_>,
         model: &ServiceModel,
     ) -> Option<StreamPrediction> {
-        let service_ms = model.streams.interval_ms(self.pace.usual())?;
+        let service_ms = model.streams.recent_interval_ms(now)? * self.pace.usual(now);
         Some(StreamPrediction {
             events: model.streams.expected_events(req.work.output_tokens)?,
             interval_ms: self.events.interval_ms(now, service_ms),
@@ -194,7 +194,9 @@
             stream,
             prefill_tokens: work.prefill_tokens,
             pace: model.is_paced.then_some(work.pace),
-            is_pace_unknown: is_long_stream(req, model) && self.pace.age(now) > MAX_PACE_AGE,
+            is_pace_unknown: is_long_stream(req, model)
+                && self.pace.is_stated()
+                && self.pace.age(now) > MAX_PACE_AGE,
             requests,
             is_cold: self.cold.is_cold(now),
             is_limited: self.limit.per_s().is_some(),
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -4,7 +4,9 @@
 //! peak. A request stays in the local region as long as its response is expected in time there.
 //! Otherwise it goes to the region with the shortest expected time to the first byte, network
 //! latency included. A request whose response would be far too late is refused immediately, so that
-//! queues stay short during an overload and the responses to admitted requests are in time.
+//! queues stay short during an overload and the responses to admitted requests are in time. The same
+//! holds for a stream that would not end before its deadline; one whose events would be too far apart
+//! goes to a region where they are much closer together.
 
 use std::time::Duration;
 
@@ -12,7 +14,7 @@
 
 use crate::{
     PREFILL_TOKENS_PER_MS, PlacementDecision, PlacementRequest, RegionTable, ServerPick,
-    ServerTable,
+    ServerTable, StreamConcern,
 };
 
 /// Maximum expected latency for a request to stay in the local region regardless of the other
@@ -36,7 +38,8 @@
 const SLOW_GAP_SHARE: f64 = 0.35;
 
 /// Time between two events in another region, as a share of that in the local one, for a slow stream to
-/// be forwarded there. It pays for the longer path, and keeps requests from moving to and fro.
+/// be forwarded there. The margin covers the longer path, and keeps two
+/// regions from forwarding the same requests to each other.
 const FASTER_INTERVAL_SHARE: f64 = 0.6;
 
 /// Options for the placement of a request across regions.
@@ -92,7 +95,7 @@
         && let Some(remote) = &remote
         && remote.expected_latency <= latest_admitted(req)
     {
-        return remote.decision();
+        return remote.decision(None);
     }
     choose(req, options, local, remote)
 }
@@ -136,10 +139,11 @@
 }
 
 impl RemoteRegion {
-    fn decision(&self) -> PlacementDecision {
+    fn decision(&self, concern: Option<StreamConcern>) -> PlacementDecision {
         PlacementDecision::Region {
             name: self.name.clone(),
             expected_latency: self.expected_latency,
+            concern,
         }
     }
 
@@ -167,12 +171,16 @@
     let decision = match (local, remote) {
         (None, None) => return PlacementDecision::Unavailable,
         (Some(pick), None) => PlacementDecision::Server(pick),
-        (None, Some(remote)) => remote.decision(),
+        (None, Some(remote)) => remote.decision(None),
         (Some(pick), Some(remote)) => {
             let is_sooner =
                 remote.expected_latency + options.forward_margin < pick.expected_latency;
-            if is_sooner || remote.streams_faster(req, &pick) || !ends_in_time(req, &pick) {
-                remote.decision()
+            if is_sooner {
+                remote.decision(None)
+            } else if !ends_in_time(req, &pick) {
+                remote.decision(Some(StreamConcern::Deadline))
+            } else if remote.streams_faster(req, &pick) {
+                remote.decision(Some(StreamConcern::Slow))
             } else {
                 PlacementDecision::Server(pick)
             }
@@ -186,17 +194,23 @@
         PlacementDecision::Unavailable | PlacementDecision::Overloaded { .. } => return decision,
     };
     if expected_latency > latest_admitted(req) {
-        return PlacementDecision::Overloaded { expected_latency };
+        return PlacementDecision::Overloaded {
+            expected_latency,
+            concern: None,
+        };
     }
     if let PlacementDecision::Server(pick) = &decision
         && !ends_in_time(req, pick)
     {
-        return PlacementDecision::Overloaded { expected_latency };
+        return PlacementDecision::Overloaded {
+            expected_latency,
+            concern: Some(StreamConcern::Deadline),
+        };
     }
     decision
 }
 
-/// Returns the other region with the shortest expected time to the first byte, and that time.
+/// Returns the other region with the shortest expected time to the first byte.
 ///
 /// A region that sends requests of its own to others is only chosen as a `last_resort`.
 fn best_region(
--- a/crates/traffic/src/response_reports.rs
+++ b/crates/traffic/src/response_reports.rs
@@ -88,7 +88,18 @@
         let (events, ms) = (events as f64, took.as_secs_f64() * 1_000.0);
         server.events.record(now, events, ms);
         let model = self.models.entry(server.entry.service.clone()).or_default();
-        model.streams.record(now, events, ms, server.pace.usual());
+        model
+            .streams
+            .record(now, events, ms, server.pace.usual(now));
+    }
+
+    /// Records that a stream for which `tokens` output tokens were declared has `events` events so far.
+    pub fn record_running_stream(&mut self, id: &BackendName, events: u64, tokens: u64) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let model = self.models.entry(server.entry.service.clone()).or_default();
+        model.streams.record_running(events, tokens);
     }
 
     /// Records a complete stream of `events` events for which `tokens` output tokens were declared.
--- a/crates/traffic/src/server_pace.rs
+++ b/crates/traffic/src/server_pace.rs
@@ -18,6 +18,17 @@
 /// Stated paces that are plausible, in percent. Others are ignored.
 const PLAUSIBLE_PERCENT: std::ops::RangeInclusive<u32> = 5..=5_000;
 
+/// Range of the paces that are used. A server that states less or more would get nearly all requests,
+/// or none.
+const PACE_RANGE: std::ops::RangeInclusive<f64> = 0.25..=8.0;
+
+/// Age of the last statement from which the usual pace approaches 1. Only requests bring new
+/// statements, so a server that gets none because of its pace would never get any again.
+const MAX_STATEMENT_AGE: Duration = Duration::from_secs(5);
+
+/// Time constant with which the usual pace approaches 1 afterwards.
+const USUAL_PACE_LIFETIME: Duration = Duration::from_secs(5);
+
 /// Pace of one server: 1 means that work takes as long as usual on its kind of machine, 2 twice as
 /// long.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,7 +44,8 @@
         if !PLAUSIBLE_PERCENT.contains(&percent) {
             return;
         }
-        self.last[self.count % STATEMENTS] = f64::from(percent) / 100.0;
+        let pace = f64::from(percent) / 100.0;
+        self.last[self.count % STATEMENTS] = pace.clamp(*PACE_RANGE.start(), *PACE_RANGE.end());
         self.count += 1;
         self.stated_at = now;
     }
@@ -48,8 +60,15 @@
         now.since(self.stated_at)
     }
 
-    /// Returns the median of the last statements, or 1 before the first.
-    pub fn usual(&self) -> f64 {
+    /// Returns the median of the last statements, or 1 before the first; it approaches 1 while there are
+    /// no new ones.
+    pub fn usual(&self, now: MonotonicTime) -> f64 {
+        let age = self.age(now).saturating_sub(MAX_STATEMENT_AGE);
+        let weight = (-age.as_secs_f64() / USUAL_PACE_LIFETIME.as_secs_f64()).exp();
+        1.0 + (self.median() - 1.0) * weight
+    }
+
+    fn median(&self) -> f64 {
         let known = self.count.min(STATEMENTS);
         if known == 0 {
             return 1.0;
@@ -63,7 +82,7 @@
     /// Returns the pace expected now: the last statement while it is fresh, and the usual pace
     /// later.
     pub fn expected(&self, now: MonotonicTime) -> f64 {
-        let usual = self.usual();
+        let usual = self.usual(now);
         if self.count == 0 {
             return usual;
         }
--- a/crates/traffic/src/server_reports.rs
+++ b/crates/traffic/src/server_reports.rs
@@ -93,7 +93,11 @@
                 .expected_latency
                 .min(Duration::from_secs_f64(expected_ms / 1_000.0));
             let interval_ms = model.streams.recent_interval_ms(now).unwrap_or(0.0);
-            report.event_interval = Duration::from_secs_f64(interval_ms / 1_000.0);
+            let interval = Duration::from_secs_f64(interval_ms * server.pace.usual(now) / 1_000.0);
+            // The mean over the servers so far.
+            let difference = interval.as_secs_f64() - report.event_interval.as_secs_f64();
+            let mean = report.event_interval.as_secs_f64() + difference / f64::from(report.servers);
+            report.event_interval = Duration::from_secs_f64(mean.max(0.0));
         }
         reports
     }
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -28,7 +28,7 @@
 const LONG_STREAM_TARGET_SHARE: f64 = 0.3;
 
 /// Exponent of the usual pace of a server in its probability to be considered for a long stream.
-const PACE_EXPONENT: i32 = 2;
+const PACE_EXPONENT: i32 = 1;
 
 /// Exponent of a plain server's share of successful requests in the probability of its choice.
 const FAILURE_EXPONENT: i32 = 4;
@@ -118,7 +118,8 @@
         for (id, server) in &mut self.servers {
             let is_preferred = preferred == Some(id);
             if !server.is_candidate(now, req, &self.evacuated)
-                || !(is_preferred || is_sampled(id, req.instance, self.picks, sampling.of(server)))
+                || !(is_preferred
+                    || is_sampled(id, req.instance, self.picks, sampling.of(now, server)))
             {
                 continue;
             }
@@ -177,7 +178,7 @@
             .servers
             .values()
             .filter(|server| server.is_candidate(now, req, &self.evacuated))
-            .map(|server| server.pace_weight(exponent))
+            .map(|server| server.pace_weight(now, exponent))
             .sum();
         Sampling {
             probability: SAMPLE_SIZE / weights.max(f64::MIN_POSITIVE),
@@ -264,8 +265,8 @@
     };
 
     /// Returns the probability of a server to be considered.
-    fn of(&self, server: &ListedServer) -> f64 {
-        self.probability * server.pace_weight(self.exponent)
+    fn of(&self, now: MonotonicTime, server: &ListedServer) -> f64 {
+        self.probability * server.pace_weight(now, self.exponent)
     }
 }
 
--- a/crates/traffic/tests/return_promises.rs
+++ b/crates/traffic/tests/return_promises.rs
@@ -578,7 +578,10 @@
     );
     context.reserved_latency = Duration::from_millis(180);
     let decision = place_behind(57_000, &context);
-    let PlacementDecision::Overloaded { expected_latency } = decision else {
+    let PlacementDecision::Overloaded {
+        expected_latency, ..
+    } = decision
+    else {
         panic!("{decision:?}");
     };
     assert!(
--- a/crates/traffic/tests/returning_callers.rs
+++ b/crates/traffic/tests/returning_callers.rs
@@ -225,7 +225,9 @@
                 self.outcome.refused_again += 1;
                 self.outcome.long_refused_again += u32::from(kind.urgency != 0);
             }
-            PlacementDecision::Overloaded { expected_latency } => {
+            PlacementDecision::Overloaded {
+                expected_latency, ..
+            } => {
                 let excess = expected_latency.saturating_sub(context.target_latency);
                 let id = format!("r{}", request.number);
                 let mut after = overload_retry_after(excess, time_left, &id);
