Accept a section [machine] in the settings of hawthornquayd

Cause: limits on memory and connections are constants and do not follow the machine. Fractions are rounded down and unknown fields of this section are ignored, because platforms fill it in. Nothing uses the values yet. Result: tests/settings_faults.rs of hawthornquay-operators passes, two tests added.

--- a/crates/operators/src/daemon_settings.rs
+++ b/crates/operators/src/daemon_settings.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::{
-    Faults, InstanceSettings, LogSettings, TlsSettings, Trust, fault_collector::FaultCollector,
-    ini_text::IniText, settings_reader::read_settings,
+    Faults, InstanceSettings, LogSettings, MachineSettings, TlsSettings, Trust,
+    fault_collector::FaultCollector, ini_text::IniText, settings_reader::read_settings,
 };
 
 /// Validated settings of `hawthornquayd`.
@@ -20,6 +20,8 @@
     pub trust: Trust,
     /// Log format and levels.
     pub log: LogSettings,
+    /// Memory and file descriptors of the machine.
+    pub machine: MachineSettings,
 }
 
 impl DaemonSettings {
--- a/crates/operators/src/settings_reader.rs
+++ b/crates/operators/src/settings_reader.rs
@@ -6,12 +6,13 @@
 use slog::Level;
 
 use crate::{
-    DaemonSettings, InstanceSettings, LogComponent, LogFormat, LogSettings, TlsSettings, Trust,
-    fault_collector::FaultCollector, ini_field::IniField, ini_section::IniSection,
-    ini_text::IniText, section_reader::SectionReader, trust_reader::read_trust,
+    DaemonSettings, InstanceSettings, LogComponent, LogFormat, LogSettings, MachineSettings,
+    TlsSettings, Trust, fault_collector::FaultCollector, ini_field::IniField,
+    ini_section::IniSection, ini_text::IniText, machine_settings_reader::read_machine,
+    section_reader::SectionReader, trust_reader::read_trust,
 };
 
-const SECTIONS: [&str; 5] = ["instance", "platform", "tls", "trust", "log"];
+const SECTIONS: [&str; 6] = ["instance", "platform", "tls", "trust", "log", "machine"];
 const LEVELS: &str = "critical, error, warning, info, debug, trace";
 
 /// Parses the sections and records every fault.
@@ -42,6 +43,10 @@
         Some(section) => read_section(section, faults, read_log),
         None => Some(LogSettings::default()),
     };
+    let machine = match sections.get("machine") {
+        Some(section) => read_machine(section, faults),
+        None => Some(MachineSettings::default()),
+    };
     let (signers, signatures_needed) = trust?;
     Some(DaemonSettings {
         instance: instance?,
@@ -52,6 +57,7 @@
             signatures_needed,
         },
         log: log?,
+        machine: machine?,
     })
 }
 
--- a/crates/operators/tests/settings_faults.rs
+++ b/crates/operators/tests/settings_faults.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{replaced, settings_text};
-use hawthornquay_operators::{DaemonSettings, LogComponent, LogFormat};
+use hawthornquay_operators::{DaemonSettings, LogComponent, LogFormat, MachineSettings};
 
 /// Guards against faults that are accepted or reported at a wrong line.
 #[test]
@@ -94,3 +94,36 @@
         slog::Level::Info
     );
 }
+
+/// Guards against a machine section that a platform fills in and that prevents a start.
+#[test]
+fn settings_machine_is_optional_and_rounded_down() {
+    let machine = |section: &str| {
+        let text = settings_text() + section;
+        DaemonSettings::read("d.ini", &text).unwrap().machine
+    };
+    assert_eq!(machine(""), MachineSettings::default());
+    assert_eq!(machine("[machine]\n"), MachineSettings::default());
+    assert_eq!(
+        machine("[machine]\nmemory_mb =\ndescriptors =\n"),
+        MachineSettings::default()
+    );
+    assert_eq!(
+        machine("[machine]\nmemory_mb = 160.9\ndescriptors = 4100.5\ncores = 0.12\n"),
+        MachineSettings {
+            memory_mb: 160,
+            descriptors: Some(4_100),
+        }
+    );
+}
+
+/// Guards against machine sizes that are no sizes.
+#[test]
+fn settings_machine_size_below_one_is_refused() {
+    for value in ["0", "0.5", "-1", "inf", "NaN", "many"] {
+        let text = settings_text() + &format!("[machine]\nmemory_mb = {value}\n");
+        let found = DaemonSettings::read("d.ini", &text).unwrap_err();
+        let expected = format!("`memory_mb` is `{value}`, not a number of at least 1");
+        assert_eq!(found.faults[0].message, expected);
+    }
+}
