Add tests of misbehaving clients of hawthornquayd

Cause: no test plays clients that hold bodies, heads, responses or connections of hawthornquayd.

Change: nine tests start the real process with 64 MB of memory and 400 descriptors stated in its settings and play crowds on the chat route, on a path without a route and on GET /v1/instances: 88 clients with bodies of 2.9 MB (four times the memory), or 500 connections (a quarter more than the descriptors). They check the process, VmHWM, the entries of /proc/PID/fd and one ordinary request while the crowd's connections are open.

--- a/crates/hawthornquay/tests/support/daemon_process.rs
+++ b/crates/hawthornquay/tests/support/daemon_process.rs
@@ -1,6 +1,7 @@
 //! Daemon in a process of its own.
 
 use std::{
+    fs,
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
     time::Duration,
@@ -31,6 +32,25 @@
         self.0.id()
     }
 
+    /// Returns whether the process has not exited.
+    pub fn is_running(&mut self) -> bool {
+        self.0.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the peak of the resident memory in bytes; `None` if the process has exited.
+    pub fn peak_memory_bytes(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM"))?;
+        let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kib << 10)
+    }
+
+    /// Returns the number of open file descriptors; `None` if the process has exited.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        let entries = fs::read_dir(format!("/proc/{}/fd", self.id())).ok()?;
+        Some(entries.count())
+    }
+
     pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.0), signal).expect("the process is running");
     }
--- a/crates/hawthornquay/tests/support/fleet_builder.rs
+++ b/crates/hawthornquay/tests/support/fleet_builder.rs
@@ -48,6 +48,7 @@
     region_relays: bool,
     program: Option<PathBuf>,
     service_domain: &'static str,
+    extra_settings: String,
 }
 
 impl Default for FleetBuilder {
@@ -74,6 +75,7 @@
             region_relays: false,
             program: None,
             service_domain: "lagos-a",
+            extra_settings: String::new(),
         }
     }
 }
@@ -127,6 +129,19 @@
         self
     }
 
+    /// Sets one instance, with one engine in its failure domain.
+    pub fn one_instance(mut self) -> Self {
+        self.instances.truncate(1);
+        self.engine_domains.truncate(1);
+        self
+    }
+
+    /// Adds sections to the settings of each instance.
+    pub fn extra_settings(mut self, text: &str) -> Self {
+        self.extra_settings += text;
+        self
+    }
+
     pub fn service_domain(mut self, domain: &'static str) -> Self {
         self.service_domain = domain;
         self
@@ -365,13 +380,14 @@
                  [platform]\naddress = {}\n\
                  [tls]\ncertificate = {certificate}\nkey = {key}\nauthority = {authority_path}\n\
                  [trust]\nsignatures_needed = 1\nsigner.ada = {}\n\
-                 [log]\nformat = human\nlevel = {log_level}\n",
+                 [log]\nformat = human\nlevel = {log_level}\n{}",
                 if self.region_relays {
                     fleet.network.platform(region).address()
                 } else {
                     fleet.platform.address()
                 },
                 fleet.signer.public_base64(),
+                self.extra_settings,
             );
             fleet
                 .settings_files
--- a/crates/hawthornquay/tests/support/mod.rs
+++ b/crates/hawthornquay/tests/support/mod.rs
@@ -7,6 +7,7 @@
 )]
 
 mod caller;
+mod crowd;
 mod daemon_process;
 mod delay_relay;
 mod fake_backend;
@@ -19,6 +20,7 @@
 
 pub use {
     caller::{BufferedResponse, Caller, chat_body},
+    crowd::{ClientScript, Crowd},
     daemon_process::DaemonProcess,
     delay_relay::{DelayRelay, Direction},
     fake_backend::FakeBackend,
