--- a/crates/operators/src/gateway_settings.rs
+++ b/crates/operators/src/gateway_settings.rs
@@ -5,7 +5,7 @@
 use hawthornquay_decisions::{DomainName, InstanceName, Map, RegionName};
 
 use crate::{
-    Faults, LogSettings, fault_collector::FaultCollector,
+    Faults, LogSettings, MachineSettings, fault_collector::FaultCollector,
     gateway_settings_reader::read_gateway_settings, ini_text::IniText,
 };
 
@@ -50,6 +50,8 @@
     pub limit_slack: u64,
     /// Maximum time from the stop signal to the exit of the process.
     pub stop_grace: Duration,
+    /// Memory and descriptors of the machine.
+    pub machine: MachineSettings,
     /// Log format and levels.
     pub log: LogSettings,
 }
--- a/crates/operators/src/gateway_settings_reader.rs
+++ b/crates/operators/src/gateway_settings_reader.rs
@@ -5,18 +5,20 @@
 use hawthornquay_decisions::{Map, Set};
 
 use crate::{
-    GatewaySettings, LogSettings,
+    GatewaySettings, LogSettings, MachineSettings,
     fault_collector::FaultCollector,
     ini_section::IniSection,
     ini_text::IniText,
+    machine_settings::read_machine,
     section_reader::SectionReader,
     settings_reader::{
         find_sections, listen_address, read_log, read_name, read_section, server_address,
     },
 };
 
-const SECTIONS: [&str; 9] = [
-    "instance", "status", "places", "store", "routing", "retries", "limits", "stop", "log",
+const SECTIONS: [&str; 10] = [
+    "instance", "status", "places", "store", "routing", "retries", "limits", "stop", "machine",
+    "log",
 ];
 
 /// Grace period of a stop if the settings state none, in seconds.
@@ -35,6 +37,10 @@
         Some(section) => read_section(section, faults, read_log),
         None => Some(LogSettings::default()),
     };
+    let machine = match sections.get("machine") {
+        Some(section) => read_machine(section, faults),
+        None => Some(MachineSettings::default()),
+    };
     let mut required = |name: &'static str| -> Option<&IniSection> {
         let section = sections.get(name).copied();
         if section.is_none() {
@@ -150,6 +156,7 @@
         retry_slack,
         limit_slack: limit_slack?,
         stop_grace: stop_grace?,
+        machine: machine?,
         log: log?,
     })
 }
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -38,6 +38,7 @@
 mod log_format;
 mod log_settings;
 mod logs;
+mod machine_settings;
 mod operator_key;
 mod random_bytes;
 mod request_history;
@@ -86,6 +87,7 @@
     log_format::LogFormat,
     log_settings::LogSettings,
     logs::{LoggerAlreadySet, Logs},
+    machine_settings::MachineSettings,
     operator_key::OperatorKey,
     request_history::RequestHistory,
     restore_bundle::restore_bundle,
