--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -24,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    ConnectionEnd, ServerLimits,
+    ConnectionEnd, MemoryBudget, ServerLimits,
     connection_end::EndObserver,
     connection_progress::{ObservedBody, ObservedStream, SharedProgress, shared_progress},
     drain::Drain,
@@ -47,6 +47,7 @@
     handler: H,
     limits: watch::Receiver<ServerLimits>,
     end_observer: Option<EndObserver>,
+    memory: MemoryBudget,
 }
 
 impl<H> HttpServer<H>
@@ -64,6 +65,7 @@
             handler,
             limits: watch::channel(limits).1,
             end_observer: None,
+            memory: MemoryBudget::new(usize::MAX),
         })
     }
 
@@ -77,6 +79,14 @@
         self
     }
 
+    /// Charges the connections, their buffers and the heads of their requests to `memory`, and ends
+    /// connections while it runs short. Without a budget, memory is not limited.
+    #[must_use]
+    pub fn with_memory(mut self, memory: MemoryBudget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Calls `observer` at the end of each connection.
     ///
     /// It is not called for connections that are still open when [`HttpServer::serve`] returns.
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -7,7 +7,11 @@
 use hyper::body::Body as _;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-use crate::{Body, ReadError};
+use crate::{Body, MemoryBudget, MemoryCharge, ReadError};
+
+/// Size of the first buffer of a body, unless a smaller length is declared. A client gets no more
+/// before it has sent as much.
+const FIRST_BUFFER_BYTES: usize = 32 << 10;
 
 /// Reads a complete body of at most `limit` bytes within `timeout`.
 ///
@@ -21,6 +25,78 @@
         .map_err(|_| ReadError::Timeout)?
 }
 
+/// Reads a complete body like [`read_body`] and charges its buffer to a memory budget.
+///
+/// The buffer is charged before it is reserved and is never larger than its charge, which is
+/// released when the last clone or slice of the returned bytes is dropped. It grows with the bytes
+/// that arrive, up to the declared length: a client that only declares a length holds little.
+///
+/// # Errors
+///
+/// Returns [`ReadError::MemoryExhausted`] if the budget does not allow the buffer, and otherwise the
+/// errors of [`read_body`].
+pub async fn read_charged_body(
+    body: Body,
+    limit: usize,
+    timeout: Duration,
+    memory: &MemoryBudget,
+) -> Result<Bytes, ReadError> {
+    let (data, charge) = tokio::time::timeout(timeout, read_grown(body, limit, memory))
+        .await
+        .map_err(|_| ReadError::Timeout)??;
+    Ok(charge.hold_with(data))
+}
+
+async fn read_grown(
+    mut body: Body,
+    limit: usize,
+    memory: &MemoryBudget,
+) -> Result<(Vec<u8>, MemoryCharge), ReadError> {
+    let hint = body.size_hint();
+    let declared = usize::try_from(hint.lower()).unwrap_or(usize::MAX);
+    if declared > limit {
+        return Err(ReadError::TooLarge { limit });
+    }
+    let most = hint
+        .upper()
+        .and_then(|upper| usize::try_from(upper).ok())
+        .map_or(limit, |upper| upper.min(limit));
+    let mut charge = memory.charge(0);
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(ReadError::Interrupted)?.into_data() else {
+            continue;
+        };
+        let len = buf.len() + data.len();
+        if len > limit {
+            return Err(ReadError::TooLarge { limit });
+        }
+        if len > buf.capacity() {
+            let capacity = (buf.capacity() * 2).max(FIRST_BUFFER_BYTES).min(most);
+            grow(&mut buf, capacity.max(len), &mut charge)?;
+        }
+        buf.extend_from_slice(&data);
+    }
+    if buf.len() < buf.capacity() {
+        let len = buf.len();
+        // The copy exists beside the buffer for a moment.
+        charge.resize(buf.capacity() + len);
+        buf.shrink_to_fit();
+        charge.resize(buf.capacity());
+    }
+    Ok((buf, charge))
+}
+
+/// Moves `buf` to a buffer of `capacity` bytes. Both exist for a moment, and are charged.
+fn grow(buf: &mut Vec<u8>, capacity: usize, charge: &mut MemoryCharge) -> Result<(), ReadError> {
+    if !charge.try_resize(buf.capacity() + capacity) {
+        return Err(ReadError::MemoryExhausted);
+    }
+    buf.reserve_exact(capacity - buf.len());
+    charge.resize(buf.capacity());
+    Ok(())
+}
+
 /// Reads a complete body like [`read_body`] and charges its bytes to a memory budget.
 ///
 /// `memory` holds one permit for each free byte of the budget. The permits are released when the
--- a/crates/http/src/server_limits.rs
+++ b/crates/http/src/server_limits.rs
@@ -13,6 +13,19 @@
     pub max_connections: usize,
     /// Maximum size of a connection's read buffer, in bytes; also limits the request head.
     pub max_buffer_bytes: usize,
+    /// Maximum number of header fields of a request. Further ones are refused with status 431.
+    pub max_header_fields: usize,
+    /// Maximum number of requests of a connection that are answered and whose responses have not
+    /// been written, because the client does not read them; over HTTP/2, of concurrent requests.
+    pub max_unread_responses: usize,
+    /// Time without progress after which a connection that is sending a request may be ended while
+    /// memory or connections run short.
+    pub request_stall_timeout: Duration,
+    /// Time without progress after which a connection whose client does not read a response may be
+    /// ended while memory or connections run short.
+    ///
+    /// Otherwise a client may read as slowly as it likes: the kernel hides how fast it reads.
+    pub response_stall_timeout: Duration,
     /// Maximum time for which a shutdown waits for requests in flight.
     pub drain_timeout: Duration,
 }
@@ -23,6 +36,12 @@
             header_timeout: Duration::from_secs(10),
             max_connections: 16_384,
             max_buffer_bytes: 16 * 1024,
+            // The limits of hyper, so that they are stated and checked.
+            max_header_fields: 100,
+            max_unread_responses: 200,
+            // Well above the pauses of a client that sends, or reads, without interruption.
+            request_stall_timeout: Duration::from_secs(1),
+            response_stall_timeout: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(600),
         }
     }
