--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -39,7 +39,6 @@
 mod log_settings;
 mod logs;
 mod machine_settings;
-mod machine_settings_reader;
 mod operator_key;
 mod random_bytes;
 mod request_history;
--- a/crates/operators/src/settings_reader.rs
+++ b/crates/operators/src/settings_reader.rs
@@ -8,7 +8,7 @@
 use crate::{
     DaemonSettings, InstanceSettings, LogComponent, LogFormat, LogSettings, MachineSettings,
     TlsSettings, Trust, fault_collector::FaultCollector, ini_field::IniField,
-    ini_section::IniSection, ini_text::IniText, machine_settings_reader::read_machine,
+    ini_section::IniSection, ini_text::IniText, machine_settings::read_machine,
     section_reader::SectionReader, trust_reader::read_trust,
 };
 
