Charge request bodies of hawthornquayd to the memory of its machine

Cause: 48 MB for bodies and 16,384 connections were constants, chunked bodies grew beyond their charge, the prompt and the body with the added output limit were copies beside it, and a JSON value of many small elements took up a multiple of its text.

Change: the callers' and operators' servers, the bodies of requests and the bodies forwarded by other instances share one MemoryBudget of the stated memory; the numbers of connections follow from the descriptors. Chat bodies are parsed without a copy of values whose size the caller chooses, large ones one at a time, and the prompt is dropped before the request waits.

--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -14,7 +14,7 @@
     GossipSettings, Incarnation, InstanceId, InstanceRecord, InstanceState, IssuedKeyTable,
     LimitTable, MemberTable, Rollout, RoutingLocation,
 };
-use hawthornquay_http::{HttpServer, ServerLimits};
+use hawthornquay_http::{ConnectionBudget, HttpServer, MemoryBudget, ServerLimits};
 use hawthornquay_instances::{LinkError, LinkPool, LocalInstance, PeerServer, TlsIdentity};
 use hawthornquay_operators::{DaemonSettings, Logs};
 use hawthornquay_store::{CallTimeouts, PlatformClient};
@@ -94,9 +94,12 @@
         )
         .await?;
         let callers_router = caller_router(Arc::new(CallerGateway(Arc::clone(&node))));
-        let callers = bind(node.settings.instance.callers, callers_router).await?;
+        let connections = ConnectionBudget::for_machine(node.settings.machine.descriptors);
+        let (address, max) = (node.settings.instance.callers, connections.callers());
+        let callers = bind(address, callers_router, max, &node.memory).await?;
         let operators_router = operator_router(Arc::clone(&node));
-        let operators = bind(node.settings.instance.operators, operators_router).await?;
+        let (address, max) = (node.settings.instance.operators, connections.status());
+        let operators = bind(address, operators_router, max, &node.memory).await?;
         let (callers_shutdown, shutdown) = (CancellationToken::new(), CancellationToken::new());
         info!(node.log.daemon, "started"; "instance" => %node.id);
         Ok(Self {
@@ -195,9 +198,16 @@
 async fn bind(
     address: SocketAddr,
     router: gotham::router::Router,
+    max_connections: usize,
+    memory: &MemoryBudget,
 ) -> Result<HttpServer, DaemonError> {
-    HttpServer::bind(address, router, ServerLimits::default())
+    let limits = ServerLimits {
+        max_connections,
+        ..ServerLimits::default()
+    };
+    HttpServer::bind(address, router, limits)
         .await
+        .map(|server| server.with_memory(memory.clone()))
         .map_err(|source| DaemonError::Listen { address, source })
 }
 
@@ -252,6 +262,7 @@
             region: instance.region,
             domain: instance.domain,
         },
+        memory: MemoryBudget::for_machine(settings.machine.memory_mb),
         platform: PlatformClient::new(settings.platform, CallTimeouts::default()),
         backends: BackendClient::new(ClientLimits::default()),
         link_counters: local.counters(),
--- a/crates/hawthornquay/src/model_request.rs
+++ b/crates/hawthornquay/src/model_request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hawthornquay_callers::RequestHead;
-use hawthornquay_decisions::{Execution, PrefixHash, Refusal, RouteTarget, RoutingHop};
+use hawthornquay_decisions::{Execution, Refusal, RouteTarget, RoutingHop};
 use hawthornquay_http::Body;
 use http::{Method, Response};
 
@@ -29,7 +29,8 @@
     let drain = node.drain.enter()?;
     let arrived = clock::now();
     let admission = Admission::by_key(node, &head.id, head.key.as_ref())?;
-    let chat = ChatBody::parse(read_request_body(body).await?)?;
+    let body = read_request_body(body, &node.memory).await?;
+    let chat = ChatBody::parse(body, &node.memory).await?;
     let tokens = chat.prompt_tokens + chat.output_tokens;
     check_burst(&admission.organisation, tokens, "lower `max_tokens`")?;
     let organisation = admission.organisation.id.clone();
@@ -71,7 +72,7 @@
     OutboundRequest {
         id: head.id.clone(),
         organisation: admission.organisation.clone(),
-        prefixes: PrefixHash::of_prompt(chat.model.as_str(), chat.prompt.as_bytes()),
+        prefixes: chat.prefixes,
         target: RouteTarget::Model(chat.model),
         repeatable: true,
         method: Method::POST,
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -15,6 +15,7 @@
     Map, MemberTable, MonotonicTime, RequestId, Rollout, RouteTarget, RoutingLocation,
     SlotSnapshot,
 };
+use hawthornquay_http::MemoryBudget;
 use hawthornquay_instances::{LinkCounters, LinkPool};
 use hawthornquay_operators::DaemonSettings;
 use hawthornquay_store::PlatformClient;
@@ -78,6 +79,8 @@
     pub slots: Mutex<SlotSnapshot>,
     /// Time of the last capacity request for each failure domain and target; only recent ones.
     pub capacity_requested_at: Mutex<Map<(DomainName, RouteTarget), MonotonicTime>>,
+    /// Memory that clients may take up: connections and bodies of requests.
+    pub memory: MemoryBudget,
     /// HTTP client of backend servers.
     pub backends: BackendClient,
     /// HTTP client of the platform.
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -110,6 +110,8 @@
         .time_left()
         .unwrap_or(LINK_QUEUE_TIMEOUT)
         .min(LINK_QUEUE_TIMEOUT);
+    // A frame with a copy of the body exists until it is sent, and so at most until the answer starts.
+    let _frame = node.memory.charge(req.body.len());
     let mut stream = node
         .links
         .forward(peer, wire_request(bundle_version, req), within)
--- a/crates/hawthornquay/src/peer_gateway.rs
+++ b/crates/hawthornquay/src/peer_gateway.rs
@@ -21,6 +21,7 @@
     model_request::CHAT_COMPLETIONS_PATH,
     peer_capacity::grant_capacity,
     peer_loans::lend,
+    request_body::charge_forwarded_body,
     rollout_peers::{bundle_content, handle_notice},
 };
 
@@ -87,7 +88,8 @@
     request: Forward,
 ) -> Result<RoutedAnswer, Refusal> {
     let bundle = node.bundle.required()?;
-    let req = check_forwarded_request(node, &bundle, request)?;
+    let mut req = check_forwarded_request(node, &bundle, request)?;
+    req.body = charge_forwarded_body(req.body, &node.memory)?;
     record_arrival(node, from, &req.target);
     node.requests.open(&req.id, Some(&req.organisation.id));
     node.requests.record(
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -49,7 +49,7 @@
     {
         return Err(key_required(&route));
     }
-    let body = read_request_body(body).await?;
+    let body = read_request_body(body, &node.memory).await?;
     let req = outbound(&head, &admission, &route, body, arrived);
     let node = Arc::clone(node);
     let run = tokio::spawn(async move {
