Bound the memory and connections of misbehaving clients

Cause: bodies, heads, read buffers, responses and connections were limited by constants or not at all, whatever the machine has, and the readiness check and the directory had no limits.

Change: all servers of hawthornquay-entryd charge connections, read buffers, heads and bodies to one memory budget, and buffered responses are charged to it beside the division among their sources. The numbers of connections follow from the descriptors. From three quarters of either on, the server ends connections that have held the most for the longest without progress. A request without memory for its head or body gets 503 with Retry-After. A connection that sends no first byte ends after the header time-out; hyper-util waits for it without a limit. Ends are counted and logged.

--- a/crates/gateway/src/caller_handler.rs
+++ b/crates/gateway/src/caller_handler.rs
@@ -12,14 +12,13 @@
 use hawthornquay_decisions::{
     Execution, MonotonicTime, OrganisationId, Refusal, RefusalCode, RequestId,
 };
-use hawthornquay_http::{Body, ReadError, read_body_with_budget};
+use hawthornquay_http::{Body, ReadError, read_charged_body};
 use hawthornquay_instances::MAX_FORWARDED_BODY_BYTES;
 use hawthornquay_traffic::{Configuration, OrganisationConfig, Route, Work};
 use http::{
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request::Parts,
 };
 use http_body_util::{BodyExt, Full, StreamBody};
-use tokio::sync::Semaphore;
 
 use crate::{
     AdmittedRequest, BufferedResponse, CallerRequestHead, ControlPlane, Exchange, Gateway,
@@ -30,17 +29,15 @@
     running_requests::RunningRequestGuard,
 };
 
-/// Bound on the request bodies that a process holds in memory at once: a fifth of its memory.
-const MAX_BUFFERED_BODY_BYTES: usize = 48 << 20;
-
-static BUFFERED_BODY_BUDGET: Semaphore = Semaphore::const_new(MAX_BUFFERED_BODY_BYTES);
-
 /// Longest time to receive a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// `Retry-After` of an instance that has no configuration yet, and of a route without a service.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a request for whose body there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Handler of all requests on the address for callers.
 pub struct CallerHandler<C, H>(AssertUnwindSafe<Arc<Gateway<C, H>>>);
 
@@ -160,14 +157,9 @@
         .limits
         .max_body_bytes
         .min(MAX_FORWARDED_BODY_BYTES);
-    let body = read_body_with_budget(
-        body,
-        limit,
-        BODY_TIMEOUT.min(time_limit),
-        &BUFFERED_BODY_BUDGET,
-    )
-    .await
-    .map_err(|error| body_read_refusal(&error))?;
+    let body = read_charged_body(body, limit, BODY_TIMEOUT.min(time_limit), &gateway.memory)
+        .await
+        .map_err(|error| body_read_refusal(&error))?;
     let organisation_config = organisation
         .as_ref()
         .and_then(|id| configuration.organisations.get(id))
@@ -298,7 +290,11 @@
         ReadError::Timeout => RefusalCode::BodyTimeout,
         ReadError::TooLarge { .. } => RefusalCode::BodyTooLarge,
     };
-    Refusal::not_run(code, &error.to_string())
+    let refusal = Refusal::not_run(code, &error.to_string());
+    match code {
+        RefusalCode::NoCapacity => refusal.with_retry_after(MEMORY_RETRY_AFTER),
+        _ => refusal,
+    }
 }
 
 /// Runs an admitted request and builds the response to the caller.
--- a/crates/gateway/src/connection_ends.rs
+++ b/crates/gateway/src/connection_ends.rs
@@ -1,6 +1,6 @@
 //! Log lines and metrics about the ends of connections of callers.
 
-use hawthornquay_http::ConnectionEnd;
+use hawthornquay_http::{ConnectionEnd, EndReason};
 
 use crate::{Gateway, gateway::now};
 
@@ -18,11 +18,25 @@
         if end.is_between_requests() {
             return;
         }
+        self.log_connection_end("callers", request, end);
+    }
+
+    /// Counts and logs the end of a connection to the readiness check, the directory or the metrics,
+    /// if memory or connections ran short.
+    pub(crate) fn report_status_connection_end(&self, server: &str, end: &ConnectionEnd) {
+        if end.reason == EndReason::Pressure {
+            self.metrics.count_status_connection_end(server);
+            self.log_connection_end(server, "status", end);
+        }
+    }
+
+    fn log_connection_end(&self, server: &str, request: &str, end: &ConnectionEnd) {
         let Some(suppressed) = self.log.connection_log_limit.admit_line(now()) else {
             return;
         };
         slog::info!(self.log.requests, "connection ended";
             "client" => %end.client,
+            "server" => server,
             "reason" => end.reason.as_str(),
             "request" => request,
             "unanswered_bytes" => end.unanswered_bytes,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -79,6 +79,7 @@
         settings.callers,
         CallerHandler::new(gateway.clone()),
         "callers",
+        &gateway,
     )
     .await?
     .with_limit_updates(gateway.caller_limits.subscribe())
@@ -93,7 +94,12 @@
         (settings.metrics, metrics_router(gateway.clone()), "metrics"),
     ];
     for (address, router, purpose) in status_servers {
-        let server = listen(address, router, purpose).await?;
+        let server = listen(address, router, purpose, &gateway)
+            .await?
+            .with_end_observer({
+                let gateway = Arc::clone(&gateway);
+                move |end| gateway.report_status_connection_end(purpose, end)
+            });
         tokio::spawn(server.serve(stop_status.clone()));
     }
     let tasks = spawn_tasks(&gateway);
@@ -139,16 +145,22 @@
     Ok(())
 }
 
-async fn listen<H>(
+async fn listen<H, C, M>(
     address: SocketAddr,
     handler: H,
     purpose: &'static str,
+    gateway: &Gateway<C, M>,
 ) -> Result<HttpServer<H>, GatewayError>
 where
     H: NewHandler + Clone + std::panic::UnwindSafe + 'static,
 {
-    HttpServer::bind(address, handler, ServerLimits::default())
+    let limits = ServerLimits {
+        max_connections: gateway.connections.status(),
+        ..ServerLimits::default()
+    };
+    HttpServer::bind(address, handler, limits)
         .await
+        .map(|server| server.with_memory(gateway.memory.clone()))
         .map_err(|source: io::Error| GatewayError::Listen {
             address,
             purpose,
@@ -170,6 +182,10 @@
 }
 
 fn metrics_response<C, H>(gateway: &Gateway<C, H>) -> Response<Body> {
+    let memory = &gateway.memory;
+    gateway
+        .metrics
+        .set_client_memory(memory.used(), memory.limit());
     match gateway.metrics.encode() {
         Ok(text) => Response::new(Body::new(
             Full::new(text.into()).map_err(|never| match never {}),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -261,7 +261,10 @@
             match opened {
                 Ok((head, attempt)) => {
                     self.gateway.metrics.count_attempt("answered");
-                    self.memory = Some(ResponseMemory::new(attempt.destination().name()));
+                    self.memory = Some(ResponseMemory::new(
+                        attempt.destination().name(),
+                        &self.gateway.memory,
+                    ));
                     self.attempt = Some(attempt);
                     self.replacement.get_mut().take();
                     self.moved_head = None;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
     DomainName, Incarnation, InstanceId, InstanceName, Map, MonotonicTime, PartQuarantine,
     RegionName, RetryBudget, ServiceName, Set,
 };
-use hawthornquay_http::ServerLimits;
+use hawthornquay_http::{ConnectionBudget, MemoryBudget, ServerLimits};
 use hawthornquay_instances::{LinkPool, LinkSecurity, LocalInstance};
 use hawthornquay_operators::{GatewaySettings, Logs};
 use hawthornquay_traffic::{
@@ -107,6 +107,10 @@
     pub(crate) view_changed: Notify,
     /// Wakes the task that asks servers whether they are cold.
     pub(crate) server_doubted: Notify,
+    /// Memory for the clients of all servers of this process, and for buffered responses.
+    pub(crate) memory: MemoryBudget,
+    /// Largest numbers of connections of clients.
+    pub(crate) connections: ConnectionBudget,
     /// Limits for connections of callers, from the configuration.
     pub(crate) caller_limits: watch::Sender<ServerLimits>,
 }
@@ -136,6 +140,7 @@
             max_idle_connections: 0,
             ..ClientLimits::default()
         };
+        let connections = ConnectionBudget::for_machine(settings.machine.descriptors);
         Ok(Arc::new(Self {
             regions: settings.region_names(),
             operators: Mutex::default(),
@@ -167,7 +172,13 @@
             status_round: AtomicUsize::new(0),
             view_changed: Notify::new(),
             server_doubted: Notify::new(),
-            caller_limits: watch::channel(ServerLimits::default()).0,
+            memory: MemoryBudget::for_machine(settings.machine.memory_mb),
+            connections,
+            caller_limits: watch::channel(ServerLimits {
+                max_connections: connections.callers(),
+                ..ServerLimits::default()
+            })
+            .0,
             settings,
             id,
             control,
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -24,6 +24,9 @@
     permits: IntCounterVec,
     directory_answers: IntCounterVec,
     connection_ends: IntCounterVec,
+    status_connection_ends: IntCounterVec,
+    client_memory: IntGauge,
+    client_memory_limit: IntGauge,
     first_part: Histogram,
     duration: Histogram,
     configuration_version: IntGauge,
@@ -85,6 +88,22 @@
                 "Ended connections of callers by reason and by the state of the last request",
                 &["reason", "request"],
             )?,
+            status_connection_ends: counters(
+                &registry,
+                "status_connections_ended_total",
+                "Connections to servers not for callers that ended because memory or connections ran short",
+                "server",
+            )?,
+            client_memory: gauge(
+                &registry,
+                "client_memory_bytes",
+                "Memory charged for connections, requests and buffered responses",
+            )?,
+            client_memory_limit: gauge(
+                &registry,
+                "client_memory_limit_bytes",
+                "Largest memory for connections, requests and buffered responses",
+            )?,
             first_part: histogram(
                 &registry,
                 "first_part_seconds",
@@ -175,6 +194,23 @@
             .inc();
     }
 
+    /// Counts a connection to a server not for callers that ended because resources ran short.
+    pub fn count_status_connection_end(&self, server: &str) {
+        self.status_connection_ends
+            .with_label_values(&[server])
+            .inc();
+    }
+
+    /// Sets the memory charged for clients, and its limit.
+    pub fn set_client_memory(&self, used: usize, limit: usize) {
+        for (metric, bytes) in [
+            (&self.client_memory, used),
+            (&self.client_memory_limit, limit),
+        ] {
+            metric.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Records the time to the start of a response.
     pub fn observe_first_part(&self, took: Duration) {
         self.first_part.observe(took.as_secs_f64());
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hawthornquay_decisions::{Execution, InstanceName, RefusalCode, RegionName};
+use hawthornquay_http::MemoryBudget;
 use hawthornquay_instances::{
     Forward, ForwardEvent, ForwardHead, ForwardRefused, ForwardStream, Header, LinkError,
     PeerAddress, PromptPart,
@@ -62,7 +63,7 @@
                     peer: receiver.id.name.clone(),
                     stream,
                 };
-                match attempt.read_head(limit).await {
+                match attempt.read_head(limit, &gateway.memory).await {
                     Ok(head) => Ok((head, attempt)),
                     Err(failure) => Err(failure),
                 }
@@ -107,7 +108,11 @@
         }
     }
 
-    async fn read_head(&mut self, limit: &SilenceLimit<'_>) -> Result<AttemptHead, AttemptFailure> {
+    async fn read_head(
+        &mut self,
+        limit: &SilenceLimit<'_>,
+        memory: &MemoryBudget,
+    ) -> Result<AttemptHead, AttemptFailure> {
         let event = match limit.wait(self.stream.next()).await {
             Some(Some(Ok(event))) => event,
             Some(Some(Err(error))) => return Err(link_failure(&error)),
@@ -115,7 +120,10 @@
             None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
         };
         match event {
-            ForwardEvent::Head(head) => self.read_response_head(head, limit.max_silence).await,
+            ForwardEvent::Head(head) => {
+                self.read_response_head(head, limit.max_silence, memory)
+                    .await
+            }
             ForwardEvent::Refused(refused) => Err(refused_failure(&refused)),
             ForwardEvent::Data(_) | ForwardEvent::End(_) => {
                 Err(AttemptFailure::unknown(AttemptCause::Broken))
@@ -127,6 +135,7 @@
         &mut self,
         head: ForwardHead,
         max_wait: Duration,
+        memory: &MemoryBudget,
     ) -> Result<AttemptHead, AttemptFailure> {
         let status = u16::try_from(head.status)
             .ok()
@@ -138,7 +147,7 @@
         if status.is_success() {
             return Ok(AttemptHead { status, headers });
         }
-        let mut memory = ResponseMemory::new(self.peer.as_str());
+        let mut memory = ResponseMemory::new(self.peer.as_str(), memory);
         let mut body = BytesMut::new();
         while let Some(part) = self.next_chunk(max_wait).await {
             let part = part?;
--- a/crates/gateway/src/peer_handler.rs
+++ b/crates/gateway/src/peer_handler.rs
@@ -145,6 +145,12 @@
             .collect(),
     };
     gateway.check_quarantine(&work)?;
+    let Some(charge) = gateway.memory.try_charge(request.body.len()) else {
+        return Err(refusal(
+            RefusalCode::NoCapacity,
+            "the memory for request bodies is used up",
+        ));
+    };
     Ok(AdmittedRequest {
         id: RequestId::new(&request.request_id),
         organisation,
@@ -153,7 +159,7 @@
         method,
         path: request.path,
         headers: read_headers(&request.headers),
-        body: request.body,
+        body: charge.hold_with(request.body),
         work,
         max_attempts: match request.attempts_left {
             0 => route.max_attempts,
--- a/crates/gateway/src/response_memory.rs
+++ b/crates/gateway/src/response_memory.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hawthornquay_decisions::Map;
+use hawthornquay_http::{MemoryBudget, MemoryCharge};
 use parking_lot::Mutex;
 
 /// Bound on the buffered bytes of all responses together, apart from the free bytes of each.
@@ -57,18 +58,22 @@
 }
 
 /// Part of the budget that one response holds.
+///
+/// Its bytes are also charged to the memory budget of the process, which clients use, too.
 #[derive(Debug)]
 pub(crate) struct ResponseMemory {
     source: Arc<str>,
     held: usize,
+    charge: MemoryCharge,
 }
 
 impl ResponseMemory {
     /// Creates a part of no bytes for a response of `source`.
-    pub(crate) fn new(source: &str) -> Self {
+    pub(crate) fn new(source: &str, memory: &MemoryBudget) -> Self {
         Self {
             source: source.into(),
             held: 0,
+            charge: memory.charge(0),
         }
     }
 
@@ -76,6 +81,12 @@
     /// them.
     pub(crate) fn try_hold(&mut self, bytes: usize) -> bool {
         let charged = bytes.saturating_sub(FREE_BYTES);
+        // A usual response is read in any case: its request has been run.
+        if charged == 0 {
+            self.charge.resize(bytes);
+        } else if !self.charge.try_resize(bytes) {
+            return false;
+        }
         if charged > self.held {
             if !BUDGET.lock().try_take(&self.source, charged - self.held) {
                 return false;
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -6,6 +6,7 @@
 use futures_util::StreamExt;
 use hawthornquay_backends::{BackendError, BackendRequest, BackendResponse, ResponseBody};
 use hawthornquay_decisions::{BackendName, Execution, MonotonicTime, PartId};
+use hawthornquay_http::MemoryBudget;
 use hawthornquay_traffic::{LimitStatement, PREFILL_TOKENS_PER_MS, ServerFailure, ServerPick};
 use http::{HeaderMap, Method, StatusCode, header};
 use tokio::time::timeout;
@@ -272,7 +273,10 @@
         self.record_response();
         // An error response does not show that the server can answer the request, but it is no crash.
         self.has_answered = true;
-        let body = match limit.wait(read_error_body(body, &self.pick.id)).await {
+        let body = match limit
+            .wait(read_error_body(body, &self.pick.id, &self.gateway.memory))
+            .await
+        {
             Some(Some(body)) => body,
             Some(None) => return Err(AttemptFailure::unknown(AttemptCause::Broken)),
             None => return Err(AttemptFailure::unknown(AttemptCause::Silent)),
@@ -343,8 +347,12 @@
 
 /// Reads the complete body of an error response; `None` if it breaks off, is too large or does not
 /// fit into the memory budget.
-async fn read_error_body(mut body: ResponseBody, server: &BackendName) -> Option<Bytes> {
-    let mut memory = ResponseMemory::new(server.as_str());
+async fn read_error_body(
+    mut body: ResponseBody,
+    server: &BackendName,
+    memory: &MemoryBudget,
+) -> Option<Bytes> {
+    let mut memory = ResponseMemory::new(server.as_str(), memory);
     let mut buf = BytesMut::new();
     while let Some(part) = body.next().await {
         let part = part.ok()?;
--- a/crates/gateway/src/view_updates.rs
+++ b/crates/gateway/src/view_updates.rs
@@ -260,7 +260,7 @@
                 .idle_timeout
                 .max(configuration.limits.header_timeout),
             max_buffer_bytes: configuration.limits.max_header_bytes + MAX_REQUEST_LINE_BYTES,
-            ..ServerLimits::default()
+            ..*self.caller_limits.borrow()
         };
         self.caller_limits.send_replace(limits);
     }
--- a/crates/http/src/connection_end.rs
+++ b/crates/http/src/connection_end.rs
@@ -19,6 +19,9 @@
     ResponseFailed,
     /// The server closed it because it stops.
     Shutdown,
+    /// The server closed it because memory or connections ran short and its client made no progress,
+    /// or left too many responses unread.
+    Pressure,
     /// The client closed it.
     ClientClosed,
     /// It was reset or failed.
@@ -36,6 +39,7 @@
             Self::FinalResponse => "final-response",
             Self::ResponseFailed => "response-failed",
             Self::Shutdown => "shutdown",
+            Self::Pressure => "pressure",
             Self::ClientClosed => "client-closed",
             Self::Broken => "broken",
         }
@@ -73,9 +77,12 @@
         is_stopping: bool,
     ) -> Self {
         let unanswered_bytes = progress.unanswered_bytes();
+        let reason = progress
+            .ended_for
+            .unwrap_or_else(|| end_reason(result, progress, unanswered_bytes > 0, is_stopping));
         Self {
             client,
-            reason: end_reason(result, progress, unanswered_bytes > 0, is_stopping),
+            reason,
             idle: progress.last_transfer.elapsed(),
             age: progress.accepted.elapsed(),
             responses: progress.responses,
--- a/crates/http/src/http_server.rs
+++ b/crates/http/src/http_server.rs
@@ -10,7 +10,8 @@
 
 use gotham::{handler::NewHandler, router::Router, service::call_handler, state::State};
 use hyper::{
-    Method, Request, Version, body::Incoming, header, header::HeaderValue, service::service_fn,
+    Method, Request, Response, StatusCode, Version, body::Incoming, header, header::HeaderValue,
+    service::service_fn,
 };
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -21,21 +22,35 @@
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
 use crate::{
-    ConnectionEnd, MemoryBudget, ServerLimits,
+    Body, ConnectionEnd, EndReason, MemoryBudget, ServerLimits,
     connection_end::EndObserver,
-    connection_progress::{ObservedBody, ObservedStream, SharedProgress, shared_progress},
+    connection_progress::{
+        CONNECTION_BYTES, ObservedBody, ObservedStream, RunningRequest, SharedProgress,
+        shared_progress,
+    },
     drain::Drain,
     idle_announcement::announce_idle_time,
+    json_response::empty_response,
     limit_timer::LimitTimer,
+    open_connections::OpenConnections,
     unread_body::UnreadBody,
 };
 
 /// Delay after a failed `accept`, so that the loop does not spin without free file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Header fields that hyper allows unless another number is set.
+const DEFAULT_HEADER_FIELDS: usize = 100;
+
+/// Bytes of a header field in the table of a request, beside its name and value.
+const HEADER_FIELD_BYTES: usize = 128;
+
+/// `Retry-After` of a request for which there is no memory, in seconds.
+const RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
+
 /// Accepted connection with its permit.
 type Accepted = (TcpStream, SocketAddr, OwnedSemaphorePermit);
 
@@ -113,14 +128,22 @@
     /// Returns whether all of them ended within [`ServerLimits::drain_timeout`].
     pub async fn serve(self, shutdown: CancellationToken) -> bool {
         let drain = Drain::default();
-        let permits = Arc::new(Semaphore::new(self.limits.borrow().max_connections));
+        let max_connections = self.limits.borrow().max_connections;
+        let permits = Arc::new(Semaphore::new(max_connections));
+        let open = OpenConnections::default();
+        let _checks = AbortOnDropHandle::new(tokio::spawn(open.clone().run(
+            self.limits.clone(),
+            self.memory.clone(),
+            Arc::clone(&permits),
+            max_connections,
+        )));
         loop {
             let accepted = tokio::select! {
                 () = shutdown.cancelled() => break,
                 accepted = accept(&self.listener, &permits) => accepted,
             };
             match accepted {
-                Ok(accepted) => self.spawn_connection(accepted, &drain, &shutdown),
+                Ok(accepted) => self.spawn_connection(accepted, &open, &drain, &shutdown),
                 // Usually no file descriptor is free: wait for connections to close.
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
@@ -128,7 +151,7 @@
         // The operating system has accepted further connections, and their callers may have sent a
         // request already. Closing the listener would reset them.
         while let Some(accepted) = accept_queued(&self.listener, &permits) {
-            self.spawn_connection(accepted, &drain, &shutdown);
+            self.spawn_connection(accepted, &open, &drain, &shutdown);
         }
         drop(self.listener);
         let drain_timeout = self.limits.borrow().drain_timeout;
@@ -140,18 +163,30 @@
     fn spawn_connection(
         &self,
         (stream, address, permit): Accepted,
+        open_connections: &OpenConnections,
         drain: &Drain,
         shutdown: &CancellationToken,
     ) {
+        // Without memory for it, the connection is closed.
+        let Some(charge) = self.memory.try_charge(CONNECTION_BYTES) else {
+            return;
+        };
         let progress = shared_progress();
-        let connection = self.connection(stream, address, &progress, drain, shutdown);
+        let listed = open_connections.add(&progress);
+        let stream = ObservedStream::new(stream, Arc::clone(&progress), charge);
+        let end = listed.end.clone();
+        let connection = self.connection(stream, address, &progress, drain, shutdown, end);
         let observer = self.end_observer.clone();
         let (drain, shutdown) = (drain.clone(), shutdown.clone());
         let open = drain.connection();
         tokio::spawn(async move {
             // A connection error affects only its client, which observes it, too.
-            let result = drain.serve(connection, &progress).await;
-            drop(permit);
+            let result = tokio::select! {
+                biased;
+                () = listed.end.cancelled() => Ok(()),
+                result = drain.serve(connection, &progress) => result,
+            };
+            drop((listed, permit));
             if let Some(observer) = observer {
                 let is_stopping = shutdown.is_cancelled();
                 let end = ConnectionEnd::new(address, &progress.lock(), &result, is_stopping);
@@ -163,18 +198,20 @@
 
     fn connection(
         &self,
-        stream: TcpStream,
+        stream: ObservedStream,
         address: SocketAddr,
         progress: &SharedProgress,
         drain: &Drain,
         shutdown: &CancellationToken,
+        end: CancellationToken,
     ) -> impl hyper_util::server::graceful::GracefulConnection<
         Error = Box<dyn std::error::Error + Send + Sync>,
     > + Send
     + 'static {
         let handler = self.handler.clone();
         let limits = *self.limits.borrow();
-        let stream = ObservedStream::new(stream, Arc::clone(progress));
+        let max_unread_responses = limits.max_unread_responses as u64;
+        let memory = self.memory.clone();
         let progress = Arc::clone(progress);
         let limit_updates = self.limits.clone();
         let (drain, shutdown) = (drain.clone(), shutdown.clone());
@@ -186,12 +223,25 @@
             let limit_updates = limit_updates.clone();
             let is_bodiless = req.method() == Method::HEAD;
             let progress = Arc::clone(&progress);
-            progress.lock().requests += 1;
-            let (in_progress, shutdown) = (drain.request(), shutdown.clone());
-            let req = req.map(|body| UnreadBody::new(body, discards, Arc::clone(&progress)));
+            let is_unread = is_http1 && progress.lock().unread_responses() >= max_unread_responses;
+            let head = memory.try_charge(head_bytes(&req));
+            let is_refused = is_unread || head.is_none();
+            if is_unread {
+                progress.lock().ended_for = Some(EndReason::Pressure);
+                end.cancel();
+            }
+            let running = RunningRequest::begin(Arc::clone(&progress), drain.request(), head);
+            let shutdown = shutdown.clone();
+            let req = req.map(|body| UnreadBody::new(body, discards, progress));
             let state = State::from_request(req, address);
             async move {
-                let res = call_handler(handler, AssertUnwindSafe(state)).await;
+                let res = if is_refused {
+                    // The request is not run, and its body is not kept.
+                    drop(state);
+                    Ok(exhausted_response())
+                } else {
+                    call_handler(handler, AssertUnwindSafe(state)).await
+                };
                 res.map(|mut res| {
                     if is_http1 {
                         if shutdown.is_cancelled() {
@@ -201,11 +251,15 @@
                         let idle_timeout = limit_updates.borrow().header_timeout;
                         announce_idle_time(res.headers_mut(), idle_timeout);
                     }
-                    res.map(|body| ObservedBody::new(body, is_bodiless, progress, in_progress))
+                    res.map(|body| ObservedBody::new(body, is_bodiless, running))
                 })
             }
         });
         let mut builder = auto::Builder::new(TokioExecutor::new());
+        // A stated number takes the table of fields from the stack to the heap.
+        if limits.max_header_fields != DEFAULT_HEADER_FIELDS {
+            builder.http1().max_headers(limits.max_header_fields);
+        }
         builder
             .http1()
             .timer(LimitTimer::new(self.limits.clone(), limits.header_timeout))
@@ -214,6 +268,7 @@
         builder
             .http2()
             .timer(TokioTimer::new())
+            .max_concurrent_streams(u32::try_from(limits.max_unread_responses).unwrap_or(u32::MAX))
             .max_header_list_size(u32::try_from(limits.max_buffer_bytes).unwrap_or(u32::MAX));
         builder
             .serve_connection(TokioIo::new(stream), service)
@@ -221,6 +276,22 @@
     }
 }
 
+/// Returns about how many bytes the head of a request takes up.
+fn head_bytes<B>(req: &Request<B>) -> usize {
+    let fields = req.headers().iter();
+    let fields = fields.map(|(name, value)| name.as_str().len() + value.len() + HEADER_FIELD_BYTES);
+    req.uri().path().len() + fields.sum::<usize>()
+}
+
+/// Returns the response to a request that is refused because there is no memory for its head.
+fn exhausted_response() -> Response<Body> {
+    let mut res = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    res.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER);
+    let close = HeaderValue::from_static("close");
+    res.headers_mut().insert(header::CONNECTION, close);
+    res
+}
+
 async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> io::Result<Accepted> {
     let permit = Arc::clone(permits)
         .acquire_owned()
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod json_response;
 mod limit_timer;
 mod memory_budget;
+mod open_connections;
 mod read_body;
 mod read_error;
 mod server_limits;
--- a/crates/http/src/unread_body.rs
+++ b/crates/http/src/unread_body.rs
@@ -58,6 +58,8 @@
         if let Poll::Ready(None | Some(Err(_))) = polled {
             self.body = None;
             self.progress.lock().end_request_body();
+        } else if polled.is_pending() {
+            self.progress.lock().is_body_awaited = true;
         }
         polled
     }
@@ -78,6 +80,7 @@
         let Some(body) = self.body.take() else {
             return;
         };
+        self.progress.lock().is_body_awaited = false;
         if body.is_end_stream() {
             return self.progress.lock().end_request_body();
         }
