End unread answers of hawthornquayd while requests wait

Cause: callers that do not read their answers kept the slots of model engines for as long as they liked. The HTTP server ends such connections only while memory or connections run short.

Connections ended for lack of memory or connections and the charged memory are metrics.

--- a/crates/hawthornquay/src/answer_failure.rs
+++ b/crates/hawthornquay/src/answer_failure.rs
@@ -15,6 +15,9 @@
     /// The instance that the request was forwarded to sent a second head.
     #[error("the remote instance sent a second head of the answer")]
     SecondHead,
+    /// The caller did not read the answer while other requests waited for the backend server.
+    #[error("the answer was not read while other requests waited for the backend server")]
+    Unread,
     /// The instance that the request was forwarded to reported a failure after the head.
     #[error("the remote instance reported a failure: {0}")]
     Remote(String),
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -14,18 +14,20 @@
     GossipSettings, Incarnation, InstanceId, InstanceRecord, InstanceState, IssuedKeyTable,
     LimitTable, MemberTable, Rollout, RoutingLocation,
 };
-use hawthornquay_http::{ConnectionBudget, HttpServer, MemoryBudget, ServerLimits};
+use hawthornquay_http::{
+    ConnectionBudget, ConnectionEnd, EndReason, HttpServer, MemoryBudget, ServerLimits,
+};
 use hawthornquay_instances::{LinkError, LinkPool, LocalInstance, PeerServer, TlsIdentity};
 use hawthornquay_operators::{DaemonSettings, Logs};
 use hawthornquay_store::{CallTimeouts, PlatformClient};
 use parking_lot::Mutex;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     BundleTable, CallerGateway, Drain, Metrics, MetricsError, Node, PartLogs, PeerGateway,
-    RequestLog, RequestQueue, RoutingState, clock,
+    RequestLog, RequestQueue, RoutingState, UnreadAnswers, clock,
     directory_task::run_directory_updates,
     gossip,
     limit_task::{release_slots, run_loan_renewals, run_slot_updates},
@@ -34,6 +36,7 @@
     order_task::run_orders,
     rollout_task::{install_first_bundle, run_head_reads, run_head_watch},
     store_recovery::run_store_recovery,
+    unread_answers::run_unread_answer_checks,
 };
 
 /// Longest time for which a shutdown waits for the requests in flight.
@@ -96,10 +99,10 @@
         let callers_router = caller_router(Arc::new(CallerGateway(Arc::clone(&node))));
         let connections = ConnectionBudget::for_machine(node.settings.machine.descriptors);
         let (address, max) = (node.settings.instance.callers, connections.callers());
-        let callers = bind(address, callers_router, max, &node.memory).await?;
+        let callers = bind(address, callers_router, max, &node).await?;
         let operators_router = operator_router(Arc::clone(&node));
         let (address, max) = (node.settings.instance.operators, connections.status());
-        let operators = bind(address, operators_router, max, &node.memory).await?;
+        let operators = bind(address, operators_router, max, &node).await?;
         let (callers_shutdown, shutdown) = (CancellationToken::new(), CancellationToken::new());
         info!(node.log.daemon, "started"; "instance" => %node.id);
         Ok(Self {
@@ -190,6 +193,7 @@
         tokio::spawn(run_loan_renewals(Arc::clone(node))),
         tokio::spawn(run_load_polls(Arc::clone(node))),
         tokio::spawn(run_orders(Arc::clone(node))),
+        tokio::spawn(run_unread_answer_checks(Arc::clone(node))),
         tokio::spawn(run_directory_updates(Arc::clone(node))),
         tokio::spawn(async move { queue.queue.run(&queue).await }),
     ]
@@ -199,16 +203,28 @@
     address: SocketAddr,
     router: gotham::router::Router,
     max_connections: usize,
-    memory: &MemoryBudget,
+    node: &Arc<Node>,
 ) -> Result<HttpServer, DaemonError> {
     let limits = ServerLimits {
         max_connections,
         ..ServerLimits::default()
     };
-    HttpServer::bind(address, router, limits)
+    let observer = Arc::clone(node);
+    let server = HttpServer::bind(address, router, limits)
         .await
-        .map(|server| server.with_memory(memory.clone()))
-        .map_err(|source| DaemonError::Listen { address, source })
+        .map_err(|source| DaemonError::Listen { address, source })?;
+    Ok(server
+        .with_memory(node.memory.clone())
+        .with_end_observer(move |end| report_connection_end(&observer, end)))
+}
+
+/// Counts a connection that the server ended because memory or connections ran short.
+fn report_connection_end(node: &Node, end: &ConnectionEnd) {
+    if end.reason == EndReason::Pressure {
+        node.metrics.count_pressure_end();
+        debug!(node.log.callers, "connection ended, memory or connections ran short";
+            "client" => %end.client, "idle_ms" => end.idle.as_millis());
+    }
 }
 
 fn local_instance(settings: &DaemonSettings) -> Result<LocalInstance, DaemonError> {
@@ -273,6 +289,7 @@
         loan_answered: tokio::sync::Notify::new(),
         routing: Mutex::new(RoutingState::default()),
         queue: RequestQueue::default(),
+        unread_answers: UnreadAnswers::default(),
         requests: RequestLog::default(),
         era_recovery: Mutex::default(),
         claim_journal: Mutex::default(),
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -77,6 +77,7 @@
 mod start_hint;
 mod store_recovery;
 mod token_use;
+mod unread_answers;
 
 pub use {
     active_bundle::ActiveBundle,
@@ -125,4 +126,5 @@
     routed_answer::{AnswerStream, RoutedAnswer},
     routing_state::RoutingState,
     token_use::TokenUse,
+    unread_answers::UnreadAnswers,
 };
--- a/crates/hawthornquay/src/metered_answer.rs
+++ b/crates/hawthornquay/src/metered_answer.rs
@@ -5,15 +5,17 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Instant,
 };
 
 use bytes::Bytes;
 use futures_util::Stream;
-use hawthornquay_decisions::{LoadOutcome, MonotonicTime, OrganisationId, RequestId};
+use hawthornquay_decisions::{LoadOutcome, MonotonicTime, OrganisationId, RequestId, RouteTarget};
 use hawthornquay_http::Body;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use parking_lot::Mutex;
 use slog::info;
 
 use crate::{
@@ -38,6 +40,8 @@
     pub node: Arc<Node>,
     /// Identifier of the request.
     pub id: RequestId,
+    /// Model or service that the request is for.
+    pub target: RouteTarget,
     /// Organisation that the request runs for.
     pub organisation: OrganisationId,
     /// Time at which the request arrived.
@@ -51,8 +55,16 @@
 }
 
 /// Stream of an answer's body that counts tokens and settles the reservation at the end.
-struct MeteredAnswer {
-    body: AnswerStream,
+struct MeteredAnswer(Arc<Mutex<OpenAnswer>>);
+
+/// Answer that is being sent to the caller.
+///
+/// Its lock is taken before all locks of the instance.
+pub(crate) struct OpenAnswer {
+    /// Body; `None` after the answer was ended because it was not read.
+    body: Option<AnswerStream>,
+    /// Time at which the connection took the last part; `None` while it waits for the next one.
+    taken_at: Option<Instant>,
     used: TokenUse,
     crosses_regions: bool,
     status: StatusCode,
@@ -77,13 +89,17 @@
         .metrics
         .observe_first_token(&context.organisation, clock::now().since(context.arrived));
     let used = TokenUse::default();
-    let metered = MeteredAnswer {
-        body,
+    let node = Arc::clone(&context.node);
+    let open = Arc::new(Mutex::new(OpenAnswer {
+        body: Some(body),
+        taken_at: None,
         used,
         crosses_regions,
         status,
         unsettled: Some((context, load)),
-    };
+    }));
+    node.unread_answers.add(&open);
+    let metered = MeteredAnswer(open);
     let mut res = Response::new(Body::new(BodyExt::map_err(
         StreamBody::new(metered),
         io::Error::other,
@@ -97,9 +113,14 @@
     type Item = Result<Frame<Bytes>, crate::AnswerFailure>;
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        let this = self.get_mut();
-        match ready!(this.body.as_mut().poll_next(cx)) {
+        let mut this = self.0.lock();
+        this.taken_at = None;
+        let Some(body) = &mut this.body else {
+            return Poll::Ready(Some(Err(crate::AnswerFailure::Unread)));
+        };
+        match ready!(body.as_mut().poll_next(cx)) {
             Some(Ok(data)) => {
+                this.taken_at = Some(Instant::now());
                 this.add(&data);
                 Poll::Ready(Some(Ok(Frame::data(data))))
             }
@@ -118,7 +139,30 @@
     }
 }
 
-impl MeteredAnswer {
+impl OpenAnswer {
+    /// Returns the time since which the caller has not read what its connection took; `None` while
+    /// the connection waits for the backend server or after the end.
+    pub(crate) const fn unread_since(&self) -> Option<Instant> {
+        self.taken_at
+    }
+
+    /// Returns the model or service of a request whose answer has not ended.
+    pub(crate) fn target(&self) -> Option<&RouteTarget> {
+        let (context, _) = self.unsettled.as_ref()?;
+        Some(&context.target)
+    }
+
+    /// Ends the answer, whose connection is closed before the end when the caller reads on.
+    pub(crate) fn end_unread(&mut self) {
+        if let Some((context, _)) = &self.unsettled {
+            info!(context.node.log.requests, "unread answer ended, because requests wait"; "request" => %context.id);
+            context.node.metrics.count_unread_answer();
+        }
+        self.body = None;
+        self.taken_at = None;
+        self.finish(LoadOutcome::Cancelled);
+    }
+
     fn add(&mut self, data: &Bytes) {
         self.used.add(data);
         if self.crosses_regions
@@ -159,6 +203,6 @@
 
 impl Drop for MeteredAnswer {
     fn drop(&mut self) {
-        self.finish(LoadOutcome::Cancelled);
+        self.0.lock().finish(LoadOutcome::Cancelled);
     }
 }
--- a/crates/hawthornquay/src/metrics.rs
+++ b/crates/hawthornquay/src/metrics.rs
@@ -35,6 +35,9 @@
     cross_region_bytes: IntCounter,
     refused_within_limits: IntCounter,
     tokens: IntCounter,
+    unread_answers: IntCounter,
+    pressure_ends: IntCounter,
+    client_memory: IntGauge,
     worst_mean_first_token: Gauge,
     in_flight: IntGauge,
     bundle_version: IntGauge,
@@ -81,6 +84,21 @@
                 "Requests refused for a reason other than the organisation's own use",
             )?,
             tokens: counter(&registry, "tokens_total", "Tokens settled")?,
+            unread_answers: counter(
+                &registry,
+                "unread_answers_ended_total",
+                "Answers ended because they were not read while requests waited",
+            )?,
+            pressure_ends: counter(
+                &registry,
+                "connections_ended_under_pressure_total",
+                "Connections ended because memory or connections ran short",
+            )?,
+            client_memory: int_gauge(
+                &registry,
+                "client_memory_bytes",
+                "Memory charged to connections and requests",
+            )?,
             worst_mean_first_token: gauge(
                 &registry,
                 "worst_organisation_first_token_seconds",
@@ -149,6 +167,22 @@
         self.cross_region_bytes.inc_by(bytes);
     }
 
+    /// Counts an answer that was ended because it was not read while requests waited.
+    pub fn count_unread_answer(&self) {
+        self.unread_answers.inc();
+    }
+
+    /// Counts a connection that was ended because memory or connections ran short.
+    pub fn count_pressure_end(&self) {
+        self.pressure_ends.inc();
+    }
+
+    /// Sets the memory charged to connections and requests.
+    pub fn set_client_memory(&self, bytes: usize) {
+        self.client_memory
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of requests in flight.
     pub fn set_in_flight(&self, requests: usize) {
         self.in_flight
--- a/crates/hawthornquay/src/model_request.rs
+++ b/crates/hawthornquay/src/model_request.rs
@@ -40,11 +40,13 @@
     // The engine processes the prompt even if the caller disconnects before the answer.
     limit.set_used_tokens(prompt_tokens);
     let req = outbound(&head, &admission, chat, arrived);
+    let target = req.target.clone();
     match dispatch(node, &admission.bundle, req).await {
         Ok(answer) => {
             let context = AnswerContext {
                 node: Arc::clone(node),
                 id: head.id,
+                target,
                 organisation,
                 arrived,
                 limit,
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     BundleTable, ClaimJournal, ClaimLeases, Drain, Metrics, PartLogs, RequestLog, RequestQueue,
-    RoutingState, clock,
+    RoutingState, UnreadAnswers, clock,
 };
 
 /// State of one instance, shared by its requests and background tasks.
@@ -63,6 +63,8 @@
     pub loan_answered: Notify,
     /// Queue of requests that wait for a free backend server.
     pub queue: RequestQueue,
+    /// Answers that are being sent to callers.
+    pub unread_answers: UnreadAnswers,
     /// Log of recent requests.
     pub requests: RequestLog,
     /// Recovery of the store after it came back from an older copy.
--- a/crates/hawthornquay/src/operator_router.rs
+++ b/crates/hawthornquay/src/operator_router.rs
@@ -65,6 +65,7 @@
 fn metrics(state: State) -> (State, Response<Body>) {
     let node = node(&state);
     node.metrics.set_in_flight(node.drain.in_flight());
+    node.metrics.set_client_memory(node.memory.used());
     let res = match node.metrics.encode() {
         Ok(text) => text_response(text.into()),
         Err(_) => empty_response(StatusCode::INTERNAL_SERVER_ERROR),
--- a/crates/hawthornquay/src/request_queue.rs
+++ b/crates/hawthornquay/src/request_queue.rs
@@ -147,6 +147,15 @@
         self.recheck.notify_one();
     }
 
+    /// Returns the number of waiting requests of each target that has any.
+    pub fn waiting_by_target(&self) -> Map<RouteTarget, usize> {
+        let targets = self.targets.lock();
+        let waiting = targets
+            .iter()
+            .map(|(target, queue)| (target.clone(), queue.queue.waiting()));
+        waiting.filter(|(_, waiting)| *waiting > 0).collect()
+    }
+
     /// Estimates how long a new request would wait.
     pub fn expected_wait(&self, req: &OutboundRequest) -> Duration {
         let targets = self.targets.lock();
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -83,11 +83,13 @@
     let remedy = "lower the route's `cost`";
     check_burst(&admission.organisation, req.cost, remedy)?;
     let limit = LimitGuard::reserve(node, &id, &organisation, req.cost, req.deadline).await?;
+    let target = req.target.clone();
     match dispatch(node, &admission.bundle, req).await {
         Ok(answer) => {
             let context = AnswerContext {
                 node: Arc::clone(node),
                 id,
+                target,
                 organisation,
                 arrived,
                 limit,
