Test and describe the limits for clients

The charge for a connection covers the 16 KiB that hyper reserves for its first request, so that it is not closed for lack of memory before its request is refused.

--- a/crates/http/src/connection_progress.rs
+++ b/crates/http/src/connection_progress.rs
@@ -23,12 +23,13 @@
 /// First bytes of the preface of HTTP/2, which no method of HTTP/1.1 begins with.
 const HTTP2_PREFACE_START: &[u8] = b"PRI ";
 
-/// Bytes for a connection without a request: its buffers of 8 KiB for reading and writing, and its
-/// task. Measured on idle connections: 16 to 20 KiB.
+/// Bytes for a connection without a request: its buffers and its task. Measured on idle connections:
+/// 16 to 20 KiB.
 pub(crate) const CONNECTION_BYTES: usize = 24 << 10;
 
-/// Part of [`CONNECTION_BYTES`] for the read buffer.
-const READ_BUFFER_BYTES: usize = 8 << 10;
+/// Size of a read buffer that [`CONNECTION_BYTES`] covers. hyper reserves 16 KiB for the first
+/// request, of which a usual head touches little.
+const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Bytes that count as progress. A client that sends or reads a byte now and then makes none.
 const PROGRESS_BYTES: usize = 1 << 10;
--- a/crates/operators/tests/gateway_settings.rs
+++ b/crates/operators/tests/gateway_settings.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use hawthornquay_operators::GatewaySettings;
+use hawthornquay_operators::{GatewaySettings, MachineSettings};
 
 const TEXT: &str = "[instance]
 name = lagos-1
@@ -102,6 +102,36 @@
     assert!(faults[0].contains("first_start"), "{faults:?}");
 }
 
+/// Guards against a fleet that does not start because the platform leaves out a limit of the machine,
+/// states it as a fraction, or states others, too.
+#[test]
+fn read_machine_any_stated_limits_is_accepted() {
+    let default = MachineSettings::default();
+    assert_eq!((default.memory_mb, default.descriptors), (256, None));
+    #[rustfmt::skip]
+    let cases = [
+        ("", 256, None),
+        ("[machine]\n", 256, None),
+        ("[machine]\nmemory_mb =\ndescriptors =\n", 256, None),
+        ("[machine]\nmemory_mb = 0\ndescriptors = 0.5\n", 256, None),
+        ("[machine]\nmemory_mb = 120.9\ndescriptors = 3075.5\n", 120, Some(3_075)),
+        ("[machine]\nmemory_mb = 512\nlink_mbps = 20\ncores = x\n", 512, None),
+        ("[machine]\ndescriptors = 1e4\n", 256, Some(10_000)),
+    ];
+    for (section, memory_mb, descriptors) in cases {
+        let machine = read("[log]\n", &format!("{section}[log]\n"))
+            .unwrap()
+            .machine;
+        let expected = MachineSettings {
+            memory_mb,
+            descriptors,
+        };
+        assert_eq!(machine, expected, "{section}");
+    }
+    let faults = read("[log]\n", "[machine]\nmemory_mb = much\n[log]\n").unwrap_err();
+    assert!(faults[0].contains("`memory_mb` is `much`"), "{faults:?}");
+}
+
 /// Guards against a bound without meaning that is taken for another value.
 #[test]
 fn read_bound_without_meaning_is_refused_by_name() {
