Count requests that wait at an engine as waiting for unread answers

Cause: in one run of misbehaving_clients beside other work, clients_stalled_readers failed (1 of 3 runs so far): the ordinary request had been sent to the engine and got no answer for 90 s. Suspected, not traced: the engine queued it because all its slots were held by unread answers, while no request waited at the instance, so that no answer was ended. In the same run chunked bodies led to a peak of 60,559,360 bytes; 64,000,000 are allowed.

Change: a request to a model that was sent 5 s ago and whose answer has not started counts as waiting. The memory for clients of hawthornquayd is a quarter of the machine's instead of three eighths.

--- a/crates/hawthornquay/src/backend_attempt.rs
+++ b/crates/hawthornquay/src/backend_attempt.rs
@@ -25,6 +25,7 @@
 ) -> Result<RoutedAnswer, AttemptFailure> {
     let key = LoadKey::Backend(server.name.clone());
     let load = LoadGuard::new(node, key.clone(), req.prompt_tokens);
+    let _awaited = node.unread_answers.await_start(&req.target);
     match send_request(node, req, server).await {
         Ok((status, _, _)) if is_engine_refusal(req, status) => {
             load.finish(LoadOutcome::RefusedLeaving);
--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -39,6 +39,9 @@
     unread_answers::run_unread_answer_checks,
 };
 
+/// Smallest memory for clients: the largest body fits into it, with the copies of its parsing.
+const MIN_CLIENT_MEMORY_BYTES: usize = 16 << 20;
+
 /// Longest time for which a shutdown waits for the requests in flight.
 const MAX_DRAIN_TIME: Duration = Duration::from_secs(600);
 
@@ -240,6 +243,17 @@
     Ok(LocalInstance::new(id, tls))
 }
 
+/// Returns the memory that clients may take up on a machine with `memory_mb` MB: a quarter of it.
+///
+/// With three eighths, chunked bodies led to a peak of 60.6 MB on a machine with 64 MB: the allocator
+/// keeps the smaller buffers that a growing body has left.
+fn client_memory_bytes(memory_mb: u64) -> usize {
+    let quarter = usize::try_from(memory_mb)
+        .unwrap_or(usize::MAX)
+        .saturating_mul((1 << 20) / 4);
+    quarter.max(MIN_CLIENT_MEMORY_BYTES)
+}
+
 fn read_file(path: &Path) -> Result<Vec<u8>, DaemonError> {
     fs::read(path).map_err(|source| DaemonError::File {
         path: path.to_owned(),
@@ -278,7 +292,7 @@
             region: instance.region,
             domain: instance.domain,
         },
-        memory: MemoryBudget::for_machine(settings.machine.memory_mb),
+        memory: MemoryBudget::new(client_memory_bytes(settings.machine.memory_mb)),
         platform: PlatformClient::new(settings.platform, CallTimeouts::default()),
         backends: BackendClient::new(ClientLimits::default()),
         link_counters: local.counters(),
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -54,6 +54,7 @@
     };
     record_forward(node, req, domain, &peer.name, crosses_regions);
     let load = LoadGuard::new(node, key.clone(), req.prompt_tokens);
+    let _awaited = node.unread_answers.await_start(&req.target);
     match send_request(node, bundle_version, req, &peer).await {
         Ok((status, headers, body)) => {
             node.requests.set_execution(&req.id, execution_of(status));
--- a/crates/hawthornquay/src/unread_answers.rs
+++ b/crates/hawthornquay/src/unread_answers.rs
@@ -1,4 +1,4 @@
-//! Answers whose callers do not read them.
+//! Answers whose callers do not read them, and requests that wait because of them.
 
 use std::{
     sync::{Arc, Weak},
@@ -19,20 +19,67 @@
 /// Interval of the checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Answers that are being sent to callers.
+/// Time after which a request to a model that was sent and has no answer counts as waiting for a
+/// slot of its engine. It is above all targets for the first part of an answer.
+const START_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Answers that are being sent to callers, and requests whose answers have not started.
+#[derive(Default)]
+pub struct UnreadAnswers {
+    open: Mutex<Vec<Weak<Mutex<OpenAnswer>>>>,
+    awaited: Mutex<AwaitedStarts>,
+}
+
 #[derive(Default)]
-pub struct UnreadAnswers(Mutex<Vec<Weak<Mutex<OpenAnswer>>>>);
+struct AwaitedStarts {
+    next_key: u64,
+    by_key: Map<u64, (RouteTarget, Instant)>,
+}
+
+/// Request that was sent and whose answer has not started until this is dropped.
+pub(crate) struct AwaitedStart<'a> {
+    answers: &'a UnreadAnswers,
+    key: u64,
+}
+
+impl Drop for AwaitedStart<'_> {
+    fn drop(&mut self) {
+        self.answers.awaited.lock().by_key.remove(&self.key);
+    }
+}
 
 impl UnreadAnswers {
     pub(crate) fn add(&self, answer: &Arc<Mutex<OpenAnswer>>) {
-        self.0.lock().push(Arc::downgrade(answer));
+        self.open.lock().push(Arc::downgrade(answer));
+    }
+
+    /// Records that a request for `target` is sent.
+    pub(crate) fn await_start(&self, target: &RouteTarget) -> AwaitedStart<'_> {
+        let mut awaited = self.awaited.lock();
+        let key = awaited.next_key;
+        awaited.next_key += 1;
+        let entry = (target.clone(), Instant::now());
+        awaited.by_key.insert(key, entry);
+        drop(awaited);
+        AwaitedStart { answers: self, key }
+    }
+
+    /// Adds the requests to models whose answers should have started to `waiting`.
+    ///
+    /// An engine queues requests itself if the instance takes one of its slots for free.
+    fn add_overdue_starts(&self, waiting: &mut Map<RouteTarget, usize>) {
+        for (target, sent) in self.awaited.lock().by_key.values() {
+            if matches!(target, RouteTarget::Model(_)) && sent.elapsed() >= START_TIMEOUT {
+                *waiting.entry(target.clone()).or_default() += 1;
+            }
+        }
     }
 
     /// Ends answers that have been unread the longest, up to the number of requests that wait for
     /// the same model or service.
     fn end_for(&self, mut waiting: Map<RouteTarget, usize>) {
         let answers: Vec<_> = {
-            let mut listed = self.0.lock();
+            let mut listed = self.open.lock();
             listed.retain(|answer| answer.strong_count() > 0);
             listed.iter().filter_map(Weak::upgrade).collect()
         };
@@ -63,6 +110,8 @@
 pub async fn run_unread_answer_checks(node: Arc<Node>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        node.unread_answers.end_for(node.queue.waiting_by_target());
+        let mut waiting = node.queue.waiting_by_target();
+        node.unread_answers.add_overdue_starts(&mut waiting);
+        node.unread_answers.end_for(waiting);
     }
 }
--- a/crates/hawthornquay/tests/misbehaving_clients.rs
+++ b/crates/hawthornquay/tests/misbehaving_clients.rs
@@ -9,11 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hawthornquay_standins::EngineSettings;
+use hawthornquay_standins::{EngineSettings, ServiceFaults};
 use http::{Method, StatusCode};
+use http_body_util::Empty;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use support::{Caller, ClientScript, Crowd, Fleet, FleetBuilder, chat_body};
 use tokio::{
     sync::{Mutex, MutexGuard},
+    task::JoinSet,
     time::{Instant, sleep, timeout_at},
 };
 
@@ -58,6 +61,12 @@
 /// Guards against a test without end; an ordinary caller repeats its request until then.
 const ORDINARY_TIMEOUT: Duration = Duration::from_secs(90);
 
+/// Requests that a client sends concurrently over one HTTP/2 connection.
+const STREAMS_PER_CONNECTION: usize = 100;
+
+/// Time for which descriptors are counted while requests over HTTP/2 run.
+const HTTP2_SAMPLES: Duration = Duration::from_secs(3);
+
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -110,7 +119,13 @@
     async fn play(&mut self, name: &str, count: usize, script: &ClientScript) {
         let to = self.fleet.callers(0);
         let crowd = Crowd::start(to, count, script);
-        let mut descriptors = self.wait_settled(&crowd).await;
+        let descriptors = self.wait_settled(&crowd).await;
+        self.check(name, descriptors).await;
+        crowd.close().await;
+    }
+
+    /// Checks the process, which has had up to `descriptors` open descriptors.
+    async fn check(&mut self, name: &str, mut descriptors: usize) {
         let answer = self.ordinary_answer(&mut descriptors).await;
         let process = self.fleet.processes[0].as_mut().unwrap();
         let is_running = process.is_running();
@@ -134,7 +149,6 @@
             answer.is_ok(),
             format!("no ordinary answer, at last {answer:?}"),
         );
-        crowd.close().await;
     }
 
     /// Waits until the crowd is settled; returns the highest number of descriptors.
@@ -351,3 +365,34 @@
     scene.play(name(CHAT), 2 * STALLED_STREAMS, &request).await;
     scene.finish();
 }
+
+/// Guards against connections to backend servers that use up the descriptors, because one
+/// connection of a caller carries many requests over HTTP/2.
+#[tokio::test(flavor = "multi_thread")]
+async fn clients_concurrent_requests_over_http2() {
+    let mut scene = Scene::start().await;
+    scene.fleet.service.set_faults(ServiceFaults {
+        delay_ms: 5_000,
+        ..ServiceFaults::default()
+    });
+    let to = scene.fleet.callers(0);
+    let mut requests = JoinSet::new();
+    for _ in 0..2 * CONNECTIONS / STREAMS_PER_CONNECTION {
+        let client: Client<_, Empty<Bytes>> = Client::builder(TokioExecutor::new())
+            .http2_only(true)
+            .build_http();
+        for _ in 0..STREAMS_PER_CONNECTION {
+            let uri = format!("http://{to}/v1/services/open").parse().unwrap();
+            requests.spawn(client.get(uri));
+        }
+    }
+    let mut descriptors = 0;
+    let end = Instant::now() + HTTP2_SAMPLES;
+    while Instant::now() < end {
+        sleep(SAMPLE_INTERVAL).await;
+        descriptors = descriptors.max(scene.descriptors());
+    }
+    scene.check("GET /v1/services/open", descriptors).await;
+    requests.shutdown().await;
+    scene.finish();
+}
