Reserve declared bodies at once in calm conditions

Cause: while a body grows, its old and new buffers are both charged, so that twelve legal bodies of 4 MiB did not fit into the budget of a machine with 160 MB, as they did before the budget.

Change: below three quarters of the budget, a declared length is charged and reserved at once, and counts as held by its connection.

--- a/crates/http/src/connection_progress.rs
+++ b/crates/http/src/connection_progress.rs
@@ -81,6 +81,8 @@
     running_requests: usize,
     /// Running requests whose handler waits for more of the body.
     awaited_bodies: usize,
+    /// Declared lengths of these bodies, which may be reserved.
+    declared_bytes: usize,
     /// Reason for which the server ends the connection.
     pub(crate) ended_for: Option<EndReason>,
     /// Whether the client closed its side.
@@ -108,12 +110,14 @@
         self.restart_stall();
     }
 
-    /// Records whether a handler waits for more of a body.
-    pub(crate) const fn set_body_awaited(&mut self, is_awaited: bool) {
+    /// Records whether a handler waits for more of a body of `declared` bytes.
+    pub(crate) const fn set_body_awaited(&mut self, is_awaited: bool, declared: usize) {
         if is_awaited {
             self.awaited_bodies += 1;
+            self.declared_bytes = self.declared_bytes.saturating_add(declared);
         } else {
             self.awaited_bodies -= 1;
+            self.declared_bytes = self.declared_bytes.saturating_sub(declared);
         }
     }
 
@@ -144,11 +148,11 @@
     }
 
     /// Returns about how many bytes the connection holds: its buffers, the request that it is
-    /// receiving and the responses that it has not written.
+    /// receiving, with its declared length, and the responses that it has not written.
     pub(crate) fn held_bytes(&self) -> usize {
         let received = usize::try_from(self.unanswered_bytes()).unwrap_or(usize::MAX);
         CONNECTION_BYTES
-            .saturating_add(received)
+            .saturating_add(received.max(self.declared_bytes))
             .saturating_add(self.unwritten_bytes())
     }
 
@@ -212,6 +216,7 @@
         is_write_blocked: false,
         running_requests: 0,
         awaited_bodies: 0,
+        declared_bytes: 0,
         ended_for: None,
         is_client_closed: false,
         is_http2: false,
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -65,7 +65,7 @@
     /// ended; zero in calm conditions.
     #[must_use]
     pub fn excess(&self) -> usize {
-        self.used().saturating_sub(self.0.limit / 4 * 3)
+        self.used().saturating_sub(self.pressure_start())
     }
 
     /// Charges `bytes` if the budget allows them.
@@ -77,6 +77,16 @@
         })
     }
 
+    /// Charges `bytes` if no connection needs to be ended for them.
+    #[must_use]
+    pub fn try_charge_calmly(&self, bytes: usize) -> Option<MemoryCharge> {
+        self.try_add_below(bytes, self.pressure_start())
+            .then(|| MemoryCharge {
+                budget: self.clone(),
+                bytes,
+            })
+    }
+
     /// Charges `bytes` in any case, for memory that is held already or must be granted.
     #[must_use]
     pub fn charge(&self, bytes: usize) -> MemoryCharge {
@@ -93,6 +103,14 @@
         } else {
             self.0.limit
         };
+        self.try_add_below(bytes, limit)
+    }
+
+    fn pressure_start(&self) -> usize {
+        self.0.limit / 4 * 3
+    }
+
+    fn try_add_below(&self, bytes: usize, limit: usize) -> bool {
         let add = |used: usize| used.checked_add(bytes).filter(|used| *used <= limit);
         let (set, fetch) = (Ordering::Relaxed, Ordering::Relaxed);
         self.0.used.fetch_update(set, fetch, add).is_ok()
--- a/crates/http/src/read_body.rs
+++ b/crates/http/src/read_body.rs
@@ -28,8 +28,9 @@
 /// Reads a complete body like [`read_body`] and charges its buffer to a memory budget.
 ///
 /// The buffer is charged before it is reserved and is never larger than its charge, which is
-/// released when the last clone or slice of the returned bytes is dropped. It grows with the bytes
-/// that arrive, up to the declared length: a client that only declares a length holds little.
+/// released when the last clone or slice of the returned bytes is dropped. In calm conditions, a
+/// declared length is reserved at once. Otherwise the buffer grows with the bytes that arrive: a
+/// client that only declares a length holds little.
 ///
 /// # Errors
 ///
@@ -61,8 +62,10 @@
         .upper()
         .and_then(|upper| usize::try_from(upper).ok())
         .map_or(limit, |upper| upper.min(limit));
-    let mut charge = memory.charge(0);
-    let mut buf = Vec::new();
+    let (mut buf, mut charge) = match memory.try_charge_calmly(declared) {
+        Some(charge) => (Vec::with_capacity(declared), charge),
+        None => (Vec::new(), memory.charge(0)),
+    };
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(ReadError::Interrupted)?.into_data() else {
             continue;
--- a/crates/http/src/unread_body.rs
+++ b/crates/http/src/unread_body.rs
@@ -30,14 +30,17 @@
     body: Option<Incoming>,
     /// Whether the rest is read if the body is dropped.
     discards: bool,
+    /// Declared length.
+    declared: usize,
     /// Whether the handler waits for more of the body.
     is_awaited: bool,
     progress: SharedProgress,
 }
 
 impl UnreadBody {
-    pub(crate) const fn new(body: Incoming, discards: bool, progress: SharedProgress) -> Self {
+    pub(crate) fn new(body: Incoming, discards: bool, progress: SharedProgress) -> Self {
         Self {
+            declared: usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX),
             body: Some(body),
             discards,
             is_awaited: false,
@@ -48,7 +51,9 @@
     fn set_awaited(&mut self, is_awaited: bool) {
         if self.is_awaited != is_awaited {
             self.is_awaited = is_awaited;
-            self.progress.lock().set_body_awaited(is_awaited);
+            self.progress
+                .lock()
+                .set_body_awaited(is_awaited, self.declared);
         }
     }
 }
