Limit the running requests of hawthornquayd

Cause: over HTTP/2 a few connections run any number of requests, each with memory and a connection to a backend server that no budget covers.

--- a/crates/hawthornquay/src/daemon.rs
+++ b/crates/hawthornquay/src/daemon.rs
@@ -22,7 +22,7 @@
 use hawthornquay_store::{CallTimeouts, PlatformClient};
 use parking_lot::Mutex;
 use slog::{debug, info, warn};
-use tokio::task::JoinHandle;
+use tokio::{sync::Semaphore, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -269,6 +269,7 @@
     let id = local.id().clone();
     let instance = settings.instance.clone();
     let started_at = clock::now();
+    let max_running = ConnectionBudget::for_machine(settings.machine.descriptors).callers();
     let record = InstanceRecord {
         name: instance.name,
         region: instance.region.clone(),
@@ -292,6 +293,7 @@
             region: instance.region,
             domain: instance.domain,
         },
+        running_requests: Arc::new(Semaphore::new(max_running)),
         memory: MemoryBudget::new(client_memory_bytes(settings.machine.memory_mb)),
         platform: PlatformClient::new(settings.platform, CallTimeouts::default()),
         backends: BackendClient::new(ClientLimits::default()),
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -72,6 +72,7 @@
 mod route_choice;
 mod routed_answer;
 mod routing_state;
+mod running_request;
 mod service_request;
 mod serving_instance;
 mod start_hint;
@@ -125,6 +126,7 @@
     request_queue::RequestQueue,
     routed_answer::{AnswerStream, RoutedAnswer},
     routing_state::RoutingState,
+    running_request::RunningRequest,
     token_use::TokenUse,
     unread_answers::UnreadAnswers,
 };
--- a/crates/hawthornquay/src/metered_answer.rs
+++ b/crates/hawthornquay/src/metered_answer.rs
@@ -19,7 +19,8 @@
 use slog::info;
 
 use crate::{
-    AnswerStream, Decision, DrainGuard, LimitGuard, LoadGuard, Node, RoutedAnswer, TokenUse, clock,
+    AnswerStream, Decision, DrainGuard, LimitGuard, LoadGuard, Node, RoutedAnswer, RunningRequest,
+    TokenUse, clock,
 };
 
 /// Rule for the tokens that an answer is charged.
@@ -52,6 +53,8 @@
     pub settlement: Settlement,
     /// Makes a shutdown wait for the end of the answer.
     pub drain: DrainGuard,
+    /// Place of the request among those that run.
+    pub running: RunningRequest,
 }
 
 /// Stream of an answer's body that counts tokens and settles the reservation at the end.
--- a/crates/hawthornquay/src/model_request.rs
+++ b/crates/hawthornquay/src/model_request.rs
@@ -8,8 +8,8 @@
 use http::{Method, Response};
 
 use crate::{
-    Admission, AnswerContext, ChatBody, LimitGuard, Node, OutboundRequest, Settlement,
-    burst_check::check_burst, clock, dispatch::dispatch, metered_response,
+    Admission, AnswerContext, ChatBody, LimitGuard, Node, OutboundRequest, RunningRequest,
+    Settlement, burst_check::check_burst, clock, dispatch::dispatch, metered_response,
     request_body::read_request_body,
 };
 
@@ -27,6 +27,7 @@
     body: Body,
 ) -> Result<Response<Body>, Refusal> {
     let drain = node.drain.enter()?;
+    let running = RunningRequest::begin(node)?;
     let arrived = clock::now();
     let admission = Admission::by_key(node, &head.id, head.key.as_ref())?;
     let body = read_request_body(body, &node.memory).await?;
@@ -52,6 +53,7 @@
                 limit,
                 settlement: Settlement::ByUse { prompt_tokens },
                 drain,
+                running,
             };
             Ok(metered_response(answer, context))
         }
--- a/crates/hawthornquay/src/node.rs
+++ b/crates/hawthornquay/src/node.rs
@@ -20,7 +20,7 @@
 use hawthornquay_operators::DaemonSettings;
 use hawthornquay_store::PlatformClient;
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::{
     BundleTable, ClaimJournal, ClaimLeases, Drain, Metrics, PartLogs, RequestLog, RequestQueue,
@@ -83,6 +83,8 @@
     pub capacity_requested_at: Mutex<Map<(DomainName, RouteTarget), MonotonicTime>>,
     /// Memory that clients may take up: connections and bodies of requests.
     pub memory: MemoryBudget,
+    /// Permits for the requests of callers that run, as many as callers may have connections.
+    pub running_requests: Arc<Semaphore>,
     /// HTTP client of backend servers.
     pub backends: BackendClient,
     /// HTTP client of the platform.
--- a/crates/hawthornquay/src/request_body.rs
+++ b/crates/hawthornquay/src/request_body.rs
@@ -9,8 +9,8 @@
 /// Largest body of a request, in bytes; a forwarded request must fit into one frame of a link.
 pub const MAX_BODY_BYTES: usize = 3 << 20;
 
-/// `Retry-After` of a request that is refused because there is no memory for its body.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of a request that is refused because there is no memory for it.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Longest time to receive a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
--- a/crates/hawthornquay/src/service_request.rs
+++ b/crates/hawthornquay/src/service_request.rs
@@ -12,8 +12,8 @@
 use http::Response;
 
 use crate::{
-    Admission, AnswerContext, Claim, LimitGuard, Node, OutboundRequest, Settlement,
-    burst_check::check_burst, clock, dispatch::dispatch, metered_response,
+    Admission, AnswerContext, Claim, DrainGuard, LimitGuard, Node, OutboundRequest, RunningRequest,
+    Settlement, burst_check::check_burst, clock, dispatch::dispatch, metered_response,
     request_body::read_request_body, routed_answer::execution_of,
 };
 
@@ -31,6 +31,7 @@
     body: Body,
 ) -> Result<Response<Body>, Refusal> {
     let drain = node.drain.enter()?;
+    let running = RunningRequest::begin(node)?;
     let arrived = clock::now();
     let bundle = node.bundle.required()?;
     let route = bundle
@@ -60,7 +61,7 @@
             &admission.bundle,
         )
         .await?;
-        let result = run(&node, req, &admission, arrived, drain).await;
+        let result = run(&node, req, &admission, arrived, (drain, running)).await;
         let execution = match &result {
             Ok(answer) => execution_of(answer.status()),
             Err(refusal) => refusal.execution,
@@ -76,7 +77,7 @@
     req: OutboundRequest,
     admission: &Admission,
     arrived: MonotonicTime,
-    drain: crate::DrainGuard,
+    (drain, running): (DrainGuard, RunningRequest),
 ) -> Result<Response<Body>, Refusal> {
     let organisation = admission.organisation.id.clone();
     let id = req.id.clone();
@@ -95,6 +96,7 @@
                 limit,
                 settlement: Settlement::InFull,
                 drain,
+                running,
             };
             Ok(metered_response(answer, context))
         }
