Treat an unframed response as interrupted if the request was not sent

Callers of both gateways got the part of a response as a complete one, with its signature and status 200: from a server that answers an upload at once without a length or chunks, sends part of the body and closes its side of the connection while the upload is still being sent. Error responses (404, 500) were forwarded in the same way. It happened on all kinds of routes: single-run, repeatable (not repeated), streaming and resumable (not continued).

Cause: hyper reports the close of such a connection as the end of the body, whether or not the request has been written. Even a written request of a few megabytes may be in the send buffer only.

Now the client records whether hyper has handed the whole request to the socket and, when the server closes, whether the socket has unsent or unacknowledged data (`TCP_NOTSENT_LOWAT` of 1 and `poll`), and each failure of a read or write: a reset that a write has reported reads as an orderly end. A body without a length or chunks that ends so fails with `BodyTruncated`, whose execution is unknown. A response with a length or chunks is still complete at its own end.

--- a/crates/backends/src/backend_error.rs
+++ b/crates/backends/src/backend_error.rs
@@ -24,6 +24,13 @@
         /// Time-out that expired.
         limit: Duration,
     },
+    /// A response body without a length or chunks ended before the request was written, or with a
+    /// failure of the connection.
+    #[error("response body from {address} ended before the request was written or by a failure")]
+    BodyTruncated {
+        /// Address of the backend server.
+        address: SocketAddr,
+    },
     /// The connection closed before any byte of the request was written.
     #[error("connection to {address} closed before the request was written")]
     ClosedBeforeSend {
@@ -118,6 +125,7 @@
             | Self::Request(_) => Execution::NotRun,
             Self::BodyInterrupted { .. }
             | Self::BodyTimeout { .. }
+            | Self::BodyTruncated { .. }
             | Self::HeadTimeout { .. }
             | Self::Malformed { .. }
             | Self::Send { .. }
--- a/crates/backends/src/bounded_stream.rs
+++ b/crates/backends/src/bounded_stream.rs
@@ -10,12 +10,14 @@
     task::{Context, Poll},
 };
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
-use crate::connection::MAX_READ_BUFFER_BYTES;
+use crate::{connection::MAX_READ_BUFFER_BYTES, request_progress::RequestProgress};
 
 /// Maximum number of received bytes without a response head or a piece of its body: a full buffer
 /// and the framing of the next piece. A server may otherwise send, for example, a chunk size of
@@ -39,19 +41,49 @@
     }
 }
 
-/// TCP stream that fails when too many bytes arrive without data.
+/// TCP stream that fails when too many bytes arrive without data, and records the progress of the
+/// request that is written to it.
 #[derive(Debug)]
 pub(crate) struct BoundedStream {
     stream: TcpStream,
     received: ReceivedBytes,
+    request: RequestProgress,
 }
 
 impl BoundedStream {
-    pub(crate) const fn new(stream: TcpStream, received: ReceivedBytes) -> Self {
-        Self { stream, received }
+    pub(crate) const fn new(
+        stream: TcpStream,
+        received: ReceivedBytes,
+        request: RequestProgress,
+    ) -> Self {
+        Self {
+            stream,
+            received,
+            request,
+        }
+    }
+
+    /// Records whether a write has failed, and returns its outcome.
+    fn check_write<T>(&self, outcome: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Err(_)) = &outcome {
+            self.request.record_error();
+        }
+        outcome
     }
 }
 
+/// Returns whether the server's side of a connection has received all bytes that were written.
+///
+/// The socket accepts megabytes that a server which does not read never receives. It counts as
+/// writable only if less than the given number of bytes is unsent, and if the unacknowledged ones
+/// leave space.
+fn has_sent_all(stream: &TcpStream) -> bool {
+    let mut events = [PollFd::new(stream, PollFlags::OUT)];
+    SockRef::from(stream).set_tcp_notsent_lowat(1).is_ok()
+        && poll(&mut events, Some(&Timespec::default())).is_ok()
+        && events[0].revents() == PollFlags::OUT
+}
+
 impl AsyncRead for BoundedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -65,11 +97,19 @@
         buf.advance(read);
         let received = self.received.0.fetch_add(read, Ordering::Relaxed) + read;
         if received > MAX_BYTES_WITHOUT_DATA {
+            self.request.record_error();
             return Poll::Ready(Err(io::Error::new(
                 io::ErrorKind::InvalidData,
                 "too many bytes received without data",
             )));
         }
+        match &outcome {
+            Poll::Ready(Ok(())) if read == 0 && len > 0 => {
+                self.request.record_end(has_sent_all(&self.stream));
+            }
+            Poll::Ready(Err(_)) => self.request.record_error(),
+            Poll::Ready(Ok(())) | Poll::Pending => {}
+        }
         outcome
     }
 }
@@ -80,11 +120,16 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let outcome = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check_write(outcome)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let outcome = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = outcome {
+            self.request.record_flush();
+        }
+        self.check_write(outcome)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -100,6 +145,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let outcome = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check_write(outcome)
     }
 }
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -2,9 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderMap, header};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -14,6 +12,7 @@
     BackendError, BackendRequest, BackendResponse, ResponseBody,
     bounded_stream::{BoundedStream, ReceivedBytes},
     connection_pool::ConnectionPool,
+    request_progress::{RequestBody, RequestProgress},
 };
 
 /// Maximum time for which sent data may remain unacknowledged (`TCP_USER_TIMEOUT`).
@@ -64,7 +63,9 @@
     pub async fn send(mut self, req: BackendRequest) -> Result<BackendResponse, BackendError> {
         let address = self.address;
         let limit = req.head_timeout.unwrap_or(self.pool.limits.head_timeout);
-        let req = req.into_http(address)?;
+        let req = req
+            .into_http(address)?
+            .map(|body| self.open.request.begin(body));
         let res = match timeout(limit, self.open.sender.try_send_request(req)).await {
             Ok(Ok(res)) => res,
             Ok(Err(mut error)) => {
@@ -89,9 +90,11 @@
             self.pool.close_idle_to(address);
             return Err(BackendError::UnknownTransferCoding { address });
         }
+        let ends_with_connection = !head.headers.contains_key(header::CONTENT_LENGTH)
+            && !head.headers.contains_key(header::TRANSFER_ENCODING);
         Ok(BackendResponse {
             head,
-            body: ResponseBody::new(self, body),
+            body: ResponseBody::new(self, body, ends_with_connection),
         })
     }
 }
@@ -114,8 +117,9 @@
 /// Request sender of an HTTP/1.1 connection and the task that performs its I/O.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<RequestBody>,
     pub(crate) received: ReceivedBytes,
+    pub(crate) request: RequestProgress,
     driver: AbortHandle,
 }
 
@@ -132,9 +136,11 @@
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
             .map_err(connect_error)?;
         let received = ReceivedBytes::default();
+        let request = RequestProgress::default();
+        let stream = BoundedStream::new(stream, received.clone(), request.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(BoundedStream::new(stream, received.clone())))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| BackendError::Http { address, source })?;
         // The result is ignored: a connection error also fails the request in flight.
@@ -145,6 +151,7 @@
         Ok(Self {
             sender,
             received,
+            request,
             driver,
         })
     }
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -13,6 +13,7 @@
 mod connection_pool;
 mod order_response;
 mod probe_answer;
+mod request_progress;
 mod response_body;
 
 pub use {
--- a/crates/backends/src/response_body.rs
+++ b/crates/backends/src/response_body.rs
@@ -20,15 +20,18 @@
 pub struct ResponseBody {
     connection: Option<Connection>,
     body: Incoming,
+    /// Whether the body has neither a length nor chunks.
+    ends_with_connection: bool,
     idle_timer: Pin<Box<Sleep>>,
 }
 
 impl ResponseBody {
-    pub(crate) fn new(connection: Connection, body: Incoming) -> Self {
+    pub(crate) fn new(connection: Connection, body: Incoming, ends_with_connection: bool) -> Self {
         let idle_timer = Box::pin(sleep(connection.pool.limits.body_idle_timeout));
         let mut this = Self {
             connection: Some(connection),
             body,
+            ends_with_connection,
             idle_timer,
         };
         this.release_if_complete();
@@ -39,7 +42,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails, if no data arrives within the body idle time-out,
+    /// Returns an error if the connection fails, if a body without a length or chunks ends before the
+    /// request has been written, if no data arrives within the body idle time-out,
     /// or if the body is larger than `limit`.
     pub async fn read(mut self, limit: usize) -> Result<Bytes, BackendError> {
         let address = self.connection.as_ref().map(Connection::address);
@@ -92,6 +96,12 @@
                     self.close();
                     return Poll::Ready(Some(Err(BackendError::BodyTimeout { address, limit })));
                 }
+                Poll::Ready(None)
+                    if self.ends_with_connection && connection.open.request.is_interrupted() =>
+                {
+                    self.close();
+                    return Poll::Ready(Some(Err(BackendError::BodyTruncated { address })));
+                }
                 Poll::Ready(None) => {
                     self.release();
                     return Poll::Ready(None);
