Reject responses whose status cannot end a request

Callers of both gateways got status 101, 600 or 999 of a backend server as the answer to their request: single-run and streaming routes in hawthornquay-entryd, all kinds in hawthornquayd. hyper skips the informational statuses but passes 101 on as a response without a body, and the http crate accepts every status of three digits from 100 to 999.

The client now fails with `InvalidStatus`, whose execution is unknown, for a status outside 200 to 599; the gateway counts it as a malformed response. A status that an instance of an older version forwards is checked in the same way: the attempt fails in the gateway, and hawthornquayd answers 502, as both do for one that cannot be parsed.

The statuses 000 and 099, those of one, two or four digits, and 100, 103 and 199 as the last response were not passed on before either: callers got 502, or the second run of a repeatable request.

--- a/crates/backends/src/backend_error.rs
+++ b/crates/backends/src/backend_error.rs
@@ -69,6 +69,14 @@
         /// Underlying error.
         source: hyper::Error,
     },
+    /// The response has a status that cannot end a request.
+    #[error("response from {address} has the invalid status {status}")]
+    InvalidStatus {
+        /// Address of the backend server.
+        address: SocketAddr,
+        /// Status of the response.
+        status: StatusCode,
+    },
     /// The body of a control call cannot be encoded or decoded as JSON.
     #[error("malformed JSON in a control call to {address}: {source}")]
     Malformed {
@@ -127,6 +135,7 @@
             | Self::BodyTimeout { .. }
             | Self::BodyTruncated { .. }
             | Self::HeadTimeout { .. }
+            | Self::InvalidStatus { .. }
             | Self::Malformed { .. }
             | Self::Send { .. }
             | Self::Status { .. }
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{HeaderMap, header};
+use http::{HeaderMap, StatusCode, header};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -86,6 +86,13 @@
         };
         self.open.received.reset();
         let (head, body) = res.into_parts();
+        if !is_final_status(head.status) {
+            self.pool.close_idle_to(address);
+            return Err(BackendError::InvalidStatus {
+                address,
+                status: head.status,
+            });
+        }
         if !has_known_framing(&head.headers) {
             self.pool.close_idle_to(address);
             return Err(BackendError::UnknownTransferCoding { address });
@@ -99,6 +106,15 @@
     }
 }
 
+/// Returns whether a status can end a request: one of the classes of HTTP, but not an informational
+/// one.
+///
+/// hyper skips informational responses except 101, which no request here asks for, and accepts
+/// statuses of three digits that HTTP does not define.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether the body has no transfer coding but chunks.
 ///
 /// hyper ignores the length of a response with any other coding and reads until the connection
--- a/crates/backends/src/lib.rs
+++ b/crates/backends/src/lib.rs
@@ -17,7 +17,13 @@
 mod response_body;
 
 pub use {
-    backend_client::BackendClient, backend_error::BackendError, backend_request::BackendRequest,
-    backend_response::BackendResponse, client_limits::ClientLimits, connection::Connection,
-    order_response::OrderResponse, probe_answer::ProbeAnswer, response_body::ResponseBody,
+    backend_client::BackendClient,
+    backend_error::BackendError,
+    backend_request::BackendRequest,
+    backend_response::BackendResponse,
+    client_limits::ClientLimits,
+    connection::{Connection, is_final_status},
+    order_response::OrderResponse,
+    probe_answer::ProbeAnswer,
+    response_body::ResponseBody,
 };
--- a/crates/backends/tests/cut_responses.rs
+++ b/crates/backends/tests/cut_responses.rs
@@ -99,3 +99,27 @@
         }
     }
 }
+
+/// Guards against a response whose status means nothing, or does not end a request, that counts as
+/// a response: its request may have run or not.
+#[tokio::test]
+async fn response_with_invalid_status_is_an_error() {
+    for status in [
+        "000", "0", "20", "099", "100", "101", "103", "199", "600", "999", "1000", "2000", "-200",
+        "2x0", "",
+    ] {
+        for framing in ["content-length: 13\r\n", ""] {
+            let text = format!("HTTP/1.1 {status} X\r\n{framing}\r\n{BODY}");
+            let case = format!("{status:?}, {framing:?}");
+            match call(Reply::TextThenClose(text)).await {
+                Ok(body) => panic!("{case} is a response: {body:?}"),
+                Err(error) => assert_eq!(error.execution(), Execution::Unknown, "{case}: {error}"),
+            }
+        }
+    }
+    for status in [200, 299, 304, 404, 500, 599] {
+        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+        let found = call(Reply::TextThenClose(text)).await;
+        assert_eq!(found.unwrap(), "", "{status}");
+    }
+}
--- a/crates/gateway/src/peer_attempt.rs
+++ b/crates/gateway/src/peer_attempt.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use hawthornquay_backends::is_final_status;
 use hawthornquay_decisions::{Execution, InstanceName, RefusalCode, RegionName};
 use hawthornquay_instances::{
     Forward, ForwardEvent, ForwardHead, ForwardRefused, ForwardStream, Header, LinkError,
@@ -130,7 +131,8 @@
     ) -> Result<AttemptHead, AttemptFailure> {
         let status = u16::try_from(head.status)
             .ok()
-            .and_then(|status| StatusCode::from_u16(status).ok());
+            .and_then(|status| StatusCode::from_u16(status).ok())
+            .filter(|status| is_final_status(*status));
         let Some(status) = status else {
             return Err(AttemptFailure::unknown(AttemptCause::Garbled));
         };
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -221,7 +221,9 @@
                 BackendError::ClosedBeforeSend { .. } | BackendError::Request(_) => {
                     AttemptCause::Unreachable
                 }
-                BackendError::UnknownTransferCoding { .. } => AttemptCause::Garbled,
+                BackendError::InvalidStatus { .. } | BackendError::UnknownTransferCoding { .. } => {
+                    AttemptCause::Garbled
+                }
                 _ => AttemptCause::Broken,
             },
         })
--- a/crates/hawthornquay/src/peer_attempt.rs
+++ b/crates/hawthornquay/src/peer_attempt.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
+use hawthornquay_backends::is_final_status;
 use hawthornquay_decisions::{
     DomainName, Execution, InstanceName, LoadKey, LoadOutcome, Priority, Refusal, RefusalCode,
     RouteTarget,
@@ -123,6 +124,7 @@
     let status = u16::try_from(head.status)
         .ok()
         .and_then(|status| StatusCode::from_u16(status).ok())
+        .filter(|status| is_final_status(*status))
         .unwrap_or(StatusCode::BAD_GATEWAY);
     Ok((status, wire_headers(&head), answer_stream(first, stream)))
 }
--- a/crates/hawthornquay/tests/early_responses.rs
+++ b/crates/hawthornquay/tests/early_responses.rs
@@ -1,4 +1,5 @@
-//! Responses that end while the request is still being sent to the server.
+//! Responses that end while the request is still being sent to the server, and responses whose
+//! status is none.
 
 mod support;
 
@@ -281,3 +282,27 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against a response whose status means nothing, or does not end a request, that callers
+/// receive as the answer to their request, and against a promise that the request has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_with_invalid_status_is_not_passed_on() {
+    let (fleet, script) = start_fleet().await;
+    let mut wrong = Vec::new();
+    for status in [
+        "000", "099", "100", "101", "103", "199", "600", "999", "0", "20", "1000", "-200",
+    ] {
+        for framing in ["content-length: 0\r\n", ""] {
+            let early = Early {
+                text: format!("HTTP/1.1 {status} X\r\n{framing}\r\n"),
+                end: End::Shutdown,
+            };
+            for kind in KINDS {
+                let (received, runs) = call(&fleet, &script, kind, &early, 5).await;
+                let found = check(kind, &received, runs);
+                wrong.extend(found.map(|found| format!("{kind:?} {status} {framing:?}: {found}")));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
