Break off an unframed stream that ends inside an event in hawthornquayd

A response with status 200, media type text/event-stream and no framing is now followed to its end, and fails unless a blank line is the last thing received: before the first part it is retried like any broken attempt, and later the caller's connection is broken off. A close between two events cannot be told from the end of the stream. Framed streams are not looked at.

--- a/crates/backends/src/backend_error.rs
+++ b/crates/backends/src/backend_error.rs
@@ -24,9 +24,9 @@
         /// Time-out that expired.
         limit: Duration,
     },
-    /// A response body without a length or chunks ended before the request was written, or with a
-    /// failure of the connection.
-    #[error("response body from {address} ended before the request was written or by a failure")]
+    /// A response body without a length or chunks ended before the request was written, with a
+    /// failure of the connection, or inside an event of a stream.
+    #[error("response body from {address} is truncated")]
     BodyTruncated {
         /// Address of the backend server.
         address: SocketAddr,
--- a/crates/backends/src/response_body.rs
+++ b/crates/backends/src/response_body.rs
@@ -38,6 +38,12 @@
         this
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that only the close of the
+    /// connection ends it.
+    pub const fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// Reads the complete body into memory, up to `limit` bytes.
     ///
     /// # Errors
--- a/crates/hawthornquay/src/backend_attempt.rs
+++ b/crates/hawthornquay/src/backend_attempt.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
-use futures_util::{StreamExt, TryStreamExt, stream};
-use hawthornquay_backends::{BackendError, BackendRequest, ResponseBody};
+use bytes::Bytes;
+use futures_util::{StreamExt, TryStreamExt, stream, stream::BoxStream};
+use hawthornquay_backends::{BackendError, BackendRequest};
 use hawthornquay_decisions::{BackendServer, Execution, LoadKey, LoadOutcome, RouteTarget};
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use slog::info;
 
 use crate::{
     AnswerFailure, AnswerStream, AttemptFailure, Decision, LoadGuard, Node, OutboundRequest,
-    RoutedAnswer, routed_answer::execution_of,
+    RoutedAnswer, routed_answer::execution_of, stream_end::check_stream_end,
 };
 
 /// Sends a request to a backend server and waits for the head and the first part of its answer.
@@ -66,11 +67,19 @@
     node.requests.set_execution(&req.id, Execution::Unknown);
     let answer = connection.send(backend_request(req)).await?;
     let (status, headers) = (answer.head.status, answer_headers(&answer.head.headers));
-    let body = wait_for_first_part(answer.body).await?;
+    let is_stream = req.method != Method::HEAD && status == StatusCode::OK && is_stream(&headers);
+    let body = if is_stream && answer.body.ends_with_connection() {
+        check_stream_end(answer.body, server.address).boxed()
+    } else {
+        answer.body.boxed()
+    };
+    let body = wait_for_first_part(body).await?;
     Ok((status, headers, body))
 }
 
-async fn wait_for_first_part(mut body: ResponseBody) -> Result<AnswerStream, BackendError> {
+async fn wait_for_first_part(
+    mut body: BoxStream<'static, Result<Bytes, BackendError>>,
+) -> Result<AnswerStream, BackendError> {
     let first = body.next().await.transpose()?;
     let first = stream::iter(first.map(Ok));
     Ok(first.chain(body.map_err(AnswerFailure::from)).boxed())
@@ -101,6 +110,15 @@
     matches!(req.target, RouteTarget::Model(_)) && status == StatusCode::SERVICE_UNAVAILABLE
 }
 
+/// Returns whether the answer is a stream of server-sent events.
+fn is_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(header::CONTENT_TYPE);
+    media_type.is_some_and(|value| {
+        let name = value.as_bytes().split(|byte| *byte == b';').next();
+        name.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+    })
+}
+
 /// Returns those headers of a backend server's answer that are passed to the caller.
 pub fn answer_headers(headers: &HeaderMap) -> HeaderMap {
     [
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -76,6 +76,7 @@
 mod serving_instance;
 mod start_hint;
 mod store_recovery;
+mod stream_end;
 mod token_use;
 
 pub use {
--- a/crates/hawthornquay/tests/early_responses.rs
+++ b/crates/hawthornquay/tests/early_responses.rs
@@ -1,5 +1,5 @@
-//! Responses that end while the request is still being sent to the server, and responses whose
-//! status is none.
+//! Responses that end while the request is still being sent to the server or inside an event, and
+//! responses whose status is none.
 
 mod support;
 
@@ -48,6 +48,19 @@
 
 const EVENT: &str = "data: {\"choices\":[]}\n\n";
 
+/// Parts of two events, by the number of complete events and the length of the rest: nothing, part
+/// of a line, the event without its blank line, and all of it.
+const PARTS: [(usize, usize); 8] = [
+    (0, 0),
+    (0, 3),
+    (0, EVENT.len() - 1),
+    (0, 9),
+    (0, usize::MAX),
+    (1, 9),
+    (1, EVENT.len() - 1),
+    (1, usize::MAX),
+];
+
 /// Complete response of a second run.
 const WHOLE: &str = "whole";
 
@@ -207,6 +220,7 @@
 /// and the number of runs.
 async fn call(
     fleet: &Fleet,
+    instance: usize,
     script: &Script,
     kind: Kind,
     early: &Early,
@@ -218,7 +232,7 @@
         *script.first.lock() = Some(early.clone());
         script.runs.store(0, Ordering::SeqCst);
         let (path, body) = request(kind, bytes);
-        let response = caller.send(fleet.callers(0), Method::POST, path, &[], body);
+        let response = caller.send(fleet.callers(instance), Method::POST, path, &[], body);
         let (head, body) = response.await.expect("response head").into_parts();
         let body = body.collect().await.ok().map(|body| body.to_bytes());
         let received = Received {
@@ -273,7 +287,7 @@
                 end,
             };
             for kind in KINDS {
-                let (received, runs) = call(&fleet, &script, kind, &early, UPLOAD_BYTES).await;
+                let (received, runs) = call(&fleet, 0, &script, kind, &early, UPLOAD_BYTES).await;
                 let is_error = status != "200 OK" && received.body.is_none();
                 let found = check(kind, &received, runs).filter(|_| !is_error);
                 wrong.extend(found.map(|found| format!("{kind:?} {early:?}: {found}")));
@@ -298,7 +312,7 @@
                 end: End::Shutdown,
             };
             for kind in KINDS {
-                let (received, runs) = call(&fleet, &script, kind, &early, 5).await;
+                let (received, runs) = call(&fleet, 0, &script, kind, &early, 5).await;
                 let found = check(kind, &received, runs);
                 wrong.extend(found.map(|found| format!("{kind:?} {status} {framing:?}: {found}")));
             }
@@ -306,3 +320,38 @@
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// Guards against a stream that callers receive as a complete one although its server closed the
+/// connection inside an event or before the first one, here or behind another instance, and against
+/// a complete stream that is taken for a broken one.
+#[tokio::test(flavor = "multi_thread")]
+async fn unframed_stream_is_complete_only_after_an_event() {
+    let (fleet, script) = start_fleet().await;
+    let mut wrong = Vec::new();
+    let line_ends = ["\n", "\r\n"].map(|end| EVENT.repeat(2).replace('\n', end));
+    for (instance, parts) in [(0, &PARTS[..]), (2, &PARTS[3..6])] {
+        for events in &line_ends {
+            let len = events.len() / 2;
+            for (before, cut) in parts {
+                let text = &events[..before * len + cut.min(&len)];
+                let is_whole = text.ends_with("\n\n") || text.ends_with("\n\r\n");
+                let early = Early {
+                    text: format!(
+                        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n{text}"
+                    ),
+                    end: End::Shutdown,
+                };
+                let (received, runs) =
+                    call(&fleet, instance, &script, Kind::Stream, &early, 5).await;
+                let found = if is_whole {
+                    let has_all = received.body.as_deref() == Some(text.as_bytes());
+                    (!has_all || runs != 1).then(|| format!("{runs} runs, {received:?}"))
+                } else {
+                    check(Kind::Stream, &received, runs)
+                };
+                wrong.extend(found.map(|found| format!("{instance} {text:?}: {found}")));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
