--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,9 @@
 mod cold_servers;
 mod cold_start_limiter;
 mod configuration;
+mod configuration_changes;
+mod configuration_checks;
+mod configuration_document;
 mod demand_history;
 mod departed_servers;
 mod engine_config;
@@ -73,6 +76,11 @@
     cold_servers::{ColdServer, UnknownServer},
     cold_start_limiter::ColdStartLimiter,
     configuration::Configuration,
+    configuration_changes::configuration_changes,
+    configuration_checks::{
+        ConfigurationFinding, FindingKind, check_configuration, check_successor,
+    },
+    configuration_document::{ConfigurationDocument, OrganisationEntry},
     demand_history::DemandHistory,
     engine_config::EngineConfig,
     execution_semantics::ExecutionSemantics,
