--- a/crates/backends/src/backend_error.rs
+++ b/crates/backends/src/backend_error.rs
@@ -24,6 +24,13 @@
         /// Time-out that expired.
         limit: Duration,
     },
+    /// A response body without a length or chunks ended before the request was written, with a
+    /// failure of the connection, or inside an event of a stream.
+    #[error("response body from {address} is truncated")]
+    BodyTruncated {
+        /// Address of the backend server.
+        address: SocketAddr,
+    },
     /// The connection closed before any byte of the request was written.
     #[error("connection to {address} closed before the request was written")]
     ClosedBeforeSend {
@@ -62,6 +69,14 @@
         /// Underlying error.
         source: hyper::Error,
     },
+    /// The response has a status that cannot end a request.
+    #[error("response from {address} has the invalid status {status}")]
+    InvalidStatus {
+        /// Address of the backend server.
+        address: SocketAddr,
+        /// Status of the response.
+        status: StatusCode,
+    },
     /// The body of a control call cannot be encoded or decoded as JSON.
     #[error("malformed JSON in a control call to {address}: {source}")]
     Malformed {
@@ -118,7 +133,9 @@
             | Self::Request(_) => Execution::NotRun,
             Self::BodyInterrupted { .. }
             | Self::BodyTimeout { .. }
+            | Self::BodyTruncated { .. }
             | Self::HeadTimeout { .. }
+            | Self::InvalidStatus { .. }
             | Self::Malformed { .. }
             | Self::Send { .. }
             | Self::Status { .. }
--- a/crates/backends/src/connection.rs
+++ b/crates/backends/src/connection.rs
@@ -2,9 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http::{HeaderMap, header};
-use http_body_util::Full;
+use http::{HeaderMap, StatusCode, header};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -14,6 +12,7 @@
     BackendError, BackendRequest, BackendResponse, ResponseBody,
     bounded_stream::{BoundedStream, ReceivedBytes},
     connection_pool::ConnectionPool,
+    request_progress::{RequestBody, RequestProgress},
 };
 
 /// Maximum time for which sent data may remain unacknowledged (`TCP_USER_TIMEOUT`).
@@ -64,7 +63,9 @@
     pub async fn send(mut self, req: BackendRequest) -> Result<BackendResponse, BackendError> {
         let address = self.address;
         let limit = req.head_timeout.unwrap_or(self.pool.limits.head_timeout);
-        let req = req.into_http(address)?;
+        let req = req
+            .into_http(address)?
+            .map(|body| self.open.request.begin(body));
         let res = match timeout(limit, self.open.sender.try_send_request(req)).await {
             Ok(Ok(res)) => res,
             Ok(Err(mut error)) => {
@@ -85,17 +86,35 @@
         };
         self.open.received.reset();
         let (head, body) = res.into_parts();
+        if !is_final_status(head.status) {
+            self.pool.close_idle_to(address);
+            return Err(BackendError::InvalidStatus {
+                address,
+                status: head.status,
+            });
+        }
         if !has_known_framing(&head.headers) {
             self.pool.close_idle_to(address);
             return Err(BackendError::UnknownTransferCoding { address });
         }
+        let ends_with_connection = !head.headers.contains_key(header::CONTENT_LENGTH)
+            && !head.headers.contains_key(header::TRANSFER_ENCODING);
         Ok(BackendResponse {
             head,
-            body: ResponseBody::new(self, body),
+            body: ResponseBody::new(self, body, ends_with_connection),
         })
     }
 }
 
+/// Returns whether a status can end a request: one of the classes of HTTP, but not an informational
+/// one.
+///
+/// hyper skips informational responses except 101, which no request here asks for, and accepts
+/// statuses of three digits that HTTP does not define.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether the body has no transfer coding but chunks.
 ///
 /// hyper ignores the length of a response with any other coding and reads until the connection
@@ -114,8 +133,9 @@
 /// Request sender of an HTTP/1.1 connection and the task that performs its I/O.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<RequestBody>,
     pub(crate) received: ReceivedBytes,
+    pub(crate) request: RequestProgress,
     driver: AbortHandle,
 }
 
@@ -132,9 +152,11 @@
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
             .map_err(connect_error)?;
         let received = ReceivedBytes::default();
+        let request = RequestProgress::default();
+        let stream = BoundedStream::new(stream, received.clone(), request.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(BoundedStream::new(stream, received.clone())))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| BackendError::Http { address, source })?;
         // The result is ignored: a connection error also fails the request in flight.
@@ -145,6 +167,7 @@
         Ok(Self {
             sender,
             received,
+            request,
             driver,
         })
     }
--- a/crates/hawthornquay/src/lib.rs
+++ b/crates/hawthornquay/src/lib.rs
@@ -77,6 +77,7 @@
 mod serving_instance;
 mod start_hint;
 mod store_recovery;
+mod stream_end;
 mod token_use;
 mod unread_answers;
 
