Let patient streams give way to urgent ones only, and admit long ones in calm

The small share pays only where long streams compete with more urgent ones.

Change: the share is 0.4 where streams of a more urgent route with at most half the latency target use the service, and 0.75 otherwise.

--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -33,6 +33,7 @@
             work: &self.request.work,
             target_latency: self.request.route.target_latency,
             target_event_gap: self.request.route.semantics.target_event_gap(),
+            route_priority: self.request.route.priority,
             time_left: self.request.time_left(time),
             excluded_servers: &excluded_servers,
             instance: &gateway.id.name,
--- a/crates/traffic/examples/placement_time.rs
+++ b/crates/traffic/examples/placement_time.rs
@@ -75,6 +75,7 @@
                 work: &work,
                 target_latency: Duration::from_millis(2_500),
                 target_event_gap: Some(Duration::from_millis(600)),
+                route_priority: 2,
                 time_left: Duration::from_secs(12),
                 excluded_servers: &[],
                 instance: &names[0],
--- a/crates/traffic/src/event_rate.rs
+++ b/crates/traffic/src/event_rate.rs
@@ -65,6 +65,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceStreams {
     rate: EventRate,
+    /// Shortest mean time between two events at the pace 1 that was seen, in milliseconds; zero before.
+    /// It is that of an engine with little to do.
+    unloaded_ms: f64,
     /// Moving average of the events per output token that the caller declared.
     events_per_token: Option<f64>,
     /// Largest number of events per declared output token of a stream that is not complete.
@@ -75,6 +78,11 @@
     /// Records `events` events that took `ms` milliseconds at a server of this pace.
     pub fn record(&mut self, now: MonotonicTime, events: f64, ms: f64, pace: f64) {
         self.rate.record(now, events, ms / pace);
+        if let Some(recent_ms) = self.rate.recent_ms(now)
+            && (self.unloaded_ms == 0.0 || recent_ms < self.unloaded_ms)
+        {
+            self.unloaded_ms = recent_ms;
+        }
     }
 
     /// Records that a stream for which `tokens` output tokens were declared has `events` events so far.
@@ -100,6 +108,12 @@
         known.map(|ratio| ratio * tokens as f64)
     }
 
+    /// Returns the time between two events at a server of this pace with little to do, in milliseconds;
+    /// zero if unknown.
+    pub const fn unloaded_interval_ms(&self, pace: f64) -> f64 {
+        self.unloaded_ms * pace
+    }
+
     /// Returns the mean time between the recent events at a server of the pace 1 in milliseconds; `None`
     /// if there are few.
     pub fn recent_interval_ms(&self, now: MonotonicTime) -> Option<f64> {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -73,6 +73,7 @@
 mod stable_hash;
 mod stream_prediction;
 mod token_bucket;
+mod urgent_streams;
 mod work;
 
 use server_table::RECOVERY_GRACE;
@@ -144,5 +145,6 @@
     stable_hash::stable_hash,
     stream_prediction::StreamPrediction,
     token_bucket::TokenBucket,
+    urgent_streams::UrgentStreams,
     work::{PromptPart, Work},
 };
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -133,10 +133,13 @@
         req: &PlacementRequest<'_>,
         model: &ServiceModel,
     ) -> Option<StreamPrediction> {
-        let service_ms = model.streams.recent_interval_ms(now)? * self.pace.usual(now);
+        let pace = self.pace.usual(now);
+        let service_ms = model.streams.recent_interval_ms(now)? * pace;
+        let interval_ms = self.events.interval_ms(now, service_ms);
         Some(StreamPrediction {
             events: model.streams.expected_events(req.work.output_tokens)?,
-            interval_ms: self.events.interval_ms(now, service_ms),
+            interval_ms,
+            unloaded_interval_ms: model.streams.unloaded_interval_ms(pace),
         })
     }
 
@@ -192,6 +195,11 @@
             expected_latency: Duration::from_secs_f64(expected_ms / 1_000.0),
             uncorrected_ms: self.latency.predict_uncorrected_ms(&work),
             stream,
+            gives_way: model.urgent_streams.has_precedence(
+                now,
+                req.route_priority,
+                req.target_latency,
+            ),
             prefill_tokens: work.prefill_tokens,
             pace: model.is_paced.then_some(work.pace),
             is_pace_unknown: is_long_stream(req, model)
--- a/crates/traffic/src/placement.rs
+++ b/crates/traffic/src/placement.rs
@@ -31,7 +31,15 @@
 
 /// Maximum expected time to the end of an admitted stream, as a share of the time left until its
 /// deadline. The requests that follow slow it down further.
-const MAX_END_DEADLINE_SHARE: f64 = 0.4;
+const MAX_END_DEADLINE_SHARE: f64 = 0.75;
+
+/// The same share if more urgent streams with a much shorter latency target use the service. With a
+/// larger one, engines stay filled with prompts, and the urgent streams are late.
+const MAX_YIELDING_END_SHARE: f64 = 0.4;
+
+/// Time that a stream may take in any case before its deadline, as a multiple of that at an engine with
+/// little to do, so that routes with little time are served in calm.
+const MAX_SLOWDOWN: f64 = 1.2;
 
 /// Share of the target gap between two events from which a stream counts as slow. Some of its gaps are
 /// several times the mean one.
@@ -116,7 +124,16 @@
     let Some(stream) = pick.stream else {
         return true;
     };
-    pick.expected_latency + stream.duration() <= req.time_left.mul_f64(MAX_END_DEADLINE_SHARE)
+    let share = match pick.gives_way {
+        true => MAX_YIELDING_END_SHARE,
+        false => MAX_END_DEADLINE_SHARE,
+    };
+    let calm_end = pick.expected_latency + stream.unloaded_duration().mul_f64(MAX_SLOWDOWN);
+    let latest_end = req
+        .time_left
+        .mul_f64(share)
+        .max(calm_end.min(req.time_left.mul_f64(MAX_DEADLINE_SHARE)));
+    pick.expected_latency + stream.duration() <= latest_end
 }
 
 /// Returns whether the events of a stream at the picked server are expected so far apart that the
--- a/crates/traffic/src/placement_request.rs
+++ b/crates/traffic/src/placement_request.rs
@@ -20,6 +20,8 @@
     /// Longest gap between two events of its stream with which the response is on time; `None` if it
     /// is no stream.
     pub target_event_gap: Option<Duration>,
+    /// Priority of its route; zero is the most urgent. That of its organisation may be another one.
+    pub route_priority: u8,
     /// Time left until its deadline.
     pub time_left: Duration,
     /// Backend servers that have failed the request before.
--- a/crates/traffic/src/return_promises.rs
+++ b/crates/traffic/src/return_promises.rs
@@ -1,4 +1,4 @@
-//! Capacity reserved for callers that were refused and told when to return.
+//! Capacity reserved for refused callers until the time at which they are to return.
 //!
 //! An instance that refuses a request for lack of engine capacity promises capacity for its return,
 //! within bounds. The promises of a region are exchanged among its instances, since the caller may
@@ -56,13 +56,13 @@
 const REPORT_TIME: Duration = Duration::from_millis(600);
 
 /// Interval between the times of return that are tried, and resolution of the promised tokens.
-const STEP: Duration = Duration::from_millis(100);
+const WINDOW_STEP: Duration = Duration::from_millis(100);
 
 /// Maximum number of times of return that are tried for one request.
 const MAX_STEPS: usize = 64;
 
 /// Number of steps in a window.
-const WINDOW_STEPS: usize = (WINDOW.as_micros() / STEP.as_micros()) as usize;
+const WINDOW_STEPS: usize = (WINDOW.as_micros() / WINDOW_STEP.as_micros()) as usize;
 
 /// Maximum time until a reported promise ends; a later end is not plausible.
 const MAX_ENDS_IN: Duration = Duration::from_secs(120);
@@ -335,7 +335,7 @@
     }
 
     /// Removes the promises that have ended. Returns the number of those that this instance made and
-    /// nobody redeemed.
+    /// that were not redeemed.
     pub fn expire(&mut self, now: MonotonicTime) -> usize {
         let mut expired = 0;
         self.promises.retain(|_, promise| {
@@ -371,7 +371,7 @@
         ReservedSums::new(now, rows)
     }
 
-    /// Returns the first of the times `due`, `due` + [`STEP`] and so on up to `latest` at which the
+    /// Returns the first of the times `due`, `due` + [`WINDOW_STEP`] and so on up to `latest` at which the
     /// request fits into the bounds.
     fn first_time_with_room(
         &self,
@@ -382,7 +382,7 @@
         latest: MonotonicTime,
     ) -> Option<MonotonicTime> {
         let rate = self.prefill_rate(key.service)?;
-        let later = latest.since(due).as_micros() / STEP.as_micros();
+        let later = latest.since(due).as_micros() / WINDOW_STEP.as_micros();
         let later = usize::try_from(later).map_or(MAX_STEPS, |later| later.min(MAX_STEPS));
         let start = before(due, PROMISE_LEAD);
         let steps = self.promised_tokens(now, key, start, later + WINDOW_STEPS);
@@ -393,7 +393,7 @@
                     .iter()
                     .all(|step| self.is_within_bounds(step, tokens, rate, true))
             })
-            .map(|first| due + STEP * first as u32)
+            .map(|first| due + WINDOW_STEP * first as u32)
     }
 
     /// Returns whether a promise of another instance fits into the bounds. It always does while the
@@ -418,7 +418,7 @@
         count: usize,
     ) -> Vec<PromisedTokens> {
         let mut steps = vec![PromisedTokens::default(); count];
-        let end = start + STEP * count as u32;
+        let end = start + WINDOW_STEP * count as u32;
         for promise in self.promises.values() {
             let from = promise.due_from();
             if promise.key.service != key.service
@@ -428,8 +428,8 @@
             {
                 continue;
             }
-            let first = from.since(start).as_micros() / STEP.as_micros();
-            let last = (promise.until.since(start).as_micros() - 1) / STEP.as_micros();
+            let first = from.since(start).as_micros() / WINDOW_STEP.as_micros();
+            let last = (promise.until.since(start).as_micros() - 1) / WINDOW_STEP.as_micros();
             let is_unreported = promise
                 .made_at
                 .is_some_and(|made_at| now.since(made_at) < REPORT_TIME);
--- a/crates/traffic/src/server_pick.rs
+++ b/crates/traffic/src/server_pick.rs
@@ -21,6 +21,8 @@
     /// Predicted course of the stream after its first event, if the response is a stream whose length
     /// and rate can be predicted.
     pub stream: Option<StreamPrediction>,
+    /// Whether more urgent streams with a much shorter latency target use the service.
+    pub gives_way: bool,
     /// Prompt tokens that the server has to prefill until the first byte, those of earlier requests
     /// included.
     pub prefill_tokens: u64,
--- a/crates/traffic/src/server_selection.rs
+++ b/crates/traffic/src/server_selection.rs
@@ -64,6 +64,12 @@
         let prefix = req.work.shared_prefix_hash();
         let preferred = prefix.and_then(|prefix| self.preferred_server(now, req, prefix));
         self.picks += 1;
+        if req.target_event_gap.is_some()
+            && let Some(model) = self.models.get_mut(req.service)
+        {
+            let target = req.target_latency;
+            model.urgent_streams.record(now, req.route_priority, target);
+        }
         let sampling = self.sampling(now, req, config);
         // The queue of a plain server changes faster than the counts.
         let full_level = config
--- a/crates/traffic/src/service_model.rs
+++ b/crates/traffic/src/service_model.rs
@@ -1,6 +1,6 @@
 //! What is known of the servers of a service together.
 
-use crate::{PrefillRate, ServiceStreams, SlotTime};
+use crate::{PrefillRate, ServiceStreams, SlotTime, UrgentStreams};
 
 /// Rates of the servers of a service, learned from the responses to this instance.
 #[derive(Clone, Copy, Debug, Default)]
@@ -11,6 +11,8 @@
     pub(crate) prefill_rate: PrefillRate,
     /// Streams of the engines.
     pub(crate) streams: ServiceStreams,
+    /// Streams of each urgency.
+    pub(crate) urgent_streams: UrgentStreams,
     /// Whether a server has stated its pace. Until then, the prefill rate is not learned, and streams
     /// do not count in the choice of a server.
     pub(crate) is_paced: bool,
--- a/crates/traffic/tests/common/mod.rs
+++ b/crates/traffic/tests/common/mod.rs
@@ -155,6 +155,7 @@
     pub may_grant_permits: bool,
     pub excluded_servers: Vec<BackendName>,
     pub target_event_gap: Option<Duration>,
+    pub route_priority: u8,
     pub time_left: Duration,
     pub domain_regions: Map<DomainName, RegionName>,
     pub storage_regions: Vec<RegionName>,
@@ -175,6 +176,7 @@
             may_grant_permits: true,
             excluded_servers: Vec::new(),
             target_event_gap: None,
+            route_priority: 0,
             time_left: Duration::from_secs(10),
             domain_regions: ["home", "far", "wide"]
                 .iter()
@@ -196,6 +198,7 @@
             work,
             target_latency: self.target_latency,
             target_event_gap: self.target_event_gap,
+            route_priority: self.route_priority,
             time_left: self.time_left,
             excluded_servers: &self.excluded_servers,
             instance: &self.instance,
--- a/crates/traffic/tests/engine_placement.rs
+++ b/crates/traffic/tests/engine_placement.rs
@@ -235,6 +235,63 @@
     assert!(matches!(choice, PlacementDecision::Server(_)), "{choice:?}");
 }
 
+/// Guards against the refusal of streams that take most of the time to their deadline at engines with
+/// little to do, and against their admission to engines that are saturated.
+#[test]
+fn place_stream_of_long_route_is_admitted_unless_saturated() {
+    let context = context(1);
+    let mut table = table_of_warm(&entries(1));
+    let work = work(1, 0, 950);
+    let req = context.request(&work);
+    // 40 events take 8 s, and 10 s are left.
+    record_streams(&mut table, &name(0), 0, 200);
+    let choice = place_at(8_000, &req, &mut table, None);
+    assert!(matches!(choice, PlacementDecision::Server(_)), "{choice:?}");
+    // They take as long where 40 ms between two events have been seen.
+    let mut table = table_of_warm(&entries(1));
+    record_streams(&mut table, &name(0), 0, 40);
+    record_streams(&mut table, &name(0), 1_600, 200);
+    let choice = place_at(9_600, &req, &mut table, None);
+    assert!(
+        matches!(choice, PlacementDecision::Overloaded { .. }),
+        "{choice:?}"
+    );
+}
+
+/// Guards against engines that are filled with long streams whose callers can wait, while urgent short
+/// ones beside them are late, and against streams that give way to nothing.
+#[test]
+fn place_stream_gives_way_to_urgent_ones_only() {
+    let mut context = context(1);
+    context.target_event_gap = Some(Duration::from_millis(600));
+    context.target_latency = Duration::from_millis(2_500);
+    let work = work(1, 0, 950);
+    let is_admitted = |urgent: Option<(u8, u64)>| {
+        let mut table = table_of_warm(&entries(1));
+        record_streams(&mut table, &name(0), 0, 40);
+        record_streams(&mut table, &name(0), 1_600, 150);
+        if let Some((priority, target_ms)) = urgent {
+            let req = PlacementRequest {
+                route_priority: priority,
+                target_latency: Duration::from_millis(target_ms),
+                ..context.request(&work)
+            };
+            place_at(7_500, &req, &mut table, None);
+        }
+        // 40 events take 6 s, and 10 s are left.
+        let req = PlacementRequest {
+            route_priority: 2,
+            ..context.request(&work)
+        };
+        let choice = place_at(7_600, &req, &mut table, None);
+        matches!(choice, PlacementDecision::Server(_))
+    };
+    assert!(is_admitted(None));
+    assert!(is_admitted(Some((0, 2_000))), "a similar target");
+    assert!(is_admitted(Some((2, 800))), "the same urgency");
+    assert!(!is_admitted(Some((0, 800))));
+}
+
 /// Guards against a refusal while another region could serve the stream in time.
 #[test]
 fn place_stream_beyond_deadline_is_forwarded() {
