--- a/crates/traffic/src/urgent_streams.rs
+++ b/crates/traffic/src/urgent_streams.rs
@@ -14,7 +14,7 @@
 /// Minimum ratio of the latency targets for the less urgent requests to give way.
 const TARGET_RATIO: u32 = 2;
 
-/// Number of urgencies that are told apart; further ones count as the last.
+/// Number of distinguished urgencies; less urgent ones count as the last.
 const URGENCIES: usize = 10;
 
 /// Latest streams of each urgency.
