--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -247,6 +247,22 @@
             keep_worker(index, zone, &store, &record, &seen, &ended)
         }));
     }
+    let outcome = measure(record, &folder, &store);
+    // The workers end in any case.
+    ended.store(true, Ordering::Relaxed);
+    for worker in workers {
+        worker.join().map_err(|_| "a worker's keeper failed")??;
+    }
+    let (whole, all) = outcome?;
+    judge(record, &seen.lock().unwrap(), whole, all)
+}
+
+/// Sends the requests; returns how many sound ones got a whole answer, and how many there were.
+fn measure(
+    record: &Arc<Record>,
+    folder: &Folder,
+    store: &Arc<Store>,
+) -> Result<(usize, usize), String> {
     thread::sleep(Duration::from_millis(500));
     let mut fronts = Vec::new();
     for (number, place) in PLACES.into_iter().enumerate() {
@@ -292,15 +308,13 @@
     let crashing = send(callers, CRASHING_INTERVAL, true);
     let (whole, all) = sound.join().map_err(|_| "a client failed")?;
     let _ = crashing.join();
-    let are_running = fronts.iter_mut().all(Front::runs);
-    ended.store(true, Ordering::Relaxed);
-    for worker in workers {
-        worker.join().map_err(|_| "a worker's keeper failed")??;
-    }
-    if !are_running {
+    if !fronts.iter_mut().all(Front::runs) {
         return Err("an instance has ended".to_owned());
     }
-    let seen = seen.lock().unwrap();
+    Ok((whole, all))
+}
+
+fn judge(record: &Record, seen: &Seen, whole: usize, all: usize) -> Result<bool, String> {
     let mut crashes = seen.crashes.clone();
     crashes.sort();
     let late = crashes.get(4).map_or(0, |fifth| {
