--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -694,8 +694,8 @@
         let Some(child) = &self.child else {
             return Ok(());
         };
-        let id = child.id().to_string();
-        Command::new("kill").args(["-TERM", &id]).status().map(drop)
+        let command = format!("kill -TERM {}", child.id());
+        Command::new("sh").args(["-c", &command]).status().map(drop)
     }
 
     /// Waits until the instance is ready.
