--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -265,8 +265,18 @@
     });
 }
 
+/// Address with a free port, below the range from which the system takes those of outgoing connections:
+/// one of these could take the port before the process that is to listen on it has started.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    loop {
+        let count = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let port = 16_000 + (std::process::id().wrapping_mul(97) + count) % 16_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 // ---------------------------------------------------------------- JSON and base64
