--- a/review/14/case.rs
+++ b/review/14/case.rs
@@ -57,8 +57,7 @@
     // instance of its region is the only machine that reaches it.
     let arrivals: Arc<Mutex<Vec<f64>>> = Arc::default();
     let refusals: Arc<Mutex<Vec<f64>>> = Arc::default();
-    for index in 0..3 {
-        let zone = ZONES[index / 2].0;
+    for (index, (zone, _)) in ZONES.iter().enumerate() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let id = format!("i-{index:08x}");
