Try requests that tell quarantined prompt parts apart

Cause: parts in the same crashes are all quarantined if no answer tells them apart, and the requests that would have, those with one part and not the other, were refused as well. So nothing could end the quarantine. That answers are forgotten after 10 s made the parts equal in the case, but any time is too short for a caller that pauses longer or is new.

Change: a quarantined part knows the other parts that explain its crashes. A request that lacks one of them for each of its quarantined parts is tried on one server, one in two seconds at each instance. Its answer ends the quarantine of its parts at all instances; two crashes without another part exclude that one. The alternatives are sent with the quarantine, so new instances try requests too. Logged, counted, and in the line of the request (trial:PART).

--- a/crates/decisions/src/former_quarantine.rs
+++ b/crates/decisions/src/former_quarantine.rs
@@ -5,7 +5,7 @@
 use crate::{MonotonicTime, QuarantinedPart};
 
 /// Quarantine of a prompt part that has ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct FormerQuarantine {
     pub(crate) quarantined: QuarantinedPart,
     /// Time for which the part was quarantined.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -83,6 +83,7 @@
 mod part_id;
 mod part_quarantine;
 mod part_start;
+mod part_verdict;
 mod prefix_cache;
 mod prefix_event;
 mod prefix_event_kind;
@@ -212,6 +213,7 @@
     part_id::PartId,
     part_quarantine::PartQuarantine,
     part_start::PartStart,
+    part_verdict::PartVerdict,
     prefix_event::PrefixEvent,
     prefix_event_kind::PrefixEventKind,
     prefix_events::PrefixEvents,
--- a/crates/decisions/src/part_quarantine.rs
+++ b/crates/decisions/src/part_quarantine.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     AnswerStage, BackendName, CrashEvidence, EvidenceScope, MonotonicTime, PartId, PartStart,
-    QuarantineChange, QuarantineUpdate, Set, SuspectedPart, crash_log::CrashLog,
-    quarantine_choice::QuarantineChoice, quarantine_table::QuarantineTable, stage_logs::StageLogs,
+    PartVerdict, QuarantineChange, QuarantineUpdate, QuarantinedPart, Set, SuspectedPart,
+    crash_log::CrashLog, quarantine_choice::QuarantineChoice, quarantine_table::QuarantineTable,
+    stage_logs::StageLogs,
 };
 
 /// Time for which new evidence is sent: two rounds, and some time for a late one.
@@ -25,12 +26,20 @@
 /// Updates may arrive many times as often, and only time or answers change the decision.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of a part's crashes without another part that exclude the other as their cause.
+///
+/// One such crash may be due to a server that failed for another reason.
+const MAX_CRASHES_WITHOUT_ALTERNATIVE: usize = 2;
+
 /// Finds the prompt parts that crash backend servers, from the evidence of all instances.
 ///
 /// A part is quarantined if requests with it were among those that failed with several crashes at
 /// different times and on different servers, and if no server has answered a request with it since. What
 /// clears a part depends on how far the failed answers had come: an answer must have come further than
 /// those, so that no request clears the parts that it carries itself.
+///
+/// Parts that occur in the same crashes are all quarantined, and single requests with some of them are
+/// tried: an answer ends the quarantine of the parts of its request at all instances.
 #[derive(Clone, Debug, Default)]
 pub struct PartQuarantine {
     crashes: CrashLog,
@@ -104,9 +113,9 @@
             self.starts.record_received(now, &start, &self.crashes);
             self.end_quarantine(now, &start);
         }
-        for &reported in &update.quarantined {
+        for reported in &update.quarantined {
             let start = self.starts.served_at(reported.part);
-            if let Some(at) = self.table.adopt(now, reported, start) {
+            if let Some(at) = self.table.adopt(now, reported.clone(), start) {
                 self.starts.announce(now, reported.part, at);
             }
         }
@@ -160,10 +169,51 @@
                 let was_served = self.starts.served_at(quarantined.part).is_some();
                 self.table.insert(quarantined, crashes, was_served);
             }
+            let Self {
+                crashes,
+                starts,
+                table,
+                ..
+            } = self;
+            table.retain_alternatives(|part, other| {
+                starts.crashes_without(crashes, part, other).count()
+                    < MAX_CRASHES_WITHOUT_ALTERNATIVE
+            });
         }
         self.changes()
     }
 
+    /// Returns whether a request with `parts` may be sent to a server.
+    pub fn verdict(&self, now: MonotonicTime, parts: &[PartId]) -> PartVerdict {
+        if self.table.is_empty() {
+            return PartVerdict::Accepted;
+        }
+        let last_crash = |quarantined: &QuarantinedPart| {
+            let alternatives = quarantined.alternatives.iter();
+            alternatives
+                .flat_map(|&other| {
+                    self.starts
+                        .crashes_without(&self.crashes, quarantined.part, other)
+                })
+                .map(|record| record.learned_at)
+                .max()
+        };
+        self.table.verdict(now, parts, last_crash)
+    }
+
+    /// Begins the trial of a request with `parts` if one is possible now; returns whether the request may
+    /// be sent to one server.
+    pub fn begin_trial(&mut self, now: MonotonicTime, parts: &[PartId]) -> bool {
+        let is_possible = matches!(
+            self.verdict(now, parts),
+            PartVerdict::Trial { possible_in, .. } if possible_in.is_zero()
+        );
+        if is_possible {
+            self.table.record_trial(now, parts);
+        }
+        is_possible
+    }
+
     /// Returns the first of `parts` that is quarantined, and the time until its quarantine ends.
     pub fn quarantined(&self, now: MonotonicTime, parts: &[PartId]) -> Option<(PartId, Duration)> {
         if self.table.is_empty() {
--- a/crates/decisions/src/quarantine_choice.rs
+++ b/crates/decisions/src/quarantine_choice.rs
@@ -28,6 +28,9 @@
 /// to depend less on how many answers have begun.
 const MIN_LEAD: u32 = 3;
 
+/// Greatest number of parts that are kept as alternatives to a quarantined one.
+const MAX_ALTERNATIVES: usize = 8;
+
 /// Answers since the first crash that show that servers serve other requests.
 const MIN_STARTS: usize = 4;
 
@@ -113,8 +116,10 @@
         let explained = self.crashes.with_parts(&quarantined);
         self.table
             .on_probation()
-            .iter()
-            .filter_map(|&(part, ended_at)| {
+            .into_iter()
+            .filter_map(|former| {
+                let part = former.quarantined.part;
+                let ended_at = former.quarantined.since + former.duration;
                 let crashes = self
                     .crashes_with(part)
                     .filter(|(index, record)| {
@@ -124,7 +129,16 @@
                     })
                     .fold(0, |crashes, (index, _)| crashes | 1 << index);
                 let suspect = self.suspect(part, AnswerStage::Begun, crashes);
-                Some((self.quarantine(suspect)?, suspect.count() as usize))
+                let mut alternatives = former.quarantined.alternatives.clone();
+                alternatives.retain(|&other| {
+                    self.records(crashes)
+                        .all(|(_, record)| record.evidence.has_part(other))
+                });
+                let quarantined = QuarantinedPart {
+                    alternatives,
+                    ..self.quarantine(suspect)?
+                };
+                Some((quarantined, suspect.count() as usize))
             })
             .collect()
     }
@@ -276,12 +290,6 @@
         suspect.count().saturating_sub(most)
     }
 
-    /// Returns whether no answer has cleared a part since a crash.
-    fn is_suspected(&self, part: PartId, record: &CrashRecord) -> bool {
-        let mut suspected = self.starts.suspected(&record.evidence);
-        suspected.any(|one| one.id == part)
-    }
-
     /// Returns whether no answer has cleared a part since a crash, although one would have reached the
     /// stage for it.
     fn is_suspected_by_now(&self, part: PartId, record: &CrashRecord) -> bool {
@@ -391,7 +399,7 @@
         let rank = |suspect: &Suspect| {
             let crashes = self
                 .crashes_with(suspect.part)
-                .filter(|(_, record)| self.is_suspected(suspect.part, record))
+                .filter(|(_, record)| self.starts.is_suspected(suspect.part, &record.evidence))
                 .count();
             (crashes, self.starts.served_at(suspect.part).is_none())
         };
@@ -415,6 +423,23 @@
             part: suspect.part,
             first_crash_at: self.records(suspect.crashes).next()?.1.evidence.at,
             since: self.now,
+            alternatives: self.alternatives(suspect),
         })
     }
+
+    /// Returns the other parts that explain the crashes of a suspect, in ascending order.
+    ///
+    /// Fewer crashes are enough only if each other part lacks one of them.
+    fn alternatives(&self, suspect: Suspect) -> Vec<PartId> {
+        if (suspect.count() as usize) < MIN_CRASHES_WITHOUT_CONTRAST {
+            return Vec::new();
+        }
+        let is_suspected = |part: &SuspectedPart, record: &CrashRecord| {
+            !self.starts.clears(*part, record.evidence.at)
+        };
+        let mut parts: Vec<_> = self.common_parts(suspect, is_suspected).collect();
+        parts.sort_unstable();
+        parts.truncate(MAX_ALTERNATIVES);
+        parts
+    }
 }
--- a/crates/decisions/src/quarantine_table.rs
+++ b/crates/decisions/src/quarantine_table.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::{
-    Map, MonotonicTime, PartId, QuarantinedPart, Set, former_quarantine::FormerQuarantine,
-    quarantine_entry::QuarantineEntry,
+    Map, MonotonicTime, PartId, PartVerdict, QuarantinedPart, Set,
+    former_quarantine::FormerQuarantine, quarantine_entry::QuarantineEntry,
 };
 
 /// Greatest number of quarantined parts.
@@ -23,6 +23,11 @@
 /// is the same quarantine.
 const SAME_QUARANTINE: Duration = Duration::from_secs(2);
 
+/// Time from a trial with a quarantined part, or a crash of one, to the next trial.
+///
+/// An answer or a crash is usually known at all instances by then.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Quarantined parts, and those whose quarantine has ended.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct QuarantineTable {
@@ -51,12 +56,62 @@
             .entries
             .iter()
             .filter(|&(&part, _)| self.remaining(now, part).is_some())
-            .map(|(_, entry)| entry.quarantined)
+            .map(|(_, entry)| entry.quarantined.clone())
             .collect();
         parts.sort_unstable_by_key(|quarantined| quarantined.part);
         parts
     }
 
+    /// Returns whether a request with `parts` may be sent to a server.
+    ///
+    /// `last_crash` returns when this instance learned of the latest crash of a part without one of its
+    /// alternatives.
+    pub(crate) fn verdict(
+        &self,
+        now: MonotonicTime,
+        parts: &[PartId],
+        last_crash: impl Fn(&QuarantinedPart) -> Option<MonotonicTime>,
+    ) -> PartVerdict {
+        let mut trial = None;
+        for &part in parts {
+            let Some(ends_in) = self.remaining(now, part) else {
+                continue;
+            };
+            let entry = &self.entries[&part];
+            if !entry.is_distinguished_by(parts) {
+                return PartVerdict::Refused { part, ends_in };
+            }
+            let last = entry.tried_at.max(last_crash(&entry.quarantined));
+            let possible_in = last.map_or(Duration::ZERO, |at| {
+                TRIAL_INTERVAL.saturating_sub(now.since(at)).min(ends_in)
+            });
+            if trial.is_none_or(|(_, other)| possible_in > other) {
+                trial = Some((part, possible_in));
+            }
+        }
+        trial.map_or(PartVerdict::Accepted, |(part, possible_in)| {
+            PartVerdict::Trial { part, possible_in }
+        })
+    }
+
+    /// Records that a request with `parts` is tried.
+    pub(crate) fn record_trial(&mut self, now: MonotonicTime, parts: &[PartId]) {
+        for part in parts {
+            if let Some(entry) = self.entries.get_mut(part) {
+                entry.tried_at = Some(now);
+            }
+        }
+    }
+
+    /// Keeps the alternatives of quarantined parts for which `explains` holds.
+    pub(crate) fn retain_alternatives(&mut self, explains: impl Fn(PartId, PartId) -> bool) {
+        for entry in self.entries.values_mut() {
+            let part = entry.quarantined.part;
+            let alternatives = &mut entry.quarantined.alternatives;
+            alternatives.retain(|&other| explains(part, other));
+        }
+    }
+
     /// Returns the quarantined parts and the crashes that counted against each.
     pub(crate) fn crash_counts(&self) -> impl Iterator<Item = (PartId, usize)> {
         self.entries
@@ -76,19 +131,15 @@
         self.entries.keys().copied().chain(on_probation).collect()
     }
 
-    /// Returns the parts on probation, each with the end of its quarantine.
-    pub(crate) fn on_probation(&self) -> Vec<(PartId, MonotonicTime)> {
-        let mut parts: Vec<_> = self
+    /// Returns the ended quarantines of the parts on probation.
+    pub(crate) fn on_probation(&self) -> Vec<&FormerQuarantine> {
+        let mut former: Vec<_> = self
             .former
             .values()
             .filter(|former| former.cleared_at.is_none())
-            .map(|former| {
-                let quarantined = former.quarantined;
-                (quarantined.part, quarantined.since + former.duration)
-            })
             .collect();
-        parts.sort_unstable();
-        parts
+        former.sort_unstable_by_key(|former| former.quarantined.part);
+        former
     }
 
     /// Quarantines a part; `was_served` says whether servers have answered requests with it.
@@ -111,6 +162,7 @@
                 quarantined,
                 crashes,
                 duration,
+                tried_at: None,
             },
         );
         if self.entries.len() > MAX_QUARANTINED
@@ -132,12 +184,16 @@
     pub(crate) fn adopt(
         &mut self,
         now: MonotonicTime,
-        reported: QuarantinedPart,
+        mut reported: QuarantinedPart,
         start: Option<MonotonicTime>,
     ) -> Option<MonotonicTime> {
-        if now.since(reported.since) >= QuarantineEntry::MAX_DURATION
-            || self.entries.contains_key(&reported.part)
-        {
+        if now.since(reported.since) >= QuarantineEntry::MAX_DURATION {
+            return None;
+        }
+        if let Some(entry) = self.entries.get_mut(&reported.part) {
+            // The other instance knows of crashes or answers that exclude the missing ones.
+            let alternatives = &mut entry.quarantined.alternatives;
+            alternatives.retain(|part| reported.alternatives.contains(part));
             return None;
         }
         let cleared_by = start.filter(|&at| at > reported.first_crash_at + START_MARGIN);
@@ -153,6 +209,12 @@
                 _ => {}
             }
         }
+        let is_cleared = |part: &PartId| {
+            let former = self.former.get(part);
+            let cleared_at = former.and_then(|former| former.cleared_at);
+            cleared_at.is_some_and(|at| at > reported.first_crash_at)
+        };
+        reported.alternatives.retain(|part| !is_cleared(part));
         self.insert(reported, 0, start.is_some());
         None
     }
@@ -163,13 +225,14 @@
             if at <= entry.quarantined.first_crash_at + START_MARGIN {
                 return false;
             }
-            let (quarantined, duration) = (entry.quarantined, entry.duration);
-            self.entries.remove(&part);
-            self.add_former(FormerQuarantine {
-                quarantined,
-                duration,
-                cleared_at: Some(at),
-            });
+            if let Some(entry) = self.entries.remove(&part) {
+                self.add_former(FormerQuarantine {
+                    quarantined: entry.quarantined,
+                    duration: entry.duration,
+                    cleared_at: Some(at),
+                });
+            }
+            self.retain_alternatives(|_, other| other != part);
             return true;
         }
         if let Some(former) = self.former.get_mut(&part)
@@ -186,16 +249,17 @@
         let expired: Vec<_> = self
             .entries
             .values()
-            .filter(|entry| self.remaining(now, entry.quarantined.part).is_none())
-            .map(|entry| (entry.quarantined, entry.duration))
+            .map(|entry| entry.quarantined.part)
+            .filter(|&part| self.remaining(now, part).is_none())
             .collect();
-        for (quarantined, duration) in expired {
-            self.entries.remove(&quarantined.part);
-            self.add_former(FormerQuarantine {
-                quarantined,
-                duration,
-                cleared_at: None,
-            });
+        for part in expired {
+            if let Some(entry) = self.entries.remove(&part) {
+                self.add_former(FormerQuarantine {
+                    quarantined: entry.quarantined,
+                    duration: entry.duration,
+                    cleared_at: None,
+                });
+            }
         }
     }
 
--- a/crates/decisions/src/quarantined_part.rs
+++ b/crates/decisions/src/quarantined_part.rs
@@ -3,7 +3,7 @@
 use crate::{MonotonicTime, PartId};
 
 /// Prompt part that crashes backend servers, so that requests with it are refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct QuarantinedPart {
     /// Part that is quarantined.
     pub part: PartId,
@@ -12,4 +12,7 @@
     pub first_crash_at: MonotonicTime,
     /// Time at which the quarantine began.
     pub since: MonotonicTime,
+    /// Other parts that explain the same crashes, in ascending order. A request with the part that
+    /// lacks one of them may be tried, since its answer or crash tells the two apart.
+    pub alternatives: Vec<PartId>,
 }
--- a/crates/decisions/src/stage_logs.rs
+++ b/crates/decisions/src/stage_logs.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     AnswerStage, CrashEvidence, EvidenceScope, MonotonicTime, PartId, PartStart, SuspectedPart,
-    crash_log::CrashLog, start_log::StartLog,
+    crash_log::CrashLog, crash_record::CrashRecord, start_log::StartLog,
 };
 
 /// Logs of the latest answers by prompt part. An answer is in the log of each stage that it has reached.
@@ -46,6 +46,23 @@
         parts.filter(|&part| !self.clears(part, crash.at))
     }
 
+    /// Returns whether no answer has cleared `part` since a crash.
+    pub(crate) fn is_suspected(&self, part: PartId, crash: &CrashEvidence) -> bool {
+        self.suspected(crash).any(|one| one.id == part)
+    }
+
+    /// Returns those of `crashes` for which `part` is suspected and that do not contain `other`.
+    pub(crate) fn crashes_without<'a>(
+        &'a self,
+        crashes: &'a CrashLog,
+        part: PartId,
+        other: PartId,
+    ) -> impl Iterator<Item = &'a CrashRecord> {
+        crashes.records().iter().filter(move |record| {
+            !record.evidence.has_part(other) && self.is_suspected(part, &record.evidence)
+        })
+    }
+
     /// Counts an answer to a request with any parts that has reached `stage`, but had not before.
     pub(crate) fn count_one(&mut self, stage: AnswerStage, at: MonotonicTime) {
         self.logs[stage.index()].count_one(at);
--- a/crates/decisions/tests/quarantine_fleet/fleet.rs
+++ b/crates/decisions/tests/quarantine_fleet/fleet.rs
@@ -8,14 +8,14 @@
 };
 
 use hawthornquay_decisions::{
-    AnswerStage, BackendName, EvidenceScope, MonotonicTime, PartId, PartQuarantine,
+    AnswerStage, BackendName, EvidenceScope, MonotonicTime, PartId, PartQuarantine, PartVerdict,
     QuarantineChange, QuarantineUpdate,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::{
     outcome::Outcome,
-    scenario::{Crashing, Scenario},
+    scenario::{CALLER, Crashing, Scenario},
 };
 
 const ROUND_MS: u64 = 300;
@@ -29,6 +29,8 @@
     attempts: usize,
     tried: Vec<usize>,
     instance: usize,
+    /// Whether it may be sent to one server only, as a part of it is quarantined.
+    is_trial: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -148,8 +150,15 @@
                 let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1e3;
                 self.schedule((gap / self.scenario.requests_per_s) as u64, Event::Arrival);
                 let request = self.request();
+                let is_caller = request.parts[0] == CALLER;
+                if is_caller && !request.crashing && self.scenario.pause.contains(&self.now) {
+                    return;
+                }
                 if !request.crashing {
                     self.outcome.healthy_arrived.push(self.now);
+                    if is_caller {
+                        self.outcome.caller_arrived.push(self.now);
+                    }
                 }
                 self.send(request);
             }
@@ -224,11 +233,15 @@
             let part = self.scenario.crashing_part(index);
             match self.scenario.crashing[index] {
                 Crashing::NewSubject | Crashing::KnownSubject => subject = part,
-                Crashing::SubjectOfOneFirstPart => (first, subject) = (PartId(1), part),
+                Crashing::SubjectOfOneFirstPart => (first, subject) = (CALLER, part),
                 Crashing::NewFirstPart | Crashing::KnownFirstPart => first = part,
             }
         }
-        let parts = vec![first, subject];
+        let mut parts = vec![first];
+        if first == CALLER {
+            parts.extend((0..self.scenario.caller_parts).map(|index| PartId(700_000 + index)));
+        }
+        parts.push(subject);
         let crashing = self.now >= self.scenario.crashing_from
             && parts.iter().any(|part| self.crashing.contains(part));
         Request {
@@ -238,16 +251,31 @@
             attempts: 0,
             tried: Vec::new(),
             instance,
+            is_trial: false,
+        }
+    }
+
+    /// Returns whether an instance sends a request to a server, as far as its parts matter.
+    fn admits(&mut self, instance: usize, request: &mut Request) -> bool {
+        let now = self.clock(instance);
+        let quarantine = &mut self.instances[instance];
+        match quarantine.verdict(now, &request.parts) {
+            PartVerdict::Accepted => true,
+            PartVerdict::Refused { .. } => false,
+            PartVerdict::Trial { .. } => {
+                request.is_trial =
+                    request.attempts == 0 && quarantine.begin_trial(now, &request.parts);
+                request.is_trial
+            }
         }
     }
 
     /// Sends a request to a server of the region, or of another one if none is up there.
     fn send(&mut self, mut request: Request) {
-        let now = self.clock(request.instance);
+        let is_tried = request.is_trial && request.attempts > 0;
         if request.attempts == MAX_ATTEMPTS
-            || self.instances[request.instance]
-                .quarantined(now, &request.parts)
-                .is_some()
+            || is_tried
+            || !self.admits(request.instance, &mut request)
         {
             return;
         }
@@ -277,12 +305,7 @@
             let count = self.scenario.instances / self.scenario.regions;
             request.instance =
                 self.rng.random_range(0..count) * self.scenario.regions + server_region;
-            let now = self.clock(request.instance);
-            if !self.has_started(request.instance)
-                || self.instances[request.instance]
-                    .quarantined(now, &request.parts)
-                    .is_some()
-            {
+            if !self.has_started(request.instance) || !self.admits(request.instance, &mut request) {
                 return;
             }
         }
@@ -329,6 +352,9 @@
         let request = self.servers[index].waiting.remove(&id).unwrap();
         if request.attempts == 1 && !is_cause {
             self.outcome.healthy_begun.push(request.arrived);
+            if request.parts[0] == CALLER {
+                self.outcome.caller_begun.push(request.arrived);
+            }
         }
         self.servers[index].running.insert(id, (self.now, request));
         self.reach(index, start, id, AnswerStage::Begun);
--- a/crates/decisions/tests/quarantine_fleet/mod.rs
+++ b/crates/decisions/tests/quarantine_fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Simulation of instances and backend servers, some of whose requests crash servers.
 
+#![allow(dead_code)]
+
 mod fleet;
 mod outcome;
 mod scenario;
--- a/crates/decisions/tests/quarantine_fleet/outcome.rs
+++ b/crates/decisions/tests/quarantine_fleet/outcome.rs
@@ -21,6 +21,10 @@
     pub healthy_begun: Vec<u64>,
     /// Times at which healthy requests arrived.
     pub healthy_arrived: Vec<u64>,
+    /// As above, for those of the caller whose requests may pause.
+    pub caller_begun: Vec<u64>,
+    /// Times at which healthy requests of that caller arrived.
+    pub caller_arrived: Vec<u64>,
     /// Crashes and starts in all updates from 10 s after the last crash on.
     pub late_entries: usize,
 }
@@ -39,7 +43,16 @@
 
     /// Returns the share of the healthy requests from `from` on that began at their first attempt.
     pub fn healthy_share(&self, from: u64) -> f64 {
-        let count = |times: &[u64]| times.iter().filter(|&&at| at >= from).count() as f64;
-        count(&self.healthy_begun) / count(&self.healthy_arrived).max(1.0)
+        share(&self.healthy_begun, &self.healthy_arrived, from)
     }
+
+    /// As above, of those of the caller whose requests may pause.
+    pub fn caller_share(&self, from: u64) -> f64 {
+        share(&self.caller_begun, &self.caller_arrived, from)
+    }
+}
+
+fn share(begun: &[u64], arrived: &[u64], from: u64) -> f64 {
+    let count = |times: &[u64]| times.iter().filter(|&&at| at >= from).count() as f64;
+    count(begun) / count(arrived).max(1.0)
 }
--- a/crates/decisions/tests/quarantine_fleet/scenario.rs
+++ b/crates/decisions/tests/quarantine_fleet/scenario.rs
@@ -6,6 +6,9 @@
 
 use super::{fleet::Fleet, outcome::Outcome};
 
+/// First part of the requests of the caller whose healthy requests may pause.
+pub const CALLER: PartId = PartId(1);
+
 /// Part that crashes servers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Crashing {
@@ -53,6 +56,10 @@
     pub stops: Vec<(u64, usize)>,
     /// Instance that starts at the given time; until then, requests do not arrive there.
     pub late_instance: Option<(u64, usize)>,
+    /// Time in which no healthy requests of [`CALLER`] come.
+    pub pause: Range<u64>,
+    /// Number of further parts that all requests of [`CALLER`] share.
+    pub caller_parts: u64,
 }
 
 impl Scenario {
@@ -79,6 +86,8 @@
             kills: Vec::new(),
             stops: Vec::new(),
             late_instance: None,
+            pause: 0..0,
+            caller_parts: 0,
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -57,6 +57,8 @@
     pub(crate) permit_wait: Duration,
     /// Whether any attempt may have run the request.
     pub(crate) execution: Execution,
+    /// Whether the request is tried although a part of its prompt is quarantined.
+    pub(crate) is_trial: bool,
     /// Backend servers that failed the request.
     pub(crate) excluded_servers: Vec<BackendName>,
     /// Instances that failed or refused the request.
@@ -113,6 +115,7 @@
             denied_permits: 0,
             permit_wait: Duration::ZERO,
             execution: Execution::NotRun,
+            is_trial: false,
             excluded_servers: Vec::new(),
             excluded_instances: Vec::new(),
             excluded_regions: Vec::new(),
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -74,6 +74,13 @@
         placement: PlacementDecision,
         left: Duration,
     ) -> Option<PlacementDecision> {
+        let sends_request = matches!(
+            placement,
+            PlacementDecision::Server(_) | PlacementDecision::Region { .. }
+        );
+        if sends_request && !self.begin_trial() {
+            return None;
+        }
         if let PlacementDecision::Server(pick) = &placement
             && pick.is_limited
             && !self.obtain_permit(pick, left).await
--- a/crates/gateway/src/exchange_quarantine.rs
+++ b/crates/gateway/src/exchange_quarantine.rs
@@ -2,23 +2,50 @@
 
 use std::fmt::Write;
 
-use hawthornquay_decisions::{Execution, Refusal, RefusalCode};
+use hawthornquay_decisions::{Execution, PartVerdict, Refusal, RefusalCode};
 
 use crate::{
     AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping,
     gateway::now,
-    quarantine::{part_hex, part_refusal},
+    quarantine::{part_hex, part_refusal, trial_refusal},
 };
 
 impl<C: ControlPlane, H: HeaderMapping> Exchange<C, H> {
-    /// Refuses the request if a part of its prompt is quarantined.
+    /// Refuses the request if a part of its prompt is quarantined, unless it is or may be tried.
     pub(crate) fn check_quarantine(&mut self) -> Result<(), Refusal> {
         let parts = self.request.work.shared_part_ids();
-        let Some((part, ends_in)) = self.gateway.quarantined_part(now(), &parts) else {
-            return Ok(());
+        let (part, refusal) = match self.gateway.part_verdict(now(), &parts) {
+            PartVerdict::Accepted => return Ok(()),
+            // One server at most, as the request may crash it.
+            PartVerdict::Trial { possible_in, .. }
+                if self.execution == Execution::NotRun
+                    && (self.is_trial || possible_in.is_zero()) =>
+            {
+                return Ok(());
+            }
+            PartVerdict::Trial { part, possible_in } => (part, trial_refusal(part, possible_in)),
+            PartVerdict::Refused { part, ends_in } => (part, part_refusal(part, ends_in)),
         };
         let _ = write!(self.attempt_trace, "quarantined:{} ", part_hex(part));
-        Err(self.quarantine_refusal(part_refusal(part, ends_in)))
+        Err(self.quarantine_refusal(refusal))
+    }
+
+    /// Begins the trial of the request if a part of its prompt is quarantined. Returns whether the request
+    /// may be sent; if not, [`Self::check_quarantine`] refuses it.
+    pub(crate) fn begin_trial(&mut self) -> bool {
+        let parts = self.request.work.shared_part_ids();
+        match self.gateway.part_verdict(now(), &parts) {
+            PartVerdict::Accepted => true,
+            PartVerdict::Refused { .. } => false,
+            PartVerdict::Trial { .. } if self.is_trial => true,
+            PartVerdict::Trial { part, .. } => {
+                self.is_trial = self.gateway.begin_trial(&self.request.id, &parts);
+                if self.is_trial {
+                    let _ = write!(self.attempt_trace, "trial:{} ", part_hex(part));
+                }
+                self.is_trial
+            }
+        }
     }
 
     /// Refuses the request if another instance refused it for a quarantined part: a quarantine
--- a/crates/gateway/src/exchange_timeouts.rs
+++ b/crates/gateway/src/exchange_timeouts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthornquay_decisions::PartVerdict;
 use hawthornquay_traffic::{ExecutionSemantics, PlacementDecision};
 
 use crate::{
@@ -131,8 +132,8 @@
             || !self.gateway.has_retry(&request.service)
             || self
                 .gateway
-                .quarantined_part(time, &request.work.shared_part_ids())
-                .is_some()
+                .part_verdict(time, &request.work.shared_part_ids())
+                != PartVerdict::Accepted
         {
             return false;
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -41,6 +41,7 @@
     stream_concerns: IntCounterVec,
     backend_crashes: IntCounter,
     quarantined_parts: IntGauge,
+    part_trials: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -178,6 +179,11 @@
                 "quarantined_parts",
                 "Prompt parts whose requests are refused because they crash backend servers",
             )?,
+            part_trials: counter(
+                &registry,
+                "quarantined_part_trials_total",
+                "Requests tried to tell a quarantined prompt part from others in the same crashes",
+            )?,
             registry,
         })
     }
@@ -316,6 +322,11 @@
         self.backend_crashes.inc();
     }
 
+    /// Counts a request that is tried although a part of its prompt is quarantined.
+    pub fn count_part_trial(&self) {
+        self.part_trials.inc();
+    }
+
     /// Sets the number of quarantined prompt parts.
     pub fn set_quarantined_parts(&self, parts: usize) {
         self.quarantined_parts
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,8 +3,8 @@
 use std::{future, sync::Arc, time::Duration};
 
 use hawthornquay_decisions::{
-    AnswerStage, EvidenceScope, MonotonicTime, PartId, QuarantineChange, QuarantineUpdate, Refusal,
-    RefusalCode, RequestId,
+    AnswerStage, EvidenceScope, MonotonicTime, PartId, PartVerdict, QuarantineChange,
+    QuarantineUpdate, QuarantinedPart, Refusal, RefusalCode, RequestId,
 };
 use hawthornquay_instances::Status;
 use hawthornquay_traffic::{ServerPick, Work};
@@ -17,37 +17,48 @@
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(15);
 
 impl<C, H> Gateway<C, H> {
-    /// Returns the first of `parts` that is quarantined, and the time until its quarantine ends.
-    pub(crate) fn quarantined_part(
-        &self,
-        time: MonotonicTime,
-        parts: &[PartId],
-    ) -> Option<(PartId, Duration)> {
+    /// Decides whether a request with `parts` may be sent to a server.
+    pub(crate) fn part_verdict(&self, time: MonotonicTime, parts: &[PartId]) -> PartVerdict {
         if parts.is_empty() {
-            return None;
+            return PartVerdict::Accepted;
         }
-        self.quarantine.lock().quarantined(time, parts)
+        self.quarantine.lock().verdict(time, parts)
     }
 
-    /// Refuses work of which a prompt part is quarantined.
+    /// Refuses work of which a prompt part is quarantined, unless a request with it may be tried now.
     ///
     /// # Errors
     ///
     /// Returns a refusal with execution `NotRun` that names the part.
     pub(crate) fn check_quarantine(&self, work: &Work) -> Result<(), Refusal> {
-        match self.quarantined_part(now(), &work.shared_part_ids()) {
-            Some((part, ends_in)) => Err(part_refusal(part, ends_in)),
-            None => Ok(()),
+        match self.part_verdict(now(), &work.shared_part_ids()) {
+            PartVerdict::Accepted => Ok(()),
+            PartVerdict::Trial { possible_in, .. } if possible_in.is_zero() => Ok(()),
+            PartVerdict::Trial { part, possible_in } => Err(trial_refusal(part, possible_in)),
+            PartVerdict::Refused { part, ends_in } => Err(part_refusal(part, ends_in)),
+        }
+    }
+
+    /// Begins the trial of the request `id` with `parts`, if one is possible now.
+    pub(crate) fn begin_trial(&self, id: &RequestId, parts: &[PartId]) -> bool {
+        let has_begun = self.quarantine.lock().begin_trial(now(), parts);
+        if has_begun {
+            self.metrics.count_part_trial();
+            slog::info!(self.log.requests, "request with a quarantined prompt part tried";
+                "id" => id.as_str(), "parts" => parts_hex(parts));
         }
+        has_begun
     }
 
-    /// Waits until one of `parts` is quarantined.
-    pub(crate) async fn part_quarantined(&self, parts: &[PartId]) {
+    /// Waits until requests with `parts` are refused.
+    ///
+    /// One that tells a quarantined part from others goes on, since its answer ends the quarantine.
+    pub(crate) async fn parts_refused(&self, parts: &[PartId]) {
         if parts.is_empty() {
             return future::pending().await;
         }
         let mut changes = self.quarantine_changed.subscribe();
-        while self.quarantined_part(now(), parts).is_none() {
+        while !matches!(self.part_verdict(now(), parts), PartVerdict::Refused { .. }) {
             if changes.changed().await.is_err() {
                 return future::pending().await;
             }
@@ -96,14 +107,15 @@
                 return;
             }
             let all = quarantine.update(time, EvidenceScope::All);
-            (changes, all.quarantined.len())
+            (changes, all.quarantined)
         };
-        self.metrics.set_quarantined_parts(parts);
+        self.metrics.set_quarantined_parts(parts.len());
         for change in changes {
             match change {
                 QuarantineChange::Quarantined { part, crashes } => {
                     slog::warn!(self.log.requests, "prompt part quarantined";
-                        "part" => part_hex(part), "crashes" => crashes);
+                        "part" => part_hex(part), "crashes" => crashes,
+                        "alternatives" => alternatives(&parts, part));
                 }
                 QuarantineChange::Released(part) => {
                     slog::warn!(self.log.requests, "prompt part released";
@@ -150,12 +162,11 @@
             gateway.metrics.count_backend_crash();
         }
         if let Some(suppressed) = gateway.log.request_log_limit.admit_line(failed_at) {
-            let parts: Vec<String> = parts.iter().map(|part| part_hex(*part)).collect();
             slog::warn!(gateway.log.requests, "backend server crashed during a request";
                 "id" => id.as_str(),
                 "server" => server.as_str(),
                 "address" => %address,
-                "parts" => parts.join(" "),
+                "parts" => parts_hex(&parts),
                 "cleared_by" => ?cleared_by,
                 "suppressed" => suppressed,
             );
@@ -173,6 +184,27 @@
     Refusal::not_run(RefusalCode::PromptQuarantined, &message).with_retry_after(ends_in)
 }
 
+/// Returns the refusal of a request that has not run because another one with `part` is being tried.
+pub(crate) fn trial_refusal(part: PartId, possible_in: Duration) -> Refusal {
+    let message = format!(
+        "requests with the prompt part {} may crash backend servers, and another one is being tried",
+        part_hex(part)
+    );
+    Refusal::not_run(RefusalCode::PromptQuarantined, &message).with_retry_after(possible_in)
+}
+
+/// Returns the other parts that explain the crashes of `part`, as they are written to logs.
+fn alternatives(quarantined: &[QuarantinedPart], part: PartId) -> String {
+    let found = quarantined.iter().find(|one| one.part == part);
+    found.map_or_else(String::new, |one| parts_hex(&one.alternatives))
+}
+
+/// Returns prompt parts as they are written to logs.
+fn parts_hex(parts: &[PartId]) -> String {
+    let parts: Vec<String> = parts.iter().map(|part| part_hex(*part)).collect();
+    parts.join(" ")
+}
+
 /// Returns a prompt part as it is written to logs.
 pub(crate) fn part_hex(part: PartId) -> String {
     format!("{:016x}", part.0)
--- a/crates/gateway/src/quarantine_notices.rs
+++ b/crates/gateway/src/quarantine_notices.rs
@@ -35,6 +35,7 @@
         part: one.part.0,
         first_crash_age_ms: age(one.first_crash_at),
         age_ms: age(one.since),
+        alternatives: one.alternatives.iter().map(|part| part.0).collect(),
     });
     Status {
         crashes: crashes.collect(),
@@ -56,6 +57,7 @@
         part: PartId(one.part),
         first_crash_at: time_before(now, one.first_crash_age_ms),
         since: time_before(now, one.age_ms),
+        alternatives: one.alternatives.iter().copied().map(PartId).collect(),
     });
     QuarantineUpdate {
         crashes: status
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -104,7 +104,7 @@
         let response = tokio::select! {
             biased;
             response = attempt.send(request, last_event, limit) => response,
-            () = gateway.part_quarantined(&attempt.parts) => {
+            () = gateway.parts_refused(&attempt.parts) => {
                 Err(AttemptFailure::unknown(AttemptCause::Quarantined))
             }
         };
@@ -141,7 +141,7 @@
             tokio::select! {
                 biased;
                 chunk = timeout(max_wait, body.next()) => chunk,
-                () = self.gateway.part_quarantined(&self.parts) => {
+                () = self.gateway.parts_refused(&self.parts) => {
                     self.body = None;
                     return Some(Err(AttemptFailure::unknown(AttemptCause::Quarantined)));
                 }
--- a/crates/gateway/tests/quarantine_notices.rs
+++ b/crates/gateway/tests/quarantine_notices.rs
@@ -38,6 +38,7 @@
             part: PartId(u64::MAX),
             first_crash_at: ms(2_000 + after),
             since: ms(8_000 + after),
+            alternatives: vec![PartId(1), PartId(u64::MAX - 1)],
         }],
     }
 }
--- a/crates/instances/src/quarantine_record.rs
+++ b/crates/instances/src/quarantine_record.rs
@@ -12,4 +12,7 @@
     /// Time since the quarantine began, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Other parts that explain the same crashes.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub alternatives: Vec<u64>,
 }
--- a/crates/instances/tests/quarantine_records.rs
+++ b/crates/instances/tests/quarantine_records.rs
@@ -54,6 +54,7 @@
             part: u64::MAX,
             first_crash_age_ms: 900,
             age_ms: 300,
+            alternatives: vec![7, u64::MAX - 1],
         }],
         ..Status::default()
     }
