Keep the pause that a backend server asks for in Retry-After

Cause: the header was read nowhere; a refusal excluded the server for that request only. The refusals at idle servers: each request began at the full server, and its second attempt draws on the retry budget, which was used up (log lines of 96 such requests: 33 placed again and answered, 63 without a second placement).

Change: the instance that got the answer sends the server nothing until its time is over, on any route, health checks and questions about runs included; what was placed before is checked again when it is sent and once the connection is open. The pause belongs to the process of the server and is kept while its entry is away. Afterwards few requests wait there until one is answered, then a ramp begins. Log line, metric, and SERVER/paused and paused~MS in the line of the request.

Why it works: requests are placed elsewhere at the first attempt, which needs no retry.

--- a/crates/decisions/src/refusal_code.rs
+++ b/crates/decisions/src/refusal_code.rs
@@ -47,6 +47,9 @@
     ResidencyRefused,
     /// No service has the requested path, or no backend server serves the requested model.
     RouteUnknown,
+    /// The backend servers of the region take no requests from the instance for a time; another instance
+    /// may send them.
+    ServersPaused,
     /// The instance is shutting down.
     ShuttingDown,
     /// The instance that received the forwarded request has an older bundle than the sender.
@@ -82,6 +85,7 @@
             Self::RequestUnknown => "request-unknown",
             Self::ResidencyRefused => "residency-refused",
             Self::RouteUnknown => "route-unknown",
+            Self::ServersPaused => "servers-paused",
             Self::ShuttingDown => "shutting-down",
             Self::StaleBundle => "stale-bundle",
         }
@@ -104,6 +108,7 @@
             | Self::NoCapacity
             | Self::NotReady
             | Self::PromptQuarantined
+            | Self::ServersPaused
             | Self::ShuttingDown
             | Self::StaleBundle => 503,
             Self::DeadlineExceeded => 504,
--- a/crates/gateway/src/cold_checks.rs
+++ b/crates/gateway/src/cold_checks.rs
@@ -117,6 +117,7 @@
         .await
         .ok()?;
     let health = gateway.header_mapping.read_health(&head);
+    gateway.record_health_pause(&server.id, &health);
     // Another process may have the address by now.
     if health.server.as_deref() != Some(server.id.as_str()) {
         return None;
--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -91,14 +91,16 @@
         if let PlacementDecision::Server(pick) = &placement
             && !self.record_sent(pick)
         {
-            let _ = write!(self.attempt_trace, "{}/cold ", pick.id);
+            let is_paused = self.gateway.servers.lock().is_paused(now(), &pick.id);
+            let reason = if is_paused { "paused" } else { "cold" };
+            let _ = write!(self.attempt_trace, "{}/{reason} ", pick.id);
             return None;
         }
         Some(placement)
     }
 
     /// Records the request as sent; returns whether the picked server may still get it. Others may have
-    /// used its cold rate while this request waited.
+    /// used its cold rate, or it may have asked for a pause, while this request waited.
     fn record_sent(&self, pick: &ServerPick) -> bool {
         let time = now();
         let mut servers = self.gateway.servers.lock();
@@ -227,13 +229,16 @@
         region: &RegionName,
     ) {
         self.excluded_instances.push(peer.clone());
-        // The instances of a region share its backend servers, so the others would refuse as well.
         if let AttemptCause::Peer {
-            code: RefusalCode::NoCapacity,
+            code: code @ (RefusalCode::NoCapacity | RefusalCode::ServersPaused),
             ..
         } = failure.cause
         {
-            self.excluded_regions.push(region.clone());
+            // The instances of a region share its backend servers, so the others would refuse as well. A
+            // pause holds for one instance only.
+            if code == RefusalCode::NoCapacity {
+                self.excluded_regions.push(region.clone());
+            }
             let (service, tokens) = (&self.request.service, self.request.work.prompt_tokens);
             self.gateway
                 .region_board
--- a/crates/gateway/src/exchange_refusals.rs
+++ b/crates/gateway/src/exchange_refusals.rs
@@ -1,9 +1,9 @@
 //! Refusals of requests that were admitted.
 
-use std::time::Duration;
+use std::{fmt::Write, time::Duration};
 
 use hawthornquay_decisions::{Execution, Refusal, RefusalCode};
-use hawthornquay_traffic::overload_retry_after;
+use hawthornquay_traffic::{overload_retry_after, pause_retry_after};
 
 use crate::{
     AttemptCause, AttemptFailure, ControlPlane, Exchange, HeaderMapping,
@@ -33,12 +33,28 @@
                 "no other backend server can continue the request",
             );
         }
-        let after = self.retry_after.unwrap_or(UNAVAILABLE_RETRY_AFTER);
-        Refusal::not_run(
-            RefusalCode::NoCapacity,
-            "no backend server can take the request now",
-        )
-        .with_retry_after(after)
+        let pause = self.pause_retry_after();
+        if let Some(pause) = pause {
+            let _ = write!(self.attempt_trace, "paused~{}ms ", pause.as_millis());
+        }
+        let after = pause.into_iter().chain(self.retry_after).min();
+        // The sender of a forwarded request may try another instance.
+        let code = match pause.is_some() && self.request.forwarded {
+            true => RefusalCode::ServersPaused,
+            false => RefusalCode::NoCapacity,
+        };
+        Refusal::not_run(code, "no backend server can take the request now")
+            .with_retry_after(after.unwrap_or(UNAVAILABLE_RETRY_AFTER))
+    }
+
+    /// Returns the delay before a retry if all servers of the service in this region take no requests
+    /// from this instance for a time.
+    fn pause_retry_after(&self) -> Option<Duration> {
+        let gateway = &self.gateway;
+        let servers = gateway.servers.lock();
+        let service = &self.request.service;
+        let pause = servers.pause_remaining(now(), service, |domain| gateway.is_local(domain))?;
+        Some(pause_retry_after(pause, self.request.id.as_str()))
     }
 
     /// Returns the refusal when the `expected` time to a response is too long.
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -39,6 +39,7 @@
     pace_questions: IntCounter,
     slower_paces: IntCounter,
     stream_concerns: IntCounterVec,
+    server_pauses: IntCounter,
     backend_crashes: IntCounter,
     quarantined_parts: IntGauge,
     part_trials: IntCounter,
@@ -169,6 +170,11 @@
                 "Requests forwarded or refused because of the expected course of their streams",
                 &["action", "reason"],
             )?,
+            server_pauses: counter(
+                &registry,
+                "backend_pauses_total",
+                "Pauses that backend servers asked this instance for",
+            )?,
             backend_crashes: counter(
                 &registry,
                 "backend_crashes_total",
@@ -317,6 +323,11 @@
             .inc();
     }
 
+    /// Counts a pause that a backend server has asked this instance for.
+    pub fn count_server_pause(&self) {
+        self.server_pauses.inc();
+    }
+
     /// Counts a crash of a backend server that had not begun to answer a request.
     pub fn count_backend_crash(&self) {
         self.backend_crashes.inc();
--- a/crates/gateway/src/header_mapping.rs
+++ b/crates/gateway/src/header_mapping.rs
@@ -70,6 +70,9 @@
     pub leaving: bool,
     /// Number of requests that the server takes.
     pub limit: LimitStatement,
+    /// Time for which the server wants no further requests from this instance, after it has turned this
+    /// one away.
+    pub pause: Option<Duration>,
 }
 
 /// Values from the head of a backend server's answer to a health check.
@@ -83,6 +86,8 @@
     pub limit: LimitStatement,
     /// Load that the server reports.
     pub load: Option<ReportedLoad>,
+    /// Time for which the server wants no further requests from this instance.
+    pub pause: Option<Duration>,
 }
 
 /// Translation of headers between the gateway and its callers and backend servers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod returning_requests;
 mod running_requests;
 mod server_attempt;
+mod server_pauses;
 mod server_permits;
 mod server_probes;
 mod silence_limit;
--- a/crates/gateway/src/ramp_reports.rs
+++ b/crates/gateway/src/ramp_reports.rs
@@ -36,5 +36,6 @@
         RampCause::Listed => "listed",
         RampCause::Warm => "warm",
         RampCause::Reachable => "reachable",
+        RampCause::Resumed => "resumed",
     }
 }
--- a/crates/gateway/src/server_attempt.rs
+++ b/crates/gateway/src/server_attempt.rs
@@ -221,7 +221,7 @@
         }
         let mut servers = self.gateway.servers.lock();
         let kind = match failure.cause {
-            AttemptCause::WrongServer => return servers.remove_replaced(&self.pick.id),
+            AttemptCause::WrongServer => return servers.remove_replaced(now(), &self.pick.id),
             AttemptCause::Rejected
             | AttemptCause::Quarantined
             | AttemptCause::Unsendable(_)
@@ -256,6 +256,10 @@
             .connect_fresh(self.pick.address)
             .await
             .map_err(|_| AttemptFailure::unsent(AttemptCause::Unreachable))?;
+        // It may have answered another request while the connection was opened.
+        if gateway.servers.lock().is_paused(now(), &self.pick.id) {
+            return Err(AttemptFailure::unsent(AttemptCause::Rejected));
+        }
         let headers = gateway
             .header_mapping
             .backend_headers(&BackendRequestMetadata {
@@ -303,6 +307,10 @@
         // lists in `Connection`, does not count.
         strip_hop_headers(&mut head.headers);
         let metadata = self.gateway.header_mapping.read_response(&head);
+        // Holds for the server whichever request the answer belongs to.
+        if let Some(pause) = metadata.pause {
+            self.gateway.record_pause(&self.pick.id, pause);
+        }
         if !belongs_to(request, head.status, &metadata) {
             return Err(AttemptFailure::unknown(AttemptCause::Garbled));
         }
--- a/crates/gateway/src/server_probes.rs
+++ b/crates/gateway/src/server_probes.rs
@@ -94,6 +94,7 @@
         // The connection is opened within the same time.
         let head = timeout(PACE_TIMEOUT, asked).await.ok()?.ok()?;
         let health = self.header_mapping.read_health(&head);
+        self.record_health_pause(&pick.id, &health);
         // Another process may have the address by now.
         if health.server.as_deref() != Some(pick.id.as_str()) {
             return None;
@@ -105,6 +106,9 @@
 
     /// Asks a silent backend server whether it still runs a request.
     pub(crate) async fn run_evidence(&self, pick: &ServerPick, request: &RequestId) -> RunEvidence {
+        if self.servers.lock().is_paused(now(), &pick.id) {
+            return RunEvidence::Unknown;
+        }
         let probe = self.probes.get(&pick.id);
         let path = self.header_mapping.report_path();
         let ask = || self.backends.probe(pick.address, path, PROBE_TIMEOUT);
--- a/crates/traffic/src/cold_servers.rs
+++ b/crates/traffic/src/cold_servers.rs
@@ -127,6 +127,7 @@
             let entry = &server.entry;
             let cold_duration = cold_durations.get(&entry.service);
             !entry.leaving
+                && server.pause.remaining(now).is_none()
                 && now >= server.stated_cold_until
                 && is_local(&entry.domain)
                 && !evacuated.contains(&entry.domain)
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -37,6 +37,7 @@
 mod organisation_config;
 mod organisation_limits;
 mod overload_retry;
+mod paused_servers;
 mod placement;
 mod placement_decision;
 mod placement_request;
@@ -112,7 +113,7 @@
     operator_view::OperatorView,
     organisation_config::OrganisationConfig,
     organisation_limits::{LimitRefusal, OrganisationLimits},
-    overload_retry::overload_retry_after,
+    overload_retry::{overload_retry_after, pause_retry_after},
     placement::{PlacementOptions, place},
     placement_decision::{PlacementDecision, StreamConcern},
     placement_request::PlacementRequest,
--- a/crates/traffic/src/listed_server.rs
+++ b/crates/traffic/src/listed_server.rs
@@ -7,8 +7,9 @@
 use crate::{
     BackendEntry, ColdStartLimiter, EventRate, FirstByteWork, LatencyModel, PlacementRequest,
     RecentPrefixes, ServerHealth, ServerLoad, ServerPace, ServerPick, StoreRevision,
-    StreamPrediction, cold_servers::Doubt, request_limit::RequestLimit, server_ramp::ServerRamp,
-    server_selection::is_long_stream, service_model::ServiceModel,
+    StreamPrediction, cold_servers::Doubt, paused_servers::RequestPause,
+    request_limit::RequestLimit, server_ramp::ServerRamp, server_selection::is_long_stream,
+    service_model::ServiceModel,
 };
 
 /// Share of a server's slots in use above which its score gets a penalty. Filling the last slots of
@@ -51,6 +52,8 @@
     pub(crate) doubt: Option<Doubt>,
     /// Limit on the requests of all instances that the server has stated.
     pub(crate) limit: RequestLimit,
+    /// Time for which the server wants no requests from this instance.
+    pub(crate) pause: RequestPause,
     pub(crate) latency: LatencyModel,
     pub(crate) pace: ServerPace,
     /// Events of the streams of this instance that run at the server.
@@ -86,6 +89,7 @@
     ) -> bool {
         self.entry.service == *req.service
             && self.is_usable(now)
+            && self.takes_requests(now)
             && (req.is_local)(&self.entry.domain)
             && !evacuated.contains(&self.entry.domain)
             && !req.excluded_servers.contains(&self.entry.id)
--- a/crates/traffic/src/ramping_servers.rs
+++ b/crates/traffic/src/ramping_servers.rs
@@ -119,6 +119,9 @@
         let Some(server) = self.servers.get_mut(&pick.id) else {
             return;
         };
+        if matches!(outcome, RampOutcome::FirstChunk(_)) && server.pause.record_answer(sent_at) {
+            server.ramp.restart(RampCause::Resumed);
+        }
         server
             .ramp
             .record(now, sent_at, pick.expected_latency, outcome);
--- a/crates/traffic/src/server_ramp.rs
+++ b/crates/traffic/src/server_ramp.rs
@@ -47,6 +47,8 @@
     Warm,
     /// It has responded successfully for the first time after it was unreachable.
     Reachable,
+    /// It has responded successfully for the first time after it wanted no requests.
+    Resumed,
 }
 
 /// What a request shows about the pace that its server sustains.
@@ -246,6 +248,11 @@
         window.is_full(now, target.requests, self.waiting)
     }
 
+    /// Returns the number of requests of this instance that wait for the first byte of their response.
+    pub(crate) const fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
     /// Records that this instance sends a request to the server.
     pub(crate) fn record_sent(&mut self) {
         self.waiting += 1;
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -44,7 +44,7 @@
     /// era.
     changed_revision: StoreRevision,
     removals: RemovalLog<BackendName>,
-    departed: DepartedServers,
+    pub(crate) departed: DepartedServers,
     pub(crate) announced: Vec<(MonotonicTime, LeavingServer)>,
     /// End of the time in which entries may be those of an older copy of the store.
     copy_until: MonotonicTime,
@@ -246,7 +246,7 @@
             let kept = server.kept_until.is_some_and(|until| now < until);
             if !kept {
                 changes.push(format!("{id} gone"));
-                self.departed.record(now, &server.entry);
+                self.departed.record(now, server);
             }
             kept
         });
@@ -301,10 +301,12 @@
     }
 
     /// Returns whether the picked server may still get the request: since the choice, it may have become
-    /// cold, or other requests may have used its cold rate.
+    /// cold or asked for a pause, or other requests may have used its cold rate.
     pub fn may_send(&mut self, now: MonotonicTime, pick: &ServerPick) -> bool {
         let server = self.servers.get_mut(&pick.id);
-        server.is_none_or(|server| server.cold.still_allows(now, pick.is_cold))
+        server.is_none_or(|server| {
+            server.takes_requests(now) && server.cold.still_allows(now, pick.is_cold)
+        })
     }
 
     /// Records that a request is sent to the picked server; `prefix` is the hash of its shared
@@ -368,8 +370,10 @@
     }
 
     /// Removes a server because another process answers at its address.
-    pub fn remove_replaced(&mut self, id: &BackendName) {
-        self.servers.remove(id);
+    pub fn remove_replaced(&mut self, now: MonotonicTime, id: &BackendName) {
+        if let Some(server) = self.servers.remove(id) {
+            self.departed.record(now, &server);
+        }
     }
 
     /// Records the remaining cold time that a server reports with a response.
@@ -439,6 +443,10 @@
         }
         let cold_remaining = self.assumed_cold_time(now, entry);
         let departed = self.departed.find(entry);
+        let former = self.servers.get(&entry.id);
+        let former = former.filter(|one| one.entry.started_ms == entry.started_ms);
+        let pause = former.map(|one| one.pause);
+        let pause = pause.or(departed.map(|one| one.pause));
         changes.push(format!("{} at {}", entry.id, entry.address));
         let is_settled = |first: MonotonicTime| now.since(first) >= FIRST_LISTS_TIME;
         let ramp = match self.first_list_at.is_some_and(is_settled) {
@@ -451,7 +459,7 @@
         let server = ListedServer {
             entry: BackendEntry {
                 cold_remaining: Duration::ZERO,
-                leaving: entry.leaving || departed == Some(true),
+                leaving: entry.leaving || departed.is_some_and(|one| one.leaving),
                 ..entry.clone()
             },
             usable_from: departed.map_or(MonotonicTime(0), |_| self.copy_until),
@@ -463,6 +471,7 @@
             first_listed_at: None,
             doubt: None,
             limit: RequestLimit::default(),
+            pause: pause.unwrap_or_default(),
             latency: LatencyModel::new(engine),
             pace: ServerPace::default(),
             events: EventRate::default(),
