Keep the limit of a backend server while its entry is away

Cause: the limit was kept with the entry, so the same process began without one.

A restart ends it.

Failed before: limit_entry_back_still_in_force, limit_stated_without_entry_kept.

--- a/crates/traffic/src/limited_servers.rs
+++ b/crates/traffic/src/limited_servers.rs
@@ -7,7 +7,10 @@
 
 use hawthornquay_decisions::{BackendName, InstanceName, MonotonicTime};
 
-use crate::{GrantedPart, LimitStatement, PermitDecision, ServerTable, stable_hash};
+use crate::{
+    GrantedPart, LimitStatement, PermitDecision, ServerTable, request_limit::RequestLimit,
+    stable_hash,
+};
 
 /// Number of instances of a region that may grant requests to the same server: the second one while the
 /// first cannot be reached.
@@ -76,10 +79,9 @@
         id: &BackendName,
         statement: LimitStatement,
     ) -> bool {
-        let Some(server) = self.servers.get_mut(id) else {
+        let Some((limit, _)) = self.limit_mut(id) else {
             return false;
         };
-        let limit = &mut server.limit;
         match statement {
             LimitStatement::PerSecond(per_s) => limit.apply(now, Some(per_s), now),
             // The answer may have been on its way when the server stated a limit to another instance.
@@ -92,20 +94,30 @@
 
     /// Applies a limit that another instance has reported.
     pub fn apply_limit(&mut self, now: MonotonicTime, reported: &ServerLimit) {
-        let server = self.servers.get_mut(&reported.id);
-        let Some(server) = server.filter(|one| one.entry.started_ms == reported.started_ms) else {
+        let found = self.limit_mut(&reported.id);
+        let Some((limit, _)) = found.filter(|(_, started_ms)| *started_ms == reported.started_ms)
+        else {
             return;
         };
         // An age grows by less than the time that its message takes, so a statement that goes to and fro
         // would seem to be newer each time.
-        if server.limit.per_s() != reported.per_s {
-            server.limit.apply(now, reported.per_s, reported.stated_at);
+        if limit.per_s() != reported.per_s {
+            limit.apply(now, reported.per_s, reported.stated_at);
         }
         if reported.is_spent {
-            server.limit.mark_exhausted(now);
+            limit.mark_exhausted(now);
         }
     }
 
+    /// Returns the limit of a server, listed or removed lately, and the start of its process.
+    fn limit_mut(&mut self, id: &BackendName) -> Option<(&mut RequestLimit, u64)> {
+        if let Some(server) = self.servers.get_mut(id) {
+            return Some((&mut server.limit, server.entry.started_ms));
+        }
+        let departed = self.departed.get_mut(id)?;
+        Some((&mut departed.limit, departed.started_ms))
+    }
+
     /// Returns the limit of a server; `None` if the server is not known.
     pub fn limit(&self, now: MonotonicTime, id: &BackendName) -> Option<ServerLimit> {
         let server = self.servers.get(id)?;
--- a/crates/traffic/src/paused_servers.rs
+++ b/crates/traffic/src/paused_servers.rs
@@ -65,7 +65,7 @@
     pub fn record_pause(&mut self, now: MonotonicTime, id: &BackendName, time: Duration) -> bool {
         let pause = match self.servers.get_mut(id) {
             Some(server) => Some(&mut server.pause),
-            None => self.departed.pause_mut(id),
+            None => self.departed.get_mut(id).map(|one| &mut one.pause),
         };
         pause.is_some_and(|pause| pause.extend(now, time))
     }
--- a/crates/traffic/src/server_table.rs
+++ b/crates/traffic/src/server_table.rs
@@ -13,7 +13,6 @@
     listed_server::ListedServer,
     ramping_servers::RampLog,
     removal_log::RemovalLog,
-    request_limit::RequestLimit,
     server_ramp::ServerRamp,
     service_model::ServiceModel,
 };
@@ -445,8 +444,9 @@
         let departed = self.departed.find(entry);
         let former = self.servers.get(&entry.id);
         let former = former.filter(|one| one.entry.started_ms == entry.started_ms);
-        let pause = former.map(|one| one.pause);
-        let pause = pause.or(departed.map(|one| one.pause));
+        let stated = former.map(|one| (one.limit, one.pause));
+        let stated = stated.or(departed.map(|one| (one.limit, one.pause)));
+        let (limit, pause) = stated.unwrap_or_default();
         changes.push(format!("{} at {}", entry.id, entry.address));
         let is_settled = |first: MonotonicTime| now.since(first) >= FIRST_LISTS_TIME;
         let ramp = match self.first_list_at.is_some_and(is_settled) {
@@ -470,8 +470,8 @@
             stated_cold_until: MonotonicTime(0),
             first_listed_at: None,
             doubt: None,
-            limit: RequestLimit::default(),
-            pause: pause.unwrap_or_default(),
+            limit,
+            pause,
             latency: LatencyModel::new(engine),
             pace: ServerPace::default(),
             events: EventRate::default(),
--- a/crates/traffic/tests/limited_servers.rs
+++ b/crates/traffic/tests/limited_servers.rs
@@ -7,7 +7,7 @@
 use common::{RequestContext, at, listing, server, table_of_warm, work};
 use hawthornquay_decisions::{BackendName, DomainName, InstanceName, ServiceName};
 use hawthornquay_traffic::{
-    LimitStatement, PermitDecision, ServerLimit, ServerTable, granting_instances,
+    BackendEntry, LimitStatement, PermitDecision, ServerLimit, ServerTable, granting_instances,
 };
 
 fn id() -> BackendName {
@@ -305,3 +305,51 @@
     table.record_limit(at(3_100), at(3_090), &id(), LimitStatement::Unlimited);
     assert_eq!(servers(&table, 3_100), 2);
 }
+
+/// Guards against a limit that is forgotten with the server's entry, which goes and comes back while the
+/// same process runs: until its next answer, each instance sent it all requests without a permit.
+#[test]
+fn limit_entry_back_still_in_force() {
+    let mut table = limited_table(1_000, 1.0);
+    let entry = server("s1", "home-a");
+    table.apply_listing(at(5_000), at(5_000), &listing(2, &[]));
+    table.apply_listing(
+        at(90_000),
+        at(90_000),
+        &listing(3, std::slice::from_ref(&entry)),
+    );
+    assert_eq!(stated(&table, 90_000), Some(1.0));
+    // Another process answered at its address for a moment.
+    table.remove_replaced(at(91_000), &id());
+    table.apply_listing(
+        at(92_000),
+        at(92_000),
+        &listing(4, std::slice::from_ref(&entry)),
+    );
+    assert_eq!(stated(&table, 92_000), Some(1.0));
+    let restarted = BackendEntry {
+        started_ms: 2,
+        ..entry
+    };
+    table.apply_listing(at(93_000), at(93_000), &listing(5, &[restarted]));
+    assert_eq!(stated(&table, 93_000), None);
+}
+
+/// Guards against a statement that is lost because it comes while the server's entry is away.
+#[test]
+fn limit_stated_without_entry_kept() {
+    let mut table = limited_table(1_000, 8.0);
+    let entry = server("s1", "home-a");
+    table.apply_listing(at(2_000), at(2_000), &listing(2, &[]));
+    table.record_limit(at(2_100), at(2_100), &id(), LimitStatement::PerSecond(2.0));
+    table.apply_listing(
+        at(3_000),
+        at(3_000),
+        &listing(3, std::slice::from_ref(&entry)),
+    );
+    assert_eq!(stated(&table, 3_000), Some(2.0));
+    table.apply_listing(at(4_000), at(4_000), &listing(4, &[]));
+    table.apply_limit(at(4_500), &reported(None, 4_400));
+    table.apply_listing(at(5_000), at(5_000), &listing(5, &[entry]));
+    assert_eq!(stated(&table, 5_000), None);
+}
