Send forwarded requests to another instance if servers are paused for the first

Seen in the new test on: 71 of 71 requests of another region were refused for the pause of one of two instances there, while the other one could send them.

Cause: a refusal for a pause counted as one of the region (its load, and the report of a leader that is paused itself left the server out).

Change: such a refusal excludes the instance only, and reports count paused servers.

--- a/crates/gateway/src/exchange_placement.rs
+++ b/crates/gateway/src/exchange_placement.rs
@@ -229,16 +229,14 @@
         region: &RegionName,
     ) {
         self.excluded_instances.push(peer.clone());
+        // The instances of a region share its backend servers, so the others would refuse as well. Paused
+        // servers refuse requests of one instance only.
         if let AttemptCause::Peer {
-            code: code @ (RefusalCode::NoCapacity | RefusalCode::ServersPaused),
+            code: RefusalCode::NoCapacity,
             ..
         } = failure.cause
         {
-            // The instances of a region share its backend servers, so the others would refuse as well. A
-            // pause holds for one instance only.
-            if code == RefusalCode::NoCapacity {
-                self.excluded_regions.push(region.clone());
-            }
+            self.excluded_regions.push(region.clone());
             let (service, tokens) = (&self.request.service, self.request.work.prompt_tokens);
             self.gateway
                 .region_board
--- a/crates/traffic/src/server_reports.rs
+++ b/crates/traffic/src/server_reports.rs
@@ -77,11 +77,8 @@
                 continue;
             }
             // A cold server accepts too few requests to be offered to other regions, and one that has
-            // none left of its limit, or has asked this instance for a pause, accepts none.
-            if server.cold.is_cold(now)
-                || server.limit.is_exhausted(now)
-                || server.pause.remaining(now).is_some()
-            {
+            // none left of its limit accepts none. A pause holds for this instance only.
+            if server.cold.is_cold(now) || server.limit.is_exhausted(now) {
                 continue;
             }
             let model = self.model(&server.entry.service);
